--- /dev/null
+++ b/umberhitch/adapters/operator_api.py
@@ -0,0 +1,348 @@
+"""The administration interface over HTTP: health, metrics, configuration, status and bills."""
+
+from collections.abc import Callable
+from dataclasses import asdict
+from hashlib import sha256
+from typing import Any
+from uuid import UUID
+
+from klein import Klein
+from msgspec import DecodeError, json
+
+from umberhitch import __version__
+from umberhitch.adapters.http_server import send_json
+from umberhitch.adapters.metrics import Metrics
+from umberhitch.config import (
+    Accepted,
+    Change,
+    Finding,
+    Ignored,
+    Kind,
+    Rejected,
+    SetState,
+    Verdict,
+    VersionState,
+)
+from umberhitch.config import Put as PutOp
+from umberhitch.config.documents import changes_to, check_object
+from umberhitch.core.billing import BillFold
+from umberhitch.errors import ConfigError, LogError
+from umberhitch.ports import LogPort
+from umberhitch.tasks.bills import BILLING_STREAM
+from umberhitch.tasks.router import Router
+from umberhitch.wire import Withdrawal
+
+__all__ = ["OperatorApi", "Role"]
+
+READ_BATCH = 5000
+
+
+class Role:
+    """What an operator may do; each includes the ones before."""
+
+    READ = "read"
+    CHANGE = "change"
+    WITHDRAW = "withdraw"
+    ORDER = (READ, CHANGE, WITHDRAW)
+
+
+class OperatorError(Exception):
+    """A call that is refused."""
+
+    def __init__(self, status: int, message: str, findings: list[Finding] | None = None) -> None:
+        super().__init__(message)
+        self.status = status
+        self.findings = findings or []
+
+
+class OperatorApi:
+    """Owns the operators' routes of one router.
+
+    Parameters
+    ----------
+    router : Router
+    log_port : LogPort
+    metrics : Metrics
+    new_id : callable
+        Returns a fresh random UUID.
+    operators : dict
+        Role by the hex SHA-256 of an operator's key; empty admits everyone on loopback.
+    """
+
+    app = Klein()
+
+    def __init__(
+        self,
+        router: Router,
+        log_port: LogPort,
+        metrics: Metrics,
+        new_id: Callable[[], UUID],
+        operators: dict[str, Any],
+    ) -> None:
+        self._router = router
+        self._log_port = log_port
+        self._metrics = metrics
+        self._new_id = new_id
+        self._operators = operators
+        self._bills = BillFold()
+
+    # Operators
+
+    def _operator(self, request: Any, role: str) -> str:
+        """Return the operator's name; raises unless it has the role."""
+        if not self._operators:
+            return "local"
+        scheme, _, key = (request.getHeader("Authorization") or "").partition(" ")
+        digest = sha256(key.strip().encode()).hexdigest()
+        held = self._operators.get(digest) if scheme.lower() == "bearer" else None
+        if held is None:
+            raise OperatorError(401, "a valid operator's key is needed")
+        if Role.ORDER.index(held) < Role.ORDER.index(role):
+            raise OperatorError(403, f'this key has the role "{held}", "{role}" is needed')
+        return f"operator-{digest[:8]}"
+
+    @app.handle_errors(OperatorError)
+    def _on_operator_error(self, request: Any, failure: Any) -> bytes:
+        exc = failure.value
+        findings = [asdict(finding) for finding in exc.findings]
+        return send_json(request, exc.status, {"error": str(exc), "findings": findings})
+
+    @app.handle_errors(ConfigError)
+    def _on_findings(self, request: Any, failure: Any) -> bytes:
+        findings = [asdict(finding) for finding in failure.value.findings]
+        return send_json(request, 400, {"error": "not valid", "findings": findings})
+
+    # Health
+
+    @app.route("/healthz")
+    def healthz(self, request: Any) -> bytes:
+        """Answer while the process runs."""
+        return send_json(request, 200, {"status": "ok", "version": __version__})
+
+    @app.route("/readyz")
+    def readyz(self, request: Any) -> bytes:
+        """Answer 200 while the router takes requests."""
+        is_ready = self._router.is_ready
+        state = self._router.state.value
+        return send_json(request, 200 if is_ready else 503, {"ready": is_ready, "state": state})
+
+    @app.route("/metrics")
+    def metrics(self, request: Any) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        request.setHeader("Content-Type", "text/plain; version=0.0.4")
+        return self._metrics.exposition()
+
+    # Configuration
+
+    @app.route("/admin/v1/config", methods=["GET"])
+    def get_config(self, request: Any) -> bytes:
+        """Return the configuration in force here, with the revision of each object."""
+        self._operator(request, Role.READ)
+        feed = self._router.feed
+        snapshot = feed.fold.snapshot()
+        objects = {kind: [_public(row) for row in rows] for kind, rows in snapshot.objects.items()}
+        return send_json(
+            request,
+            200,
+            {"revision": feed.revision, "objects": objects, "revisions": snapshot.revisions},
+        )
+
+    @app.route("/admin/v1/config", methods=["PUT"])
+    async def put_config(self, request: Any) -> bytes:
+        """Replace the whole configuration by the document in the body."""
+        author = self._operator(request, Role.WITHDRAW)
+        document = _decoded(request)
+        change = changes_to(document, self._router.feed.config, self._change_id(request), author)
+        return await self._submit(request, change)
+
+    @app.route("/admin/v1/changes", methods=["POST"])
+    async def post_change(self, request: Any) -> bytes:
+        """Apply a group of operations, whole or not at all."""
+        author = self._operator(request, Role.CHANGE)
+        raw = _decoded(request)
+        change = self._parse_change(raw, author, self._change_id(request))
+        stopped = _stopped_versions(change)
+        if stopped:
+            self._operator(request, Role.WITHDRAW)
+        for version in stopped:
+            self._router.withdraw_directly(Withdrawal(version, change.change_id))
+        return await self._submit(request, change)
+
+    def _change_id(self, request: Any) -> str:
+        return request.getHeader("Idempotency-Key") or f"chg-{self._new_id().hex}"
+
+    def _parse_change(self, raw: Any, author: str, change_id: str) -> Change:
+        if not isinstance(raw, dict) or not isinstance(raw.get("ops"), list):
+            raise OperatorError(400, "not valid", [Finding("ops", "must be a list")])
+        body = {"change_id": change_id, "author": author, "ops": raw["ops"]}
+        try:
+            change = json.decode(json.encode({"type": "change", **body}), type=Change)
+        except DecodeError as exc:
+            raise OperatorError(400, "not valid", [Finding("ops", str(exc))]) from exc
+        findings: list[Finding] = []
+        for index, op in enumerate(change.ops):
+            if isinstance(op, PutOp):
+                findings += check_object(Kind(op.kind), op.value, f"ops[{index}].value")
+        if findings:
+            raise ConfigError(findings)
+        return change
+
+    async def _submit(self, request: Any, change: Change) -> bytes:
+        if request.args.get(b"dry_run"):
+            _, findings = self._router.feed.fold.preview(change)
+            rows = [asdict(finding) for finding in findings]
+            return send_json(
+                request, 200, {"dry_run": True, "ops": len(change.ops), "findings": rows}
+            )
+        try:
+            verdict = await self._router.feed.submit(change)
+        except LogError as exc:
+            raise OperatorError(503, f"the change was not queued: {exc}") from exc
+        return send_json(request, _verdict_status(verdict), _verdict_body(verdict, change))
+
+    # Status
+
+    @app.route("/admin/v1/status", methods=["GET"])
+    def status(self, request: Any) -> bytes:
+        """Return what this router knows of itself, its agents and its peers."""
+        self._operator(request, Role.READ)
+        router = self._router
+        follower = router.feed.follower
+        return send_json(
+            request,
+            200,
+            {
+                "router": router.settings.name,
+                "zone": router.settings.zone,
+                "version": __version__,
+                "state": router.state.value,
+                "revision": router.feed.revision,
+                "source": router.feed.source.value,
+                "log": {"reachable": follower.failures == 0, "failures": follower.failures},
+                "usage_pending": router.bills.pending,
+                "requests_open": router.requests.open,
+                "endpoints": [self._endpoint_row(name) for name in sorted(router.fleet.endpoints)],
+                "peers": [_peer_row(digest) for digest in router.peers()],
+            },
+        )
+
+    def _endpoint_row(self, name: str) -> dict[str, Any]:
+        endpoint = self._router.fleet.endpoints[name]
+        return {
+            "name": name,
+            "zone": endpoint.zone,
+            "targets": list(endpoint.targets),
+            "state": "silent" if self._router.fleet.is_silent(endpoint) else endpoint.state.value,
+            "revision": endpoint.revision,
+            "in_flight": endpoint.own,
+            "load": round(endpoint.load(), 3),
+        }
+
+    @app.route("/admin/v1/in-force/<int:revision>", methods=["GET"])
+    def in_force(self, request: Any, revision: int) -> bytes:
+        """Return, by availability zone, whether a revision is in force."""
+        self._operator(request, Role.READ)
+        router = self._router
+        zones: dict[str, dict[str, Any]] = {}
+        for digest in [router.digest(), *router.peers()]:
+            row = zones.setdefault(digest.zone, _empty_zone())
+            row["routers"] += 1
+            row["routers_behind"] += digest.revision < revision
+            for zone, (count, lowest) in digest.agents.items():
+                row = zones.setdefault(zone, _empty_zone())
+                row["agents"] = max(row["agents"], count)
+                row["lowest_agent_revision"] = _lowest(row["lowest_agent_revision"], lowest)
+        for row in zones.values():
+            lowest = row["lowest_agent_revision"]
+            row["in_force"] = row["routers_behind"] == 0 and (lowest is None or lowest >= revision)
+        return send_json(
+            request,
+            200,
+            {
+                "revision": revision,
+                "in_force": all(row["in_force"] for row in zones.values()),
+                "zones": zones,
+            },
+        )
+
+    @app.route("/admin/v1/requests/<name>", methods=["GET"])
+    def explain(self, request: Any, name: str) -> bytes:
+        """Return why a request went where it went."""
+        self._operator(request, Role.READ)
+        trace = self._router.requests.traces.get(name)
+        if trace is None:
+            raise OperatorError(404, f'request "{name}" is not known at this router')
+        return send_json(request, 200, asdict(trace))
+
+    # Bills
+
+    @app.route("/admin/v1/bills", methods=["GET"])
+    async def bills(self, request: Any) -> bytes:
+        """Return the bill of each customer, from the billing stream."""
+        self._operator(request, Role.READ)
+        await self._read_bills()
+        rows = {name: asdict(bill) for name, bill in sorted(self._bills.bills.items())}
+        return send_json(request, 200, {"bills": rows, "repeated_records": self._bills.repeats})
+
+    async def _read_bills(self) -> None:
+        while True:
+            try:
+                batch = await self._log_port.read(
+                    BILLING_STREAM, self._bills.next_offset, READ_BATCH, 0.0
+                )
+            except LogError as exc:
+                raise OperatorError(503, f"the billing stream cannot be read: {exc}") from exc
+            for offset, data in batch.records:
+                self._bills.apply(offset, data)
+            if self._bills.next_offset >= batch.end:
+                return
+
+
+def _public(row: dict[str, Any]) -> dict[str, Any]:
+    """Leave out what must not be shown."""
+    return {name: value for name, value in row.items() if name != "secret"}
+
+
+def _decoded(request: Any) -> Any:
+    try:
+        return json.decode(request.content.read())
+    except DecodeError as exc:
+        raise OperatorError(400, "not valid", [Finding("body", f"not JSON: {exc}")]) from exc
+
+
+def _stopped_versions(change: Change) -> list[str]:
+    stopping = (VersionState.WITHDRAWN, VersionState.QUARANTINED)
+    return [op.version for op in change.ops if isinstance(op, SetState) and op.state in stopping]
+
+
+def _verdict_status(verdict: Verdict) -> int:
+    return 200 if isinstance(verdict, Accepted) else 409
+
+
+def _verdict_body(verdict: Verdict, change: Change) -> dict[str, Any]:
+    match verdict:
+        case Accepted(revision=revision):
+            return {"accepted": True, "change": change.change_id, "revision": revision}
+        case Rejected(revision=revision, findings=findings):
+            rows = [asdict(finding) for finding in findings]
+            return {
+                "accepted": False,
+                "change": change.change_id,
+                "revision": revision,
+                "error": "rejected",
+                "findings": rows,
+            }
+        case Ignored(reason=reason):
+            return {"accepted": False, "change": change.change_id, "error": reason, "findings": []}
+
+
+def _peer_row(digest: Any) -> dict[str, Any]:
+    return {"router": digest.router, "zone": digest.zone, "revision": digest.revision}
+
+
+def _empty_zone() -> dict[str, Any]:
+    return {"routers": 0, "routers_behind": 0, "agents": 0, "lowest_agent_revision": None}
+
+
+def _lowest(one: int | None, other: int) -> int:
+    return other if one is None else min(one, other)
--- /dev/null
+++ b/umberhitch/adapters/tests/test_openai_client.py
@@ -0,0 +1,98 @@
+"""An ordinary client library for model services runs against the callers' interface unchanged."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from threading import Event, Thread
+
+import openai
+import pytest
+from twisted.internet import reactor as global_reactor
+
+from umberhitch.embedded import EmbeddedDeployment, EndpointSpec, start_deployment
+from umberhitch.testing import make_document
+
+START_TIMEOUT_S = 30.0
+
+
+@dataclass
+class Served:
+    """A deployment that runs in a thread of its own."""
+
+    callers: str
+    reactor: object
+
+
+def _serve(reactor, ready: Event, found: dict) -> None:
+    """Run the one reactor of this process; treq sends bodies by the global one."""
+    deployment: EmbeddedDeployment = start_deployment(reactor)
+    deployment.publish(make_document())
+    node = deployment.add_router("r1", "a")
+    deployment.add_endpoint(EndpointSpec("e1", "a", "m@1"))
+
+    def check() -> None:
+        if node.router.fleet.candidates("m@1") and node.router.is_ready:
+            found["address"] = node.callers_address
+            ready.set()
+        else:
+            reactor.callLater(0.05, check)
+
+    reactor.callWhenRunning(check)
+    reactor.addSystemEventTrigger("before", "shutdown", deployment.stop)
+    reactor.run(installSignalHandlers=False)
+
+
+@pytest.fixture(scope="module")
+def served() -> Iterator[Served]:
+    reactor = global_reactor
+    ready, found = Event(), {}
+    thread = Thread(target=_serve, args=(reactor, ready, found), daemon=True)
+    thread.start()
+    assert ready.wait(START_TIMEOUT_S)
+    yield Served(found["address"], reactor)
+    reactor.callFromThread(reactor.stop)
+    thread.join(START_TIMEOUT_S)
+
+
+@pytest.fixture
+def client(served: Served) -> openai.OpenAI:
+    return openai.OpenAI(base_url=f"http://{served.callers}/v1", api_key="key-acme", max_retries=0)
+
+
+MESSAGES = [{"role": "user", "content": "what is a swing clamp?"}]
+
+
+def test_models_are_listed(client: openai.OpenAI) -> None:
+    assert [model.id for model in client.models.list()] == ["m", "m@1"]
+
+
+def test_a_whole_answer(client: openai.OpenAI) -> None:
+    answer = client.chat.completions.create(model="m", messages=MESSAGES, max_tokens=5)
+    assert answer.choices[0].message.content.startswith("m@1/")
+    assert answer.usage.completion_tokens == 5
+    assert answer.choices[0].finish_reason == "stop"
+
+
+def test_a_streamed_answer(client: openai.OpenAI) -> None:
+    whole = client.chat.completions.create(model="auto", messages=MESSAGES, max_tokens=5)
+    stream = client.chat.completions.create(
+        model="auto",
+        messages=MESSAGES,
+        max_tokens=5,
+        stream=True,
+        stream_options={"include_usage": True},
+    )
+    events = list(stream)
+    text = "".join(event.choices[0].delta.content or "" for event in events if event.choices)
+    assert text == whole.choices[0].message.content
+    assert events[-1].usage.completion_tokens == 5
+
+
+def test_errors_are_the_clients_own(client: openai.OpenAI, served: Served) -> None:
+    with pytest.raises(openai.NotFoundError) as caught:
+        client.chat.completions.create(model="nope", messages=MESSAGES)
+    assert caught.value.body["code"] == "unknown_model"
+    with pytest.raises(openai.BadRequestError):
+        client.chat.completions.create(model="m", messages=[])
+    stranger = openai.OpenAI(base_url=f"http://{served.callers}/v1", api_key="wrong", max_retries=0)
+    with pytest.raises(openai.AuthenticationError):
+        stranger.models.list()
--- /dev/null
+++ b/umberhitch/cli/daemon.py
@@ -0,0 +1,130 @@
+"""``umberhitchd``: one router or agent, as its settings file says.
+
+Exit codes: 0 after a drained shutdown, 1 if the drain did not end in time, 2 for bad settings.
+"""
+
+import signal
+import sys
+from logging import getLogger
+from pathlib import Path
+from typing import Any
+
+from absl import app as absl_app
+from absl import flags
+from twisted.internet.defer import Deferred
+
+from umberhitch import __version__
+from umberhitch.adapters.logs import configure_logs
+from umberhitch.errors import SettingsError
+from umberhitch.settings import AgentFile, RouterFile, load_settings
+
+__all__ = ["run"]
+
+log = getLogger(__name__)
+
+EXIT_OK = 0
+EXIT_NOT_DRAINED = 1
+EXIT_BAD_SETTINGS = 2
+
+_SETTINGS = flags.DEFINE_string("settings", None, "path of the JSON settings file")
+_CHECK = flags.DEFINE_boolean("check", False, "validate the settings file and exit")
+_VERSION = flags.DEFINE_boolean("version", False, "print the version and exit")
+
+
+def main(argv: list[str]) -> int:
+    """Run the daemon and return its exit code."""
+    if _VERSION.value:
+        print(f"umberhitchd {__version__}")
+        return EXIT_OK
+    if len(argv) > 1 or not _SETTINGS.value:
+        print("umberhitchd: usage: umberhitchd --settings=FILE [--check]", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    try:
+        settings = load_settings(Path(_SETTINGS.value))
+    except SettingsError as exc:
+        for finding in exc.findings:
+            print(f"{_SETTINGS.value}: {finding}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    if _CHECK.value:
+        print(f"{_SETTINGS.value}: ok")
+        return EXIT_OK
+    return serve(settings)
+
+
+def serve(settings: RouterFile | AgentFile) -> int:
+    """Run until a signal has drained the process."""
+    from twisted.internet import reactor as default_reactor
+
+    from umberhitch.adapters.zmq_link import make_context
+    from umberhitch.nodes import make_agent_node, make_router_node
+
+    reactor: Any = default_reactor
+    configure_logs(settings.log_level, settings.name)
+    context = make_context()
+    node: Any
+    match settings:
+        case RouterFile():
+            node = make_router_node(settings, reactor, context)
+        case AgentFile():
+            node = make_agent_node(settings, reactor, context)
+    log.info("started", extra={"role": settings.role, "version": __version__})
+    shutdown = _Shutdown(reactor, node, settings.drain_s)
+    reactor.callWhenRunning(shutdown.install)
+    reactor.run(installSignalHandlers=False)
+    return shutdown.exit_code
+
+
+class _Shutdown:
+    """Drains the node at the first signal, and stops at the second or when time is up."""
+
+    def __init__(self, reactor: Any, node: Any, limit_s: float) -> None:
+        self.exit_code = EXIT_OK
+        self._reactor = reactor
+        self._node = node
+        self._limit_s = limit_s
+        self._is_draining = False
+
+    def install(self) -> None:
+        """Take the signals."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_signal)
+        self._wake()
+
+    def _wake(self) -> None:
+        """Let the interpreter look at signals while the reactor sleeps."""
+        self._reactor.callLater(0.2, self._wake)
+
+    def _on_signal(self, number: int, frame: Any) -> None:
+        self._reactor.callFromThread(self._drain)
+
+    def _drain(self) -> None:
+        if self._is_draining:
+            self._stop(EXIT_NOT_DRAINED)
+            return
+        self._is_draining = True
+        log.info("draining", extra={"limit_s": self._limit_s})
+        drained: Deferred[None] = self._node.drain()
+        drained.addCallback(lambda result: self._stop(EXIT_OK))
+        self._reactor.callLater(self._limit_s, self._stop, EXIT_NOT_DRAINED)
+
+    def _stop(self, exit_code: int) -> None:
+        if self._node is None:
+            return
+        self.exit_code = exit_code
+        log.info("stopped", extra={"exit_code": exit_code})
+        self._node.stop()
+        self._node = None
+        self._reactor.callLater(0.1, self._reactor.stop)
+
+
+def run() -> None:
+    """Entry point."""
+    absl_app.run(main, flags_parser=_parse_flags)
+
+
+def _parse_flags(argv: list[str]) -> list[str]:
+    try:
+        return flags.FLAGS(argv)
+    except flags.Error as exc:
+        print(f"umberhitchd: {exc}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
--- /dev/null
+++ b/umberhitch/core/answer.py
@@ -0,0 +1,92 @@
+"""Reassembly of an answer from chunks that may be repeated, late, lost or out of order."""
+
+from umberhitch.errors import UmberhitchError
+
+__all__ = ["AnswerAssembler", "AnswerConflictError"]
+
+MAX_PENDING_CHUNKS = 1024
+"""Chunks held beyond a gap; more are dropped and fetched again."""
+
+
+class AnswerConflictError(UmberhitchError):
+    """Two chunks or ends of one answer contradict each other."""
+
+
+class AnswerAssembler:
+    """Puts the chunks of one answer in order.
+
+    Attributes
+    ----------
+    length : int
+        Characters received without a gap, counted from the start.
+    end : int or None
+        Length of the whole answer, once it is known.
+    """
+
+    __slots__ = ("_parts", "_pending", "end", "length")
+
+    def __init__(self) -> None:
+        self.length = 0
+        self.end: int | None = None
+        self._parts: list[str] = []
+        self._pending: dict[int, str] = {}
+
+    @property
+    def has_gap(self) -> bool:
+        """Whether something is missing before what has arrived."""
+        return bool(self._pending) or (self.end is not None and self.length < self.end)
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether every character up to the end is there."""
+        return self.end is not None and self.length == self.end
+
+    def add(self, offset: int, text: str) -> str:
+        """Take a chunk and return the text that now follows what was there before."""
+        if offset > self.length:
+            if len(self._pending) < MAX_PENDING_CHUNKS:
+                known = self._pending.get(offset, "")
+                self._pending[offset] = max(known, text, key=len)
+            return ""
+        new = text[self.length - offset :]
+        if not new:
+            return ""
+        self._append(new)
+        if not self._pending:
+            return new
+        return new + self._drain()
+
+    def finish(self, length: int) -> None:
+        """Learn the length of the whole answer.
+
+        Raises
+        ------
+        AnswerConflictError
+            If another length was learned before, or more has been received than that.
+        """
+        if self.end is not None and self.end != length:
+            raise AnswerConflictError(f"answer ends at {self.end} and at {length}")
+        if self.length > length:
+            raise AnswerConflictError(f"answer of {length} has {self.length} characters")
+        self.end = length
+
+    def text(self) -> str:
+        """Return what is there without a gap."""
+        if len(self._parts) > 1:
+            self._parts = ["".join(self._parts)]
+        return self._parts[0] if self._parts else ""
+
+    def _append(self, text: str) -> None:
+        self._parts.append(text)
+        self.length += len(text)
+
+    def _drain(self) -> str:
+        drained = []
+        for offset in sorted(self._pending):
+            if offset > self.length:
+                break
+            new = self._pending.pop(offset)[self.length - offset :]
+            if new:
+                self._append(new)
+                drained.append(new)
+        return "".join(drained)
--- /dev/null
+++ b/umberhitch/core/billing.py
@@ -0,0 +1,79 @@
+"""Bills: usage records, and the fold of the billing stream that counts each request once."""
+
+from dataclasses import dataclass, field
+
+from msgspec import DecodeError, ValidationError, json
+
+from umberhitch.config import Version
+from umberhitch.wire import Usage, UsageRecord
+
+__all__ = ["Bill", "BillFold", "cost_micros", "decode_usage", "encode_usage"]
+
+_encoder = json.Encoder()
+_decoder = json.Decoder(UsageRecord)
+
+
+def encode_usage(record: UsageRecord) -> bytes:
+    """Return the usage record as it stands in the log."""
+    return _encoder.encode(record)
+
+
+def decode_usage(data: bytes) -> UsageRecord:
+    """Return the record that `encode_usage` wrote."""
+    return _decoder.decode(data)
+
+
+def cost_micros(ver: Version | None, usage: Usage) -> int:
+    """Return the price of an attempt in millionths of the currency."""
+    if ver is None:
+        return 0
+    return round(
+        usage.input_tokens * ver.input_micros_per_token
+        + usage.output_tokens * ver.output_micros_per_token
+    )
+
+
+@dataclass(slots=True)
+class Bill:
+    """What one customer owes."""
+
+    requests: int = 0
+    input_tokens: int = 0
+    output_tokens: int = 0
+    cost_micros: int = 0
+    by_target: dict[str, int] = field(default_factory=dict)
+
+
+class BillFold:
+    """The state of the billing stream; the first record of a request counts, later ones do not."""
+
+    def __init__(self) -> None:
+        self.next_offset = 0
+        self.repeats = 0
+        self.malformed = 0
+        self.bills: dict[str, Bill] = {}
+        self.records: dict[str, UsageRecord] = {}
+
+    def apply(self, offset: int, data: bytes) -> None:
+        """Apply the record at ``offset``; one that was applied before changes nothing."""
+        if offset < self.next_offset:
+            return
+        self.next_offset = offset + 1
+        try:
+            record = decode_usage(data)
+        except (ValidationError, DecodeError):
+            self.malformed += 1
+            return
+        if record.request in self.records:
+            self.repeats += 1
+            return
+        self.records[record.request] = record
+        self._count(record)
+
+    def _count(self, record: UsageRecord) -> None:
+        bill = self.bills.setdefault(record.customer, Bill())
+        bill.requests += 1
+        bill.input_tokens += record.usage.input_tokens
+        bill.output_tokens += record.usage.output_tokens
+        bill.cost_micros += record.cost_micros
+        bill.by_target[record.target] = bill.by_target.get(record.target, 0) + record.cost_micros
--- /dev/null
+++ b/umberhitch/core/choice.py
@@ -0,0 +1,169 @@
+"""Choice of version and endpoint for a request.
+
+Pure functions over typed state; randomness comes from the caller's generator.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol, TypeVar
+
+from umberhitch.config import Config, RequestClass, Version, VersionState
+from umberhitch.core.outcome import NotRun, Reason
+from umberhitch.core.session import Session
+
+__all__ = [
+    "ANY_MODEL",
+    "Candidate",
+    "EndpointLoad",
+    "choose_endpoint",
+    "choose_version",
+    "expected_quality",
+    "permitted_versions",
+]
+
+ANY_MODEL = "auto"
+"""The model name by which a caller leaves the choice to the router."""
+
+SPILL_LOAD = 0.9
+"""Load above which an endpoint of another availability zone is considered."""
+
+
+class Candidate(Protocol):
+    """What the choice needs to know of an endpoint."""
+
+    @property
+    def name(self) -> str: ...
+
+    @property
+    def zone(self) -> str: ...
+
+    def load(self) -> float:
+        """Work in progress and waiting, relative to the endpoint's slots."""
+        ...
+
+
+T = TypeVar("T", bound=Candidate)
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointLoad:
+    """A plain `Candidate`."""
+
+    name: str
+    zone: str
+    value: float
+
+    def load(self) -> float:
+        """Return the value."""
+        return self.value
+
+
+def permitted_versions(
+    config: Config, customer: str, spec: str, session: Session | None
+) -> list[Version] | NotRun:
+    """Return the versions that may take a request for ``spec``.
+
+    Parameters
+    ----------
+    config : Config
+    customer : str
+    spec : str
+        `ANY_MODEL`, a model, or ``model@version``.
+    session : Session or None
+        A session admits only its own version.
+    """
+    if session is not None:
+        return _pinned_version(config, customer, spec, session)
+    if spec == ANY_MODEL:
+        named = list(config.versions.values())
+    elif spec in config.versions:
+        named = [config.versions[spec]]
+    elif spec in config.models:
+        named = config.versions_of(spec)
+    else:
+        return NotRun(Reason.UNKNOWN_MODEL, f'no model "{spec}"')
+    allowed = [ver for ver in named if config.permits(customer, ver.key)]
+    if not allowed:
+        return NotRun(Reason.NOT_PERMITTED, f'"{spec}" is not permitted to this customer')
+    active = [ver for ver in allowed if ver.state is VersionState.ACTIVE and ver.share > 0]
+    if not active:
+        return NotRun(Reason.WITHDRAWN, f'no version of "{spec}" takes new work')
+    return active
+
+
+def _pinned_version(
+    config: Config, customer: str, spec: str, session: Session
+) -> list[Version] | NotRun:
+    if session.customer != customer:
+        return NotRun(Reason.NOT_PERMITTED, "the session belongs to another customer")
+    ver = config.versions.get(session.target)
+    if ver is None or ver.state not in (VersionState.ACTIVE, VersionState.RETIRED):
+        return NotRun(Reason.SESSION_ENDED, f"version {session.target} was withdrawn")
+    if not config.permits(customer, ver.key):
+        return NotRun(Reason.NOT_PERMITTED, f"{ver.key} is no longer permitted")
+    if spec not in (ANY_MODEL, ver.model, ver.key):
+        return NotRun(Reason.NOT_PERMITTED, f"the session is pinned to {ver.key}")
+    return [ver]
+
+
+def expected_quality(ver: Version, klass: str) -> float:
+    """Return the quality that the configuration expects of a version for a class."""
+    return ver.quality.get(klass, ver.quality.get("*", 1.0))
+
+
+def expected_cost(ver: Version) -> float:
+    """Return a price by which versions are compared, for equal parts of input and output."""
+    return ver.input_micros_per_token + ver.output_micros_per_token
+
+
+def choose_version(
+    versions: Sequence[Version],
+    klass: RequestClass,
+    has_endpoint: Callable[[str], bool],
+    rng: Random,
+) -> Version | None:
+    """Return the version for a request: cheapest model that meets the class's quality target.
+
+    Within that model, versions are drawn by their shares, so that a roll-out moves traffic in
+    proportion. If no model meets the target, the best one is taken.
+    """
+    live = [ver for ver in versions if has_endpoint(ver.key)]
+    if not live:
+        return None
+    good = [ver for ver in live if expected_quality(ver, klass.name) >= klass.quality_target]
+    if good:
+        model = min(good, key=lambda ver: (expected_cost(ver), ver.key)).model
+    else:
+        model = max(live, key=lambda ver: (expected_quality(ver, klass.name), ver.key)).model
+    siblings = [ver for ver in (good or live) if ver.model == model]
+    return rng.choices(siblings, weights=[ver.share for ver in siblings])[0]
+
+
+def choose_endpoint(
+    candidates: Sequence[T], zone: str, rng: Random, avoid: Iterable[str] = ()
+) -> T | None:
+    """Return the less loaded of two random endpoints, from the own availability zone if possible.
+
+    Two random choices keep stale load reports from sending every router to the same endpoint.
+    """
+    avoided = set(avoid)
+    usable = [cand for cand in candidates if cand.name not in avoided]
+    if not usable:
+        return None
+    near = [cand for cand in usable if cand.zone == zone]
+    best = _less_loaded_of_two(near, rng)
+    if best is not None and best.load() < SPILL_LOAD:
+        return best
+    other = _less_loaded_of_two(usable, rng)
+    if best is None or (other is not None and other.load() < best.load()):
+        return other
+    return best
+
+
+def _less_loaded_of_two(candidates: Sequence[T], rng: Random) -> T | None:
+    if not candidates:
+        return None
+    first = candidates[rng.randrange(len(candidates))]
+    second = candidates[rng.randrange(len(candidates))]
+    return first if first.load() <= second.load() else second
--- /dev/null
+++ b/umberhitch/fakes/__init__.py
@@ -0,0 +1,23 @@
+"""Small fakes of what lies behind the ports, for tests, the demo and benchmarks.
+
+They hold no socket and run on any clock; the HTTP stand-ins in `umberhitch.standins` serve them.
+"""
+
+from umberhitch.fakes._engine import EngineFaults, EnginePace, FakeEngine, expected_answer
+from umberhitch.fakes._hosts import FakeHostList
+from umberhitch.fakes._log import FakeLog, LogFaults, MemoryLog
+from umberhitch.fakes._network import FakeLink, FakeNetwork, NetworkFaults
+
+__all__ = [
+    "EngineFaults",
+    "EnginePace",
+    "FakeEngine",
+    "FakeHostList",
+    "FakeLink",
+    "FakeLog",
+    "FakeNetwork",
+    "LogFaults",
+    "MemoryLog",
+    "NetworkFaults",
+    "expected_answer",
+]
--- /dev/null
+++ b/umberhitch/ports/engine.py
@@ -0,0 +1,90 @@
+"""Ports to what stands behind an agent: a model engine or a plain service."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from umberhitch.wire import EngineWork, ServiceWork, Usage
+
+__all__ = [
+    "BackendCall",
+    "BackendDone",
+    "BackendEvent",
+    "BackendFailed",
+    "BackendLoad",
+    "BackendPort",
+    "BackendRefused",
+    "BackendText",
+    "EventSink",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class BackendCall:
+    """Work for the endpoint's engine or service."""
+
+    call_id: str
+    target: str
+    """``model@version``, or the name of a service."""
+    work: EngineWork | ServiceWork
+    priority: int
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class BackendText:
+    """More of the answer."""
+
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class BackendDone:
+    """The answer is whole."""
+
+    usage: Usage
+    finish: str = "stop"
+    status: int = 200
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class BackendRefused:
+    """The back end certainly did not run the call."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class BackendFailed:
+    """The call may have run, in part or whole."""
+
+    reason: str
+
+
+BackendEvent = BackendText | BackendDone | BackendRefused | BackendFailed
+
+
+class EventSink(Protocol):
+    """Receives the events of one call, the last of which is not a `BackendText`."""
+
+    def __call__(self, event: BackendEvent) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class BackendLoad:
+    """Load as the back end itself reports it, with a lag."""
+
+    running: int
+    queued: int
+
+
+class BackendPort(Protocol):
+    """One model engine, or one replica of a plain service."""
+
+    def start(self, call: BackendCall, sink: EventSink) -> None:
+        """Begin the call; its events go to ``sink``."""
+        ...
+
+    def cancel(self, call_id: str) -> None:
+        """Stop the call if it is still running; its sink still gets a last event."""
+        ...
--- /dev/null
+++ b/umberhitch/ports/link.py
@@ -0,0 +1,31 @@
+"""Port to the other processes of umberhitch."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from umberhitch.wire import Message
+
+__all__ = ["LinkPort", "Receiver"]
+
+Receiver = Callable[[str, list[Message]], None]
+"""Called with the sender's name and its messages."""
+
+
+class LinkPort(Protocol):
+    """Sends messages to peers by name; any may be lost, repeated, late or out of order."""
+
+    def send(self, peer: str, message: Message) -> None:
+        """Queue a message; messages to one peer share frames."""
+        ...
+
+    def connect(self, peer: str, address: str) -> None:
+        """Make the peer reachable at ``IP:PORT``; a new address replaces the old one."""
+        ...
+
+    def disconnect(self, peer: str) -> None:
+        """Forget the peer."""
+        ...
+
+    def listen(self, receiver: Receiver) -> None:
+        """Deliver what arrives to ``receiver``."""
+        ...
--- /dev/null
+++ b/umberhitch/standins/__init__.py
@@ -0,0 +1,8 @@
+"""Small HTTP stand-ins for the platform; see docs/standins.md."""
+
+from umberhitch.standins.engine import EngineStandin
+from umberhitch.standins.hosts import HostListStandin
+from umberhitch.standins.log import LogStandin
+from umberhitch.standins.service import ServiceStandin
+
+__all__ = ["EngineStandin", "HostListStandin", "LogStandin", "ServiceStandin"]
--- /dev/null
+++ b/umberhitch/tasks/agent.py
@@ -0,0 +1,548 @@
+"""The agent: the only way in to its endpoint.
+
+It checks permission, version and state by its own configuration, keeps the ledger of attempts and
+the buffer of answers, queues by priority, holds usage records until they are in the log, and
+drains.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from logging import getLogger
+
+from msgspec import DecodeError, ValidationError
+from twisted.internet.defer import Deferred
+
+from umberhitch.config import CatchUp, Config, Fold, Snapshot, decode_record
+from umberhitch.core.attempt import AttemptEntry, AttemptState
+from umberhitch.core.billing import cost_micros
+from umberhitch.core.ledger import BelowFloor, Fresh, Full, Ledger, LedgerLimits, Repeated
+from umberhitch.core.outcome import Reason
+from umberhitch.core.permission import refusal_for
+from umberhitch.core.queue import WorkQueue
+from umberhitch.core.session import Session, read_session_token
+from umberhitch.core.stops import DirectStops
+from umberhitch.errors import SessionError
+from umberhitch.ports import (
+    BackendCall,
+    BackendDone,
+    BackendEvent,
+    BackendFailed,
+    BackendPort,
+    BackendRefused,
+    BackendText,
+    Clock,
+    LinkPort,
+)
+from umberhitch.wire import (
+    AttemptId,
+    Beat,
+    Billed,
+    Cancel,
+    Chunk,
+    ConfigRecords,
+    ConfigSnapshot,
+    EndpointState,
+    Failed,
+    Fetch,
+    Finished,
+    HandOver,
+    Hello,
+    Message,
+    NeedConfig,
+    Refused,
+    Start,
+    Taken,
+    Usage,
+    UsageRecord,
+    Withdrawal,
+)
+
+__all__ = ["Agent", "AgentCounters", "AgentSettings"]
+
+log = getLogger(__name__)
+
+QUEUE_RETRY_AFTER_S = 1.0
+LEAVING_RETRY_AFTER_S = 0.2
+
+
+@dataclass(frozen=True, kw_only=True)
+class AgentSettings:
+    """What an agent is told about itself."""
+
+    endpoint: str
+    incarnation: int
+    zone: str
+    targets: tuple[str, ...]
+    """What its endpoint serves: ``model@version`` names, or the name of a service."""
+    slots: int = 8
+    """Calls given to the endpoint at once."""
+    queue: int = 64
+    """Attempts that may wait for a slot."""
+    beat_s: float = 1.0
+    router_silence_s: float = 5.0
+    """A router not heard for this long gets no more heartbeats."""
+    config_wait_s: float = 1.0
+    """How long an attempt waits for a configuration that the router has and the agent lacks."""
+    handover_s: float = 10.0
+    """How long a usage record waits for its router before others are asked to write it."""
+    usage_records: int = 2000
+    """Unconfirmed usage records held; beyond this, new work is refused."""
+    ledger: LedgerLimits = LedgerLimits()
+
+
+@dataclass(slots=True)
+class AgentCounters:
+    """Counts since the start, for metrics and tests."""
+
+    started: int = 0
+    finished: int = 0
+    failed: int = 0
+    refused: dict[str, int] = field(default_factory=dict)
+    handovers: int = 0
+
+
+@dataclass(slots=True)
+class _Router:
+    incarnation: int
+    heard_s: float
+    revision: int
+
+
+@dataclass(slots=True)
+class _HeldUsage:
+    record: UsageRecord
+    router: str
+    since_s: float
+
+
+class Agent:
+    """One agent incarnation.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+    clock : Clock
+    wall_s : callable
+        Returns seconds since the epoch; used only for the expiry of sessions.
+    link : LinkPort
+    backend : BackendPort
+    """
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        clock: Clock,
+        wall_s: Callable[[], float],
+        link: LinkPort,
+        backend: BackendPort,
+    ) -> None:
+        self.settings = settings
+        self.state = EndpointState.READY
+        self.counters = AgentCounters()
+        self._clock = clock
+        self._wall_s = wall_s
+        self._link = link
+        self._backend = backend
+        self._catch_up = CatchUp(Fold())
+        self._ledger = Ledger(settings.ledger)
+        self._queue = WorkQueue()
+        self._running = 0
+        self._routers: dict[str, _Router] = {}
+        self._watchers: dict[AttemptId, set[str]] = {}
+        self._stops = DirectStops()
+        self._parked: list[tuple[str, Start, float]] = []
+        self._usage: dict[str, _HeldUsage] = {}
+        self._handover_turn = 0
+        self._drained: Deferred[None] | None = None
+        self._is_stopped = False
+
+    # Life cycle
+
+    def start(self) -> None:
+        """Listen to routers and send heartbeats."""
+        self._link.listen(self.receive)
+        self._tick()
+
+    def stop(self) -> None:
+        """Do nothing more, as a lost process would."""
+        self._is_stopped = True
+
+    def drain(self) -> Deferred[None]:
+        """Refuse new work; the result comes when running work and its usage records are done."""
+        self.state = EndpointState.LEAVING
+        if self._drained is None:
+            self._drained = Deferred()
+            self._beat()
+            self._check_drained()
+        return self._drained
+
+    def _check_drained(self) -> None:
+        done = self._drained
+        if done is not None and not done.called and not self._ledger.live and not self._usage:
+            done.callback(None)
+
+    def _tick(self) -> None:
+        if self._is_stopped:
+            return
+        self._beat()
+        self._expire_parked()
+        self._hand_over_usage()
+        self._clock.callLater(self.settings.beat_s, self._tick)
+
+    def _beat(self) -> None:
+        now = self._clock.seconds()
+        beat = self.beat()
+        for name, router in list(self._routers.items()):
+            if now - router.heard_s > self.settings.router_silence_s:
+                del self._routers[name]
+            else:
+                self._link.send(name, beat)
+
+    def beat(self) -> Beat:
+        """Return the heartbeat as of now."""
+        cfg = self.settings
+        return Beat(
+            cfg.endpoint,
+            cfg.incarnation,
+            cfg.zone,
+            list(cfg.targets),
+            self.state,
+            self.revision,
+            self._running,
+            len(self._queue),
+            cfg.slots,
+        )
+
+    @property
+    def revision(self) -> int:
+        """Revision of the agent's configuration."""
+        return self._catch_up.fold.revision
+
+    @property
+    def config(self) -> Config:
+        """The agent's configuration."""
+        return self._catch_up.fold.config
+
+    @property
+    def unconfirmed_usage(self) -> int:
+        """Usage records not yet known to be in the log."""
+        return len(self._usage)
+
+    # Messages
+
+    def receive(self, sender: str, messages: list[Message]) -> None:
+        """Handle what a router sent."""
+        if self._is_stopped:
+            return
+        for message in messages:
+            self._handle(sender, message)
+
+    def _handle(self, sender: str, message: Message) -> None:
+        match message:
+            case Start():
+                self._on_start(sender, message)
+            case Cancel():
+                self._on_cancel(sender, message)
+            case Fetch():
+                self._on_fetch(sender, message)
+            case Hello():
+                self._on_hello(sender, message)
+            case ConfigRecords():
+                self._on_records(sender, message)
+            case ConfigSnapshot():
+                self._on_snapshot(message)
+            case Billed():
+                self._on_billed(message)
+            case Withdrawal():
+                self._stops.add(message, self._catch_up.fold)
+                self._recheck_queue()
+            case _:
+                log.warning("unexpected message", extra={"message_type": type(message).__name__})
+
+    def _on_hello(self, sender: str, hello: Hello) -> None:
+        known = self._routers.get(sender)
+        if known is not None and hello.incarnation < known.incarnation:
+            return
+        now = self._clock.seconds()
+        self._routers[sender] = _Router(hello.incarnation, now, hello.revision)
+        if known is None or known.incarnation != hello.incarnation:
+            self._link.send(sender, self.beat())
+        if hello.revision > self.revision:
+            self._link.send(sender, NeedConfig(self.revision))
+
+    # Configuration
+
+    def _on_records(self, sender: str, message: ConfigRecords) -> None:
+        if message.previous > self.revision:
+            self._link.send(sender, NeedConfig(self.revision))
+            return
+        before = self.revision
+        self._catch_up.take(message.records)
+        if self.revision > before:
+            self._config_changed()
+
+    def _on_snapshot(self, message: ConfigSnapshot) -> None:
+        try:
+            record = decode_record(message.data)
+        except (ValidationError, DecodeError) as exc:
+            log.warning("malformed snapshot", extra={"error": str(exc)})
+            return
+        if isinstance(record, Snapshot) and record.revision > self.revision:
+            self._catch_up.load(record)
+            self._config_changed()
+
+    def _config_changed(self) -> None:
+        parked, self._parked = self._parked, []
+        for sender, start, until_s in parked:
+            if start.revision > self.revision:
+                self._parked.append((sender, start, until_s))
+            else:
+                self._admit(sender, start)
+        self._recheck_queue()
+        self._beat()
+
+    def _recheck_queue(self) -> None:
+        for entry in self._queue.items():
+            if entry.start is not None:
+                reason = self._permission(entry.start)
+                if reason is not None:
+                    self._queue.remove(entry)
+                    self._finish(entry, Refused(entry.attempt, reason))
+
+    def _expire_parked(self) -> None:
+        now = self._clock.seconds()
+        parked, self._parked = self._parked, []
+        for sender, start, until_s in parked:
+            if until_s > now:
+                self._parked.append((sender, start, until_s))
+            else:
+                self._refuse_start(sender, start, Reason.STALE_CONFIG)
+
+    # Attempts
+
+    def _on_start(self, sender: str, start: Start) -> None:
+        if start.agent_incarnation != self.settings.incarnation:
+            self._link.send(sender, Failed(start.attempt, Reason.WRONG_INCARNATION))
+            return
+        known = self._ledger.get(start.attempt)
+        if known is None and start.revision > self.revision:
+            self._park(sender, start)
+            return
+        self._admit(sender, start)
+
+    def _park(self, sender: str, start: Start) -> None:
+        self._link.send(sender, NeedConfig(self.revision))
+        if any(parked.attempt == start.attempt for _, parked, _ in self._parked):
+            return
+        until_s = self._clock.seconds() + self.settings.config_wait_s
+        self._parked.append((sender, start, until_s))
+
+    def _admit(self, sender: str, start: Start) -> None:
+        due_s = self._clock.seconds() + start.deadline_s
+        match self._ledger.admit(start, due_s):
+            case Fresh(entry=entry):
+                self._watchers[entry.attempt] = {sender}
+                reason = self._admission_refusal(start)
+                if reason is not None:
+                    self._finish(entry, Refused(entry.attempt, reason, _retry_after(reason)))
+                    return
+                self._link.send(sender, Taken(entry.attempt))
+                self._queue.push(start.priority, entry)
+                self._fill_slots()
+            case Repeated(entry=entry):
+                self._link.send(sender, entry.result or Taken(entry.attempt))
+            case BelowFloor():
+                self._link.send(sender, Failed(start.attempt, Reason.EVICTED))
+            case Full():
+                self._send_refusal(sender, start.attempt, Reason.LEDGER_FULL)
+
+    def _admission_refusal(self, start: Start) -> Reason | None:
+        if self.state is EndpointState.LEAVING:
+            return Reason.LEAVING
+        if start.target not in self.settings.targets:
+            return Reason.NO_ENDPOINT
+        reason = self._permission(start)
+        if reason is not None:
+            return reason
+        if len(self._usage) + self._ledger.live > self.settings.usage_records:
+            return Reason.USAGE_FULL
+        if len(self._queue) >= self.settings.queue:
+            return Reason.OVERLOADED
+        return None
+
+    def _permission(self, start: Start) -> Reason | None:
+        if self._stops.holds(start.target, self._catch_up.fold):
+            return Reason.WITHDRAWN
+        session: Session | None = None
+        if start.session:
+            try:
+                session = read_session_token(start.session, self.config, self._wall_s())
+            except SessionError:
+                return Reason.SESSION_ENDED
+        return refusal_for(self.config, start.customer, start.target, session)
+
+    def _refuse_start(self, sender: str, start: Start, reason: Reason) -> None:
+        """Refuse an attempt that is not in the ledger, and keep the refusal there."""
+        match self._ledger.tombstone(start.attempt):
+            case Fresh(entry=entry):
+                entry.result = Refused(start.attempt, reason, _retry_after(reason))
+                self._link.send(sender, entry.result)
+                self._count_refusal(reason)
+            case Repeated(entry=entry):
+                self._link.send(sender, entry.result or Taken(entry.attempt))
+            case BelowFloor():
+                self._link.send(sender, Failed(start.attempt, Reason.EVICTED))
+            case Full():
+                self._send_refusal(sender, start.attempt, Reason.LEDGER_FULL)
+
+    def _send_refusal(self, sender: str, attempt: AttemptId, reason: Reason) -> None:
+        self._count_refusal(reason)
+        self._link.send(sender, Refused(attempt, reason, _retry_after(reason)))
+
+    def _count_refusal(self, reason: str) -> None:
+        self.counters.refused[reason] = self.counters.refused.get(reason, 0) + 1
+
+    def _fill_slots(self) -> None:
+        while self._running < self.settings.slots and len(self._queue):
+            entry = self._queue.pop()
+            if self._clock.seconds() >= entry.due_s:
+                self._finish(entry, Refused(entry.attempt, Reason.DEADLINE))
+                continue
+            self._run(entry)
+
+    def _run(self, entry: AttemptEntry) -> None:
+        start = entry.start
+        assert start is not None
+        self._ledger.begin(entry)
+        self._running += 1
+        self.counters.started += 1
+        call = BackendCall(
+            str(entry.attempt),
+            start.target,
+            start.work,
+            start.priority,
+            entry.due_s - self._clock.seconds(),
+        )
+        self._backend.start(call, lambda event: self._on_event(entry, event))
+
+    def _on_event(self, entry: AttemptEntry, event: BackendEvent) -> None:
+        if self._is_stopped or entry.is_terminal:
+            return
+        match event:
+            case BackendText(text=text):
+                offset = entry.add_text(text)
+                self._tell_watchers(entry, Chunk(entry.attempt, offset, text))
+                return
+            case BackendDone(usage=usage, finish=finish, status=status, headers=headers):
+                result: Finished | Failed | Refused = Finished(
+                    entry.attempt, entry.length, usage, finish, status, dict(headers)
+                )
+                self.counters.finished += 1
+                self._hold_usage(entry, usage)
+            case BackendRefused(reason=reason):
+                result = Refused(entry.attempt, Reason.BACKEND_REFUSED)
+                log.info("back end refused", extra={"attempt": str(entry.attempt), "why": reason})
+            case BackendFailed(reason=reason):
+                result = Failed(entry.attempt, Reason.BACKEND_FAILED)
+                self.counters.failed += 1
+                log.info("back end failed", extra={"attempt": str(entry.attempt), "why": reason})
+        self._running -= 1
+        self._finish(entry, result)
+        self._fill_slots()
+
+    def _finish(self, entry: AttemptEntry, result: Finished | Failed | Refused) -> None:
+        self._ledger.end(entry, result)
+        if isinstance(result, Refused):
+            self._count_refusal(result.reason)
+        self._tell_watchers(entry, result)
+        self._watchers.pop(entry.attempt, None)
+        self._check_drained()
+
+    def _tell_watchers(self, entry: AttemptEntry, message: Message) -> None:
+        for watcher in self._watchers.get(entry.attempt, ()):
+            self._link.send(watcher, message)
+
+    def _on_cancel(self, sender: str, message: Cancel) -> None:
+        attempt = message.attempt
+        if message.agent_incarnation != self.settings.incarnation:
+            self._link.send(sender, Failed(attempt, Reason.WRONG_INCARNATION))
+            return
+        self._parked = [row for row in self._parked if row[1].attempt != attempt]
+        match self._ledger.tombstone(attempt):
+            case Fresh(entry=entry):
+                self._link.send(sender, entry.result or Taken(attempt))
+            case Repeated(entry=entry):
+                self._cancel_known(sender, entry)
+            case BelowFloor():
+                self._link.send(sender, Failed(attempt, Reason.EVICTED))
+            case Full():
+                log.warning("ledger full, cancel ignored", extra={"attempt": str(attempt)})
+
+    def _cancel_known(self, sender: str, entry: AttemptEntry) -> None:
+        self._watchers.setdefault(entry.attempt, set()).add(sender)
+        match entry.state:
+            case AttemptState.QUEUED:
+                self._queue.remove(entry)
+                self._finish(entry, Refused(entry.attempt, Reason.CANCELLED))
+            case AttemptState.RUNNING:
+                self._backend.cancel(str(entry.attempt))
+            case _:
+                self._watchers.pop(entry.attempt, None)
+                if entry.result is not None:
+                    self._link.send(sender, entry.result)
+
+    def _on_fetch(self, sender: str, message: Fetch) -> None:
+        entry = self._ledger.get(message.attempt)
+        if entry is None or entry.text_dropped or not _is_owner(entry, message.customer):
+            self._link.send(sender, Failed(message.attempt, Reason.EVICTED))
+            return
+        text = entry.text_from(message.offset)
+        if text:
+            self._link.send(sender, Chunk(entry.attempt, message.offset, text))
+        if entry.result is not None:
+            self._link.send(sender, entry.result)
+        else:
+            self._watchers.setdefault(entry.attempt, set()).add(sender)
+
+    # Usage records
+
+    def _hold_usage(self, entry: AttemptEntry, usage: Usage) -> None:
+        start = entry.start
+        assert start is not None
+        cost = cost_micros(self.config.versions.get(start.target), usage)
+        record = UsageRecord(
+            start.request, start.customer, start.target, usage, cost, klass=start.klass
+        )
+        self._usage[start.request] = _HeldUsage(record, entry.attempt.router, self._clock.seconds())
+
+    def _on_billed(self, message: Billed) -> None:
+        for request in message.requests:
+            self._usage.pop(request, None)
+        self._check_drained()
+
+    def _hand_over_usage(self) -> None:
+        """Offer overdue records to a router, another one at each turn."""
+        now = self._clock.seconds()
+        patience = 0.0 if self.state is EndpointState.LEAVING else self.settings.handover_s
+        overdue = [held for held in self._usage.values() if now - held.since_s >= patience]
+        names = sorted(self._routers)
+        if not overdue or not names:
+            return
+        self._handover_turn += 1
+        self.counters.handovers += 1
+        router = names[self._handover_turn % len(names)]
+        self._link.send(router, HandOver([held.record for held in overdue[:500]]))
+
+
+def _is_owner(entry: AttemptEntry, customer: str) -> bool:
+    return entry.start is None or entry.start.customer == customer
+
+
+def _retry_after(reason: Reason) -> float:
+    match reason:
+        case Reason.OVERLOADED | Reason.LEDGER_FULL | Reason.USAGE_FULL:
+            return QUEUE_RETRY_AFTER_S
+        case Reason.LEAVING | Reason.STALE_CONFIG:
+            return LEAVING_RETRY_AFTER_S
+        case _:
+            return 0.0
--- /dev/null
+++ b/umberhitch/tasks/appender.py
@@ -0,0 +1,135 @@
+"""Group commit: many small records, one append at a time, each record kept until it is in the log.
+
+A batch whose answer was lost is appended again; readers recognise the repeat by the records' own
+ids.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+from logging import getLogger
+from random import Random
+
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from umberhitch.errors import AppenderFullError, LogError
+from umberhitch.ports import Clock, LogPort, Timer
+
+__all__ = ["Appender", "AppenderLimits"]
+
+log = getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class AppenderLimits:
+    """Bounds and pace of an appender."""
+
+    interval_s: float = 0.02
+    """How long the first record of a batch waits for company."""
+    batch: int = 500
+    pending: int = 20_000
+    """Records held while the log is away; more are refused."""
+    retry_first_s: float = 0.1
+    retry_most_s: float = 5.0
+
+
+@dataclass(slots=True)
+class _Entry:
+    data: bytes
+    done: Deferred[int] = field(default_factory=Deferred)
+
+
+class Appender:
+    """Owns the records of one stream that are not yet known to be in the log.
+
+    Parameters
+    ----------
+    port : LogPort
+    stream : str
+    clock : Clock
+    rng : Random
+        Spreads the retries of many routers.
+    limits : AppenderLimits
+    """
+
+    def __init__(
+        self,
+        port: LogPort,
+        stream: str,
+        clock: Clock,
+        rng: Random,
+        limits: AppenderLimits | None = None,
+    ) -> None:
+        self._port = port
+        self._stream = stream
+        self._clock = clock
+        self._rng = rng
+        self._limits = limits or AppenderLimits()
+        self._waiting: deque[_Entry] = deque()
+        self._sending: list[_Entry] = []
+        self._timer: Timer | None = None
+        self._retry_s = self._limits.retry_first_s
+        self.failures = 0
+        """Consecutive failed appends."""
+        self.appends = 0
+        """Successful appends so far."""
+
+    @property
+    def pending(self) -> int:
+        """Records that are not known to be in the log."""
+        return len(self._waiting) + len(self._sending)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether `add` would refuse."""
+        return self.pending >= self._limits.pending
+
+    def add(self, data: bytes) -> Deferred[int]:
+        """Queue a record; the result is its offset once it is in the log.
+
+        Raises
+        ------
+        AppenderFullError
+            If the queue is full; nothing was queued.
+        """
+        if self.is_full:
+            raise AppenderFullError(f"{self.pending} records wait for stream {self._stream}")
+        entry = _Entry(data)
+        self._waiting.append(entry)
+        self._schedule(self._limits.interval_s)
+        return entry.done
+
+    def _schedule(self, delay_s: float) -> None:
+        if self._timer is None and not self._sending:
+            self._timer = self._clock.callLater(delay_s, self._flush)
+
+    def _flush(self) -> None:
+        self._timer = None
+        while self._waiting and len(self._sending) < self._limits.batch:
+            self._sending.append(self._waiting.popleft())
+        if self._sending:
+            ensureDeferred(self._append())
+
+    async def _append(self) -> None:
+        try:
+            first = await self._port.append(self._stream, [entry.data for entry in self._sending])
+        except LogError as exc:
+            self._back_off(exc)
+            return
+        self.appends += 1
+        self.failures = 0
+        self._retry_s = self._limits.retry_first_s
+        sent, self._sending = self._sending, []
+        if self._waiting:
+            self._schedule(
+                0.0 if len(self._waiting) >= self._limits.batch else self._limits.interval_s
+            )
+        for index, entry in enumerate(sent):
+            entry.done.callback(first + index)
+
+    def _back_off(self, exc: LogError) -> None:
+        self.failures += 1
+        if self.failures == 1:
+            log.warning("append failed", extra={"stream": self._stream, "error": str(exc)})
+        delay_s = self._retry_s * (0.5 + self._rng.random())
+        self._retry_s = min(self._retry_s * 2, self._limits.retry_most_s)
+        self._timer = self._clock.callLater(delay_s, self._flush)
--- /dev/null
+++ b/umberhitch/tasks/attempts.py
@@ -0,0 +1,358 @@
+"""The router's side of attempts: sent until taken, repaired while they run, ended exactly once."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+from logging import getLogger
+
+from twisted.internet.defer import Deferred
+
+from umberhitch.core.answer import AnswerAssembler, AnswerConflictError
+from umberhitch.core.outcome import Done, NotRun, Outcome, Reason, Unknown
+from umberhitch.ports import Clock, LinkPort
+from umberhitch.tasks.fleet import Endpoint, Fleet
+from umberhitch.wire import (
+    AttemptId,
+    Cancel,
+    Chunk,
+    Failed,
+    Fetch,
+    Finished,
+    Refused,
+    Start,
+    Taken,
+)
+
+__all__ = ["AttemptPace", "Attempts", "OpenAttempt", "TextSink"]
+
+log = getLogger(__name__)
+
+TextSink = Callable[[str], None]
+"""Receives each new piece of an answer, in order."""
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptPace:
+    """Timing of the repair of lost messages."""
+
+    tick_s: float = 0.05
+    resend_s: float = 0.3
+    taken_timeout_s: float = 1.5
+    """Without any reply for this long, the attempt is cancelled."""
+    cancel_timeout_s: float = 1.5
+    """Without a reply to the cancel for this long, the outcome is unknown."""
+    gap_s: float = 0.1
+    quiet_s: float = 2.0
+    """A running attempt that is quiet for this long is asked where it stands."""
+    deadline_margin_s: float = 0.3
+    """The cancel goes out this long before the caller's deadline."""
+
+
+class Phase(StrEnum):
+    """Where an attempt stands, as its router sees it."""
+
+    SENT = "sent"
+    TAKEN = "taken"
+    CANCELLING = "cancelling"
+    ENDED = "ended"
+
+
+@dataclass(slots=True)
+class OpenAttempt:
+    """One attempt that this router watches.
+
+    Attributes
+    ----------
+    start : Start or None
+        What was sent; None when the attempt is another router's and is only fetched.
+    waiters : list of Deferred
+        Each fires once, with the attempt's `Outcome`; see `Attempts.outcome_of`.
+    """
+
+    attempt: AttemptId
+    endpoint: str
+    agent_incarnation: int
+    customer: str
+    target: str
+    start: Start | None
+    due_s: float
+    sink: TextSink
+    is_repeatable: bool = False
+    phase: Phase = Phase.SENT
+    answer: AnswerAssembler = field(default_factory=AnswerAssembler)
+    finished: Finished | None = None
+    sent_s: float = 0.0
+    heard_s: float = 0.0
+    asked_s: float = 0.0
+    cancel_s: float = 0.0
+    cancel_reason: Reason = Reason.CANCELLED
+    waiters: list[Deferred[Outcome]] = field(default_factory=list)
+
+    @property
+    def has_text(self) -> bool:
+        """Whether any of the answer has been handed on."""
+        return self.answer.length > 0
+
+
+class Attempts:
+    """Owns the open attempts of one router incarnation.
+
+    Parameters
+    ----------
+    router : str
+    incarnation : int
+    clock : Clock
+    link : LinkPort
+    fleet : Fleet
+    pace : AttemptPace
+    """
+
+    def __init__(
+        self,
+        router: str,
+        incarnation: int,
+        clock: Clock,
+        link: LinkPort,
+        fleet: Fleet,
+        pace: AttemptPace | None = None,
+    ) -> None:
+        self._router = router
+        self._incarnation = incarnation
+        self._clock = clock
+        self._link = link
+        self._fleet = fleet
+        self._pace = pace or AttemptPace()
+        self._seq = 0
+        self._open: dict[AttemptId, OpenAttempt] = {}
+        self._is_stopped = False
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def start(self) -> None:
+        """Begin to repair and time out attempts."""
+        self._tick()
+
+    def stop(self) -> None:
+        """Do nothing more, as a lost process would."""
+        self._is_stopped = True
+
+    def next_id(self) -> AttemptId:
+        """Return the id of a new attempt."""
+        self._seq += 1
+        return AttemptId(self._router, self._incarnation, self._seq)
+
+    def is_open(self, attempt: AttemptId) -> bool:
+        """Whether the attempt is being watched."""
+        return attempt in self._open
+
+    def outcome_of(self, watch: OpenAttempt) -> Deferred[Outcome]:
+        """Return a Deferred that fires with the outcome of an open attempt."""
+        waiter: Deferred[Outcome] = Deferred()
+        watch.waiters.append(waiter)
+        return waiter
+
+    # Beginning and ending
+
+    def run(self, start: Start, endpoint: str, is_repeatable: bool, sink: TextSink) -> OpenAttempt:
+        """Send an attempt to its agent and watch it."""
+        now = self._clock.seconds()
+        watch = OpenAttempt(
+            start.attempt,
+            endpoint,
+            start.agent_incarnation,
+            start.customer,
+            start.target,
+            start,
+            now + start.deadline_s,
+            sink,
+            is_repeatable,
+            sent_s=now,
+            heard_s=now,
+            asked_s=now,
+        )
+        self._open[start.attempt] = watch
+        known = self._fleet.get(endpoint)
+        if known is not None:
+            known.own += 1
+        self._link.send(endpoint, start)
+        return watch
+
+    def fetch(
+        self, attempt: AttemptId, endpoint: Endpoint, customer: str, wait_s: float
+    ) -> OpenAttempt:
+        """Watch an attempt that may be another router's, or is watched here already."""
+        known = self._open.get(attempt)
+        if known is not None:
+            return known
+        now = self._clock.seconds()
+        watch = OpenAttempt(
+            attempt,
+            endpoint.name,
+            endpoint.incarnation,
+            customer,
+            "",
+            None,
+            now + wait_s,
+            lambda text: None,
+            phase=Phase.TAKEN,
+            sent_s=now,
+            heard_s=now,
+            asked_s=now,
+        )
+        endpoint.own += 1
+        self._open[attempt] = watch
+        self._link.send(endpoint.name, Fetch(attempt, 0, customer))
+        return watch
+
+    def cancel(self, watch: OpenAttempt, reason: Reason = Reason.CANCELLED) -> None:
+        """Ask the agent to refuse or stop the attempt; its outcome still comes by ``ended``."""
+        if watch.phase in (Phase.CANCELLING, Phase.ENDED):
+            return
+        watch.phase = Phase.CANCELLING
+        watch.cancel_reason = reason
+        watch.cancel_s = self._clock.seconds()
+        self._send_cancel(watch)
+
+    def settle_foreign(
+        self, attempt: AttemptId, endpoint: Endpoint, agent_incarnation: int, customer: str
+    ) -> OpenAttempt:
+        """Find out what became of a lost router's attempt; if it has not begun, it never will."""
+        watch = self.fetch(attempt, endpoint, customer, self._pace.cancel_timeout_s * 2)
+        watch.agent_incarnation = agent_incarnation
+        self.cancel(watch)
+        return watch
+
+    def _send_cancel(self, watch: OpenAttempt) -> None:
+        watch.asked_s = self._clock.seconds()
+        self._link.send(watch.endpoint, Cancel(watch.attempt, watch.agent_incarnation))
+
+    def _end(self, watch: OpenAttempt, outcome: Outcome) -> None:
+        if watch.phase is Phase.ENDED:
+            return
+        watch.phase = Phase.ENDED
+        self._open.pop(watch.attempt, None)
+        known = self._fleet.get(watch.endpoint)
+        if known is not None:
+            known.own = max(0, known.own - 1)
+        for waiter in watch.waiters:
+            waiter.callback(outcome)
+
+    # Messages
+
+    def handle(self, message: Taken | Chunk | Finished | Refused | Failed) -> None:
+        """Handle what an agent says of an attempt."""
+        watch = self._open.get(message.attempt)
+        if watch is None:
+            return
+        watch.heard_s = self._clock.seconds()
+        match message:
+            case Chunk(offset=offset, text=text):
+                self._on_text(watch, offset, text)
+            case Taken():
+                if watch.phase is Phase.SENT:
+                    watch.phase = Phase.TAKEN
+            case Finished():
+                self._on_finished(watch, message)
+            case Refused(reason=reason, retry_after_s=retry_after_s):
+                if reason == Reason.CANCELLED:
+                    reason = watch.cancel_reason
+                self._end(watch, NotRun(Reason(reason), retry_after_s=retry_after_s))
+            case Failed(reason=reason):
+                self._end(watch, Unknown(Reason(reason)))
+
+    def _on_text(self, watch: OpenAttempt, offset: int, text: str) -> None:
+        if watch.phase is Phase.SENT:
+            watch.phase = Phase.TAKEN
+        new = watch.answer.add(offset, text)
+        if new:
+            watch.sink(new)
+        if watch.finished is not None:
+            self._end_if_whole(watch)
+
+    def _on_finished(self, watch: OpenAttempt, message: Finished) -> None:
+        watch.finished = message
+        try:
+            watch.answer.finish(message.length)
+        except AnswerConflictError as exc:
+            log.error("answer conflict", extra={"attempt": str(watch.attempt), "error": str(exc)})
+            self._end(watch, Unknown(Reason.BACKEND_FAILED, str(exc)))
+            return
+        self._end_if_whole(watch)
+        if watch.phase is not Phase.ENDED:
+            self._ask(watch)
+
+    def _end_if_whole(self, watch: OpenAttempt) -> None:
+        last = watch.finished
+        if last is None or not watch.answer.is_whole:
+            return
+        done = Done(
+            watch.answer.text(),
+            last.usage,
+            watch.target,
+            watch.endpoint,
+            last.finish,
+            last.status,
+            tuple(last.headers.items()),
+        )
+        self._end(watch, done)
+
+    def agent_replaced(self, endpoint: str, incarnation: int) -> None:
+        """End what ran at earlier incarnations of an endpoint's agent: its outcome is unknown."""
+        for watch in list(self._open.values()):
+            if watch.endpoint == endpoint and watch.agent_incarnation < incarnation:
+                self._end(watch, Unknown(Reason.AGENT_LOST))
+
+    # Time
+
+    def _tick(self) -> None:
+        if self._is_stopped:
+            return
+        now = self._clock.seconds()
+        for watch in list(self._open.values()):
+            self._check(watch, now)
+        self._clock.callLater(self._pace.tick_s, self._tick)
+
+    def _check(self, watch: OpenAttempt, now: float) -> None:
+        pace = self._pace
+        if now >= watch.due_s:
+            self._end(watch, Unknown(Reason.DEADLINE))
+            return
+        match watch.phase:
+            case Phase.SENT:
+                self._check_sent(watch, now)
+            case Phase.TAKEN:
+                self._check_taken(watch, now)
+            case Phase.CANCELLING:
+                if now - watch.cancel_s >= pace.cancel_timeout_s:
+                    self._end(watch, Unknown(Reason.NO_ANSWER))
+                elif now - watch.asked_s >= pace.resend_s:
+                    self._send_cancel(watch)
+        if watch.phase in (Phase.SENT, Phase.TAKEN) and self._is_nearly_due(watch, now):
+            self.cancel(watch, Reason.DEADLINE)
+
+    def _is_nearly_due(self, watch: OpenAttempt, now: float) -> bool:
+        margin_s = min(self._pace.deadline_margin_s, 0.1 * (watch.due_s - watch.sent_s))
+        return watch.start is not None and now >= watch.due_s - margin_s
+
+    def _check_sent(self, watch: OpenAttempt, now: float) -> None:
+        if now - watch.sent_s >= self._pace.taken_timeout_s:
+            self.cancel(watch, Reason.NO_ANSWER)
+        elif now - watch.asked_s >= self._pace.resend_s and watch.start is not None:
+            watch.asked_s = now
+            self._link.send(watch.endpoint, watch.start)
+
+    def _check_taken(self, watch: OpenAttempt, now: float) -> None:
+        pace = self._pace
+        has_gap = watch.answer.has_gap
+        wait_s = pace.gap_s if has_gap else pace.quiet_s
+        if now - watch.heard_s >= wait_s and now - watch.asked_s >= max(wait_s, pace.resend_s):
+            self._ask(watch)
+        if watch.is_repeatable and now - watch.heard_s >= pace.quiet_s:
+            endpoint = self._fleet.get(watch.endpoint)
+            if endpoint is None or self._fleet.is_silent(endpoint):
+                self._end(watch, Unknown(Reason.AGENT_LOST))
+
+    def _ask(self, watch: OpenAttempt) -> None:
+        watch.asked_s = self._clock.seconds()
+        self._link.send(watch.endpoint, Fetch(watch.attempt, watch.answer.length, watch.customer))
--- /dev/null
+++ b/umberhitch/tasks/config_feed.py
@@ -0,0 +1,228 @@
+"""The router's copy of the configuration: followed from the log, fed to agents and peers."""
+
+from collections import deque
+from collections.abc import Callable
+from enum import StrEnum
+from logging import getLogger
+from random import Random
+
+from msgspec import DecodeError, ValidationError
+from twisted.internet.defer import Deferred, fail
+
+from umberhitch.config import (
+    Accepted,
+    CatchUp,
+    Change,
+    Config,
+    Fold,
+    Ignored,
+    Rejected,
+    Snapshot,
+    Verdict,
+    decode_record,
+    encode_record,
+)
+from umberhitch.errors import LogError
+from umberhitch.ports import Clock, LogBatch, LogPort
+from umberhitch.tasks.appender import Appender
+from umberhitch.tasks.follower import Follower, FollowerPace
+from umberhitch.wire import ConfigRecords, ConfigSnapshot, Message
+
+__all__ = ["CONFIG_STREAM", "ConfigFeed", "ConfigSource"]
+
+log = getLogger(__name__)
+
+CONFIG_STREAM = "config"
+RECENT_RECORDS = 1024
+"""Records kept for agents and peers that lag a little; others get a snapshot."""
+SNAPSHOT_EVERY = 500
+"""Records after which a snapshot is written back, well before retention takes the tail."""
+SNAPSHOT_SPREAD_S = 10.0
+"""Routers wait a random time up to this, so that usually one of them writes it."""
+
+
+class ConfigSource(StrEnum):
+    """Where the newest configuration came from."""
+
+    NONE = "none"
+    LOG = "log"
+    PEER = "peer"
+
+
+class ConfigFeed:
+    """Owns the router's fold.
+
+    Parameters
+    ----------
+    port : LogPort
+    clock : Clock
+    rng : Random
+    on_change : callable
+        Called without arguments after the revision has grown.
+    pace : FollowerPace
+    """
+
+    def __init__(
+        self,
+        port: LogPort,
+        clock: Clock,
+        rng: Random,
+        on_change: Callable[[], None],
+        pace: FollowerPace | None = None,
+    ) -> None:
+        self._catch_up = CatchUp(Fold())
+        self._recent: deque[tuple[int, bytes]] = deque(maxlen=RECENT_RECORDS)
+        self._clock = clock
+        self._rng = rng
+        self._on_change = on_change
+        self._waiting: dict[str, list[Deferred[Verdict]]] = {}
+        self._last_snapshot = -1
+        self._snapshot_due = False
+        self._encoded: tuple[int, bytes] = (-1, b"")
+        self.source = ConfigSource.NONE
+        self.appender = Appender(port, CONFIG_STREAM, clock, rng)
+        self.follower = Follower(
+            port, CONFIG_STREAM, clock, self._next_offset, self._on_batch, pace
+        )
+
+    @property
+    def fold(self) -> Fold:
+        """The state of the configuration stream."""
+        return self._catch_up.fold
+
+    @property
+    def config(self) -> Config:
+        """The configuration at the current revision."""
+        return self._catch_up.fold.config
+
+    @property
+    def revision(self) -> int:
+        """Offset of the last record applied; -1 before the first."""
+        return self._catch_up.fold.revision
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether there is a configuration to decide by."""
+        return self.source is not ConfigSource.NONE
+
+    def _next_offset(self) -> int:
+        return self._catch_up.next_offset
+
+    def start(self) -> None:
+        """Follow the log."""
+        self.follower.start()
+
+    def stop(self) -> None:
+        """Follow the log no longer."""
+        self.follower.stop()
+
+    def submit(self, change: Change) -> Deferred[Verdict]:
+        """Append a change; the result is the fold's verdict on it.
+
+        The same change may be submitted again after an error: its id makes it take effect once.
+        """
+        known = self.fold.verdicts.get(change.change_id)
+        done: Deferred[Verdict] = Deferred()
+        if known is not None:
+            done.callback(known)
+            return done
+        try:
+            appended = self.appender.add(encode_record(change))
+        except LogError as exc:
+            return fail(exc)
+        self._waiting.setdefault(change.change_id, []).append(done)
+        appended.addErrback(lambda failure: None)
+        return done
+
+    def _on_batch(self, batch: LogBatch) -> None:
+        self._take(batch.records, ConfigSource.LOG)
+
+    def take_records(self, previous: int, records: list[tuple[int, bytes]]) -> bool:
+        """Apply records that a peer sent; returns whether they follow what is here."""
+        if previous > self.revision:
+            return False
+        self._take(records, ConfigSource.PEER)
+        return True
+
+    def take_snapshot(self, data: bytes) -> None:
+        """Load a snapshot that a peer sent, if it is newer than what is here."""
+        try:
+            record = decode_record(data)
+        except (ValidationError, DecodeError) as exc:
+            log.warning("malformed snapshot from a peer", extra={"error": str(exc)})
+            return
+        if not isinstance(record, Snapshot) or record.revision <= self.revision:
+            return
+        self._recent.clear()
+        verdicts = self._catch_up.load(record)
+        self._changed(verdicts, ConfigSource.PEER)
+
+    def _take(self, records: tuple[tuple[int, bytes], ...] | list, source: ConfigSource) -> None:
+        before = self.revision
+        verdicts = self._catch_up.take(records)
+        if self.revision == before:
+            if source is ConfigSource.LOG and not self._catch_up.has_gap:
+                self.source = source
+            return
+        if self._recent and self._recent[-1][0] != before:
+            self._recent.clear()
+        fresh = [rec for rec in records if before < rec[0] <= self.revision]
+        if fresh and fresh[0][0] == before + 1:
+            self._recent.extend(fresh)
+        else:
+            self._recent.clear()
+        self._changed(verdicts, source)
+
+    def _changed(self, verdicts: list[Verdict], source: ConfigSource) -> None:
+        self.source = source
+        for verdict in verdicts:
+            self._report(verdict)
+        for change_id in [cid for cid in self._waiting if cid in self.fold.verdicts]:
+            self._answer(change_id, self.fold.verdicts[change_id])
+        self._consider_snapshot()
+        self._on_change()
+
+    def _report(self, verdict: Verdict) -> None:
+        match verdict:
+            case Accepted(change_id=change_id, revision=revision):
+                log.info("change accepted", extra={"change": change_id, "revision": revision})
+            case Rejected(change_id=change_id, revision=revision, findings=findings):
+                log.warning(
+                    "change rejected",
+                    extra={
+                        "change": change_id,
+                        "revision": revision,
+                        "findings": [str(finding) for finding in findings],
+                    },
+                )
+            case Ignored(revision=revision, reason="snapshot"):
+                self._last_snapshot = max(self._last_snapshot, revision)
+            case Ignored():
+                pass
+
+    def _answer(self, change_id: str, verdict: Verdict) -> None:
+        for done in self._waiting.pop(change_id, []):
+            done.callback(verdict)
+
+    def _consider_snapshot(self) -> None:
+        if self._snapshot_due or self.revision - self._last_snapshot < SNAPSHOT_EVERY:
+            return
+        self._snapshot_due = True
+        self._clock.callLater(self._rng.random() * SNAPSHOT_SPREAD_S, self._write_snapshot)
+
+    def _write_snapshot(self) -> None:
+        self._snapshot_due = False
+        if self.revision - self._last_snapshot < SNAPSHOT_EVERY or self.appender.is_full:
+            return
+        self.appender.add(self.fold.encoded_snapshot()).addErrback(lambda failure: None)
+
+    def updates_since(self, revision: int) -> Message | None:
+        """Return what takes a peer from its revision to the one here; None if it lacks nothing."""
+        if revision >= self.revision:
+            return None
+        if self._recent and self._recent[0][0] <= revision + 1:
+            records = [rec for rec in self._recent if rec[0] > revision]
+            return ConfigRecords(revision, records)
+        if self._encoded[0] != self.revision:
+            self._encoded = (self.revision, self.fold.encoded_snapshot())
+        return ConfigSnapshot(self._encoded[1])
--- /dev/null
+++ b/umberhitch/tasks/fleet.py
@@ -0,0 +1,162 @@
+"""The router's view of agents: learned from the host list and from their heartbeats."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from umberhitch.ports import Clock, Host, HostState
+from umberhitch.wire import Beat, EndpointState
+
+__all__ = ["Endpoint", "Fleet", "FleetLimits"]
+
+
+@dataclass(frozen=True, slots=True)
+class FleetLimits:
+    """When an agent is left out.
+
+    Attributes
+    ----------
+    silence_s : float
+        An agent not heard for this long is suspected and gets no new work.
+    floor : float
+        Fraction of a target's endpoints that stays in use however many are suspected: when more
+        are silent than this allows, the router itself is probably at fault.
+    """
+
+    silence_s: float = 3.0
+    floor: float = 0.5
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """What a router knows of one endpoint and its agent."""
+
+    name: str
+    zone: str
+    address: str
+    incarnation: int = -1
+    """Of the newest agent heard; -1 before the first heartbeat."""
+    targets: tuple[str, ...] = ()
+    state: EndpointState = EndpointState.READY
+    is_listed_leaving: bool = False
+    revision: int = -1
+    reported: int = 0
+    """Attempts running and queued as of the last heartbeat."""
+    reported_own: int = 0
+    """Attempts of this router in flight when that heartbeat came."""
+    slots: int = 1
+    own: int = 0
+    """Attempts of this router in flight now."""
+    heard_s: float = -1.0
+
+    def load(self) -> float:
+        """Return the work at the endpoint per slot, corrected by what was sent since."""
+        return max(self.own, self.reported + self.own - self.reported_own) / self.slots
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Owns the endpoints that a router knows.
+
+    Attributes
+    ----------
+    clock : Clock
+    limits : FleetLimits
+    """
+
+    clock: Clock
+    limits: FleetLimits = field(default_factory=FleetLimits)
+    endpoints: dict[str, Endpoint] = field(default_factory=dict)
+    _by_target: dict[str, list[Endpoint]] = field(default_factory=dict)
+
+    def get(self, name: str) -> Endpoint | None:
+        """Return an endpoint by name."""
+        return self.endpoints.get(name)
+
+    def update_hosts(self, hosts: Iterable[Host]) -> list[Endpoint]:
+        """Take the host list; returns the endpoints that are new or have moved.
+
+        An endpoint that is no longer listed is kept while its agent is heard, since the list may
+        lag or be wrong.
+        """
+        listed = {host.name: host for host in hosts}
+        moved = [self._update_host(host) for host in listed.values()]
+        now = self.clock.seconds()
+        for name, endpoint in list(self.endpoints.items()):
+            is_silent = now - endpoint.heard_s > self.limits.silence_s
+            if name not in listed and is_silent and not endpoint.own:
+                self._remove(endpoint)
+        return [endpoint for endpoint in moved if endpoint is not None]
+
+    def _update_host(self, host: Host) -> Endpoint | None:
+        endpoint = self.endpoints.get(host.name)
+        is_new = endpoint is None or endpoint.address != host.address
+        if endpoint is None:
+            endpoint = Endpoint(host.name, host.zone, host.address)
+            self.endpoints[host.name] = endpoint
+        endpoint.address = host.address
+        endpoint.is_listed_leaving = host.state is HostState.LEAVING
+        return endpoint if is_new else None
+
+    def _remove(self, endpoint: Endpoint) -> None:
+        del self.endpoints[endpoint.name]
+        self._index(endpoint, ())
+
+    def hear(self, beat: Beat) -> int | None:
+        """Take a heartbeat; returns the incarnation that it replaces, if it does."""
+        endpoint = self.endpoints.get(beat.endpoint)
+        if endpoint is None or beat.incarnation < endpoint.incarnation:
+            return None
+        replaced = endpoint.incarnation if endpoint.incarnation >= 0 else None
+        is_replaced = replaced is not None and beat.incarnation > endpoint.incarnation
+        if is_replaced:
+            endpoint.is_listed_leaving = False
+        endpoint.incarnation = beat.incarnation
+        endpoint.zone = beat.zone
+        endpoint.state = beat.state
+        endpoint.revision = beat.revision
+        endpoint.reported = beat.running + beat.queued
+        endpoint.reported_own = endpoint.own
+        endpoint.slots = max(1, beat.slots)
+        endpoint.heard_s = self.clock.seconds()
+        if tuple(beat.targets) != endpoint.targets:
+            self._index(endpoint, tuple(beat.targets))
+        return replaced if is_replaced else None
+
+    def _index(self, endpoint: Endpoint, targets: tuple[str, ...]) -> None:
+        for target in endpoint.targets:
+            self._by_target[target].remove(endpoint)
+        endpoint.targets = targets
+        for target in targets:
+            self._by_target.setdefault(target, []).append(endpoint)
+
+    def is_silent(self, endpoint: Endpoint) -> bool:
+        """Whether the endpoint's agent has not been heard lately."""
+        return self.clock.seconds() - endpoint.heard_s > self.limits.silence_s
+
+    def candidates(self, target: str) -> list[Endpoint]:
+        """Return the endpoints that may get new work for a target."""
+        known = self._by_target.get(target, [])
+        open_ = [
+            endpoint
+            for endpoint in known
+            if endpoint.state is EndpointState.READY and not endpoint.is_listed_leaving
+        ]
+        heard = [endpoint for endpoint in open_ if not self.is_silent(endpoint)]
+        if len(heard) >= self.limits.floor * len(open_):
+            return heard
+        return open_
+
+    def has_endpoint(self, target: str) -> bool:
+        """Whether any endpoint may get new work for a target."""
+        return bool(self.candidates(target))
+
+    def lowest_revisions(self) -> dict[str, list[int]]:
+        """Return, by availability zone, how many agents are heard and the lowest revision there."""
+        zones: dict[str, list[int]] = {}
+        for endpoint in self.endpoints.values():
+            if endpoint.incarnation < 0 or self.is_silent(endpoint):
+                continue
+            row = zones.setdefault(endpoint.zone, [0, endpoint.revision])
+            row[0] += 1
+            row[1] = min(row[1], endpoint.revision)
+        return zones
--- /dev/null
+++ b/umberhitch/tasks/router.py
@@ -0,0 +1,300 @@
+"""The router: its tasks put together, its peers, and its life cycle."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from logging import getLogger
+from random import Random
+
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from umberhitch.core.stops import DirectStops
+from umberhitch.ports import Clock, Host, HostListPort, HostRole, LinkPort, LogPort, Timer
+from umberhitch.tasks.appender import AppenderLimits
+from umberhitch.tasks.attempts import AttemptPace, Attempts
+from umberhitch.tasks.bills import BillWriter
+from umberhitch.tasks.claims import Claims
+from umberhitch.tasks.config_feed import ConfigFeed
+from umberhitch.tasks.fleet import Fleet, FleetLimits
+from umberhitch.tasks.follower import FollowerPace
+from umberhitch.tasks.requests import Requests
+from umberhitch.tasks.resume import Resume
+from umberhitch.wire import (
+    Beat,
+    Chunk,
+    ConfigRecords,
+    ConfigSnapshot,
+    Failed,
+    Finished,
+    HandOver,
+    Hello,
+    Message,
+    NeedConfig,
+    Refused,
+    RouterDigest,
+    Taken,
+    Withdrawal,
+)
+
+__all__ = ["Router", "RouterSettings", "RouterState"]
+
+log = getLogger(__name__)
+
+
+class RouterState(StrEnum):
+    """Whether a router takes requests."""
+
+    STARTING = "starting"
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, kw_only=True)
+class RouterSettings:
+    """What a router is told about itself."""
+
+    name: str
+    incarnation: int
+    zone: str
+    hello_s: float = 1.0
+    hosts_s: float = 2.0
+    peers_per_round: int = 3
+    """Routers that get a digest each round; more would not make news travel much faster."""
+    peer_silence_s: float = 10.0
+    pace: AttemptPace = AttemptPace()
+    follow: FollowerPace = FollowerPace()
+    fleet: FleetLimits = FleetLimits()
+    billing: AppenderLimits = AppenderLimits()
+
+
+@dataclass(slots=True)
+class Peer:
+    """What a router knows of another."""
+
+    digest: RouterDigest
+    heard_s: float
+
+
+class Router:
+    """One router incarnation.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+    clock : Clock
+    wall_s : callable
+        Returns seconds since the epoch.
+    rng : Random
+    link : LinkPort
+    log_port : LogPort
+    host_list : HostListPort
+    """
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        clock: Clock,
+        wall_s: Callable[[], float],
+        rng: Random,
+        link: LinkPort,
+        log_port: LogPort,
+        host_list: HostListPort,
+    ) -> None:
+        self.settings = settings
+        self.state = RouterState.STARTING
+        self._clock = clock
+        self.rng = rng
+        self._link = link
+        self._host_list = host_list
+        self._timers: list[Timer] = []
+        self._is_stopped = False
+        self._peers: dict[str, Peer] = {}
+        self._peer_names: list[str] = []
+        self._drained: Deferred[None] | None = None
+        self.stops = DirectStops()
+        self.fleet = Fleet(clock, settings.fleet)
+        self.attempts = Attempts(
+            settings.name, settings.incarnation, clock, link, self.fleet, settings.pace
+        )
+        self.feed = ConfigFeed(log_port, clock, rng, self._on_config, settings.follow)
+        self.bills = BillWriter(log_port, clock, rng, link, settings.billing)
+        self.claims = Claims(log_port, clock, rng, settings.follow)
+        self.requests = Requests(self, clock, wall_s, rng)
+        self.resume = Resume(self.attempts, self.fleet)
+
+    # Life cycle
+
+    def start(self) -> None:
+        """Begin to follow the log, find agents and answer them."""
+        self._link.listen(self.receive)
+        self.attempts.start()
+        self.feed.start()
+        self.claims.start()
+        self._every(self.settings.hosts_s, self._refresh_hosts)
+        self._every(self.settings.hello_s, self._greet)
+
+    def stop(self) -> None:
+        """Do nothing more, as a lost process would."""
+        self._is_stopped = True
+        self.attempts.stop()
+        self.feed.stop()
+        self.claims.stop()
+
+    def drain(self) -> Deferred[None]:
+        """Take no new request; the result comes when all are answered and billed."""
+        self.state = RouterState.LEAVING
+        if self._drained is None:
+            self._drained = Deferred()
+            self.requests.when_idle(lambda: self.bills.when_idle(self._finish_drain))
+        return self._drained
+
+    def _finish_drain(self) -> None:
+        if self._drained is not None and not self._drained.called:
+            self._drained.callback(None)
+
+    def _every(self, interval_s: float, action: Callable[[], None]) -> None:
+        if self._is_stopped:
+            return
+        action()
+        self._clock.callLater(interval_s, self._every, interval_s, action)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the router has a configuration and is not leaving."""
+        return self.state is not RouterState.LEAVING and self.feed.is_ready
+
+    # Hosts and peers
+
+    def _refresh_hosts(self) -> None:
+        ensureDeferred(self._read_hosts()).addErrback(self._note_host_error)
+
+    def _note_host_error(self, failure: object) -> None:
+        log.warning("host list not read", extra={"error": str(failure)})
+
+    async def _read_hosts(self) -> None:
+        hosts = await self._host_list.hosts()
+        if not self._is_stopped:
+            self.take_hosts(hosts)
+
+    def take_hosts(self, hosts: list[Host]) -> None:
+        """Take the platform's list of hosts."""
+        agents = [host for host in hosts if host.role is HostRole.AGENT]
+        for endpoint in self.fleet.update_hosts(agents):
+            self._link.connect(endpoint.name, endpoint.address)
+            self._link.send(endpoint.name, self._hello())
+        routers = {host.name: host for host in hosts if host.role is HostRole.ROUTER}
+        routers.pop(self.settings.name, None)
+        for name, host in routers.items():
+            if name not in self._peer_names:
+                self._link.connect(name, host.address)
+        for name in self._peer_names:
+            if name not in routers:
+                self._link.disconnect(name)
+        self._peer_names = sorted(routers)
+        self.requests.admission.routers = 1 + len(routers)
+
+    def _hello(self) -> Hello:
+        cfg = self.settings
+        return Hello(cfg.name, cfg.incarnation, cfg.zone, self.feed.revision)
+
+    def _greet(self) -> None:
+        hello = self._hello()
+        for name in self.fleet.endpoints:
+            self._link.send(name, hello)
+        digest = self.digest()
+        count = min(self.settings.peers_per_round, len(self._peer_names))
+        for name in self.rng.sample(self._peer_names, count):
+            self._link.send(name, digest)
+
+    def digest(self) -> RouterDigest:
+        """Return what other routers are told of this one."""
+        cfg = self.settings
+        return RouterDigest(
+            cfg.name, cfg.incarnation, cfg.zone, self.feed.revision, self.fleet.lowest_revisions()
+        )
+
+    def _on_config(self) -> None:
+        """Feed agents as soon as the revision has grown."""
+        self.requests.config_changed()
+        if self.state is RouterState.STARTING:
+            self.state = RouterState.READY
+        for endpoint in self.fleet.endpoints.values():
+            if endpoint.incarnation >= 0:
+                self._send_update(endpoint.name, endpoint.revision)
+
+    def _send_update(self, peer: str, revision: int) -> None:
+        update = self.feed.updates_since(revision)
+        if update is not None:
+            self._link.send(peer, update)
+
+    def peers(self) -> list[RouterDigest]:
+        """Return the digests of the routers that were heard lately."""
+        horizon_s = self._clock.seconds() - self.settings.peer_silence_s
+        return [peer.digest for peer in self._peers.values() if peer.heard_s >= horizon_s]
+
+    def is_router_alive(self, name: str, incarnation: int) -> bool:
+        """Whether a router incarnation was heard lately, or is this one."""
+        if name == self.settings.name:
+            return incarnation == self.settings.incarnation
+        return any(
+            digest.router == name and digest.incarnation == incarnation for digest in self.peers()
+        )
+
+    def withdraw_directly(self, message: Withdrawal) -> None:
+        """Stop a version here, and tell every agent and peer, ahead of the log."""
+        if not self.stops.add(message, self.feed.fold):
+            return
+        for name in self.fleet.endpoints:
+            self._link.send(name, message)
+        for name in self._peer_names:
+            self._link.send(name, message)
+
+    # Messages
+
+    def receive(self, sender: str, messages: list[Message]) -> None:
+        """Handle what an agent or another router sent."""
+        if self._is_stopped:
+            return
+        for message in messages:
+            self._handle(sender, message)
+
+    def _handle(self, sender: str, message: Message) -> None:
+        match message:
+            case Chunk() | Taken() | Finished() | Refused() | Failed():
+                self.attempts.handle(message)
+            case Beat():
+                self._on_beat(message)
+            case NeedConfig(revision=revision):
+                self._send_update(sender, revision)
+            case HandOver(records=records):
+                for record in records:
+                    self.bills.write(record, [sender])
+            case RouterDigest():
+                self._on_digest(sender, message)
+            case ConfigRecords(previous=previous, records=records):
+                if not self.feed.take_records(previous, records):
+                    self._link.send(sender, NeedConfig(self.feed.revision))
+            case ConfigSnapshot(data=data):
+                self.feed.take_snapshot(data)
+            case Withdrawal():
+                self.withdraw_directly(message)
+            case _:
+                log.warning("unexpected message", extra={"message_type": type(message).__name__})
+
+    def _on_beat(self, beat: Beat) -> None:
+        replaced = self.fleet.hear(beat)
+        if replaced is not None:
+            self.attempts.agent_replaced(beat.endpoint, beat.incarnation)
+        endpoint = self.fleet.get(beat.endpoint)
+        if endpoint is not None and endpoint.incarnation == beat.incarnation:
+            self._send_update(beat.endpoint, beat.revision)
+
+    def _on_digest(self, sender: str, digest: RouterDigest) -> None:
+        known = self._peers.get(sender)
+        if known is not None and digest.incarnation < known.digest.incarnation:
+            return
+        self._peers[sender] = Peer(digest, self._clock.seconds())
+        if digest.revision < self.feed.revision:
+            self._send_update(sender, digest.revision)
+        elif digest.revision > self.feed.revision:
+            self._link.send(sender, NeedConfig(self.feed.revision))
--- /dev/null
+++ b/umberhitch/tasks/tests/test_serving.py
@@ -0,0 +1,88 @@
+"""Serving requests on a virtual clock."""
+
+from umberhitch.config import VersionState
+from umberhitch.core.outcome import Done, NotRun, Reason, Unknown
+from umberhitch.fakes import NetworkFaults, expected_answer
+from umberhitch.testing import AskOptions, World, make_state_change, make_work
+
+
+def test_a_request_is_answered_and_billed(world: World) -> None:
+    record = world.ask("hello")
+    world.advance(2.0)
+    assert isinstance(record.outcome, Done)
+    assert record.outcome.text == expected_answer("m@1", make_work("hello"), 12)
+    assert record.text == record.outcome.text
+    bill = world.bills().records[record.request]
+    assert (bill.customer, bill.target, bill.usage.output_tokens) == ("acme", "m@1", 12)
+    assert all(agent.unconfirmed_usage == 0 for agent in world.agents.values())
+
+
+def test_lost_repeated_and_late_messages_are_repaired(world: World) -> None:
+    world.network.faults = NetworkFaults(drop=0.2, repeat=0.2, late=0.3)
+    records = [world.ask(f"question {index}") for index in range(40)]
+    world.advance(15.0)
+    for record in records:
+        assert isinstance(record.outcome, Done)
+        assert record.text == expected_answer("m@1", make_work(record.question), 12)
+        assert world.runs_of(record.question) == 1
+
+
+def test_a_withdrawn_version_gets_no_new_work(world: World) -> None:
+    world.publish(make_state_change("c2", "m@1", VersionState.WITHDRAWN))
+    world.advance(1.0)
+    record = world.ask("too late")
+    world.advance(1.0)
+    assert isinstance(record.outcome, NotRun)
+    assert record.outcome.reason is Reason.WITHDRAWN
+    assert world.runs_of("too late") == 0
+
+
+def test_the_same_key_at_two_routers_runs_once(world: World) -> None:
+    options = AskOptions(klass="renewal", key="k")
+    first = world.ask("renew", "r1", options)
+    second = world.ask("renew", "r2", options)
+    world.advance(4.0)
+    assert isinstance(first.outcome, Done)
+    assert isinstance(second.outcome, Done)
+    assert first.outcome.text == second.outcome.text
+    assert world.runs_of("renew") == 1
+    assert len(world.bills().records) == 1
+
+
+def test_a_key_is_refused_for_another_request(world: World) -> None:
+    world.ask("renew", "r1", AskOptions(klass="renewal", key="k"))
+    world.advance(2.0)
+    other = world.ask("transfer", "r2", AskOptions(klass="renewal", key="k"))
+    world.advance(1.0)
+    assert other.outcome == NotRun(Reason.KEY_REUSED, "the key was used for another request")
+
+
+def test_an_engine_lost_midway_is_retried_only_if_repeatable(world: World) -> None:
+    tried = world.ask("again", options=AskOptions(klass="lookup"))
+    once = world.ask("once", options=AskOptions(klass="renewal"))
+    world.advance(0.1)
+    for engine in world.engines.values():
+        if engine.runs:
+            engine.lose()
+    world.advance(6.0)
+    assert isinstance(once.outcome, Unknown)
+    assert world.runs_of("once") == 1
+    assert tried.outcome is not None
+
+
+def test_an_answer_is_fetched_again_at_another_router(world: World) -> None:
+    record = world.ask("long answer", "r1")
+    world.advance(0.15)
+    world.lose_router("r1")
+    locator = record.locators[-1]
+    from twisted.internet.defer import ensureDeferred
+
+    from umberhitch.tasks.resume import parse_locator
+
+    where = parse_locator(locator)
+    assert where is not None
+    fetched = ensureDeferred(world.routers["r2"].resume.fetch(where, "acme", 0))
+    stolen = ensureDeferred(world.routers["r2"].resume.fetch(where, "other", 0))
+    world.advance(3.0)
+    assert fetched.result.text == expected_answer("m@1", make_work("long answer"), 12)
+    assert isinstance(stolen.result, NotRun)
--- /dev/null
+++ b/umberhitch/testing/__init__.py
@@ -0,0 +1,28 @@
+"""What tests share: builders of data, and a deployment on a virtual clock."""
+
+from umberhitch.testing._builders import (
+    SIGNING_SECRET,
+    make_change,
+    make_customer,
+    make_document,
+    make_start,
+    make_state_change,
+    make_version,
+    make_work,
+)
+from umberhitch.testing._world import AskOptions, CallerRecord, World, WorldSettings
+
+__all__ = [
+    "SIGNING_SECRET",
+    "AskOptions",
+    "CallerRecord",
+    "World",
+    "WorldSettings",
+    "make_change",
+    "make_customer",
+    "make_document",
+    "make_start",
+    "make_state_change",
+    "make_version",
+    "make_work",
+]
--- /dev/null
+++ b/umberhitch/testing/_world.py
@@ -0,0 +1,307 @@
+"""A deployment on a virtual clock: the real core and tasks, with fakes at the ports.
+
+Scenarios and state machines drive it, and read from it what an oracle needs: what ran, what was
+billed, what each caller got.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+from typing import Any
+
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import Clock
+
+from umberhitch.config import Change, encode_record
+from umberhitch.core.billing import BillFold
+from umberhitch.core.outcome import Done, Outcome
+from umberhitch.core.session import Session, read_session_token, sign_session_token
+from umberhitch.fakes import (
+    EnginePace,
+    FakeEngine,
+    FakeHostList,
+    FakeLink,
+    FakeLog,
+    FakeNetwork,
+    LogFaults,
+    MemoryLog,
+)
+from umberhitch.ports import Host, HostRole
+from umberhitch.tasks.agent import Agent, AgentSettings
+from umberhitch.tasks.bills import BILLING_STREAM
+from umberhitch.tasks.config_feed import CONFIG_STREAM
+from umberhitch.tasks.requests import Ask
+from umberhitch.tasks.router import Router, RouterSettings
+from umberhitch.wire import EngineWork, ServiceWork
+
+__all__ = ["AskOptions", "CallerRecord", "World", "WorldSettings"]
+
+STEP_S = 0.01
+
+
+@dataclass(frozen=True, kw_only=True)
+class WorldSettings:
+    """What a world starts with.
+
+    Attributes
+    ----------
+    endpoints : dict
+        Target of each endpoint by its name.
+    routers : tuple of str
+    zones : tuple of str
+        Given out in turn, to routers and to endpoints.
+    """
+
+    endpoints: dict[str, str]
+    routers: tuple[str, ...] = ("r1", "r2")
+    zones: tuple[str, ...] = ("a",)
+    seed: int = 1
+    pace: EnginePace = EnginePace(token_s=0.02)
+    agent: dict[str, Any] = field(default_factory=dict)
+    router: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True)
+class AskOptions:
+    """How a caller asks."""
+
+    customer: str = "acme"
+    klass: str = "default"
+    spec: str = "m"
+    key: str = ""
+    session_token: str = ""
+    deadline_s: float | None = None
+    is_streamed: bool = False
+    body: bytes = b""
+
+
+@dataclass(slots=True)
+class CallerRecord:
+    """One caller's request and what it got."""
+
+    request: str
+    router: str
+    question: str
+    options: AskOptions
+    asked_s: float
+    is_repeatable: bool
+    outcome: Outcome | None = None
+    ended_s: float | None = None
+    shown: list[str] = field(default_factory=list)
+    locators: list[str] = field(default_factory=list)
+    is_orphaned: bool = False
+    """Whether the router was lost before it answered."""
+
+    @property
+    def text(self) -> str:
+        """The answer as it was shown piece by piece."""
+        return "".join(self.shown)
+
+
+class World:
+    """Routers, agents, engines and the platform, on one virtual clock.
+
+    Parameters
+    ----------
+    settings : WorldSettings
+    """
+
+    def __init__(self, settings: WorldSettings) -> None:
+        self.settings = settings
+        self.clock: Any = Clock()
+        self.rng = Random(settings.seed)
+        self.memory = MemoryLog()
+        self.log_faults = LogFaults()
+        self.hosts = FakeHostList()
+        self.network = FakeNetwork(self.clock, Random(settings.seed + 1))
+        self.routers: dict[str, Router] = {}
+        self.agents: dict[str, Agent] = {}
+        self.engines: dict[str, FakeEngine] = {}
+        self.links: dict[str, FakeLink] = {}
+        self.retired_engines: list[FakeEngine] = []
+        self.records: list[CallerRecord] = []
+        self._incarnations: Iterator[int] = count(1)
+        self._requests: Iterator[int] = count(1)
+        self._zones: dict[str, str] = {}
+
+    # Set-up
+
+    def publish(self, change: Change) -> None:
+        """Append a change to the log, as an operator's router would."""
+        self.memory.append(CONFIG_STREAM, [encode_record(change)])
+
+    def start(self) -> None:
+        """Start every process and let them find each other."""
+        for index, (name, target) in enumerate(self.settings.endpoints.items()):
+            zone = self.settings.zones[index % len(self.settings.zones)]
+            self.add_endpoint(name, target, zone)
+        for index, name in enumerate(self.settings.routers):
+            self.add_router(name, self.settings.zones[index % len(self.settings.zones)])
+        self.advance(2.5)
+
+    def add_router(self, name: str, zone: str) -> Router:
+        """Start a router; it replaces the one of that name."""
+        self._zones[name] = zone
+        self.hosts.put(Host(name, HostRole.ROUTER, zone, "-"))
+        self.links[name] = self.network.link(name)
+        router = Router(
+            RouterSettings(
+                name=name, incarnation=next(self._incarnations), zone=zone, **self.settings.router
+            ),
+            self.clock,
+            self.clock.seconds,
+            Random(self.rng.getrandbits(32)),
+            self.links[name],
+            FakeLog(self.memory, self.clock, self.log_faults),
+            self.hosts,
+        )
+        self.routers[name] = router
+        router.start()
+        return router
+
+    def add_endpoint(self, name: str, target: str, zone: str) -> Agent:
+        """Start an engine with its agent; they replace the ones of that name."""
+        self._zones[name] = zone
+        known = self.engines.get(name)
+        if known is not None:
+            known.lose()
+            self.retired_engines.append(known)
+        self.hosts.put(Host(name, HostRole.AGENT, zone, "-"))
+        self.engines[name] = FakeEngine(self.clock, self.settings.pace)
+        self.links[name] = self.network.link(name)
+        agent = Agent(
+            AgentSettings(
+                endpoint=name,
+                incarnation=next(self._incarnations),
+                zone=zone,
+                targets=(target,),
+                **self.settings.agent,
+            ),
+            self.clock,
+            self.clock.seconds,
+            self.links[name],
+            self.engines[name],
+        )
+        self.agents[name] = agent
+        agent.start()
+        return agent
+
+    # Time
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass in small steps."""
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+
+    # Callers
+
+    def ask(
+        self, question: str, router: str | None = None, options: AskOptions | None = None
+    ) -> CallerRecord:
+        """Send a request; its record fills in as time passes."""
+        opts = options or AskOptions()
+        name = router or self.rng.choice(sorted(self.routers))
+        node = self.routers[name]
+        config = node.feed.config
+        klass = config.classes[opts.klass]
+        work = self._work(question, opts)
+        record = CallerRecord(
+            f"q{next(self._requests)}",
+            name,
+            question,
+            opts,
+            self.clock.seconds(),
+            klass.repeatable,
+        )
+        self.records.append(record)
+        session = self._session(node, opts)
+        ask = Ask(
+            request=record.request,
+            customer=config.customers[opts.customer],
+            klass=klass,
+            spec=opts.spec,
+            work=work,
+            deadline_s=opts.deadline_s or klass.deadline_s,
+            is_repeatable=klass.repeatable,
+            session=session,
+            session_token=opts.session_token,
+            key=f"{opts.customer}/{opts.key}" if opts.key else "",
+            fingerprint=question,
+            is_streamed=opts.is_streamed,
+        )
+        serving: Deferred[Outcome] = ensureDeferred(
+            node.requests.serve(ask, record.shown.append, record.locators.append)
+        )
+        serving.addCallback(self._ended, record)
+        return record
+
+    def _work(self, question: str, opts: AskOptions) -> EngineWork | ServiceWork:
+        if opts.body:
+            return ServiceWork("POST", question, {}, opts.body)
+        return EngineWork([{"role": "user", "content": question}], 12)
+
+    def _session(self, node: Router, opts: AskOptions) -> Session | None:
+        if not opts.session_token:
+            return None
+        return read_session_token(opts.session_token, node.feed.config, self.clock.seconds())
+
+    def _ended(self, outcome: Outcome, record: CallerRecord) -> None:
+        if not record.is_orphaned:
+            record.outcome = outcome
+            record.ended_s = self.clock.seconds()
+
+    def open_session(self, target: str, customer: str = "acme", ttl_s: float = 3600.0) -> str:
+        """Return a session token."""
+        node = next(iter(self.routers.values()))
+        session = Session("ses-1", customer, target, self.clock.seconds() + ttl_s)
+        return sign_session_token(session, node.feed.config)
+
+    # Faults
+
+    def lose_router(self, name: str) -> None:
+        """Stop a router at once; its callers get no answer from it."""
+        router = self.routers.pop(name)
+        router.stop()
+        self.network.unplug(name)
+        for record in self.records:
+            if record.router == name and record.outcome is None:
+                record.is_orphaned = True
+
+    def lose_agent(self, name: str) -> None:
+        """Stop an agent at once; its engine goes on until the host is replaced."""
+        self.agents.pop(name).stop()
+        self.network.unplug(name)
+
+    def replace_agent(self, name: str) -> Agent:
+        """Replace an endpoint's host: a new engine with a new agent."""
+        if name in self.agents:
+            self.lose_agent(name)
+        return self.add_endpoint(name, self.settings.endpoints[name], self._zones[name])
+
+    def replace_router(self, name: str) -> Router:
+        """Replace a router by a new incarnation."""
+        if name in self.routers:
+            self.lose_router(name)
+        return self.add_router(name, self._zones[name])
+
+    # What an oracle reads
+
+    def bills(self) -> BillFold:
+        """Return the fold of the billing stream."""
+        fold = BillFold()
+        for offset, data in self.memory.all_records(BILLING_STREAM):
+            fold.apply(offset, data)
+        return fold
+
+    def all_engines(self) -> list[FakeEngine]:
+        """Return every engine that ever ran."""
+        return [*self.retired_engines, *self.engines.values()]
+
+    def runs_of(self, question: str) -> int:
+        """Return how often any engine has begun a question."""
+        return sum(run.body == question for engine in self.all_engines() for run in engine.runs)
+
+    def done(self) -> list[CallerRecord]:
+        """Return the callers that got an answer."""
+        return [record for record in self.records if isinstance(record.outcome, Done)]
--- /dev/null
+++ b/umberhitch/wire/_messages.py
@@ -0,0 +1,267 @@
+"""Messages between routers and agents.
+
+Every message is a compact array; its first item is the tag. Fields are only ever added at the end
+and with a default, so that two adjacent versions of umberhitch understand each other.
+"""
+
+from enum import StrEnum
+from typing import Any
+
+from msgspec import Struct
+
+__all__ = [
+    "AttemptId",
+    "Beat",
+    "Billed",
+    "Cancel",
+    "Chunk",
+    "ConfigRecords",
+    "ConfigSnapshot",
+    "EndpointState",
+    "EngineWork",
+    "Failed",
+    "Fetch",
+    "Finished",
+    "HandOver",
+    "Hello",
+    "Message",
+    "NeedConfig",
+    "Refused",
+    "RouterDigest",
+    "ServiceWork",
+    "Start",
+    "Taken",
+    "Usage",
+    "UsageRecord",
+    "Withdrawal",
+]
+
+
+class AttemptId(Struct, frozen=True, array_like=True):
+    """Identity of one attempt: which incarnation of which router issued it, and its number."""
+
+    router: str
+    incarnation: int
+    seq: int
+
+    def __str__(self) -> str:
+        return f"{self.router}.{self.incarnation}.{self.seq}"
+
+
+class EndpointState(StrEnum):
+    """What an agent says of its endpoint."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+class Usage(Struct, frozen=True, array_like=True):
+    """What one attempt used."""
+
+    input_tokens: int = 0
+    output_tokens: int = 0
+    cached_tokens: int = 0
+
+
+class UsageRecord(Struct, frozen=True, array_like=True):
+    """What one request used; the request id makes it count once."""
+
+    request: str
+    customer: str
+    target: str
+    usage: Usage
+    cost_micros: int
+    attempts: int = 1
+    klass: str = ""
+
+
+class EngineWork(Struct, frozen=True, array_like=True, tag="e"):
+    """A call of a model engine."""
+
+    messages: list[dict[str, Any]]
+    """As the caller sent them: ``role``, ``content`` and what else belongs to a message."""
+    max_tokens: int
+    temperature: float = 1.0
+    prefix: str = ""
+    """Hash of the prompt's stable prefix, for cache affinity; empty if unknown."""
+
+
+class ServiceWork(Struct, frozen=True, array_like=True, tag="s"):
+    """A call of a plain service."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Hello(Struct, frozen=True, array_like=True, tag="hello"):
+    """A router introduces itself to an agent, and repeats it as its heartbeat."""
+
+    router: str
+    incarnation: int
+    zone: str
+    revision: int
+
+
+class Start(Struct, frozen=True, array_like=True, tag="start"):
+    """Run an attempt. Sent again until `Taken`; the agent's ledger makes it idempotent."""
+
+    attempt: AttemptId
+    agent_incarnation: int
+    request: str
+    customer: str
+    target: str
+    work: EngineWork | ServiceWork
+    priority: int
+    deadline_s: float
+    """Time left at the moment of sending."""
+    revision: int
+    """Revision of configuration that the decision was based on."""
+    session: str = ""
+    """Session token, where the version is pinned by one."""
+    klass: str = ""
+
+
+class Cancel(Struct, frozen=True, array_like=True, tag="cancel"):
+    """Refuse the attempt for ever if it has not begun; else stop it."""
+
+    attempt: AttemptId
+    agent_incarnation: int
+
+
+class Fetch(Struct, frozen=True, array_like=True, tag="fetch"):
+    """Send the answer again from an offset, with its end if it has ended."""
+
+    attempt: AttemptId
+    offset: int
+    customer: str
+    """The agent answers only if the attempt is this customer's."""
+
+
+class Billed(Struct, frozen=True, array_like=True, tag="billed"):
+    """The usage records of these requests were seen in the log."""
+
+    requests: list[str]
+
+
+class ConfigRecords(Struct, frozen=True, array_like=True, tag="config"):
+    """Records of the configuration stream that follow ``previous``."""
+
+    previous: int
+    records: list[tuple[int, bytes]]
+
+
+class ConfigSnapshot(Struct, frozen=True, array_like=True, tag="snapshot"):
+    """A whole fold, for a process that is too far behind for records."""
+
+    data: bytes
+
+
+class NeedConfig(Struct, frozen=True, array_like=True, tag="need"):
+    """Send the configuration after this revision."""
+
+    revision: int
+
+
+class Withdrawal(Struct, frozen=True, array_like=True, tag="stop"):
+    """Give this version no new work, ahead of the record in the log.
+
+    It holds until the configuration says something newer of the version, or rejects the change.
+    """
+
+    version: str
+    change_id: str
+
+
+class Beat(Struct, frozen=True, array_like=True, tag="beat"):
+    """An agent's heartbeat: who it is, what it serves, how loaded it is."""
+
+    endpoint: str
+    incarnation: int
+    zone: str
+    targets: list[str]
+    state: EndpointState
+    revision: int
+    running: int
+    queued: int
+    slots: int
+
+
+class Taken(Struct, frozen=True, array_like=True, tag="taken"):
+    """The attempt is in the ledger and will be answered."""
+
+    attempt: AttemptId
+
+
+class Refused(Struct, frozen=True, array_like=True, tag="refused"):
+    """The attempt did not run and never will."""
+
+    attempt: AttemptId
+    reason: str
+    retry_after_s: float = 0.0
+
+
+class Chunk(Struct, frozen=True, array_like=True, tag="chunk"):
+    """A piece of an answer, at an offset counted in characters."""
+
+    attempt: AttemptId
+    offset: int
+    text: str
+
+
+class Finished(Struct, frozen=True, array_like=True, tag="done"):
+    """The answer is whole at ``length`` characters."""
+
+    attempt: AttemptId
+    length: int
+    usage: Usage
+    finish: str = "stop"
+    status: int = 200
+    headers: dict[str, str] = {}
+
+
+class Failed(Struct, frozen=True, array_like=True, tag="failed"):
+    """The attempt began and did not end well: what it did is not known."""
+
+    attempt: AttemptId
+    reason: str
+    usage: Usage = Usage()
+
+
+class HandOver(Struct, frozen=True, array_like=True, tag="handover"):
+    """Usage records whose router has not confirmed them in time."""
+
+    records: list[UsageRecord]
+
+
+class RouterDigest(Struct, frozen=True, array_like=True, tag="digest"):
+    """A router tells another how far it has come, and asks for what it lacks."""
+
+    router: str
+    incarnation: int
+    zone: str
+    revision: int
+    agents: dict[str, list[int]] = {}
+    """For each availability zone: agents known, and the lowest revision among them."""
+
+
+Message = (
+    Hello
+    | Start
+    | Cancel
+    | Fetch
+    | Billed
+    | ConfigRecords
+    | ConfigSnapshot
+    | NeedConfig
+    | Withdrawal
+    | Beat
+    | Taken
+    | Refused
+    | Chunk
+    | Finished
+    | Failed
+    | HandOver
+    | RouterDigest
+)
