Fuzz whole deployments against an oracle; an outcome covers every attempt

Ruled out: the agent's ledger (its answer was failed) and the engine fake (its run was counted right); the router let the last outcome stand for all attempts.

Conclusion: a request's outcome is that of all its attempts together; the test test_a_refused_retry_of_what_may_have_run_is_not_called_not_run keeps it.

--- a/umberhitch/fakes/__init__.py
+++ b/umberhitch/fakes/__init__.py
@@ -3,6 +3,7 @@
 They hold no socket and run on any clock; the HTTP stand-ins in `umberhitch.standins` serve them.
 """
 
+from umberhitch.fakes._clock import ProcessClock
 from umberhitch.fakes._engine import EngineFaults, EnginePace, FakeEngine, expected_answer
 from umberhitch.fakes._hosts import FakeHostList
 from umberhitch.fakes._log import FakeLog, LogFaults, MemoryLog
@@ -19,5 +20,6 @@
     "LogFaults",
     "MemoryLog",
     "NetworkFaults",
+    "ProcessClock",
     "expected_answer",
 ]
--- a/umberhitch/fakes/_engine.py
+++ b/umberhitch/fakes/_engine.py
@@ -4,6 +4,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 from hashlib import sha256
 from heapq import heappop, heappush
@@ -104,12 +105,15 @@
     ----------
     runs : list of EngineRun
         Every call that began.
+    on_run : callable or None
+        Called with each run as it begins.
     """
 
     def __init__(self, clock: Clock, pace: EnginePace | None = None) -> None:
         self.pace = pace or EnginePace()
         self.faults = EngineFaults()
         self.runs: list[EngineRun] = []
+        self.on_run: Callable[[EngineRun], None] | None = None
         self.is_lost = False
         self._clock = clock
         self._running: dict[str, _Call] = {}
@@ -142,9 +146,10 @@
     def _begin(self, running: _Call) -> None:
         call = running.call
         self._running[call.call_id] = running
-        self.runs.append(
-            EngineRun(call.call_id, call.target, _body(call.work), self._clock.seconds())
-        )
+        run = EngineRun(call.call_id, call.target, _body(call.work), self._clock.seconds())
+        self.runs.append(run)
+        if self.on_run is not None:
+            self.on_run(run)
         if not self.faults.is_stuck:
             delay_s = self._prefill_s(running) * self.faults.slowdown
             running.timer = self._clock.callLater(delay_s, self._step, call.call_id)
--- a/umberhitch/tasks/agent.py
+++ b/umberhitch/tasks/agent.py
@@ -228,6 +228,10 @@
         """Usage records not yet known to be in the log."""
         return len(self._usage)
 
+    def holds_usage(self, request: str) -> bool:
+        """Whether the usage record of a request is held here."""
+        return request in self._usage
+
     # Messages
 
     def receive(self, sender: str, messages: list[Message]) -> None:
--- a/umberhitch/tasks/bills.py
+++ b/umberhitch/tasks/bills.py
@@ -52,6 +52,10 @@
         """Whether no further record would be taken; new work must be refused first."""
         return self.appender.is_full
 
+    def holds(self, request: str) -> bool:
+        """Whether the record of a request waits here to be in the log."""
+        return request in self._waiting
+
     def write(self, record: UsageRecord, agents: list[str]) -> None:
         """Take a record; ``agents`` hear of it once it is in the log.
 
--- a/umberhitch/tasks/requests.py
+++ b/umberhitch/tasks/requests.py
@@ -125,6 +125,8 @@
     agents: list[str] = field(default_factory=list)
     attempts: int = 0
     is_shown: bool = False
+    unknown: Unknown | None = None
+    """Of an earlier attempt, which may have run."""
 
 
 @dataclass(slots=True)
@@ -299,12 +301,18 @@
         while True:
             placement = self._place(progress)
             if isinstance(placement, NotRun):
-                return placement
+                return self._truthful(progress, placement)
             outcome = await self._attempt(progress, placement)
             if not self._may_retry(progress, outcome):
-                return outcome
+                return self._truthful(progress, outcome)
             progress.avoid.add(placement.endpoint.name)
 
+    def _truthful(self, progress: _Progress, outcome: Outcome) -> Outcome:
+        """Return an outcome that covers every attempt: one that may have run is not "not run"."""
+        if isinstance(outcome, NotRun) and progress.unknown is not None:
+            return progress.unknown
+        return outcome
+
     async def _attempt(self, progress: _Progress, placement: _Placement) -> Outcome:
         ask = progress.ask
         progress.attempts += 1
@@ -335,6 +343,8 @@
         )
         outcome = await self._router.attempts.outcome_of(watch)
         trace.outcome = describe(outcome)
+        if isinstance(outcome, Unknown):
+            progress.unknown = outcome
         return outcome
 
     def _text_sink(self, progress: _Progress) -> TextSink:
--- a/umberhitch/tasks/router.py
+++ b/umberhitch/tasks/router.py
@@ -158,6 +158,11 @@
         action()
         self._clock.callLater(interval_s, self._every, interval_s, action)
 
+    @property
+    def revision(self) -> int:
+        """Revision of the router's configuration."""
+        return self.feed.revision
+
     @property
     def is_ready(self) -> bool:
         """Whether the router has a configuration and is not leaving."""
--- a/umberhitch/tasks/tests/test_serving.py
+++ b/umberhitch/tasks/tests/test_serving.py
@@ -86,3 +86,15 @@
     world.advance(3.0)
     assert fetched.result.text == expected_answer("m@1", make_work("long answer"), 12)
     assert isinstance(stolen.result, NotRun)
+
+
+def test_a_refused_retry_of_what_may_have_run_is_not_called_not_run(world: World) -> None:
+    """Found by the state machine: the second choice was refused, and hid that the first ran."""
+    for engine in world.engines.values():
+        engine.faults.fail_after_words = 3
+    record = world.ask("runs, then finds no version", "r1")
+    world.advance(0.02)
+    world.publish(make_state_change("c2", "m@1", VersionState.STAGED))
+    world.advance(5.0)
+    assert world.runs_of(record.question) >= 1
+    assert isinstance(record.outcome, Unknown)
--- a/umberhitch/testing/__init__.py
+++ b/umberhitch/testing/__init__.py
@@ -10,14 +10,17 @@
     make_version,
     make_work,
 )
+from umberhitch.testing._oracle import Violation, check_world
 from umberhitch.testing._world import AskOptions, CallerRecord, World, WorldSettings
 
 __all__ = [
     "SIGNING_SECRET",
     "AskOptions",
     "CallerRecord",
+    "Violation",
     "World",
     "WorldSettings",
+    "check_world",
     "make_change",
     "make_customer",
     "make_document",
--- a/umberhitch/testing/_builders.py
+++ b/umberhitch/testing/_builders.py
@@ -48,7 +48,7 @@
     return {
         "customers": [make_customer(), make_customer("other")],
         "classes": [
-            {"name": "default"},
+            {"name": "default", "deadline_s": 10.0},
             {"name": "lookup", "priority": 0, "deadline_s": 5.0},
             {"name": "renewal", "priority": 1, "repeatable": False, "deadline_s": 8.0},
         ],
--- a/umberhitch/testing/_world.py
+++ b/umberhitch/testing/_world.py
@@ -13,7 +13,7 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import Clock
 
-from umberhitch.config import Change, encode_record
+from umberhitch.config import Change, Config, Fold, VersionState, encode_record
 from umberhitch.core.billing import BillFold
 from umberhitch.core.outcome import Done, Outcome
 from umberhitch.core.session import Session, read_session_token, sign_session_token
@@ -26,18 +26,21 @@
     FakeNetwork,
     LogFaults,
     MemoryLog,
+    ProcessClock,
 )
+from umberhitch.fakes._engine import EngineRun
 from umberhitch.ports import Host, HostRole
 from umberhitch.tasks.agent import Agent, AgentSettings
 from umberhitch.tasks.bills import BILLING_STREAM
 from umberhitch.tasks.config_feed import CONFIG_STREAM
 from umberhitch.tasks.requests import Ask
 from umberhitch.tasks.router import Router, RouterSettings
+from umberhitch.testing._oracle import Violation
 from umberhitch.wire import EngineWork, ServiceWork
 
 __all__ = ["AskOptions", "CallerRecord", "World", "WorldSettings"]
 
-STEP_S = 0.01
+NO_TIMER_S = float("inf")
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -85,6 +88,7 @@
     question: str
     options: AskOptions
     asked_s: float
+    due_s: float
     is_repeatable: bool
     outcome: Outcome | None = None
     ended_s: float | None = None
@@ -121,6 +125,15 @@
         self.links: dict[str, FakeLink] = {}
         self.retired_engines: list[FakeEngine] = []
         self.records: list[CallerRecord] = []
+        self.all_routers: list[Router] = []
+        self.violations: list[Violation] = []
+        self.ever_permitted: set[tuple[str, str]] = set()
+        self.services: set[str] = set()
+        self.ever_paused: set[str] = set()
+        self._truth = Fold()
+        self._seen_revisions: dict[int, int] = {}
+        self._clocks: dict[str, ProcessClock] = {}
+        self._unbilled_losses: set[str] = set()
         self._incarnations: Iterator[int] = count(1)
         self._requests: Iterator[int] = count(1)
         self._zones: dict[str, str] = {}
@@ -145,18 +158,20 @@
         self._zones[name] = zone
         self.hosts.put(Host(name, HostRole.ROUTER, zone, "-"))
         self.links[name] = self.network.link(name)
+        clock = self._clocks[name] = ProcessClock(self.clock)
         router = Router(
             RouterSettings(
                 name=name, incarnation=next(self._incarnations), zone=zone, **self.settings.router
             ),
-            self.clock,
+            clock,
             self.clock.seconds,
             Random(self.rng.getrandbits(32)),
             self.links[name],
-            FakeLog(self.memory, self.clock, self.log_faults),
+            FakeLog(self.memory, clock, self.log_faults),
             self.hosts,
         )
         self.routers[name] = router
+        self.all_routers.append(router)
         router.start()
         return router
 
@@ -168,8 +183,10 @@
             known.lose()
             self.retired_engines.append(known)
         self.hosts.put(Host(name, HostRole.AGENT, zone, "-"))
-        self.engines[name] = FakeEngine(self.clock, self.settings.pace)
+        engine = self.engines[name] = FakeEngine(self.clock, self.settings.pace)
+        engine.on_run = lambda run: self._check_run(name, run)
         self.links[name] = self.network.link(name)
+        clock = self._clocks[name] = ProcessClock(self.clock)
         agent = Agent(
             AgentSettings(
                 endpoint=name,
@@ -178,7 +195,7 @@
                 targets=(target,),
                 **self.settings.agent,
             ),
-            self.clock,
+            clock,
             self.clock.seconds,
             self.links[name],
             self.engines[name],
@@ -190,9 +207,67 @@
     # Time
 
     def advance(self, seconds: float) -> None:
-        """Let time pass in small steps."""
-        for _ in range(round(seconds / STEP_S)):
-            self.clock.advance(STEP_S)
+        """Let time pass, from one timer to the next, and watch what must hold meanwhile."""
+        end_s = self.clock.seconds() + seconds
+        while True:
+            due_s = min(
+                (call.getTime() for call in self.clock.getDelayedCalls()), default=NO_TIMER_S
+            )
+            if due_s > end_s:
+                break
+            self.clock.advance(max(0.0, due_s - self.clock.seconds()))
+            self._watch()
+        self.clock.advance(max(0.0, end_s - self.clock.seconds()))
+
+    def _watch(self) -> None:
+        """Note permissions, and revisions that fall."""
+        for offset, data in self.memory.all_records(CONFIG_STREAM)[-50:]:
+            if offset > self._truth.revision:
+                self._truth.apply(offset, data)
+                self._note_permissions(self._truth.config)
+        processes: list[Router | Agent] = [*self.routers.values(), *self.agents.values()]
+        for process in processes:
+            revision = process.revision
+            seen = self._seen_revisions.get(id(process), -1)
+            if revision < seen:
+                self.violations.append(
+                    Violation(
+                        "never reverts", f"{type(process).__name__} from {seen} to {revision}"
+                    )
+                )
+            self._seen_revisions[id(process)] = revision
+
+    def _check_run(self, name: str, run: EngineRun) -> None:
+        """Hold each run against the configuration that its own agent has at that moment."""
+        agent = self.agents.get(name)
+        ver = agent.config.versions.get(run.target) if agent is not None else None
+        if ver is None:
+            return
+        is_pinned = any(
+            record.options.session_token and record.question == run.body for record in self.records
+        )
+        if ver.state is VersionState.ACTIVE or (ver.state is VersionState.RETIRED and is_pinned):
+            return
+        detail = f"{run.body} began on {run.target}, which is {ver.state.value}"
+        self.violations.append(Violation("withdrawn gets no new work", detail))
+
+    def _note_permissions(self, config: Config) -> None:
+        self.services |= set(config.services)
+        for customer in config.customers.values():
+            for name in customer.models:
+                self.ever_permitted.add((customer.name, name.partition("@")[0]))
+
+    def settle(self, seconds: float = 30.0) -> None:
+        """Undo every fault and let the deployment come to rest."""
+        self.network.mend_all()
+        self.log_faults.is_down = False
+        self.log_faults.delay_s = 0.0
+        self.log_faults.lose_answers = 0
+        self.hosts.thaw()
+        self.hosts.is_down = False
+        for name in list(self._clocks):
+            self.resume(name)
+        self.advance(seconds)
 
     # Callers
 
@@ -212,6 +287,7 @@
             question,
             opts,
             self.clock.seconds(),
+            self.clock.seconds() + (opts.deadline_s or klass.deadline_s),
             klass.repeatable,
         )
         self.records.append(record)
@@ -263,14 +339,44 @@
         """Stop a router at once; its callers get no answer from it."""
         router = self.routers.pop(name)
         router.stop()
+        self._note_losses()
         self.network.unplug(name)
         for record in self.records:
             if record.router == name and record.outcome is None:
                 record.is_orphaned = True
 
+    def pause(self, name: str) -> None:
+        """Stop a process where it is; what arrives and what is due waits."""
+        self.ever_paused.add(name)
+        self._clocks[name].is_paused = True
+        self.links[name].is_paused = True
+
+    def resume(self, name: str) -> None:
+        """Let a paused process go on."""
+        if self._clocks[name].is_paused:
+            self._clocks[name].resume()
+            self.links[name].resume()
+
+    def is_bill_excused(self, record: CallerRecord) -> bool:
+        """Whether both holders of a usage record were lost before it was in the log."""
+        return record.request in self._unbilled_losses
+
+    def _note_losses(self) -> None:
+        """Note the answers whose usage record is held by no process and is not in the log."""
+        billed = self.bills().records
+        for record in self.done():
+            if record.request not in billed and not self._is_usage_held(record):
+                self._unbilled_losses.add(record.request)
+
+    def _is_usage_held(self, record: CallerRecord) -> bool:
+        return any(router.bills.holds(record.request) for router in self.routers.values()) or any(
+            agent.holds_usage(record.request) for agent in self.agents.values()
+        )
+
     def lose_agent(self, name: str) -> None:
         """Stop an agent at once; its engine goes on until the host is replaced."""
         self.agents.pop(name).stop()
+        self._note_losses()
         self.network.unplug(name)
 
     def replace_agent(self, name: str) -> Agent:
