--- a/umberhitch/adapters/operator_api.py
+++ b/umberhitch/adapters/operator_api.py
@@ -19,9 +19,7 @@
     Ignored,
     Kind,
     Rejected,
-    SetState,
     Verdict,
-    VersionState,
 )
 from umberhitch.config import Put as PutOp
 from umberhitch.config.documents import changes_to, check_object
@@ -29,8 +27,7 @@
 from umberhitch.errors import ConfigError, LogError
 from umberhitch.ports import LogPort
 from umberhitch.tasks.bills import BILLING_STREAM
-from umberhitch.tasks.router import Router
-from umberhitch.wire import Withdrawal
+from umberhitch.tasks.router import Router, stopped_versions
 
 __all__ = ["OperatorApi", "Role"]
 
@@ -161,11 +158,8 @@
         author = self._operator(request, Role.CHANGE)
         raw = _decoded(request)
         change = self._parse_change(raw, author, self._change_id(request))
-        stopped = _stopped_versions(change)
-        if stopped:
+        if stopped_versions(change):
             self._operator(request, Role.WITHDRAW)
-        for version in stopped:
-            self._router.withdraw_directly(Withdrawal(version, change.change_id))
         return await self._submit(request, change)
 
     def _change_id(self, request: Any) -> str:
@@ -195,7 +189,7 @@
                 request, 200, {"dry_run": True, "ops": len(change.ops), "findings": rows}
             )
         try:
-            verdict = await self._router.feed.submit(change)
+            verdict = await self._router.change(change)
         except LogError as exc:
             raise OperatorError(503, f"the change was not queued: {exc}") from exc
         return send_json(request, _verdict_status(verdict), _verdict_body(verdict, change))
@@ -310,11 +304,6 @@
         raise OperatorError(400, "not valid", [Finding("body", f"not JSON: {exc}")]) from exc
 
 
-def _stopped_versions(change: Change) -> list[str]:
-    stopping = (VersionState.WITHDRAWN, VersionState.QUARANTINED)
-    return [op.version for op in change.ops if isinstance(op, SetState) and op.state in stopping]
-
-
 def _verdict_status(verdict: Verdict) -> int:
     return 200 if isinstance(verdict, Accepted) else 409
 
--- a/umberhitch/fakes/_log.py
+++ b/umberhitch/fakes/_log.py
@@ -98,31 +98,39 @@
     clock : Clock
     faults : LogFaults
         May be shared by several ports.
+
+    Attributes
+    ----------
+    own_faults : LogFaults
+        Of the way between this port and the service.
     """
 
     def __init__(self, memory: MemoryLog, clock: Clock, faults: LogFaults | None = None) -> None:
         self.memory = memory
         self.faults = faults or LogFaults()
+        self.own_faults = LogFaults()
         self._clock = clock
 
     async def append(self, stream: str, records: Sequence[bytes]) -> int:
         """Append the records, subject to the faults."""
-        await self._pause(self.faults.delay_s)
-        if self.faults.is_down:
-            raise LogUnavailableError("down")
+        await self._reach()
         offset = self.memory.append(stream, records)
-        if self.faults.lose_answers > 0:
-            self.faults.lose_answers -= 1
-            raise LogAnswerLostError("answer lost")
+        for faults in (self.faults, self.own_faults):
+            if faults.lose_answers > 0:
+                faults.lose_answers -= 1
+                raise LogAnswerLostError("answer lost")
         return offset
 
     async def read(self, stream: str, start: int, limit: int, wait_s: float) -> LogBatch:
         """Return records; does not wait for new ones."""
-        await self._pause(self.faults.delay_s)
-        if self.faults.is_down:
-            raise LogUnavailableError("down")
+        await self._reach()
         return self.memory.read(stream, start, limit)
 
+    async def _reach(self) -> None:
+        await self._pause(self.faults.delay_s + self.own_faults.delay_s)
+        if self.faults.is_down or self.own_faults.is_down:
+            raise LogUnavailableError("down")
+
     def _pause(self, delay_s: float) -> Deferred[None]:
         if delay_s <= 0:
             return succeed(None)
--- a/umberhitch/fakes/_network.py
+++ b/umberhitch/fakes/_network.py
@@ -7,6 +7,8 @@
 from umberhitch.ports import Clock, Receiver
 from umberhitch.wire import Message, decode_frame, encode_frame
 
+MessageTest = Callable[[str, str, Message], bool]
+
 __all__ = ["FakeLink", "FakeNetwork", "NetworkFaults"]
 
 
@@ -42,7 +44,9 @@
         self._delay_s = delay_s
         self._links: dict[str, FakeLink] = {}
         self._cuts: set[frozenset[str]] = set()
-        self._filters: list[Callable[[str, str, Message], bool]] = []
+        self._filters: list[MessageTest] = []
+        self._holds: list[MessageTest] = []
+        self._held: list[tuple[str, bytes]] = []
 
     def link(self, name: str) -> "FakeLink":
         """Return a new link for a process; it replaces the one of that name."""
@@ -66,12 +70,24 @@
         """Undo every cut and fault."""
         self._cuts.clear()
         self._filters.clear()
+        self.release()
         self.faults = NetworkFaults()
 
-    def drop_where(self, predicate: Callable[[str, str, Message], bool]) -> None:
+    def drop_where(self, predicate: MessageTest) -> None:
         """Drop the messages for which the predicate (sender, receiver, message) holds."""
         self._filters.append(predicate)
 
+    def hold_where(self, predicate: MessageTest) -> None:
+        """Keep the messages for which the predicate holds on their way until `release`."""
+        self._holds.append(predicate)
+
+    def release(self) -> None:
+        """Deliver what was held, and hold nothing more."""
+        self._holds.clear()
+        held, self._held = self._held, []
+        for receiver, frame in held:
+            self._clock.callLater(self._delay_s, self._deliver, receiver, frame)
+
     def carry(self, sender: "FakeLink", receiver: str, message: Message) -> None:
         """Take a message on its way, subject to the faults."""
         self.messages += 1
@@ -87,6 +103,9 @@
         copies = 2 if faults.repeat and rng.random() < faults.repeat else 1
         frame = encode_frame(sender.name, [message])
         self.bytes += len(frame)
+        if any(holds(sender.name, receiver, message) for holds in self._holds):
+            self._held.append((receiver, frame))
+            return
         for _ in range(copies):
             delay_s = self._delay_s
             if faults.late and rng.random() < faults.late:
--- /dev/null
+++ b/umberhitch/scenarios/_runner.py
@@ -0,0 +1,518 @@
+"""Runs a scenario on a deployment on a virtual clock."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from umberhitch.config import Accepted, Change, Kind, Put, Rejected, SetState, Verdict
+from umberhitch.core.outcome import Done, NotRun, Unknown
+from umberhitch.fakes import LogFaults, expected_answer
+from umberhitch.language import compile_changes, make_permission, make_state_change
+from umberhitch.scenarios._parser import Scenario, Step
+from umberhitch.tasks.resume import parse_locator
+from umberhitch.testing import (
+    AskOptions,
+    CallerRecord,
+    World,
+    WorldSettings,
+    check_world,
+    make_change,
+    make_version,
+    make_work,
+)
+from umberhitch.wire import (
+    Beat,
+    Billed,
+    Cancel,
+    Chunk,
+    ConfigRecords,
+    ConfigSnapshot,
+    Finished,
+    HandOver,
+    Message,
+    Refused,
+    Start,
+    Taken,
+)
+
+__all__ = ["ScenarioError", "run_scenario"]
+
+ANSWER_WORDS = 12
+PERCENT = 100.0
+MESSAGE_TYPES: dict[str, tuple[type, ...]] = {
+    "start": (Start,),
+    "taken": (Taken,),
+    "chunk": (Chunk,),
+    "finished": (Finished,),
+    "refused": (Refused,),
+    "billed": (Billed,),
+    "config": (ConfigRecords, ConfigSnapshot),
+    "beat": (Beat,),
+    "handover": (HandOver,),
+    "cancel": (Cancel,),
+}
+
+
+class ScenarioError(AssertionError):
+    """An expectation did not hold, or a promise was broken."""
+
+
+def run_scenario(scenario: Scenario) -> World:
+    """Run every step, then judge the promises; raises `ScenarioError`."""
+    runner = _Runner(scenario)
+    for step in scenario.steps:
+        runner.run(step)
+    runner.world.settle()
+    violations = check_world(runner.world)
+    if violations:
+        listing = "\n".join(f"  {violation}" for violation in violations)
+        raise ScenarioError(f"{scenario.path.name}: promises broken:\n{listing}")
+    return runner.world
+
+
+class _Runner:
+    """Carries out the steps of one scenario."""
+
+    def __init__(self, scenario: Scenario) -> None:
+        self._scenario = scenario
+        self._routers: tuple[str, ...] = ("r1", "r2")
+        self._zones: tuple[str, ...] = ("a",)
+        self._endpoints: dict[str, str] = {}
+        self._world: World | None = None
+        self._asked: dict[str, list[CallerRecord]] = {}
+        self._sessions: dict[str, str] = {}
+        self._changes: dict[str, Deferred[Verdict]] = {}
+        self._fetched: dict[str, Deferred] = {}
+        self._drained: dict[str, Deferred] = {}
+        self._runs_at_drain: dict[str, int] = {}
+        self._count = 0
+
+    @property
+    def world(self) -> World:
+        """The deployment; only after ``start``."""
+        assert self._world is not None, "the scenario does not start its deployment"
+        return self._world
+
+    def run(self, step: Step) -> None:
+        """Carry out one step."""
+        getattr(self, f"do_{step.name}")(step, *step.items)
+
+    def _fail(self, step: Step, problem: str) -> None:
+        raise ScenarioError(f"{self._scenario.path.name}:{step.line}: {problem}")
+
+    # Set-up
+
+    def do_routers(self, step: Step, *names: str | None) -> None:
+        """``routers r1 r2 in zones a b``"""
+        given = [name for name in names if name is not None]
+        routers = [name for name in given if name.startswith("r")]
+        self._routers = tuple(routers)
+        self._zones = tuple(name for name in given if name not in routers) or ("a",)
+
+    def do_endpoint(self, step: Step, name: str, target: str) -> None:
+        """``endpoint e1 of m@1``"""
+        self._endpoints[name] = target
+
+    def do_start_up(self, step: Step) -> None:
+        """``start``"""
+        self._world = World(
+            WorldSettings(endpoints=self._endpoints, routers=self._routers, zones=self._zones)
+        )
+        self._world.publish(make_change(versions=self._versions()))
+        self._world.start()
+
+    def _versions(self) -> list[dict[str, Any]]:
+        names = {target.partition("@")[2] for target in self._endpoints.values() if "@" in target}
+        return [
+            make_version(name, "active" if name == min(names) else "staged")
+            for name in sorted(names)
+        ]
+
+    def do_wait(self, step: Step, seconds: float) -> None:
+        """``wait 2s``"""
+        self.world.advance(seconds)
+
+    # Callers
+
+    def do_ask(self, step: Step, question: str, *options: Step) -> None:
+        """``ask "question" at r1 class lookup``"""
+        router, times, opts = self._options(options)
+        for index in range(times):
+            text = f"{question} {index + 1}" if times > 1 else question
+            record = self.world.ask(text, router, opts)
+            self._asked.setdefault(question, []).append(record)
+
+    def do_call(self, step: Step, path: str, service: str, body: str, *options: Step) -> None:
+        """``call "renewals/1" of svc with "body" key "k"``"""
+        router, _, opts = self._options(options, spec=service, body=body.encode(), klass="renewal")
+        record = self.world.ask(path, router, opts)
+        self._asked.setdefault(path, []).append(record)
+
+    def _options(
+        self, options: tuple[Step, ...], **defaults: Any
+    ) -> tuple[str | None, int, AskOptions]:
+        given = {option.name: (option.items or (True,))[0] for option in options}
+        fields: dict[str, Any] = dict(defaults)
+        names = {"customer": "customer", "klass": "klass", "model": "spec", "key": "key"}
+        fields |= {names[name]: given[name] for name in names if name in given}
+        if "session" in given:
+            fields["session_token"] = self._sessions[given["session"]]
+        if "within" in given:
+            fields["deadline_s"] = given["within"]
+        fields["is_streamed"] = "streamed" in given
+        return given.get("at"), int(given.get("times", 1)), AskOptions(**fields)
+
+    def do_open_session(self, step: Step, name: str, version: str, ttl_s: float | None) -> None:
+        """``open session s of m@1 for 10s``"""
+        self._sessions[name] = self.world.open_session(version, ttl_s=ttl_s or 3600.0)
+
+    def do_fetch(self, step: Step, question: str, router: str | None) -> None:
+        """``fetch "question" at r2``"""
+        record = self._asked[question][-1]
+        where = parse_locator(record.locators[-1])
+        assert where is not None
+        node = self.world.routers[router or next(iter(self.world.routers))]
+        self._fetched[question] = ensureDeferred(
+            node.resume.fetch(where, record.options.customer, 0)
+        )
+
+    # Operators
+
+    def do_operate(
+        self, step: Step, router: str, change: Step, name: str | None, revision: int | None
+    ) -> None:
+        """``at r1 withdraw m@1 as "change" if revision 3``"""
+        node = self.world.routers[router]
+        self._changes[name or "-"] = node.change(self._change(change, name, revision))
+
+    def do_publish(self, step: Step, change: Step) -> None:
+        """``direct withdraw m@1``: straight into the log, as a lost router may have done."""
+        self.world.publish(self._change(change, None, None))
+
+    def _change(self, step: Step, name: str | None, revision: int | None) -> Change:
+        self._count += 1
+        ops: list[Any]
+        if step.name == "version_change":
+            wanted = make_state_change(list(step.items))
+            ops = [SetState(wanted.version, wanted.state, wanted.share, revision)]
+        else:
+            ops = compile_changes([make_permission(list(step.items))], self._tables(), revision)
+        return Change(name or f"chg-{self._count}", "scenario", ops)
+
+    def _tables(self) -> dict[str, Any]:
+        """Return the objects as the first router has them."""
+        return next(iter(self.world.routers.values())).feed.fold.snapshot().objects
+
+    def do_rotate_key(self, step: Step, name: str) -> None:
+        """``rotate key k2``: a new key signs, the old ones verify."""
+        node = next(iter(self.world.routers.values()))
+        ops = [
+            Put(Kind.KEY, {"name": key.name, "secret": key.secret, "signs": False})
+            for key in node.feed.config.keys.values()
+        ]
+        ops.append(Put(Kind.KEY, {"name": name, "secret": name * 16}))
+        self._count += 1
+        self.world.publish(Change(f"chg-{self._count}", "scenario", list(ops)))
+
+    # Faults
+
+    def _log_faults(self, router: str | None) -> LogFaults:
+        """Return the faults of the log, or of one router's way to it."""
+        if router is None:
+            return self.world.log_faults
+        return self.world.log_ports[router].own_faults
+
+    def do_log_down(self, step: Step, router: str | None) -> None:
+        """``log down``, or ``log down at r1``"""
+        self._log_faults(router).is_down = True
+
+    def do_log_up(self, step: Step) -> None:
+        """``log up``"""
+        for router in (None, *self.world.log_ports):
+            self._log_faults(router).is_down = False
+            self._log_faults(router).delay_s = 0.0
+
+    def do_log_slow(self, step: Step, seconds: float, router: str | None) -> None:
+        """``log slow 1s``, or ``log slow 1s at r1``"""
+        self._log_faults(router).delay_s = seconds
+
+    def do_log_loses(self, step: Step, answers: int) -> None:
+        """``log loses 2 answers``"""
+        self.world.log_faults.lose_answers = answers
+
+    def do_log_keeps(self, step: Step, records: int, stream: str) -> None:
+        """``log keeps 1 records of config``"""
+        self.world.memory.trim(stream, records)
+
+    def do_hosts_frozen(self, step: Step) -> None:
+        """``host list frozen``"""
+        self.world.hosts.freeze()
+
+    def do_hosts_down(self, step: Step) -> None:
+        """``host list down``"""
+        self.world.hosts.is_down = True
+
+    def do_hosts_forget(self, step: Step, name: str) -> None:
+        """``host list forgets e1``"""
+        self.world.hosts.shown = [row for row in self.world.hosts.rows.values() if row.name != name]
+
+    def do_hosts_up(self, step: Step) -> None:
+        """``host list up``"""
+        self.world.hosts.is_down = False
+        self.world.hosts.thaw()
+
+    def do_network_loses(self, step: Step, percent: float) -> None:
+        """``network loses 20 %``"""
+        self.world.network.faults.drop = percent / PERCENT
+
+    def do_network_repeats(self, step: Step, percent: float) -> None:
+        """``network repeats 20 %``"""
+        self.world.network.faults.repeat = percent / PERCENT
+
+    def do_network_delays(self, step: Step, percent: float, seconds: float) -> None:
+        """``network delays 20 % by 1s``"""
+        self.world.network.faults.late = percent / PERCENT
+        self.world.network.faults.late_s = seconds
+
+    def do_network_drops(
+        self, step: Step, kind: str, source: str | None, receiver: str | None
+    ) -> None:
+        """``network drops finished from e1 to r1``"""
+        self.world.network.drop_where(_message_test(kind, source, receiver))
+
+    def do_network_holds(
+        self, step: Step, kind: str, source: str | None, receiver: str | None
+    ) -> None:
+        """``network holds start from r1``: until ``network releases``."""
+        self.world.network.hold_where(_message_test(kind, source, receiver))
+
+    def do_network_releases(self, step: Step) -> None:
+        """``network releases``"""
+        self.world.network.release()
+
+    def do_network_heals(self, step: Step) -> None:
+        """``network heals``"""
+        self.world.network.mend_all()
+
+    def do_cut(self, step: Step, one: str, other: str) -> None:
+        """``cut r1 from e1``"""
+        self.world.network.cut(one, other)
+
+    def do_mend(self, step: Step, one: str, other: str) -> None:
+        """``mend r1 and e1``"""
+        self.world.network.mend(one, other)
+
+    def do_lose(self, step: Step, name: str) -> None:
+        """``lose r1``"""
+        if name in self.world.routers:
+            self.world.lose_router(name)
+        else:
+            self.world.lose_agent(name)
+
+    def do_replace(self, step: Step, name: str) -> None:
+        """``replace e1``"""
+        if name in self._routers:
+            self.world.replace_router(name)
+        else:
+            self.world.replace_agent(name)
+
+    def do_pause(self, step: Step, name: str) -> None:
+        """``pause r1``"""
+        self.world.pause(name)
+
+    def do_resume(self, step: Step, name: str) -> None:
+        """``resume r1``"""
+        self.world.resume(name)
+
+    def do_drain(self, step: Step, name: str) -> None:
+        """``drain e1``"""
+        process = self.world.routers.get(name) or self.world.agents[name]
+        if name in self.world.engines:
+            self._runs_at_drain[name] = len(self.world.engines[name].runs)
+        self._drained[name] = process.drain()
+
+    def do_engine_lost(self, step: Step, name: str) -> None:
+        """``engine e1 lost``"""
+        self.world.engines[name].lose()
+
+    def do_engine_stuck(self, step: Step, name: str) -> None:
+        """``engine e1 stuck``"""
+        self.world.engines[name].faults.is_stuck = True
+
+    def do_engine_refuses(self, step: Step, name: str) -> None:
+        """``engine e1 refuses``"""
+        self.world.engines[name].faults.is_refusing = True
+
+    def do_engine_fails(self, step: Step, name: str, words: int) -> None:
+        """``engine e1 fails after 3 words``"""
+        self.world.engines[name].faults.fail_after_words = words
+
+    def do_engine_slower(self, step: Step, name: str, times: float) -> None:
+        """``engine e1 slower 10 times``"""
+        self.world.engines[name].faults.slowdown = times
+
+    def do_heal(self, step: Step) -> None:
+        """``heal``: undo every fault of log, network and host list."""
+        self.world.settle(0.0)
+
+    # Expectations
+
+    def do_expect(self, step: Step, expectation: Step) -> None:
+        """``expect …``"""
+        self.run(expectation)
+
+    def _records(self, step: Step, question: str) -> list[CallerRecord]:
+        if question not in self._asked:
+            self._fail(step, f'nobody asked "{question}"')
+        return self._asked[question]
+
+    def do_is_done(self, step: Step, question: str, version: str | None) -> None:
+        """``expect "question" is done by m@1``"""
+        for record in self._records(step, question):
+            outcome = record.outcome
+            if not isinstance(outcome, Done):
+                self._fail(step, f'"{record.question}" is {outcome}')
+            elif version is not None and outcome.target != version:
+                self._fail(step, f'"{record.question}" was done by {outcome.target}')
+
+    def do_is_not_run(self, step: Step, question: str, reason: str | None) -> None:
+        """``expect "question" is not run because deadline``"""
+        for record in self._records(step, question):
+            outcome = record.outcome
+            if not isinstance(outcome, NotRun):
+                self._fail(step, f'"{record.question}" is {outcome}')
+            elif reason is not None and outcome.reason != reason:
+                self._fail(step, f'"{record.question}" was not run because {outcome.reason}')
+
+    def do_is_unknown(self, step: Step, question: str, reason: str | None) -> None:
+        """``expect "question" is unknown``"""
+        for record in self._records(step, question):
+            outcome = record.outcome
+            if not isinstance(outcome, Unknown):
+                self._fail(step, f'"{record.question}" is {outcome}')
+            elif reason is not None and outcome.reason != reason:
+                self._fail(step, f'"{record.question}" is unknown because {outcome.reason}')
+
+    def do_is_answered(self, step: Step, question: str) -> None:
+        """``expect "question" is answered``: with any outcome."""
+        for record in self._records(step, question):
+            if record.outcome is None:
+                self._fail(step, f'"{record.question}" has no outcome yet')
+
+    def do_is_open(self, step: Step, question: str) -> None:
+        """``expect "question" is open``"""
+        for record in self._records(step, question):
+            if record.outcome is not None:
+                self._fail(step, f'"{record.question}" ended already: {record.outcome}')
+
+    def do_ran(self, step: Step, question: str, times: int) -> None:
+        """``expect "question" ran 1 times``"""
+        runs = self.world.runs_of(question)
+        if runs != times:
+            self._fail(step, f'"{question}" ran {runs} times')
+
+    def do_billed(self, step: Step, question: str, times: int) -> None:
+        """``expect "question" billed 1 times``: counted over all who asked it."""
+        requests = {record.request for record in self._records(step, question)}
+        billed = len(requests & self.world.bills().records.keys())
+        if billed != times:
+            self._fail(step, f'"{question}" was billed {billed} times')
+
+    def do_all_done(self, step: Step) -> None:
+        """``expect all done``"""
+        for question in self._asked:
+            self.do_is_done(step, question, None)
+
+    def do_drained(self, step: Step, name: str) -> None:
+        """``expect drained e1``"""
+        if not self._drained[name].called:
+            self._fail(step, f"{name} has not drained")
+
+    def do_not_drained(self, step: Step, name: str) -> None:
+        """``expect not drained e1``"""
+        if self._drained[name].called:
+            self._fail(step, f"{name} has drained already")
+
+    def do_accepted(self, step: Step, name: str) -> None:
+        """``expect change "c" accepted``"""
+        self._expect_verdict(step, name, Accepted)
+
+    def do_rejected(self, step: Step, name: str) -> None:
+        """``expect change "c" rejected``"""
+        self._expect_verdict(step, name, Rejected)
+
+    def _expect_verdict(self, step: Step, name: str, wanted: type) -> None:
+        submitted = self._changes[name]
+        verdict = submitted.result if submitted.called else None
+        if not isinstance(verdict, wanted):
+            self._fail(step, f'change "{name}" is {verdict}')
+
+    def do_state_at(self, step: Step, version: str, state: str, process: str) -> None:
+        """``expect m@1 is withdrawn at e1``"""
+        router = self.world.routers.get(process)
+        config = router.feed.config if router else self.world.agents[process].config
+        found = config.versions[version].state
+        if found != state:
+            self._fail(step, f"{version} is {found} at {process}")
+
+    def do_revision_at(self, step: Step, process: str, revision: int) -> None:
+        """``expect e1 at revision 3``"""
+        node = self.world.routers.get(process) or self.world.agents[process]
+        if node.revision != revision:
+            self._fail(step, f"{process} is at revision {node.revision}")
+
+    def do_knows(self, step: Step, router: str, count: int, target: str) -> None:
+        """``expect r1 knows 2 endpoints of m@1``"""
+        known = self.world.routers[router].fleet.candidates(target)
+        if len(known) != count:
+            self._fail(step, f"{router} knows {[endpoint.name for endpoint in known]}")
+
+    def do_fetched_whole(self, step: Step, question: str) -> None:
+        """``expect fetched "question" is whole``"""
+        fetched = self._fetched[question]
+        outcome = fetched.result if fetched.called else None
+        if not isinstance(outcome, Done):
+            self._fail(step, f"fetched {outcome}")
+            return
+        record = self._asked[question][-1]
+        target = self.world.settings.endpoints[parse_endpoint(record)]
+        if outcome.text != expected_answer(target, make_work(question), ANSWER_WORDS):
+            self._fail(step, f"fetched {outcome.text!r}")
+
+    def do_no_usage(self, step: Step, agent: str) -> None:
+        """``expect e1 holds no usage``"""
+        held = self.world.agents[agent].unconfirmed_usage
+        if held:
+            self._fail(step, f"{agent} holds {held} usage records")
+
+    def do_nothing_since_drain(self, step: Step, name: str) -> None:
+        """``expect e1 ran nothing since its drain``"""
+        new = self.world.engines[name].runs[self._runs_at_drain[name] :]
+        if new:
+            self._fail(step, f"{name} ran {[run.body for run in new]}")
+
+    def do_source_at(self, step: Step, source: str, router: str) -> None:
+        """``expect configuration from peer at r2``"""
+        found = self.world.routers[router].feed.source
+        if found != source:
+            self._fail(step, f"{router} has its configuration from {found.value}")
+
+
+def _message_test(
+    kind: str, source: str | None, receiver: str | None
+) -> Callable[[str, str, Message], bool]:
+    types = MESSAGE_TYPES[kind]
+
+    def matches(one: str, other: str, message: Message) -> bool:
+        is_between = source in (None, one) and receiver in (None, other)
+        return is_between and isinstance(message, types)
+
+    return matches
+
+
+def parse_endpoint(record: CallerRecord) -> str:
+    """Return the endpoint that a caller's last locator names."""
+    where = parse_locator(record.locators[-1])
+    assert where is not None
+    return where.endpoint
--- a/umberhitch/tasks/agent.py
+++ b/umberhitch/tasks/agent.py
@@ -439,7 +439,13 @@
                 return
             case BackendDone(usage=usage, finish=finish, status=status, headers=headers):
                 result: Finished | Failed | Refused = Finished(
-                    entry.attempt, entry.length, usage, finish, status, dict(headers)
+                    entry.attempt,
+                    entry.length,
+                    usage,
+                    finish,
+                    status,
+                    dict(headers),
+                    entry.start.target if entry.start else "",
                 )
                 self.counters.finished += 1
                 self._hold_usage(entry, usage)
--- a/umberhitch/tasks/attempts.py
+++ b/umberhitch/tasks/attempts.py
@@ -185,6 +185,13 @@
         known = self._open.get(attempt)
         if known is not None:
             return known
+        watch = self._watch_foreign(attempt, endpoint, customer, wait_s)
+        self._link.send(endpoint.name, Fetch(attempt, 0, customer))
+        return watch
+
+    def _watch_foreign(
+        self, attempt: AttemptId, endpoint: Endpoint, customer: str, wait_s: float
+    ) -> OpenAttempt:
         now = self._clock.seconds()
         watch = OpenAttempt(
             attempt,
@@ -202,7 +209,6 @@
         )
         endpoint.own += 1
         self._open[attempt] = watch
-        self._link.send(endpoint.name, Fetch(attempt, 0, customer))
         return watch
 
     def cancel(self, watch: OpenAttempt, reason: Reason = Reason.CANCELLED) -> None:
@@ -217,8 +223,16 @@
     def settle_foreign(
         self, attempt: AttemptId, endpoint: Endpoint, agent_incarnation: int, customer: str
     ) -> OpenAttempt:
-        """Find out what became of a lost router's attempt; if it has not begun, it never will."""
-        watch = self.fetch(attempt, endpoint, customer, self._pace.cancel_timeout_s * 2)
+        """Find out what became of a lost router's attempt; if it has not begun, it never will.
+
+        The answer is fetched only once the agent has said that there is one: a fetch that came
+        first could not tell an attempt that never arrived from one that was forgotten.
+        """
+        known = self._open.get(attempt)
+        if known is not None:
+            return known
+        wait_s = self._pace.cancel_timeout_s * 2
+        watch = self._watch_foreign(attempt, endpoint, customer, wait_s)
         watch.agent_incarnation = agent_incarnation
         self.cancel(watch)
         return watch
@@ -289,7 +303,7 @@
         done = Done(
             watch.answer.text(),
             last.usage,
-            watch.target,
+            last.target,
             watch.endpoint,
             last.finish,
             last.status,
--- a/umberhitch/tasks/requests.py
+++ b/umberhitch/tasks/requests.py
@@ -127,6 +127,8 @@
     is_shown: bool = False
     unknown: Unknown | None = None
     """Of an earlier attempt, which may have run."""
+    refused: NotRun | None = None
+    """Of an earlier attempt; it tells the caller more than that no endpoint is left."""
 
 
 @dataclass(slots=True)
@@ -301,7 +303,7 @@
         while True:
             placement = self._place(progress)
             if isinstance(placement, NotRun):
-                return self._truthful(progress, placement)
+                return self._truthful(progress, progress.refused or placement)
             outcome = await self._attempt(progress, placement)
             if not self._may_retry(progress, outcome):
                 return self._truthful(progress, outcome)
@@ -343,8 +345,11 @@
         )
         outcome = await self._router.attempts.outcome_of(watch)
         trace.outcome = describe(outcome)
-        if isinstance(outcome, Unknown):
-            progress.unknown = outcome
+        match outcome:
+            case Unknown():
+                progress.unknown = outcome
+            case NotRun():
+                progress.refused = outcome
         return outcome
 
     def _text_sink(self, progress: _Progress) -> TextSink:
@@ -432,7 +437,7 @@
         while True:
             placement = self._place(progress)
             if isinstance(placement, NotRun):
-                return placement
+                return progress.refused or placement
             state = await self._claim(progress, placement)
             if state is None:
                 return _log_down("the idempotency key could not be recorded")
--- a/umberhitch/tasks/router.py
+++ b/umberhitch/tasks/router.py
@@ -8,6 +8,7 @@
 
 from twisted.internet.defer import Deferred, ensureDeferred
 
+from umberhitch.config import Change, SetState, Verdict, VersionState
 from umberhitch.core.stops import DirectStops
 from umberhitch.ports import Clock, Host, HostListPort, HostRole, LinkPort, LogPort, Timer
 from umberhitch.tasks.appender import AppenderLimits
@@ -36,11 +37,17 @@
     Withdrawal,
 )
 
-__all__ = ["Router", "RouterSettings", "RouterState"]
+__all__ = ["Router", "RouterSettings", "RouterState", "stopped_versions"]
 
 log = getLogger(__name__)
 
 
+def stopped_versions(change: Change) -> list[str]:
+    """Return the versions to which a change gives no work any more, sessions included."""
+    stopping = (VersionState.WITHDRAWN, VersionState.QUARANTINED)
+    return [op.version for op in change.ops if isinstance(op, SetState) and op.state in stopping]
+
+
 class RouterState(StrEnum):
     """Whether a router takes requests."""
 
@@ -254,6 +261,12 @@
         for name in self._peer_names:
             self._link.send(name, message)
 
+    def change(self, change: Change) -> Deferred[Verdict]:
+        """Submit a change of configuration; what it stops is stopped before the log has it."""
+        for version in stopped_versions(change):
+            self.withdraw_directly(Withdrawal(version, change.change_id))
+        return self.feed.submit(change)
+
     # Messages
 
     def receive(self, sender: str, messages: list[Message]) -> None:
--- a/umberhitch/testing/_world.py
+++ b/umberhitch/testing/_world.py
@@ -117,6 +117,7 @@
         self.rng = Random(settings.seed)
         self.memory = MemoryLog()
         self.log_faults = LogFaults()
+        self.log_ports: dict[str, FakeLog] = {}
         self.hosts = FakeHostList()
         self.network = FakeNetwork(self.clock, Random(settings.seed + 1))
         self.routers: dict[str, Router] = {}
@@ -159,6 +160,7 @@
         self.hosts.put(Host(name, HostRole.ROUTER, zone, "-"))
         self.links[name] = self.network.link(name)
         clock = self._clocks[name] = ProcessClock(self.clock)
+        log_port = self.log_ports[name] = FakeLog(self.memory, clock, self.log_faults)
         router = Router(
             RouterSettings(
                 name=name, incarnation=next(self._incarnations), zone=zone, **self.settings.router
@@ -167,7 +169,7 @@
             self.clock.seconds,
             Random(self.rng.getrandbits(32)),
             self.links[name],
-            FakeLog(self.memory, clock, self.log_faults),
+            log_port,
             self.hosts,
         )
         self.routers[name] = router
@@ -260,9 +262,10 @@
     def settle(self, seconds: float = 30.0) -> None:
         """Undo every fault and let the deployment come to rest."""
         self.network.mend_all()
-        self.log_faults.is_down = False
-        self.log_faults.delay_s = 0.0
-        self.log_faults.lose_answers = 0
+        for faults in (self.log_faults, *(port.own_faults for port in self.log_ports.values())):
+            faults.is_down = False
+            faults.delay_s = 0.0
+            faults.lose_answers = 0
         self.hosts.thaw()
         self.hosts.is_down = False
         for name in list(self._clocks):
--- a/umberhitch/testing/fuzz/_machine.py
+++ b/umberhitch/testing/fuzz/_machine.py
@@ -114,7 +114,7 @@
             return
         seen = node.feed.fold.revisions.get(f"versions/{version}", 0) if is_guarded else None
         change = Change(f"chg-{self._next()}", router, [SetState(version, state, if_revision=seen)])
-        node.feed.submit(change).addErrback(lambda failure: None)
+        node.change(change).addErrback(lambda failure: None)
 
     # Time
 
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -219,6 +219,7 @@
     finish: str = "stop"
     status: int = 200
     headers: dict[str, str] = {}
+    target: str = ""
 
 
 class Failed(Struct, frozen=True, array_like=True, tag="failed"):
