--- /dev/null
+++ b/benchmarks/_pump.py
@@ -0,0 +1,92 @@
+"""Agents that only talk: they beat, and answer each start with a stream of tokens.
+
+They take the place of agents with their engines, so that a router can be loaded by itself.
+``python -m benchmarks._pump COUNT FLUSH_S TOKENS TOKEN_S BEAT_S HOSTS_ADDRESS``
+"""
+
+import sys
+from typing import Any
+
+import treq
+from msgspec import json
+from twisted.internet import reactor as _reactor
+from twisted.internet.defer import ensureDeferred
+
+from umberhitch.adapters.zmq_link import ZmqLink, make_context
+from umberhitch.wire import (
+    Beat,
+    Billed,
+    Chunk,
+    EndpointState,
+    Finished,
+    Hello,
+    Message,
+    NeedConfig,
+    Start,
+    Taken,
+    Usage,
+)
+
+reactor: Any = _reactor
+TOKEN = "token "
+
+
+class TalkingAgent:
+    """One agent without an engine."""
+
+    def __init__(
+        self, name: str, link: ZmqLink, tokens: int, token_s: float, beat_s: float
+    ) -> None:
+        self._name = name
+        self._link = link
+        self._tokens = tokens
+        self._token_s = token_s
+        self._beat_s = beat_s
+        self._routers: set[str] = set()
+        link.listen(self.receive)
+        self._beat()
+
+    def _beat(self) -> None:
+        for router in self._routers:
+            beat = Beat(self._name, 1, "a", ["m@1"], EndpointState.READY, 0, 0, 0, 64)
+            self._link.send(router, beat)
+        reactor.callLater(self._beat_s, self._beat)
+
+    def receive(self, sender: str, messages: list[Message]) -> None:
+        """Answer what a router sent."""
+        for message in messages:
+            match message:
+                case Hello():
+                    self._routers.add(sender)
+                case Start():
+                    self._link.send(sender, Taken(message.attempt))
+                    reactor.callLater(self._token_s, self._token, sender, message, 0)
+                case Billed() | NeedConfig():
+                    pass
+
+    def _token(self, sender: str, start: Start, sent: int) -> None:
+        if sent == self._tokens:
+            usage = Usage(1, sent)
+            length = sent * len(TOKEN)
+            self._link.send(sender, Finished(start.attempt, length, usage, target=start.target))
+            return
+        self._link.send(sender, Chunk(start.attempt, sent * len(TOKEN), TOKEN))
+        reactor.callLater(self._token_s, self._token, sender, start, sent + 1)
+
+
+async def run(args: list[str]) -> None:
+    """Start the agents and list them."""
+    count, flush_s, tokens, token_s, beat_s, hosts = args
+    context = make_context()
+    for index in range(int(count)):
+        name = f"talker-{index}"
+        link = ZmqLink(name, reactor, context, "127.0.0.1:0", None, float(flush_s))
+        TalkingAgent(name, link, int(tokens), float(token_s), float(beat_s))
+        row = {"name": name, "role": "agent", "zone": "a", "address": link.address}
+        await treq.post(f"http://{hosts}/hosts", json=row)
+    print(json.encode({"agents": count}).decode(), flush=True)
+
+
+if __name__ == "__main__":
+    reactor.callWhenRunning(lambda: ensureDeferred(run(sys.argv[1:])))
+    reactor.run()
--- a/umberhitch/cli/daemon.py
+++ b/umberhitch/cli/daemon.py
@@ -67,7 +67,8 @@
             node = make_router_node(settings, reactor, context)
         case AgentFile():
             node = make_agent_node(settings, reactor, context)
-    log.info("started", extra={"role": settings.role, "version": __version__})
+    started = {"role": settings.role, "version": __version__, "addresses": node.addresses()}
+    log.info("started", extra=started)
     shutdown = _Shutdown(reactor, node, settings.drain_s)
     reactor.callWhenRunning(shutdown.install)
     reactor.run(installSignalHandlers=False)
@@ -128,3 +129,7 @@
     except flags.Error as exc:
         print(f"umberhitchd: {exc}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
+
+
+if __name__ == "__main__":
+    run()
--- a/umberhitch/nodes.py
+++ b/umberhitch/nodes.py
@@ -41,6 +41,10 @@
     health_address: str
     _ports: list[Any]
 
+    def addresses(self) -> dict[str, str]:
+        """Return where the agent listens."""
+        return {"link": self.link.address, "health": self.health_address}
+
     def drain(self) -> Deferred[None]:
         """Finish what runs; see `Agent.drain`."""
         return self.agent.drain()
@@ -65,6 +69,14 @@
     _callers_port: Any
     _operators_port: Any
 
+    def addresses(self) -> dict[str, str]:
+        """Return where the router listens."""
+        return {
+            "link": self.link.address,
+            "callers": self.callers_address,
+            "operators": self.operators_address,
+        }
+
     @inlineCallbacks
     def drain(self) -> Any:
         """Stop accepting connections and finish what runs; see `Router.drain`."""
--- a/umberhitch/standins/engine.py
+++ b/umberhitch/standins/engine.py
@@ -3,6 +3,7 @@
 It speaks the usual chat-completions interface with server-sent events, and cancels by call id.
 """
 
+from itertools import count
 from typing import Any
 
 from klein import Klein
@@ -36,7 +37,7 @@
 
     def __init__(self, reactor: Any, engine: FakeEngine | None = None) -> None:
         self.engine = engine or FakeEngine(reactor, EnginePace())
-        self._reactor = reactor
+        self._ids = count()
 
     @app.route("/v1/chat/completions", methods=["POST"])
     def chat(self, request: Any) -> Any:
@@ -46,7 +47,7 @@
             body["messages"], int(body.get("max_tokens", 16)), prefix=body.get("prefix", "")
         )
         call = BackendCall(
-            body.get("request_id", ""),
+            body.get("request_id") or f"call-{next(self._ids)}",
             body["model"],
             work,
             int(body.get("priority", 5)),
