--- a/umberhitch/tasks/appender.py
+++ b/umberhitch/tasks/appender.py
@@ -64,6 +64,8 @@
         self._clock = clock
         self._rng = rng
         self._limits = limits or AppenderLimits()
+        self.interval_s = self._limits.interval_s
+        """How long the first record of a batch waits; stretched as routers grow in number."""
         self._waiting: deque[_Entry] = deque()
         self._sending: list[_Entry] = []
         self._timer: Timer | None = None
@@ -83,6 +85,10 @@
         """Whether `add` would refuse."""
         return self.pending >= self._limits.pending
 
+    def share_service(self, routers: int, appends_per_s: float) -> None:
+        """Stretch the interval so that all routers together stay under a rate of appends."""
+        self.interval_s = max(self._limits.interval_s, routers / appends_per_s)
+
     def add(self, data: bytes) -> Deferred[int]:
         """Queue a record; the result is its offset once it is in the log.
 
@@ -95,7 +101,7 @@
             raise AppenderFullError(f"{self.pending} records wait for stream {self._stream}")
         entry = _Entry(data)
         self._waiting.append(entry)
-        self._schedule(self._limits.interval_s)
+        self._schedule(self.interval_s)
         return entry.done
 
     def _schedule(self, delay_s: float) -> None:
@@ -120,9 +126,7 @@
         self._retry_s = self._limits.retry_first_s
         sent, self._sending = self._sending, []
         if self._waiting:
-            self._schedule(
-                0.0 if len(self._waiting) >= self._limits.batch else self._limits.interval_s
-            )
+            self._schedule(0.0 if len(self._waiting) >= self._limits.batch else self.interval_s)
         for index, entry in enumerate(sent):
             entry.done.callback(first + index)
 
--- a/umberhitch/tasks/router.py
+++ b/umberhitch/tasks/router.py
@@ -48,6 +48,11 @@
     return [op.version for op in change.ops if isinstance(op, SetState) and op.state in stopping]
 
 
+BILLING_APPENDS_PER_S = 100.0
+CLAIM_APPENDS_PER_S = 150.0
+"""Appends that all routers together may make; the platform's log takes several hundred a second."""
+
+
 class RouterState(StrEnum):
     """Whether a router takes requests."""
 
@@ -203,7 +208,10 @@
             if name not in routers:
                 self._link.disconnect(name)
         self._peer_names = sorted(routers)
-        self.requests.admission.routers = 1 + len(routers)
+        count = 1 + len(routers)
+        self.requests.admission.routers = count
+        self.bills.appender.share_service(count, BILLING_APPENDS_PER_S)
+        self.claims.appender.share_service(count, CLAIM_APPENDS_PER_S)
 
     def _hello(self) -> Hello:
         cfg = self.settings
