--- a/umberhitch/adapters/operator_api.py
+++ b/umberhitch/adapters/operator_api.py
@@ -1,6 +1,6 @@
 """The administration interface over HTTP: health, metrics, configuration, status and bills."""
 
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from dataclasses import asdict
 from hashlib import sha256
 from typing import Any
@@ -15,23 +15,29 @@
 from umberhitch.config import (
     Accepted,
     Change,
+    Delete,
     Finding,
+    Fold,
     Ignored,
     Kind,
     Rejected,
+    SetState,
     Verdict,
+    decode_record,
 )
 from umberhitch.config import Put as PutOp
 from umberhitch.config.documents import changes_to, check_object
 from umberhitch.core.billing import BillFold
-from umberhitch.errors import ConfigError, LogError
+from umberhitch.errors import ConfigError, LogError, LogTrimmedError
 from umberhitch.ports import LogPort
 from umberhitch.tasks.bills import BILLING_STREAM
+from umberhitch.tasks.config_feed import CONFIG_STREAM
 from umberhitch.tasks.router import Router, stopped_versions
 
 __all__ = ["OperatorApi", "Role"]
 
 READ_BATCH = 5000
+MAX_LISTED = 500
 
 
 class Role:
@@ -268,28 +274,87 @@
             raise OperatorError(404, f'request "{name}" is not known at this router')
         return send_json(request, 200, asdict(trace))
 
+    @app.route("/admin/v1/requests", methods=["GET"])
+    def list_requests(self, request: Any) -> bytes:
+        """Return the newest requests of this router."""
+        self._operator(request, Role.READ)
+        traces = list(self._router.requests.traces.values())[-MAX_LISTED:]
+        rows = [{**asdict(trace), "attempts": len(trace.attempts)} for trace in reversed(traces)]
+        return send_json(request, 200, {"requests": rows})
+
+    @app.route("/admin/v1/history/<kind>/<name>", methods=["GET"])
+    async def history(self, request: Any, kind: str, name: str) -> bytes:
+        """Return who changed an object, as far back as the log retains it."""
+        self._operator(request, Role.READ)
+        fold = Fold()
+        rows: list[dict[str, Any]] = []
+        async for offset, data in self._records(CONFIG_STREAM):
+            verdict = fold.apply(offset, data)
+            change = _change_of(data)
+            if change is None or not touches(change, kind, name):
+                continue
+            rows.append(
+                {
+                    "revision": offset,
+                    "author": change.author,
+                    "verdict": type(verdict).__name__.lower(),
+                    "ops": [json.decode(json.encode(op)) for op in change.ops],
+                }
+            )
+        return send_json(request, 200, {"changes": rows})
+
+    async def _records(self, stream: str) -> AsyncIterator[tuple[int, bytes]]:
+        """Iterate over what the log retains of a stream."""
+        start = 0
+        while True:
+            try:
+                batch = await self._log_port.read(stream, start, READ_BATCH, 0.0)
+            except LogTrimmedError as exc:
+                start = exc.first_offset
+                continue
+            except LogError as exc:
+                raise OperatorError(503, f"stream {stream} cannot be read: {exc}") from exc
+            for record in batch.records:
+                yield record
+            start += len(batch.records)
+            if start >= batch.end:
+                return
+
     # Bills
 
     @app.route("/admin/v1/bills", methods=["GET"])
     async def bills(self, request: Any) -> bytes:
         """Return the bill of each customer, from the billing stream."""
         self._operator(request, Role.READ)
-        await self._read_bills()
+        async for offset, data in self._records(BILLING_STREAM):
+            self._bills.apply(offset, data)
         rows = {name: asdict(bill) for name, bill in sorted(self._bills.bills.items())}
         return send_json(request, 200, {"bills": rows, "repeated_records": self._bills.repeats})
 
-    async def _read_bills(self) -> None:
-        while True:
-            try:
-                batch = await self._log_port.read(
-                    BILLING_STREAM, self._bills.next_offset, READ_BATCH, 0.0
-                )
-            except LogError as exc:
-                raise OperatorError(503, f"the billing stream cannot be read: {exc}") from exc
-            for offset, data in batch.records:
-                self._bills.apply(offset, data)
-            if self._bills.next_offset >= batch.end:
-                return
+
+def _change_of(data: bytes) -> Change | None:
+    try:
+        record = decode_record(data)
+    except DecodeError:
+        return None
+    return record if isinstance(record, Change) else None
+
+
+def touches(change: Change, kind: str, name: str) -> bool:
+    """Whether a change is about an object."""
+    for op in change.ops:
+        match op:
+            case SetState(version=version):
+                found = (Kind.VERSION.value, version)
+            case Delete(kind=op_kind, name=op_name):
+                found = (op_kind.value, op_name)
+            case PutOp(kind=op_kind, value=value):
+                is_version = op_kind is Kind.VERSION
+                own = f"{value.get('model')}@{value.get('name')}" if is_version else value["name"]
+                found = (op_kind.value, own)
+        if found == (kind, name):
+            return True
+    return False
 
 
 def _public(row: dict[str, Any]) -> dict[str, Any]:
--- a/umberhitch/adapters/tests/test_openai_client.py
+++ b/umberhitch/adapters/tests/test_openai_client.py
@@ -1,56 +1,9 @@
 """An ordinary client library for model services runs against the callers' interface unchanged."""
 
-from collections.abc import Iterator
-from dataclasses import dataclass
-from threading import Event, Thread
-
 import openai
 import pytest
-from twisted.internet import reactor as global_reactor
-
-from umberhitch.embedded import EmbeddedDeployment, EndpointSpec, start_deployment
-from umberhitch.testing import make_document
-
-START_TIMEOUT_S = 30.0
-
-
-@dataclass
-class Served:
-    """A deployment that runs in a thread of its own."""
-
-    callers: str
-    reactor: object
-
-
-def _serve(reactor, ready: Event, found: dict) -> None:
-    """Run the one reactor of this process; treq sends bodies by the global one."""
-    deployment: EmbeddedDeployment = start_deployment(reactor)
-    deployment.publish(make_document())
-    node = deployment.add_router("r1", "a")
-    deployment.add_endpoint(EndpointSpec("e1", "a", "m@1"))
-
-    def check() -> None:
-        if node.router.fleet.candidates("m@1") and node.router.is_ready:
-            found["address"] = node.callers_address
-            ready.set()
-        else:
-            reactor.callLater(0.05, check)
-
-    reactor.callWhenRunning(check)
-    reactor.addSystemEventTrigger("before", "shutdown", deployment.stop)
-    reactor.run(installSignalHandlers=False)
-
 
-@pytest.fixture(scope="module")
-def served() -> Iterator[Served]:
-    reactor = global_reactor
-    ready, found = Event(), {}
-    thread = Thread(target=_serve, args=(reactor, ready, found), daemon=True)
-    thread.start()
-    assert ready.wait(START_TIMEOUT_S)
-    yield Served(found["address"], reactor)
-    reactor.callFromThread(reactor.stop)
-    thread.join(START_TIMEOUT_S)
+from umberhitch.conftest import Served
 
 
 @pytest.fixture
--- /dev/null
+++ b/umberhitch/adapters/tests/test_zmq_link.py
@@ -0,0 +1,122 @@
+"""The link over real sockets: keys, versions, foreign and malformed frames."""
+
+from typing import Any
+
+import pytest
+import zmq
+from twisted.internet.task import Clock
+
+from umberhitch import PROTOCOL_VERSION
+from umberhitch.adapters.zmq_link import CurveKeys, ZmqLink, make_context
+from umberhitch.errors import FrameError
+from umberhitch.wire import Frame, Hello, decode_frame, encode_frame
+from umberhitch.wire import _codec as codec
+
+HELLO = Hello("r1", 1, "a", 0)
+MANY_POLLS = 400
+
+
+class PolledReactor(Clock):
+    """A reactor whose readers are polled by the test."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.readers: list[Any] = []
+
+    def addReader(self, reader: Any) -> None:
+        self.readers.append(reader)
+
+    def removeReader(self, reader: Any) -> None:
+        self.readers.remove(reader)
+
+    def poll_until(self, condition: Any) -> bool:
+        for _ in range(MANY_POLLS):
+            self.advance(0.01)
+            for reader in list(self.readers):
+                reader.doRead()
+            if condition():
+                return True
+            zmq.Poller().poll(5)
+            zmq.select([], [], [], 0.005)
+        return False
+
+
+@pytest.fixture
+def context():
+    made = make_context()
+    yield made
+    made.destroy(linger=0)
+
+
+def _pair(context, keys_one=None, keys_two=None):
+    reactor = PolledReactor()
+    one = ZmqLink("one", reactor, context, "127.0.0.1:0", keys_one)
+    two = ZmqLink("two", reactor, context, "127.0.0.1:0", keys_two)
+    heard: list[Any] = []
+    one.listen(lambda sender, messages: heard.extend((sender, msg) for msg in messages))
+    two.listen(lambda sender, messages: None)
+    two.connect("one", one.address)
+    return reactor, one, two, heard
+
+
+def _send_until_heard(reactor, link, heard) -> bool:
+    def heard_yet() -> bool:
+        link.send("one", HELLO)
+        return bool(heard)
+
+    return reactor.poll_until(heard_yet)
+
+
+def _make_keys() -> CurveKeys:
+    return CurveKeys(*zmq.curve_keypair())
+
+
+def test_messages_arrive_under_the_deployments_keys(context) -> None:
+    keys = _make_keys()
+    reactor, one, two, heard = _pair(context, keys, keys)
+    assert _send_until_heard(reactor, two, heard)
+    assert heard[0] == ("two", HELLO)
+    one.close()
+    two.close()
+
+
+def test_a_peer_with_other_keys_is_not_heard(context) -> None:
+    reactor, one, two, heard = _pair(context, _make_keys(), _make_keys())
+    assert not _send_until_heard(reactor, two, heard)
+    one.close()
+    two.close()
+
+
+def test_malformed_and_foreign_frames_are_counted_and_dropped(context) -> None:
+    reactor, one, two, heard = _pair(context)
+    stranger = context.socket(zmq.DEALER)
+    stranger.setsockopt(zmq.IDENTITY, b"stranger")
+    stranger.connect(f"tcp://{one.address}")
+    stranger.send(b"nonsense")
+    stranger.send(encode_frame("two", [HELLO]))
+    stranger.send_multipart([b"a", b"b"])
+    assert reactor.poll_until(lambda: one.counters.malformed == 3)
+    assert heard == []
+    assert _send_until_heard(reactor, two, heard)
+    stranger.close(linger=0)
+    one.close()
+    two.close()
+
+
+def test_the_version_before_and_the_next_are_spoken_others_are_not() -> None:
+    def frame(version: int) -> bytes:
+        return codec._encoder.encode(Frame(version, "x", [HELLO]))
+
+    assert decode_frame(frame(PROTOCOL_VERSION + 1)).messages == [HELLO]
+    with pytest.raises(FrameError, match="not spoken"):
+        decode_frame(frame(PROTOCOL_VERSION + 2))
+
+
+def test_fields_that_a_newer_version_has_added_are_passed_over() -> None:
+    raw = [PROTOCOL_VERSION + 1, "x", [["hello", "r1", 1, "a", 0, "new field"]], "new part"]
+    assert decode_frame(codec._encoder.encode(raw)).messages == [HELLO]
+
+
+def test_oversized_frames_are_refused() -> None:
+    with pytest.raises(FrameError, match="over"):
+        decode_frame(b"x" * (codec.MAX_FRAME_BYTES + 1))
