Detect versions that have turned bad, and quarantine them; eject bad endpoints

Each router collects ratings, failures and latency of each version and class and passes them once a second to two judges, picked by rendezvous hash. An alarm quarantines directly and by a change with an id that both judges share.

Found by the tests on the way: engines that hang in a test made their version look bad and took the only version out of service. Cause: failures of endpoints were counted against versions. Now only what a back end itself failed counts, failures and latency quarantine only where another version of the model has endpoints, and an endpoint that fails three times in a row is left out for a while, twice as long each time, never more than half of a target's endpoints.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,7 +6,7 @@
 from absl import app as absl_app
 from msgspec import json
 
-NAMES = ("relay", "footprint", "decide", "appends", "recovery", "slopes", "capacity")
+NAMES = ("relay", "exposure", "decide", "appends", "recovery", "slopes", "capacity")
 
 
 def main(argv: list[str]) -> int:
--- a/umberhitch/core/choice.py
+++ b/umberhitch/core/choice.py
@@ -99,7 +99,7 @@
         return NotRun(Reason.NOT_PERMITTED, "the session belongs to another customer")
     ver = config.versions.get(session.target)
     if ver is None or ver.state not in (VersionState.ACTIVE, VersionState.RETIRED):
-        return NotRun(Reason.SESSION_ENDED, f"version {session.target} was withdrawn")
+        return NotRun(Reason.SESSION_ENDED, f"version {session.target} takes no more work")
     if not config.permits(customer, ver.key):
         return NotRun(Reason.NOT_PERMITTED, f"{ver.key} is no longer permitted")
     if spec not in (ANY_MODEL, ver.model, ver.key):
--- a/umberhitch/fakes/__init__.py
+++ b/umberhitch/fakes/__init__.py
@@ -8,6 +8,7 @@
 from umberhitch.fakes._hosts import FakeHostList
 from umberhitch.fakes._log import FakeLog, LogFaults, MemoryLog
 from umberhitch.fakes._network import FakeLink, FakeNetwork, NetworkFaults
+from umberhitch.fakes._ratings import FakeRatings, RatingFaults
 
 __all__ = [
     "EngineFaults",
@@ -17,9 +18,11 @@
     "FakeLink",
     "FakeLog",
     "FakeNetwork",
+    "FakeRatings",
     "LogFaults",
     "MemoryLog",
     "NetworkFaults",
     "ProcessClock",
+    "RatingFaults",
     "expected_answer",
 ]
--- /dev/null
+++ b/umberhitch/tasks/evidence.py
@@ -0,0 +1,184 @@
+"""Evidence at a router: collected, passed to the judges of each version, judged, acted upon."""
+
+from collections.abc import Callable
+from logging import getLogger
+from random import Random
+from typing import TYPE_CHECKING
+
+from twisted.internet.defer import ensureDeferred
+from xxhash import xxh3_64_intdigest
+
+from umberhitch.config import Change, SetState, Version, VersionState
+from umberhitch.core.evidence import FALLBACK_SIGNALS, Alarm, EvidenceBook, EvidenceLimits, Judge
+from umberhitch.core.outcome import Done, Outcome, Reason, Unknown
+from umberhitch.ports import Clock
+from umberhitch.ports.rating import RatingPort
+from umberhitch.wire import EngineWork, Evidence, ServiceWork
+
+if TYPE_CHECKING:
+    from umberhitch.tasks.router import Router
+
+__all__ = ["EvidenceTask", "judges_of"]
+
+log = getLogger(__name__)
+
+JUDGES = 2
+"""Routers that judge a version; either may quarantine it."""
+MAX_RATINGS_IN_FLIGHT = 200
+MAX_RATED_CHARS = 20_000
+
+
+def judges_of(version: str, routers: list[str]) -> list[str]:
+    """Return the routers that judge a version, by rendezvous hash (Thaler and Ravishankar, 1998).
+
+    When routers come and go, only the versions of those routers change their judges.
+    """
+
+    def weight(name: str) -> int:
+        return xxh3_64_intdigest(f"{version}\0{name}".encode())
+
+    ranked = sorted(routers, key=weight, reverse=True)
+    return ranked[:JUDGES]
+
+
+class EvidenceTask:
+    """Owns what a router has observed, and its judgements.
+
+    Parameters
+    ----------
+    router : Router
+    clock : Clock
+    rng : Random
+    ratings : RatingPort or None
+    sample : float
+        Share of answers that are sent to the rating service.
+    limits : EvidenceLimits
+    """
+
+    def __init__(
+        self,
+        router: "Router",
+        clock: Clock,
+        rng: Random,
+        ratings: RatingPort | None,
+        sample: float,
+        limits: EvidenceLimits,
+    ) -> None:
+        self._router = router
+        self._clock = clock
+        self._rng = rng
+        self._ratings = ratings
+        self._sample = sample
+        self._book = EvidenceBook()
+        self._in_flight = 0
+        self.judge = Judge(limits)
+        self.alarms: list[Alarm] = []
+        self.on_alarm: Callable[[Alarm], None] | None = None
+
+    def ended(
+        self,
+        target: str,
+        klass: str,
+        outcome: Outcome,
+        latency_s: float,
+        work: EngineWork | ServiceWork,
+    ) -> None:
+        """Note how an attempt at a model version ended, and have its answer rated."""
+        if not isinstance(work, EngineWork) or not _is_evidence(outcome):
+            return
+        is_done = isinstance(outcome, Done)
+        self._book.ended(target, klass, is_done, latency_s)
+        if isinstance(outcome, Done) and self._ratings is not None:
+            is_chosen = self._sample >= 1.0 or self._rng.random() < self._sample
+            if is_chosen and self._in_flight < MAX_RATINGS_IN_FLIGHT:
+                self._in_flight += 1
+                ensureDeferred(self._rate(self._ratings, target, klass, work, outcome.text))
+
+    async def _rate(
+        self, ratings: RatingPort, target: str, klass: str, work: EngineWork, answer: str
+    ) -> None:
+        question = str(work.messages[-1].get("content", ""))[:MAX_RATED_CHARS]
+        try:
+            rating = await ratings.rate(target, klass, question, answer[:MAX_RATED_CHARS])
+        except OSError as exc:
+            log.info("no rating", extra={"error": str(exc)})
+            return
+        finally:
+            self._in_flight -= 1
+        if rating is not None:
+            self._book.rated(target, klass, rating)
+
+    def pass_on(self) -> None:
+        """Send what was observed to the judges of each version; called once a second."""
+        own = self._router.settings.name
+        for evidence in self._book.take():
+            for judge in judges_of(evidence.version, [own, *self._router.live_peers()]):
+                if judge == own:
+                    self.take(evidence)
+                else:
+                    self._router.send(judge, evidence)
+
+    def take(self, evidence: Evidence) -> None:
+        """Judge one router's evidence, and quarantine a version that is found bad."""
+        ver = self._router.feed.config.versions.get(evidence.version)
+        if ver is None or ver.state is not VersionState.ACTIVE:
+            return
+        alarm = self.judge.take(evidence)
+        if alarm is None:
+            return
+        if alarm.signal in FALLBACK_SIGNALS and not self._has_fallback(ver):
+            log.warning(
+                "version suspected, but there is no other to turn to",
+                extra={"version": alarm.version, "signal": alarm.signal.value},
+            )
+            self.judge.forget(alarm.version)
+            return
+        self._quarantine(alarm)
+
+    def _has_fallback(self, ver: Version) -> bool:
+        """Whether another version of the model takes new work and has endpoints."""
+        return any(
+            other.key != ver.key
+            and other.state is VersionState.ACTIVE
+            and other.share > 0
+            and self._router.fleet.has_endpoint(other.key)
+            for other in self._router.feed.config.versions_of(ver.model)
+        )
+
+    def _quarantine(self, alarm: Alarm) -> None:
+        """Give a bad version no more work: directly, and by a change that is in the log.
+
+        Both judges may do this at once: the change's id is the same for both.
+        """
+        feed = self._router.feed
+        seen = feed.fold.revisions.get(f"versions/{alarm.version}", 0)
+        change = Change(
+            f"quarantine-{alarm.version}-{seen}",
+            f"router {self._router.settings.name}",
+            [SetState(alarm.version, VersionState.QUARANTINED, if_revision=seen)],
+            f"{alarm.signal.value} of class {alarm.klass}",
+        )
+        log.warning(
+            "version quarantined",
+            extra={
+                "version": alarm.version,
+                "signal": alarm.signal.value,
+                "klass": alarm.klass,
+                "observations": alarm.observations,
+                "revision": seen,
+            },
+        )
+        self.alarms.append(alarm)
+        self.judge.forget(alarm.version)
+        self._router.change(change).addErrback(lambda failure: None)
+        if self.on_alarm is not None:
+            self.on_alarm(alarm)
+
+
+def _is_evidence(outcome: Outcome) -> bool:
+    """Whether an outcome says something of the version, not of the agent or the network."""
+    match outcome:
+        case Done() | Unknown(reason=Reason.BACKEND_FAILED):
+            return True
+        case _:
+            return False
--- a/umberhitch/tasks/fleet.py
+++ b/umberhitch/tasks/fleet.py
@@ -20,10 +20,17 @@
     floor : float
         Fraction of a target's endpoints that stays in use however many are suspected: when more
         are silent than this allows, the router itself is probably at fault.
+    eject_after : int
+        Consecutive failures after which an endpoint is left out for a while.
+    eject_first_s, eject_most_s : float
+        For how long at first, and at most; it doubles from one ejection to the next.
     """
 
     silence_s: float = 3.0
     floor: float = 0.5
+    eject_after: int = 3
+    eject_first_s: float = 2.0
+    eject_most_s: float = 60.0
 
 
 @dataclass(slots=True)
@@ -47,6 +54,11 @@
     own: int = 0
     """Attempts of this router in flight now."""
     heard_s: float = -1.0
+    failures: int = 0
+    """Consecutive attempts that failed or were refused by the back end."""
+    ejections: int = 0
+    """Consecutive ejections, without a success between."""
+    ejected_until_s: float = -1.0
 
     def load(self) -> float:
         """Return the work at the endpoint per slot, corrected by what was sent since."""
@@ -176,6 +188,31 @@
             self._by_target.setdefault(target, []).append(endpoint)
             self._pools.pop(target, None)
 
+    def note_success(self, name: str) -> None:
+        """Note that an attempt at an endpoint went well."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is not None:
+            endpoint.failures = endpoint.ejections = 0
+
+    def note_failure(self, name: str) -> None:
+        """Note that an endpoint failed; after a few in a row it is left out for a while."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is None:
+            return
+        endpoint.failures += 1
+        if endpoint.failures < self.limits.eject_after:
+            return
+        wait_s = min(self.limits.eject_most_s, self.limits.eject_first_s * 2**endpoint.ejections)
+        endpoint.failures = self.limits.eject_after - 1
+        endpoint.ejections += 1
+        endpoint.ejected_until_s = self.clock.seconds() + wait_s
+        for target in endpoint.targets:
+            self._pools.pop(target, None)
+
+    def is_out(self, endpoint: Endpoint) -> bool:
+        """Whether an endpoint is left out for now: its agent is silent, or it was ejected."""
+        return self.is_silent(endpoint) or self.clock.seconds() < endpoint.ejected_until_s
+
     def is_silent(self, endpoint: Endpoint) -> bool:
         """Whether the endpoint's agent has not been heard lately."""
         return self.clock.seconds() - endpoint.heard_s > self.limits.silence_s
@@ -194,7 +231,7 @@
             for endpoint in known
             if endpoint.state is EndpointState.READY and not endpoint.is_listed_leaving
         ]
-        heard = [endpoint for endpoint in open_ if not self.is_silent(endpoint)]
+        heard = [endpoint for endpoint in open_ if not self.is_out(endpoint)]
         if len(heard) >= self.limits.floor * len(open_):
             return heard
         return open_
--- a/umberhitch/tasks/requests.py
+++ b/umberhitch/tasks/requests.py
@@ -52,6 +52,12 @@
 """Refusals after which another endpoint may do better."""
 
 
+ENDPOINT_FAULTS = frozenset(
+    {Reason.BACKEND_FAILED, Reason.BACKEND_REFUSED, Reason.NO_ANSWER, Reason.AGENT_LOST}
+)
+"""Outcomes that count against an endpoint."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class Ask:
     """A request, as the core sees it.
@@ -317,6 +323,7 @@
 
     async def _attempt(self, progress: _Progress, placement: _Placement) -> Outcome:
         ask = progress.ask
+        began_s = self._clock.seconds()
         progress.attempts += 1
         endpoint = placement.endpoint
         start = Start(
@@ -345,11 +352,25 @@
         )
         outcome = await self._router.attempts.outcome_of(watch)
         trace.outcome = describe(outcome)
+        self._router.evidence.ended(
+            placement.target,
+            ask.klass.name,
+            outcome,
+            self._clock.seconds() - began_s,
+            ask.work,
+        )
+        fleet = self._router.fleet
         match outcome:
-            case Unknown():
+            case Done():
+                fleet.note_success(endpoint.name)
+            case Unknown(reason=reason):
                 progress.unknown = outcome
-            case NotRun():
+                if reason in ENDPOINT_FAULTS:
+                    fleet.note_failure(endpoint.name)
+            case NotRun(reason=reason):
                 progress.refused = outcome
+                if reason in ENDPOINT_FAULTS:
+                    fleet.note_failure(endpoint.name)
         return outcome
 
     def _text_sink(self, progress: _Progress) -> TextSink:
--- a/umberhitch/tasks/router.py
+++ b/umberhitch/tasks/router.py
@@ -9,13 +9,16 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 
 from umberhitch.config import Change, SetState, Verdict, VersionState
+from umberhitch.core.evidence import EvidenceLimits
 from umberhitch.core.stops import DirectStops
 from umberhitch.ports import Clock, Host, HostListPort, HostRole, LinkPort, LogPort, Timer
+from umberhitch.ports.rating import RatingPort
 from umberhitch.tasks.appender import AppenderLimits
 from umberhitch.tasks.attempts import AttemptPace, Attempts
 from umberhitch.tasks.bills import BillWriter
 from umberhitch.tasks.claims import Claims
 from umberhitch.tasks.config_feed import ConfigFeed
+from umberhitch.tasks.evidence import EvidenceTask
 from umberhitch.tasks.fleet import Fleet, FleetLimits
 from umberhitch.tasks.follower import FollowerPace
 from umberhitch.tasks.requests import Requests
@@ -25,6 +28,7 @@
     Chunk,
     ConfigRecords,
     ConfigSnapshot,
+    Evidence,
     Failed,
     Finished,
     HandOver,
@@ -77,6 +81,10 @@
     follow: FollowerPace = FollowerPace()
     fleet: FleetLimits = FleetLimits()
     billing: AppenderLimits = AppenderLimits()
+    evidence: EvidenceLimits = EvidenceLimits()
+    evidence_s: float = 1.0
+    rating_sample: float = 1.0
+    """Share of answers that are sent to the rating service."""
 
 
 @dataclass(slots=True)
@@ -100,6 +108,8 @@
     link : LinkPort
     log_port : LogPort
     host_list : HostListPort
+    ratings : RatingPort or None
+        None where the platform has no rating service; failures and latency are judged alone.
     """
 
     def __init__(
@@ -111,6 +121,7 @@
         link: LinkPort,
         log_port: LogPort,
         host_list: HostListPort,
+        ratings: RatingPort | None = None,
     ) -> None:
         self.settings = settings
         self.state = RouterState.STARTING
@@ -131,6 +142,9 @@
         self.feed = ConfigFeed(log_port, clock, rng, self._on_config, settings.follow)
         self.bills = BillWriter(log_port, clock, rng, link, settings.billing)
         self.claims = Claims(log_port, clock, rng, settings.follow)
+        self.evidence = EvidenceTask(
+            self, clock, rng, ratings, settings.rating_sample, settings.evidence
+        )
         self.requests = Requests(self, clock, wall_s, rng)
         self.resume = Resume(self.attempts, self.fleet)
 
@@ -144,6 +158,7 @@
         self.claims.start()
         self._every(self.settings.hosts_s, self._refresh_hosts)
         self._every(self.settings.hello_s, self._greet)
+        self._every(self.settings.evidence_s, self.evidence.pass_on)
 
     def stop(self) -> None:
         """Do nothing more, as a lost process would."""
@@ -253,6 +268,14 @@
         horizon_s = self._clock.seconds() - self.settings.peer_silence_s
         return [peer.digest for peer in self._peers.values() if peer.heard_s >= horizon_s]
 
+    def live_peers(self) -> list[str]:
+        """Return the names of the routers that were heard lately."""
+        return [digest.router for digest in self.peers()]
+
+    def send(self, peer: str, message: Message) -> None:
+        """Send a message to another router."""
+        self._link.send(peer, message)
+
     def is_router_alive(self, name: str, incarnation: int) -> bool:
         """Whether a router incarnation was heard lately, or is this one."""
         if name == self.settings.name:
@@ -305,6 +328,8 @@
                 self.feed.take_snapshot(data)
             case Withdrawal():
                 self.withdraw_directly(message)
+            case Evidence():
+                self.evidence.take(message)
             case _:
                 log.warning("unexpected message", extra={"message_type": type(message).__name__})
 
--- /dev/null
+++ b/umberhitch/tasks/tests/test_fleet.py
@@ -0,0 +1,72 @@
+"""The router's view of agents."""
+
+from twisted.internet.task import Clock
+
+from umberhitch.ports import Host, HostRole
+from umberhitch.tasks.fleet import Fleet
+from umberhitch.wire import Beat, EndpointState
+
+
+def make_beat(name: str, incarnation: int = 1, state: EndpointState = EndpointState.READY) -> Beat:
+    return Beat(name, incarnation, "a", ["m@1"], state, 0, 0, 0, 8)
+
+
+def make_fleet(count: int) -> tuple[Clock, Fleet]:
+    clock = Clock()
+    fleet = Fleet(clock)
+    fleet.update_hosts(Host(f"e{index}", HostRole.AGENT, "a", "-") for index in range(count))
+    for index in range(count):
+        fleet.hear(make_beat(f"e{index}"))
+    return clock, fleet
+
+
+def names(fleet: Fleet) -> list[str]:
+    return [endpoint.name for endpoint in fleet.candidates("m@1")]
+
+
+def test_an_endpoint_that_keeps_failing_is_left_out_for_longer_each_time() -> None:
+    clock, fleet = make_fleet(3)
+    for _ in range(3):
+        fleet.note_failure("e0")
+    assert names(fleet) == ["e1", "e2"]
+    clock.advance(2.1)
+    for index in range(3):
+        fleet.hear(make_beat(f"e{index}"))
+    fleet.sweep()
+    assert "e0" in names(fleet)
+    fleet.note_failure("e0")
+    clock.advance(2.1)
+    fleet.sweep()
+    assert "e0" not in names(fleet)
+
+
+def test_no_more_than_half_are_ejected() -> None:
+    _, fleet = make_fleet(4)
+    for name in ("e0", "e1", "e2"):
+        for _ in range(3):
+            fleet.note_failure(name)
+    assert len(names(fleet)) == 4
+
+
+def test_a_success_forgives() -> None:
+    _, fleet = make_fleet(3)
+    for _ in range(10):
+        fleet.note_failure("e0")
+        fleet.note_success("e0")
+    assert "e0" in names(fleet)
+
+
+def test_an_older_incarnation_is_not_believed() -> None:
+    _, fleet = make_fleet(1)
+    assert fleet.hear(make_beat("e0", incarnation=5)) == 1
+    assert fleet.hear(make_beat("e0", incarnation=4, state=EndpointState.LEAVING)) is None
+    assert names(fleet) == ["e0"]
+
+
+def test_load_counts_what_was_sent_since_the_last_report() -> None:
+    _, fleet = make_fleet(1)
+    endpoint = fleet.endpoints["e0"]
+    endpoint.own = 2
+    fleet.hear(Beat("e0", 1, "a", ["m@1"], EndpointState.READY, 0, 5, 1, 8))
+    endpoint.own = 6
+    assert endpoint.load() == (6 + 6 - 2) / 8
--- a/umberhitch/testing/_world.py
+++ b/umberhitch/testing/_world.py
@@ -24,6 +24,7 @@
     FakeLink,
     FakeLog,
     FakeNetwork,
+    FakeRatings,
     LogFaults,
     MemoryLog,
     ProcessClock,
@@ -119,6 +120,7 @@
         self.log_faults = LogFaults()
         self.log_ports: dict[str, FakeLog] = {}
         self.hosts = FakeHostList()
+        self.ratings = FakeRatings(self.clock, Random(settings.seed + 2))
         self.network = FakeNetwork(self.clock, Random(settings.seed + 1))
         self.routers: dict[str, Router] = {}
         self.agents: dict[str, Agent] = {}
@@ -171,6 +173,7 @@
             self.links[name],
             log_port,
             self.hosts,
+            self.ratings,
         )
         self.routers[name] = router
         self.all_routers.append(router)
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -19,6 +19,7 @@
     "ConfigSnapshot",
     "EndpointState",
     "EngineWork",
+    "Evidence",
     "Failed",
     "Fetch",
     "Finished",
@@ -236,6 +237,18 @@
     records: list[UsageRecord]
 
 
+class Evidence(Struct, frozen=True, array_like=True, tag="evidence"):
+    """What a router has observed of one version and class since it last said so."""
+
+    version: str
+    klass: str
+    ratings: list[int]
+    """In steps of one two-hundredth."""
+    done: int
+    failed: int
+    latencies_ms: list[int]
+
+
 class RouterDigest(Struct, frozen=True, array_like=True, tag="digest"):
     """A router tells another how far it has come, and asks for what it lacks."""
 
@@ -265,4 +278,5 @@
     | Failed
     | HandOver
     | RouterDigest
+    | Evidence
 )
