Leases, fenced orders and roll-outs by stages, driven from the log

A lease is an entry of the log and its offset the fencing token; the agent refuses older tokens whether or not the engine does, and a new agent listens for three seconds before it obeys. A roll-out's plan and progress stand in the configuration; each step is a change based on the plan's revision, so a step is made once whoever drives.

Found by the new scenarios: 'go on' kept the start of the old stage, so that the roll-out was held again at once; a driver that took over counted the time of the one before as its own waiting. Both wait from their own beginning now.

--- a/umberhitch/adapters/http_backend.py
+++ b/umberhitch/adapters/http_backend.py
@@ -152,6 +152,20 @@
         if stop is not None:
             stop()
 
+    def load(self, target: str, token: int) -> Deferred[bool]:
+        """Order the engine to load a version; the result is whether it was done."""
+        return ensureDeferred(self._load(target, token))
+
+    async def _load(self, target: str, token: int) -> bool:
+        body = {"action": "load", "target": target, "fencing_token": token}
+        try:
+            response = await self._http.request("POST", f"{self._url}/orders", json=body)
+            await treq.content(response)
+        except Exception as exc:  # the engine is asked again while it does not serve the version
+            log.warning("order failed", extra={"target": target, "error": repr(exc)})
+            return False
+        return response.code == 200
+
     async def _run_engine(self, call: BackendCall, work: EngineWork, sink: EventSink) -> None:
         body = {
             "model": call.target,
--- a/umberhitch/adapters/operator_api.py
+++ b/umberhitch/adapters/operator_api.py
@@ -32,12 +32,14 @@
 from umberhitch.ports import LogPort
 from umberhitch.tasks.bills import BILLING_STREAM
 from umberhitch.tasks.config_feed import CONFIG_STREAM
+from umberhitch.tasks.rollouts import RolloutError
 from umberhitch.tasks.router import Router, stopped_versions
 
 __all__ = ["OperatorApi", "Role"]
 
 READ_BATCH = 5000
 MAX_LISTED = 500
+ROLLOUT_ACTIONS = ("start", "hold", "go on", "roll back")
 
 
 class Role:
@@ -320,6 +322,34 @@
             if start >= batch.end:
                 return
 
+    # Roll-outs
+
+    @app.route("/admin/v1/rollouts", methods=["GET"])
+    def list_rollouts(self, request: Any) -> bytes:
+        """Return every roll-out."""
+        self._operator(request, Role.READ)
+        rows = [asdict(plan) for plan in self._router.feed.config.rollouts.values()]
+        driver = self._router.lease.holder
+        return send_json(request, 200, {"rollouts": rows, "driver": driver})
+
+    @app.route("/admin/v1/rollouts/<version>", methods=["POST"])
+    async def command_rollout(self, request: Any, version: str) -> bytes:
+        """Start, hold, continue or undo a roll-out."""
+        self._operator(request, Role.CHANGE)
+        body = _decoded(request)
+        action = body.get("action") if isinstance(body, dict) else None
+        if action not in ROLLOUT_ACTIONS:
+            findings = [Finding("action", f"must be one of {', '.join(ROLLOUT_ACTIONS)}")]
+            raise OperatorError(400, "not valid", findings)
+        try:
+            verdict = await self._router.rollouts.command(action, version, body.get("previous"))
+        except RolloutError as exc:
+            raise OperatorError(409, str(exc)) from exc
+        except LogError as exc:
+            raise OperatorError(503, f"the change was not queued: {exc}") from exc
+        change = Change(f"rollout-{version}", "operator", [])
+        return send_json(request, _verdict_status(verdict), _verdict_body(verdict, change))
+
     # Bills
 
     @app.route("/admin/v1/bills", methods=["GET"])
--- a/umberhitch/config/_change.py
+++ b/umberhitch/config/_change.py
@@ -29,6 +29,7 @@
     SERVICE = "services"
     KEY = "keys"
     POLICY = "policies"
+    ROLLOUT = "rollouts"
 
 
 class Put(Struct, frozen=True, tag="put", omit_defaults=True):
--- a/umberhitch/config/_fold.py
+++ b/umberhitch/config/_fold.py
@@ -28,6 +28,7 @@
     Model,
     Policy,
     RequestClass,
+    Rollout,
     Service,
     SigningKey,
     Version,
@@ -43,6 +44,7 @@
     Kind.SERVICE: Service,
     Kind.KEY: SigningKey,
     Kind.POLICY: Policy,
+    Kind.ROLLOUT: Rollout,
 }
 
 MAX_RECENT_CHANGES = 4096
@@ -295,6 +297,12 @@
             for name in ver.quality
             if name != "*" and name not in config.classes
         )
+    for plan in config.rollouts.values():
+        findings.extend(
+            Finding(f"rollouts[{plan.name}].{field}", f'unknown version "{name}"')
+            for field, name in (("version", plan.version), ("previous", plan.previous))
+            if name not in config.versions
+        )
     findings.extend(_reservation_findings(config))
     return findings
 
--- a/umberhitch/config/_model.py
+++ b/umberhitch/config/_model.py
@@ -17,6 +17,8 @@
     "Model",
     "Policy",
     "RequestClass",
+    "Rollout",
+    "RolloutState",
     "Service",
     "SigningKey",
     "Version",
@@ -142,6 +144,41 @@
     """Whether new tokens may be signed with it; otherwise it only verifies."""
 
 
+class RolloutState(StrEnum):
+    """Where a roll-out stands."""
+
+    PLANNED = "planned"
+    RUNNING = "running"
+    HELD = "held"
+    DONE = "done"
+    ROLLED_BACK = "rolled_back"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Rollout:
+    """A version takes over from another, stage by stage."""
+
+    version: Name
+    previous: Name
+    stages: Annotated[list[Fraction], Len(1, 20)] = field(default_factory=lambda: [0.05, 0.25, 1.0])
+    """Share of the traffic that each stage gives to the new version."""
+    stage_s: Positive = 60.0
+    """Shortest time that a stage lasts."""
+    patience_s: Positive = 600.0
+    """How long past that a stage waits for evidence before the roll-out is held."""
+    min_answers: Count = 50
+    """Answers, and ratings, that a stage needs before the next."""
+    state: RolloutState = RolloutState.PLANNED
+    stage: int = -1
+    stage_since_s: float = 0.0
+    reason: str = ""
+
+    @property
+    def name(self) -> str:
+        """A roll-out goes by its new version."""
+        return self.version
+
+
 @dataclass(frozen=True, kw_only=True)
 class Policy:
     """Deployment-wide choices that operators may change while running."""
@@ -151,6 +188,12 @@
     max_attempts: Annotated[int, Interval(ge=1, le=10)] = 3
     retry_budget: Fraction = 0.1
     """Retries allowed as a fraction of requests."""
+    rollout_stages: Annotated[list[Fraction], Len(1, 20)] = field(
+        default_factory=lambda: [0.05, 0.25, 1.0]
+    )
+    rollout_stage_s: Positive = 60.0
+    rollout_patience_s: Positive = 600.0
+    rollout_min_answers: Count = 50
     idempotency_ttl_s: Annotated[float, Interval(ge=60.0, le=604800.0)] = 86400.0
 
 
@@ -165,6 +208,7 @@
     services: dict[str, Service] = field(default_factory=dict)
     keys: dict[str, SigningKey] = field(default_factory=dict)
     policies: dict[str, Policy] = field(default_factory=dict)
+    rollouts: dict[str, Rollout] = field(default_factory=dict)
 
     @property
     def policy(self) -> Policy:
--- /dev/null
+++ b/umberhitch/core/leases.py
@@ -0,0 +1,110 @@
+"""Leases as a fold of one log stream; the offset of an accepted acquisition is its fencing token.
+
+The fold knows no time. Who finds a lease expired says so by naming the token that it replaces; the
+log's order decides between several who do. A holder that was replaced while it was paused may
+still believe in its lease, so that whatever it orders carries its token and is checked where it
+takes effect (Lamport's fencing; see docs/design/0006-leases-and-orders.md).
+"""
+
+from dataclasses import dataclass
+
+from msgspec import DecodeError, Struct, ValidationError, json
+
+__all__ = [
+    "NO_TOKEN",
+    "Acquire",
+    "Lease",
+    "LeaseFold",
+    "Renew",
+    "Yield",
+    "decode_lease_record",
+    "encode_lease_record",
+]
+
+NO_TOKEN = -1
+
+
+class Acquire(Struct, frozen=True, tag="acquire"):
+    """A router takes a lease that is free, or that it has found expired."""
+
+    name: str
+    holder: str
+    incarnation: int
+    previous: int
+    """Token of the lease that has expired; `NO_TOKEN` if there was none."""
+    ttl_s: float
+
+
+class Renew(Struct, frozen=True, tag="renew"):
+    """The holder keeps its lease."""
+
+    name: str
+    token: int
+
+
+class Yield(Struct, frozen=True, tag="yield"):
+    """The holder gives its lease up."""
+
+    name: str
+    token: int
+
+
+LeaseRecord = Acquire | Renew | Yield
+
+_encoder = json.Encoder()
+_decoder = json.Decoder(LeaseRecord)
+
+
+def encode_lease_record(record: LeaseRecord) -> bytes:
+    """Return the record as JSON."""
+    return _encoder.encode(record)
+
+
+def decode_lease_record(data: bytes) -> LeaseRecord:
+    """Return the record that `encode_lease_record` wrote."""
+    return _decoder.decode(data)
+
+
+@dataclass(slots=True)
+class Lease:
+    """Who holds a lease, as of the log."""
+
+    holder: str
+    incarnation: int
+    token: int
+    ttl_s: float
+    last_offset: int
+    """Offset of the acquisition or of the last renewal."""
+    is_yielded: bool = False
+
+
+class LeaseFold:
+    """The state of the leases stream."""
+
+    def __init__(self) -> None:
+        self.next_offset = 0
+        self.leases: dict[str, Lease] = {}
+
+    def apply(self, offset: int, data: bytes) -> str | None:
+        """Apply the record at ``offset``; returns the lease that it is about."""
+        if offset < self.next_offset:
+            return None
+        self.next_offset = offset + 1
+        try:
+            record = decode_lease_record(data)
+        except (ValidationError, DecodeError):
+            return None
+        lease = self.leases.get(record.name)
+        match record:
+            case Acquire():
+                if lease is None or lease.is_yielded or lease.token == record.previous:
+                    self.leases[record.name] = Lease(
+                        record.holder, record.incarnation, offset, record.ttl_s, offset
+                    )
+            case Renew(token=token):
+                if lease is not None and lease.token == token and not lease.is_yielded:
+                    lease.last_offset = offset
+            case Yield(token=token):
+                if lease is not None and lease.token == token:
+                    lease.is_yielded = True
+        return record.name
--- a/umberhitch/fakes/_engine.py
+++ b/umberhitch/fakes/_engine.py
@@ -9,6 +9,8 @@
 from hashlib import sha256
 from heapq import heappop, heappush
 
+from twisted.internet.defer import Deferred
+
 from umberhitch.ports import (
     BackendCall,
     BackendDone,
@@ -40,6 +42,10 @@
         Words of an answer, unless the call allows fewer.
     cached_prefixes : int
         Prefixes kept in memory.
+    load_s : float
+        Time to load a version.
+    checks_fencing : bool
+        Whether orders with an older token than one seen are refused.
     """
 
     slots: int = 8
@@ -47,6 +53,8 @@
     token_s: float = 0.02
     answer_words: int = 12
     cached_prefixes: int = 64
+    load_s: float = 3.0
+    checks_fencing: bool = False
 
 
 @dataclass(slots=True)
@@ -115,6 +123,8 @@
         self.runs: list[EngineRun] = []
         self.on_run: Callable[[EngineRun], None] | None = None
         self.is_lost = False
+        self.orders: list[tuple[int, str]] = []
+        self._token = -1
         self._clock = clock
         self._running: dict[str, _Call] = {}
         self._queue: list[tuple[int, int, str]] = []
@@ -217,7 +227,18 @@
             waiting = self._waiting.pop(call_id)
             waiting.sink(BackendFailed("connection lost"))
 
-    def load(self) -> BackendLoad:
+    def load(self, target: str, token: int) -> Deferred[bool]:
+        """Load a version; an engine that checks fencing refuses an older token."""
+        self.orders.append((token, target))
+        done: Deferred[bool] = Deferred()
+        if self.pace.checks_fencing and token < self._token:
+            done.callback(False)
+            return done
+        self._token = max(self._token, token)
+        self._clock.callLater(self.pace.load_s, done.callback, True)
+        return done
+
+    def current_load(self) -> BackendLoad:
         """Return the load as of now."""
         return BackendLoad(len(self._running), len(self._waiting))
 
--- a/umberhitch/language/_parser.py
+++ b/umberhitch/language/_parser.py
@@ -35,6 +35,7 @@
     "make_finding",
     "make_parser",
     "make_permission",
+    "make_rollout",
     "make_state_change",
     "parse_statements",
     "unquote",
@@ -63,6 +64,7 @@
     "withdraw": VersionState.WITHDRAWN,
 }
 READABLE = {
+    "shared__ROLLOUT_VERB": "roll out, roll back, hold, go on",
     "shared__PERMISSION_VERB": "permit, forbid",
     "REFERENCE": "a name",
     "NAME": "a field",
@@ -114,6 +116,13 @@
     return Permission(str(customer), str(target), verb == "permit")
 
 
+def make_rollout(items: list[Any]) -> RollOut:
+    """Return the statement of the shared rule ``rollout_change``."""
+    verb, version, previous = items
+    action = " ".join(verb.split())
+    return RollOut("start" if action == "roll out" else action, str(version), _text(previous))
+
+
 def make_state_change(items: list[Any]) -> StateChange:
     """Return the statement of the shared rule ``version_change``."""
     verb, version, share = items
@@ -192,17 +201,8 @@
     def remove(self, items: list[Any]) -> Remove:
         return Remove(_plural(items[0]), str(items[1]))
 
-    def roll_out(self, items: list[Any]) -> RollOut:
-        return RollOut("start", str(items[0]), _text(items[1]))
-
-    def hold(self, items: list[Any]) -> RollOut:
-        return RollOut("hold", str(items[0]))
-
-    def go_on(self, items: list[Any]) -> RollOut:
-        return RollOut("go on", str(items[0]))
-
-    def roll_back(self, items: list[Any]) -> RollOut:
-        return RollOut("roll back", str(items[0]))
+    def rollout_change(self, items: list[Any]) -> RollOut:
+        return make_rollout(items)
 
 
 def _text(token: Token | None) -> str | None:
--- a/umberhitch/ports/engine.py
+++ b/umberhitch/ports/engine.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from twisted.internet.defer import Deferred
+
 from umberhitch.wire import EngineWork, ServiceWork, Usage
 
 __all__ = [
@@ -85,6 +87,10 @@
         """Begin the call; its events go to ``sink``."""
         ...
 
+    def load(self, target: str, token: int) -> Deferred[bool]:
+        """Load a version in place of what is served; the result is whether it was done."""
+        ...
+
     def cancel(self, call_id: str) -> None:
         """Stop the call if it is still running; its sink still gets a last event."""
         ...
--- a/umberhitch/scenarios/_runner.py
+++ b/umberhitch/scenarios/_runner.py
@@ -8,7 +8,7 @@
 from umberhitch.config import Accepted, Change, Kind, Put, Rejected, SetState, Verdict
 from umberhitch.core.outcome import Done, NotRun, Unknown
 from umberhitch.fakes import LogFaults, expected_answer
-from umberhitch.language import compile_changes, make_permission, make_state_change
+from umberhitch.language import compile_changes, make_permission, make_rollout, make_state_change
 from umberhitch.scenarios._parser import Scenario, Step
 from umberhitch.tasks.resume import parse_locator
 from umberhitch.testing import (
@@ -31,6 +31,7 @@
     Finished,
     HandOver,
     Message,
+    Order,
     Refused,
     Start,
     Taken,
@@ -51,6 +52,7 @@
     "beat": (Beat,),
     "handover": (HandOver,),
     "cancel": (Cancel,),
+    "order": (Order,),
 }
 
 
@@ -85,6 +87,7 @@
         self._changes: dict[str, Deferred[Verdict]] = {}
         self._fetched: dict[str, Deferred] = {}
         self._drained: dict[str, Deferred] = {}
+        self._paused = ""
         self._runs_at_drain: dict[str, int] = {}
         self._count = 0
 
@@ -204,6 +207,43 @@
         """Return the objects as the first router has them."""
         return next(iter(self.world.routers.values())).feed.fold.snapshot().objects
 
+    def do_command_rollout(self, step: Step, router: str, change: Step) -> None:
+        """``at r1 roll out m@2 from m@1``"""
+        wanted = make_rollout(list(change.items))
+        node = self.world.routers[router]
+        node.rollouts.command(wanted.action, wanted.version, wanted.previous)
+
+    def do_load(self, step: Step, rate: int, seconds: float, *options: Step) -> None:
+        """``load 10 a second for 30s``"""
+        router, _, opts = self._options(options)
+        for _ in range(round(rate * seconds)):
+            self._count += 1
+            question = f"load {self._count}"
+            self._asked.setdefault("load", []).append(self.world.ask(question, router, opts))
+            self.world.advance(1.0 / rate)
+
+    def do_version_rated(self, step: Step, version: str, rating: float) -> None:
+        """``version m@2 rated 0.4``"""
+        self.world.ratings.quality[version] = rating
+
+    def do_ratings_down(self, step: Step) -> None:
+        """``rating service down``"""
+        self.world.ratings.faults.is_down = True
+
+    def do_ratings_up(self, step: Step) -> None:
+        """``rating service up``"""
+        self.world.ratings.faults.is_down = False
+
+    def _resolve(self, step: Step, name: str) -> str:
+        """Return a process's name; ``driver`` stands for the router that holds the lease."""
+        if name != "driver":
+            return name
+        for router in self.world.routers.values():
+            if router.rollouts.is_driving:
+                return router.settings.name
+        self._fail(step, "no router drives roll-outs")
+        return name
+
     def do_rotate_key(self, step: Step, name: str) -> None:
         """``rotate key k2``: a new key signs, the old ones verify."""
         node = next(iter(self.world.routers.values()))
@@ -285,6 +325,7 @@
         self, step: Step, kind: str, source: str | None, receiver: str | None
     ) -> None:
         """``network holds start from r1``: until ``network releases``."""
+        source = self._resolve(step, source) if source is not None else None
         self.world.network.hold_where(_message_test(kind, source, receiver))
 
     def do_network_releases(self, step: Step) -> None:
@@ -304,7 +345,8 @@
         self.world.network.mend(one, other)
 
     def do_lose(self, step: Step, name: str) -> None:
-        """``lose r1``"""
+        """``lose r1``, or ``lose driver``"""
+        name = self._resolve(step, name)
         if name in self.world.routers:
             self.world.lose_router(name)
         else:
@@ -318,12 +360,14 @@
             self.world.replace_agent(name)
 
     def do_pause(self, step: Step, name: str) -> None:
-        """``pause r1``"""
+        """``pause r1``, or ``pause driver``"""
+        name = self._resolve(step, name)
+        self._paused = name
         self.world.pause(name)
 
     def do_resume(self, step: Step, name: str) -> None:
-        """``resume r1``"""
-        self.world.resume(name)
+        """``resume r1``, or ``resume paused``"""
+        self.world.resume(self._paused if name == "paused" else name)
 
     def do_drain(self, step: Step, name: str) -> None:
         """``drain e1``"""
@@ -480,6 +524,41 @@
         if outcome.text != expected_answer(target, make_work(question), ANSWER_WORDS):
             self._fail(step, f"fetched {outcome.text!r}")
 
+    def do_rollout_is(self, step: Step, version: str, state: str) -> None:
+        """``expect rollout of m@2 is done``"""
+        for router in self.world.routers.values():
+            plan = router.feed.config.rollouts[version]
+            if plan.state != state:
+                self._fail(step, f"{plan} at {router.settings.name}")
+
+    def do_served_by(self, step: Step, version: str, count: int) -> None:
+        """``expect m@2 is served by 3 endpoints``"""
+        serving = [name for name, agent in self.world.agents.items() if version in agent.targets]
+        if len(serving) != count:
+            self._fail(step, f"{version} is served by {serving}")
+
+    def do_loaded_once(self, step: Step) -> None:
+        """``expect no endpoint loaded twice``"""
+        for name, engine in self.world.engines.items():
+            if len(engine.orders) > 1:
+                self._fail(step, f"{name} got the orders {engine.orders}")
+
+    def do_one_drives(self, step: Step) -> None:
+        """``expect one router drives``"""
+        drivers = [
+            router.settings.name
+            for router in self.world.routers.values()
+            if router.rollouts.is_driving
+        ]
+        if len(drivers) != 1:
+            self._fail(step, f"{drivers} drive")
+
+    def do_refused_order(self, step: Step, name: str) -> None:
+        """``expect paused refused an order``: that router's order was refused by an agent."""
+        router = self.world.routers[self._paused if name == "paused" else name]
+        if not router.rollouts.refused_orders:
+            self._fail(step, f"no order of {router.settings.name} was refused")
+
     def do_no_usage(self, step: Step, agent: str) -> None:
         """``expect e1 holds no usage``"""
         held = self.world.agents[agent].unconfirmed_usage
--- a/umberhitch/scenarios/tests/test_mutations.py
+++ b/umberhitch/scenarios/tests/test_mutations.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import pytest
 
@@ -14,6 +14,8 @@
 from umberhitch.core.attempt import AttemptEntry
 from umberhitch.core.billing import BillFold
 from umberhitch.core.claims import ClaimFold, ClaimState
+from umberhitch.core.evidence import Judge
+from umberhitch.core.fencing import Fence
 from umberhitch.core.ledger import Fresh, Ledger
 from umberhitch.core.outcome import NotRun, Reason
 from umberhitch.core.stops import DirectStops
@@ -21,6 +23,7 @@
 from umberhitch.tasks import agent as agent_module
 from umberhitch.tasks import attempts as attempts_module
 from umberhitch.tasks import requests as requests_module
+from umberhitch.tasks import rollouts as rollouts_module
 from umberhitch.tasks.agent import Agent
 from umberhitch.tasks.bills import BillWriter
 from umberhitch.tasks.config_feed import ConfigFeed
@@ -142,6 +145,23 @@
     patch.setattr(Fold, "_check_revision", lambda *args: None)
 
 
+def _obey_every_order(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Fence, "admits", lambda *args: True)
+
+
+def _never_alarm(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Judge, "take", lambda self, evidence: None)
+
+
+def _need_no_evidence(patch: pytest.MonkeyPatch) -> None:
+    real = rollouts_module.next_step
+
+    def next_step(plan, view):
+        return real(replace(plan, min_answers=0), view)
+
+    patch.setattr(rollouts_module, "next_step", next_step)
+
+
 @dataclass(frozen=True)
 class Mutation:
     """A break, and the scenario that must notice it."""
@@ -168,6 +188,10 @@
     Mutation("once", "once-router-paused", _forget_tombstones),
     Mutation("leaving", "leaving-announcement-lost", _take_work_while_leaving),
     Mutation("shutdown", "shutdown-agent-under-load", _drain_at_once),
+    Mutation("orders", "lease-late-order", _obey_every_order),
+    Mutation("bad versions", "exposure-after-rollout", _never_alarm),
+    Mutation("bad versions", "rollout-bad-version", _never_alarm),
+    Mutation("roll-out", "rollout-evidence-missing", _need_no_evidence),
     Mutation("configuration", "config-answer-lost", _never_feed),
     Mutation("configuration", "withdrawn-operators-race", _accept_both_racers),
 ]
--- a/umberhitch/standins/engine.py
+++ b/umberhitch/standins/engine.py
@@ -66,9 +66,16 @@
     @app.route("/load", methods=["GET"])
     def load(self, request: Any) -> bytes:
         """Return the load."""
-        load = self.engine.load()
+        load = self.engine.current_load()
         return send_json(request, 200, {"running": load.running, "queued": load.queued})
 
+    @app.route("/orders", methods=["POST"])
+    async def order(self, request: Any) -> bytes:
+        """Load a version; answers once it is loaded, or 409 to an old fencing token."""
+        body = json.decode(request.content.read())
+        is_done = await self.engine.load(body["target"], int(body["fencing_token"]))
+        return send_json(request, 200 if is_done else 409, {"loaded": is_done})
+
     @app.route("/lose", methods=["POST"])
     def lose(self, request: Any) -> bytes:
         """Fail every call, now and later."""
--- a/umberhitch/tasks/agent.py
+++ b/umberhitch/tasks/agent.py
@@ -15,6 +15,7 @@
 from umberhitch.config import CatchUp, Config, Fold, Snapshot, decode_record
 from umberhitch.core.attempt import AttemptEntry, AttemptState
 from umberhitch.core.billing import cost_micros
+from umberhitch.core.fencing import Fence
 from umberhitch.core.ledger import BelowFloor, Fresh, Full, Ledger, LedgerLimits, Repeated
 from umberhitch.core.outcome import Reason
 from umberhitch.core.permission import refusal_for
@@ -49,6 +50,8 @@
     Hello,
     Message,
     NeedConfig,
+    Order,
+    OrderReply,
     Refused,
     Start,
     Taken,
@@ -87,6 +90,8 @@
     """How long a usage record waits for its router before others are asked to write it."""
     overdue_grace_s: float = 5.0
     """How long past its deadline a running attempt is left to the engine, and again after that."""
+    order_warm_up_s: float = 3.0
+    """How long a new agent listens for fencing tokens before it carries out orders."""
     usage_records: int = 2000
     """Unconfirmed usage records held; beyond this, new work is refused."""
     ledger: LedgerLimits = LedgerLimits()
@@ -153,6 +158,11 @@
         self._routers: dict[str, _Router] = {}
         self._watchers: dict[AttemptId, set[str]] = {}
         self._stops = DirectStops()
+        self._fence = Fence(clock.seconds() + settings.order_warm_up_s)
+        self._loading: Order | None = None
+        self.targets = settings.targets
+        """What the endpoint serves now; orders change it."""
+        self._served_before = settings.targets
         self._parked: list[tuple[str, Start, float]] = []
         self._usage: dict[str, _HeldUsage] = {}
         self._handover_turn = 0
@@ -209,12 +219,13 @@
             cfg.endpoint,
             cfg.incarnation,
             cfg.zone,
-            list(cfg.targets),
+            [] if self._loading is not None else list(self.targets),
             self.state,
             self.revision,
             self._running,
             len(self._queue),
             cfg.slots,
+            self._loading is not None,
         )
 
     @property
@@ -261,6 +272,8 @@
                 self._on_snapshot(message)
             case Billed():
                 self._on_billed(message)
+            case Order():
+                self._on_order(sender, message)
             case Withdrawal():
                 self._stops.add(message, self._catch_up.fold)
                 self._recheck_queue()
@@ -272,6 +285,7 @@
         if known is not None and hello.incarnation < known.incarnation:
             return
         now = self._clock.seconds()
+        self._fence.hear(hello.token)
         self._routers[sender] = _Router(hello.incarnation, now, hello.revision)
         if known is None or known.incarnation != hello.incarnation:
             self._link.send(sender, self.beat())
@@ -382,7 +396,7 @@
     def _admission_refusal(self, start: Start) -> Reason | None:
         if self.state is EndpointState.LEAVING:
             return Reason.LEAVING
-        if start.target not in self.settings.targets:
+        if start.target not in self.targets or self._loading is not None:
             return Reason.NO_ENDPOINT
         reason = self._permission(start)
         if reason is not None:
@@ -431,6 +445,9 @@
             if self._clock.seconds() >= entry.due_s:
                 self._finish(entry, Refused(entry.attempt, Reason.DEADLINE))
                 continue
+            if entry.start is not None and entry.start.target not in self.targets:
+                self._finish(entry, Refused(entry.attempt, Reason.NO_ENDPOINT))
+                continue
             self._run(entry)
 
     def _run(self, entry: AttemptEntry) -> None:
@@ -478,6 +495,8 @@
                 log.info("back end failed", extra={"attempt": str(entry.attempt), "why": reason})
         self._running -= 1
         self._finish(entry, result)
+        if self._loading is not None and not self._running:
+            self._load()
         self._fill_slots()
 
     def _finish(self, entry: AttemptEntry, result: Finished | Failed | Refused) -> None:
@@ -537,6 +556,40 @@
         else:
             self._watchers.setdefault(entry.attempt, set()).add(sender)
 
+    # Orders
+
+    def _on_order(self, sender: str, order: Order) -> None:
+        """Load a version, unless the order comes from a holder that was replaced."""
+        if not self._fence.admits(order.token, self._clock.seconds()):
+            self._link.send(sender, OrderReply(order.order, False, "old fencing token"))
+            return
+        self._link.send(sender, OrderReply(order.order, True))
+        if self._loading is not None or self.targets == (order.target,):
+            return
+        self._loading = order
+        self._beat()
+        if not self._running:
+            self._load()
+
+    def _load(self) -> None:
+        """Have the engine load, once nothing runs on what it serves."""
+        order = self._loading
+        assert order is not None
+        self.targets = ()
+        loading = self._backend.load(order.target, order.token)
+        loading.addCallback(self._on_loaded, order)
+
+    def _on_loaded(self, is_done: bool, order: Order) -> None:
+        if self._is_stopped:
+            return
+        self._loading = None
+        if is_done:
+            self.targets = (order.target,)
+        else:
+            self.targets = self._served_before
+        self._served_before = self.targets
+        self._beat()
+
     # Usage records
 
     def _hold_usage(self, entry: AttemptEntry, usage: Usage) -> None:
--- a/umberhitch/tasks/evidence.py
+++ b/umberhitch/tasks/evidence.py
@@ -112,12 +112,26 @@
         """Send what was observed to the judges of each version; called once a second."""
         own = self._router.settings.name
         for evidence in self._book.take():
-            for judge in judges_of(evidence.version, [own, *self._router.live_peers()]):
+            for judge in self._listeners(evidence.version):
                 if judge == own:
                     self.take(evidence)
                 else:
                     self._router.send(judge, evidence)
 
+    @property
+    def has_ratings(self) -> bool:
+        """Whether there is a rating service."""
+        return self._ratings is not None
+
+    def _listeners(self, version: str) -> set[str]:
+        """Return the judges of a version and, while it is rolled out, the router that drives."""
+        live = [self._router.settings.name, *self._router.live_peers()]
+        listeners = set(judges_of(version, live))
+        driver = self._router.lease.holder
+        if driver in live and self._router.feed.config.rollouts:
+            listeners.add(driver)
+        return listeners
+
     def take(self, evidence: Evidence) -> None:
         """Judge one router's evidence, and quarantine a version that is found bad."""
         ver = self._router.feed.config.versions.get(evidence.version)
--- a/umberhitch/tasks/fleet.py
+++ b/umberhitch/tasks/fleet.py
@@ -46,6 +46,8 @@
     state: EndpointState = EndpointState.READY
     is_listed_leaving: bool = False
     revision: int = -1
+    is_loading: bool = False
+    """Whether it is loading a version, so that what it serves is about to change."""
     reported: int = 0
     """Attempts running and queued as of the last heartbeat."""
     reported_own: int = 0
@@ -170,6 +172,7 @@
         endpoint.incarnation = beat.incarnation
         endpoint.zone = beat.zone
         endpoint.state = beat.state
+        endpoint.is_loading = beat.is_loading
         endpoint.revision = beat.revision
         endpoint.reported = beat.running + beat.queued
         endpoint.reported_own = endpoint.own
--- /dev/null
+++ b/umberhitch/tasks/leases.py
@@ -0,0 +1,163 @@
+"""A router's leases: acquired when free, renewed in time, believed in no longer than they last."""
+
+from collections.abc import Callable
+from random import Random
+
+from xxhash import xxh3_64_intdigest
+
+from umberhitch.core.leases import (
+    NO_TOKEN,
+    Acquire,
+    LeaseFold,
+    Renew,
+    Yield,
+    encode_lease_record,
+)
+from umberhitch.errors import LogError
+from umberhitch.ports import Clock, LogBatch, LogPort
+from umberhitch.tasks.appender import Appender
+from umberhitch.tasks.follower import Follower, FollowerPace
+
+__all__ = ["LEASES_STREAM", "LeaseKeeper", "candidates_for"]
+
+LEASES_STREAM = "leases"
+TTL_S = 15.0
+RENEW_EVERY_S = 5.0
+MARGIN_S = 2.0
+"""How long past its end a lease is left alone, for clocks that differ in rate and slow reads."""
+CANDIDATES = 3
+
+
+def candidates_for(name: str, routers: list[str]) -> list[str]:
+    """Return the routers that may take a lease, by rendezvous hash, so that few append for it."""
+
+    def weight(router: str) -> int:
+        return xxh3_64_intdigest(f"{name}\0{router}".encode())
+
+    return sorted(routers, key=weight, reverse=True)[:CANDIDATES]
+
+
+class LeaseKeeper:
+    """Owns one router's hold on one lease.
+
+    Parameters
+    ----------
+    name : str
+        Of the lease.
+    router : str
+    incarnation : int
+    port : LogPort
+    clock : Clock
+    rng : Random
+    routers : callable
+        Returns the names of the live routers, this one included.
+    pace : FollowerPace
+    """
+
+    def __init__(
+        self,
+        name: str,
+        router: str,
+        incarnation: int,
+        port: LogPort,
+        clock: Clock,
+        rng: Random,
+        routers: Callable[[], list[str]],
+        pace: FollowerPace | None = None,
+    ) -> None:
+        self._name = name
+        self._router = router
+        self._incarnation = incarnation
+        self._clock = clock
+        self._rng = rng
+        self._routers = routers
+        self._valid_until_s = 0.0
+        self._valid_token = NO_TOKEN
+        self._seen_offset = NO_TOKEN
+        self._seen_s = clock.seconds()
+        self._is_appending = False
+        self.fold = LeaseFold()
+        self.appender = Appender(port, LEASES_STREAM, clock, rng)
+        self.follower = Follower(
+            port, LEASES_STREAM, clock, lambda: self.fold.next_offset, self._on_batch, pace
+        )
+
+    def start(self) -> None:
+        """Follow the stream."""
+        self.follower.start()
+
+    def stop(self) -> None:
+        """Follow the stream no longer."""
+        self.follower.stop()
+
+    @property
+    def token(self) -> int | None:
+        """The fencing token while the lease is held and certainly not expired, else None."""
+        lease = self.fold.leases.get(self._name)
+        if lease is None or lease.is_yielded or not self._is_own(lease.holder, lease.incarnation):
+            return None
+        if lease.token != self._valid_token or self._clock.seconds() >= self._valid_until_s:
+            return None
+        return lease.token
+
+    @property
+    def holder(self) -> str | None:
+        """The router that holds the lease as of the log."""
+        lease = self.fold.leases.get(self._name)
+        return lease.holder if lease is not None and not lease.is_yielded else None
+
+    @property
+    def highest_token(self) -> int:
+        """The newest token that this router has read of."""
+        lease = self.fold.leases.get(self._name)
+        return lease.token if lease is not None else NO_TOKEN
+
+    def _is_own(self, holder: str, incarnation: int) -> bool:
+        return holder == self._router and incarnation == self._incarnation
+
+    def _on_batch(self, batch: LogBatch) -> None:
+        for offset, data in batch.records:
+            if self.fold.apply(offset, data) == self._name:
+                self._seen_offset, self._seen_s = offset, self._clock.seconds()
+
+    def tick(self, is_leaving: bool) -> None:
+        """Renew the lease, take it if it is free, or give it up; called once a second."""
+        if self._is_appending:
+            return
+        lease = self.fold.leases.get(self._name)
+        is_own = lease is not None and self._is_own(lease.holder, lease.incarnation)
+        if lease is not None and is_own and not lease.is_yielded:
+            if is_leaving:
+                self._append(Yield(self._name, lease.token), lease.token, 0.0)
+            elif self._clock.seconds() >= self._valid_until_s - TTL_S + RENEW_EVERY_S:
+                self._append(Renew(self._name, lease.token), lease.token, TTL_S)
+        elif not is_leaving and self._may_take():
+            previous = lease.token if lease is not None else NO_TOKEN
+            record = Acquire(self._name, self._router, self._incarnation, previous, TTL_S)
+            self._append(record, None, TTL_S)
+
+    def _may_take(self) -> bool:
+        if not self.follower.is_current:
+            return False
+        if self._router not in candidates_for(self._name, self._routers()):
+            return False
+        lease = self.fold.leases.get(self._name)
+        if lease is None or lease.is_yielded:
+            return True
+        return self._clock.seconds() - self._seen_s > lease.ttl_s + MARGIN_S
+
+    def _append(self, record: Acquire | Renew | Yield, token: int | None, ttl_s: float) -> None:
+        """Append; what is won lasts from the moment before the append, not from its answer."""
+        sent_s = self._clock.seconds()
+        try:
+            appended = self.appender.add(encode_lease_record(record))
+        except LogError:
+            return
+        self._is_appending = True
+
+        def on_appended(offset: int) -> None:
+            self._is_appending = False
+            self._valid_token = offset if token is None else token
+            self._valid_until_s = sent_s + ttl_s
+
+        appended.addCallback(on_appended)
--- /dev/null
+++ b/umberhitch/tasks/rollouts.py
@@ -0,0 +1,242 @@
+"""Drives roll-outs while this router holds the lease for it."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from logging import getLogger
+from typing import TYPE_CHECKING, Any
+
+from automat import NoTransition
+from msgspec import to_builtins
+from twisted.internet.defer import Deferred
+
+from umberhitch.config import Change, Kind, Put, Rollout, RolloutState, Verdict
+from umberhitch.core.rollout import (
+    EndpointView,
+    LoadEndpoint,
+    RolloutView,
+    UpdatePlan,
+    make_rollout_life,
+    next_step,
+)
+from umberhitch.errors import UmberhitchError
+from umberhitch.ports import Clock
+from umberhitch.tasks.leases import LeaseKeeper
+from umberhitch.wire import Order, OrderReply
+
+if TYPE_CHECKING:
+    from umberhitch.tasks.router import Router
+
+__all__ = ["ROLLOUT_LEASE", "RolloutDriver", "RolloutError"]
+
+log = getLogger(__name__)
+
+ROLLOUT_LEASE = "rollouts"
+ORDER_RESEND_S = 1.0
+
+
+class RolloutError(UmberhitchError):
+    """An operator asked for what the roll-out's state does not admit."""
+
+
+class RolloutDriver:
+    """Owns the orders of one router.
+
+    Parameters
+    ----------
+    router : Router
+    lease : LeaseKeeper
+    clock : Clock
+    wall_s : callable
+    """
+
+    def __init__(
+        self, router: "Router", lease: LeaseKeeper, clock: Clock, wall_s: Callable[[], float]
+    ) -> None:
+        self._router = router
+        self._lease = lease
+        self._clock = clock
+        self._wall_s = wall_s
+        self._orders: dict[str, tuple[Order, float]] = {}
+        self._pending: str | None = None
+        self._was_driving = False
+        self._driving_since_s = 0.0
+        self.refused_orders = 0
+
+    # Operators
+
+    def command(self, action: str, version: str, previous: str | None) -> Deferred[Verdict]:
+        """Carry out an operator's command on a roll-out.
+
+        Raises
+        ------
+        RolloutError
+            If the roll-out's state does not admit it.
+        """
+        feed = self._router.feed
+        plan = feed.config.rollouts.get(version)
+        if action == "start":
+            plan = self._new_plan(version, previous)
+        elif plan is None:
+            raise RolloutError(f"there is no roll-out of {version}")
+        else:
+            plan = _commanded(plan, action, self._wall_s())
+        seen = feed.fold.revisions.get(f"rollouts/{version}", 0)
+        ops: list[Any] = [Put(Kind.ROLLOUT, to_builtins(plan), seen)]
+        if action == "roll back":
+            ops.append(self._restored(plan.previous))
+        change = Change(f"rollout-{version}-{action}-{seen}", "operator", ops)
+        return self._router.change(change)
+
+    def _new_plan(self, version: str, previous: str | None) -> Rollout:
+        config = self._router.feed.config
+        new = config.versions.get(version)
+        if new is None:
+            raise RolloutError(f"unknown version {version}")
+        known = config.rollouts.get(version)
+        if known is not None and known.state in (RolloutState.RUNNING, RolloutState.HELD):
+            raise RolloutError(f"the roll-out of {version} is {known.state.value}")
+        others = [
+            other.key
+            for other in config.versions_of(new.model)
+            if other.key != version and other.state == "active"
+        ]
+        replaced = previous or (others[0] if len(others) == 1 else None)
+        if replaced is None:
+            raise RolloutError("say which version is replaced: roll out VERSION from VERSION")
+        policy = config.policy
+        return Rollout(
+            version=version,
+            previous=replaced,
+            stages=policy.rollout_stages,
+            stage_s=policy.rollout_stage_s,
+            patience_s=policy.rollout_patience_s,
+            min_answers=policy.rollout_min_answers,
+        )
+
+    def _restored(self, previous: str) -> Put:
+        row = to_builtins(self._router.feed.config.versions[previous])
+        return Put(Kind.VERSION, {**row, "state": "active", "share": 1.0})
+
+    # Driving
+
+    @property
+    def is_driving(self) -> bool:
+        """Whether this router holds the lease."""
+        return self._lease.token is not None
+
+    def tick(self) -> None:
+        """Take the next step of each roll-out; called once a second."""
+        token = self._lease.token
+        if token is None:
+            self._orders.clear()
+            self._was_driving = False
+            return
+        if not self._was_driving:
+            self._was_driving = True
+            self._driving_since_s = self._wall_s()
+            log.info("driving roll-outs", extra={"token": token})
+        self._resend_orders()
+        for plan in self._router.feed.config.rollouts.values():
+            if plan.state is not RolloutState.DONE:
+                self._drive(plan, token)
+
+    def _drive(self, plan: Rollout, token: int) -> None:
+        if plan.state is RolloutState.PLANNED:
+            self._router.evidence.judge.compare_with(plan.version, plan.previous)
+        match next_step(plan, self._view(plan)):
+            case LoadEndpoint(endpoint=endpoint, target=target):
+                self._order(endpoint, target, token)
+            case UpdatePlan() as update:
+                self._update(plan, update)
+
+    def _view(self, plan: Rollout) -> RolloutView:
+        fleet, judge = self._router.fleet, self._router.evidence.judge
+        rows = tuple(
+            EndpointView(
+                endpoint.name,
+                endpoint.zone,
+                endpoint.targets,
+                endpoint.load(),
+                endpoint.name in self._orders or endpoint.is_loading,
+            )
+            for endpoint in fleet.endpoints.values()
+            if not fleet.is_out(endpoint)
+        )
+        return RolloutView(
+            rows,
+            self._router.feed.config.versions,
+            judge.counts.get(plan.version, 0),
+            judge.rated.get(plan.version, 0),
+            self._router.evidence.has_ratings,
+            self._wall_s(),
+            self._driving_since_s,
+        )
+
+    def _update(self, plan: Rollout, update: UpdatePlan) -> None:
+        """Submit a step as a change that is based on the plan's revision."""
+        feed = self._router.feed
+        seen = feed.fold.revisions.get(f"rollouts/{plan.version}", 0)
+        change_id = f"rollout-{plan.version}-{update.plan.state.value}-{update.plan.stage}-{seen}"
+        if self._pending == change_id:
+            return
+        ops: list[Any] = [Put(Kind.ROLLOUT, to_builtins(update.plan), seen)]
+        ops += [Put(Kind.VERSION, to_builtins(ver)) for ver in update.versions]
+        self._pending = change_id
+        judge = self._router.evidence.judge
+        judge.counts.pop(plan.version, None)
+        judge.rated.pop(plan.version, None)
+        log.info(
+            "roll-out step",
+            extra={
+                "version": plan.version,
+                "state": update.plan.state.value,
+                "stage": update.plan.stage,
+                "reason": update.plan.reason,
+            },
+        )
+        author = f"router {self._router.settings.name}"
+        submitted = self._router.change(Change(change_id, author, ops))
+        submitted.addErrback(lambda failure: None)
+
+    def _order(self, endpoint: str, target: str, token: int) -> None:
+        if endpoint in self._orders:
+            return
+        order = Order(token, f"{token}/{endpoint}/{target}", target)
+        self._orders[endpoint] = (order, self._clock.seconds())
+        self._router.send(endpoint, order)
+
+    def _resend_orders(self) -> None:
+        now = self._clock.seconds()
+        for endpoint, (order, sent_s) in list(self._orders.items()):
+            known = self._router.fleet.get(endpoint)
+            if known is None or order.target in known.targets:
+                del self._orders[endpoint]
+            elif now - sent_s >= ORDER_RESEND_S:
+                self._orders[endpoint] = (order, now)
+                self._router.send(endpoint, order)
+
+    def handle(self, reply: OrderReply) -> None:
+        """Take an agent's answer to an order."""
+        if reply.is_accepted:
+            return
+        self.refused_orders += 1
+        for endpoint, (order, _) in list(self._orders.items()):
+            if order.order == reply.order:
+                del self._orders[endpoint]
+
+
+def _commanded(plan: Rollout, action: str, now_s: float) -> Rollout:
+    """Return the plan after an operator's command; raises if its life cycle does not admit it."""
+    life, cell = make_rollout_life(plan.state)
+    try:
+        match action:
+            case "hold":
+                life.hold()
+            case "go on":
+                life.go_on()
+            case _:
+                life.roll_back()
+    except NoTransition as exc:
+        raise RolloutError(f"a roll-out that is {plan.state.value} cannot {action}") from exc
+    since_s = now_s if action == "go on" else plan.stage_since_s
+    return replace(plan, state=cell.state, stage_since_s=since_s, reason=f"operator: {action}")
--- a/umberhitch/tasks/router.py
+++ b/umberhitch/tasks/router.py
@@ -21,8 +21,10 @@
 from umberhitch.tasks.evidence import EvidenceTask
 from umberhitch.tasks.fleet import Fleet, FleetLimits
 from umberhitch.tasks.follower import FollowerPace
+from umberhitch.tasks.leases import LeaseKeeper
 from umberhitch.tasks.requests import Requests
 from umberhitch.tasks.resume import Resume
+from umberhitch.tasks.rollouts import ROLLOUT_LEASE, RolloutDriver
 from umberhitch.wire import (
     Beat,
     Chunk,
@@ -35,6 +37,7 @@
     Hello,
     Message,
     NeedConfig,
+    OrderReply,
     Refused,
     RouterDigest,
     Taken,
@@ -145,6 +148,17 @@
         self.evidence = EvidenceTask(
             self, clock, rng, ratings, settings.rating_sample, settings.evidence
         )
+        self.lease = LeaseKeeper(
+            ROLLOUT_LEASE,
+            settings.name,
+            settings.incarnation,
+            log_port,
+            clock,
+            rng,
+            lambda: [settings.name, *self.live_peers()],
+            settings.follow,
+        )
+        self.rollouts = RolloutDriver(self, self.lease, clock, wall_s)
         self.requests = Requests(self, clock, wall_s, rng)
         self.resume = Resume(self.attempts, self.fleet)
 
@@ -156,6 +170,8 @@
         self.attempts.start()
         self.feed.start()
         self.claims.start()
+        self.lease.start()
+        self._every(1.0, self._drive)
         self._every(self.settings.hosts_s, self._refresh_hosts)
         self._every(self.settings.hello_s, self._greet)
         self._every(self.settings.evidence_s, self.evidence.pass_on)
@@ -166,6 +182,7 @@
         self.attempts.stop()
         self.feed.stop()
         self.claims.stop()
+        self.lease.stop()
 
     def drain(self) -> Deferred[None]:
         """Take no new request; the result comes when all are answered and billed."""
@@ -228,9 +245,14 @@
         self.bills.appender.share_service(count, BILLING_APPENDS_PER_S)
         self.claims.appender.share_service(count, CLAIM_APPENDS_PER_S)
 
+    def _drive(self) -> None:
+        self.lease.tick(self.state is RouterState.LEAVING)
+        self.rollouts.tick()
+
     def _hello(self) -> Hello:
         cfg = self.settings
-        return Hello(cfg.name, cfg.incarnation, cfg.zone, self.feed.revision)
+        token = self.lease.highest_token
+        return Hello(cfg.name, cfg.incarnation, cfg.zone, self.feed.revision, token)
 
     def _greet(self) -> None:
         self.fleet.sweep()
@@ -273,7 +295,7 @@
         return [digest.router for digest in self.peers()]
 
     def send(self, peer: str, message: Message) -> None:
-        """Send a message to another router."""
+        """Send a message to another router, or to an agent."""
         self._link.send(peer, message)
 
     def is_router_alive(self, name: str, incarnation: int) -> bool:
@@ -328,6 +350,8 @@
                 self.feed.take_snapshot(data)
             case Withdrawal():
                 self.withdraw_directly(message)
+            case OrderReply():
+                self.rollouts.handle(message)
             case Evidence():
                 self.evidence.take(message)
             case _:
--- a/umberhitch/testing/_builders.py
+++ b/umberhitch/testing/_builders.py
@@ -56,6 +56,15 @@
         "versions": [make_version("1"), make_version("2", "staged")],
         "services": [{"name": "svc", "non_repeatable": ["POST /renewals"]}],
         "keys": [{"name": "k1", "secret": SIGNING_SECRET}],
+        "policies": [
+            {
+                "name": "policy",
+                "rollout_stages": [0.3, 1.0],
+                "rollout_stage_s": 5.0,
+                "rollout_patience_s": 15.0,
+                "rollout_min_answers": 10,
+            }
+        ],
         **extra,
     }
 
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -27,6 +27,8 @@
     "Hello",
     "Message",
     "NeedConfig",
+    "Order",
+    "OrderReply",
     "Refused",
     "RouterDigest",
     "ServiceWork",
@@ -103,6 +105,8 @@
     incarnation: int
     zone: str
     revision: int
+    token: int = -1
+    """Newest fencing token that the router has read of."""
 
 
 class Start(Struct, frozen=True, array_like=True, tag="start"):
@@ -187,6 +191,7 @@
     running: int
     queued: int
     slots: int
+    is_loading: bool = False
 
 
 class Taken(Struct, frozen=True, array_like=True, tag="taken"):
@@ -237,6 +242,24 @@
     records: list[UsageRecord]
 
 
+class Order(Struct, frozen=True, array_like=True, tag="order"):
+    """The holder of a lease orders an endpoint to load a version; sent again until it serves it."""
+
+    token: int
+    """Fencing token: the offset of the holder's acquisition."""
+    order: str
+    """Id of the order; the same order is carried out once."""
+    target: str
+
+
+class OrderReply(Struct, frozen=True, array_like=True, tag="ordered"):
+    """Whether the agent carries an order out."""
+
+    order: str
+    is_accepted: bool
+    reason: str = ""
+
+
 class Evidence(Struct, frozen=True, array_like=True, tag="evidence"):
     """What a router has observed of one version and class since it last said so."""
 
@@ -279,4 +302,6 @@
     | HandOver
     | RouterDigest
     | Evidence
+    | Order
+    | OrderReply
 )
