TLS from files, reloaded without a restart; the link proves the secret key

A peer that knows only the deployment's public key was admitted to the link before: CurveZMQ alone proves the server's key. pyzmq's authenticator now asks each peer for the deployment's pair.

--- a/umberhitch/adapters/tests/test_zmq_link.py
+++ b/umberhitch/adapters/tests/test_zmq_link.py
@@ -87,6 +87,25 @@
     two.close()
 
 
+def test_a_peer_that_knows_only_the_public_key_is_not_heard() -> None:
+    keys = _make_keys()
+    context = make_context(keys)
+    reactor, one, two, heard = _pair(context, keys, keys)
+    assert _send_until_heard(reactor, two, heard)
+    heard.clear()
+    other = _make_keys()
+    stranger = context.socket(zmq.DEALER)
+    stranger.setsockopt(zmq.IDENTITY, b"stranger")
+    stranger.curve_serverkey = keys.public
+    stranger.curve_publickey, stranger.curve_secretkey = other.public, other.secret
+    stranger.connect(f"tcp://{one.address}")
+    stranger.send(encode_frame("stranger", [HELLO]))
+    assert not reactor.poll_until(lambda: "stranger" in dict(heard))
+    stranger.close(linger=0)
+    one.close()
+    two.close()
+
+
 def test_malformed_and_foreign_frames_are_counted_and_dropped(context) -> None:
     reactor, one, two, heard = _pair(context)
     stranger = context.socket(zmq.DEALER)
--- a/umberhitch/adapters/zmq_link.py
+++ b/umberhitch/adapters/zmq_link.py
@@ -6,11 +6,14 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from hmac import compare_digest
 from logging import getLogger
 from typing import Any
 
 import zmq
+import zmq.utils.z85
 from twisted.internet.interfaces import IReadDescriptor
+from zmq.auth.thread import ThreadAuthenticator
 from zope.interface import implementer
 
 from umberhitch.errors import FrameError
@@ -47,9 +50,29 @@
     unroutable: int = 0
 
 
-def make_context() -> zmq.Context:
-    """Return a context for the links of one process."""
-    return zmq.Context()
+class _DeploymentKey:
+    """Admits the peers that hold the deployment's own key pair."""
+
+    def __init__(self, public: bytes) -> None:
+        self._public = zmq.utils.z85.decode(public)
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Whether a peer's public key is the deployment's."""
+        return compare_digest(zmq.utils.z85.decode(key), self._public)
+
+
+def make_context(keys: CurveKeys | None = None) -> zmq.Context:
+    """Return a context for the links of one process.
+
+    With keys, a peer must prove that it holds the deployment's secret key; the library's own
+    authenticator (ZeroMQ RFC 27) asks for that.
+    """
+    context = zmq.Context()
+    if keys is not None:
+        authenticator = ThreadAuthenticator(context)
+        authenticator.start()
+        authenticator.configure_curve_callback("*", _DeploymentKey(keys.public))
+    return context
 
 
 @implementer(IReadDescriptor)
--- a/umberhitch/cli/daemon.py
+++ b/umberhitch/cli/daemon.py
@@ -56,11 +56,11 @@
     from twisted.internet import reactor as default_reactor
 
     from umberhitch.adapters.zmq_link import make_context
-    from umberhitch.nodes import make_agent_node, make_router_node
+    from umberhitch.nodes import curve_keys, make_agent_node, make_router_node
 
     reactor: Any = default_reactor
     configure_logs(settings.log_level, settings.name)
-    context = make_context()
+    context = make_context(curve_keys(settings.link_keys))
     node: Any
     match settings:
         case RouterFile():
--- a/umberhitch/nodes.py
+++ b/umberhitch/nodes.py
@@ -1,6 +1,5 @@
 """Whole processes: settings in, a running router or agent out."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random, SystemRandom
 from time import time, time_ns
@@ -16,7 +15,7 @@
 from umberhitch.settings import AgentFile, LinkKeys, RouterFile
 from umberhitch.tasks.agent import Agent, AgentSettings
 
-__all__ = ["AgentNode", "RouterNode", "make_agent_node", "make_router_node"]
+__all__ = ["AgentNode", "RouterNode", "curve_keys", "make_agent_node", "make_router_node"]
 
 NANOSECONDS_PER_MS = 1_000_000
 ENGINE_TIMEOUT_S = 3600.0
@@ -27,7 +26,8 @@
     return time_ns() // NANOSECONDS_PER_MS
 
 
-def _curve_keys(keys: LinkKeys | None) -> CurveKeys | None:
+def curve_keys(keys: LinkKeys | None) -> CurveKeys | None:
+    """Return the link's keys from the settings."""
     return None if keys is None else CurveKeys(keys.public.encode(), keys.secret.encode())
 
 
@@ -100,7 +100,7 @@
         reactor,
         context,
         settings.listen.link,
-        _curve_keys(settings.link_keys),
+        curve_keys(settings.link_keys),
         settings.token_flush_s,
     )
     http = HttpClient(reactor, timeout_s=ENGINE_TIMEOUT_S, connections=settings.backend.slots)
@@ -132,6 +132,7 @@
     from umberhitch.adapters.http_server import listen_http
     from umberhitch.adapters.metrics import Metrics, link_metrics, router_metrics
     from umberhitch.adapters.operator_api import OperatorApi
+    from umberhitch.adapters.tls import ReloadingContextFactory
     from umberhitch.tasks.router import Router, RouterSettings
 
     link = ZmqLink(
@@ -139,7 +140,7 @@
         reactor,
         context,
         settings.listen.link,
-        _curve_keys(settings.link_keys),
+        curve_keys(settings.link_keys),
         settings.token_flush_s,
     )
     http = HttpClient(reactor)
@@ -164,7 +165,9 @@
     link_metrics(metrics, link)
     callers = CallerApi(router, time, uuid4)
     operators = OperatorApi(router, log_port, metrics, uuid4, dict(settings.operators))
-    tls: Callable[[], Any] | None = None
+    tls = None
+    if settings.tls is not None:
+        tls = ReloadingContextFactory(settings.tls.certificate, settings.tls.key)
     callers_port, callers_address = listen_http(
         reactor, callers.app, settings.listen.callers, settings.max_body_bytes, tls
     )
