Fuzz roll-outs, ratings and held messages; a renewal says all of its lease

Cause, found by reading: a router that starts after the log's retention has taken an acquisition, but not the renewals, would hold the lease for free, take it, and believe so alone. A renewal now carries holder, incarnation and ttl.

--- a/umberhitch/core/leases.py
+++ b/umberhitch/core/leases.py
@@ -36,10 +36,17 @@
 
 
 class Renew(Struct, frozen=True, tag="renew"):
-    """The holder keeps its lease."""
+    """The holder keeps its lease.
+
+    It says all there is to know of the lease, for a reader from whom the log's retention has taken
+    the acquisition.
+    """
 
     name: str
     token: int
+    holder: str
+    incarnation: int
+    ttl_s: float
 
 
 class Yield(Struct, frozen=True, tag="yield"):
@@ -102,7 +109,11 @@
                         record.holder, record.incarnation, offset, record.ttl_s, offset
                     )
             case Renew(token=token):
-                if lease is not None and lease.token == token and not lease.is_yielded:
+                if lease is None:
+                    self.leases[record.name] = Lease(
+                        record.holder, record.incarnation, token, record.ttl_s, offset
+                    )
+                elif lease.token == token and not lease.is_yielded:
                     lease.last_offset = offset
             case Yield(token=token):
                 if lease is not None and lease.token == token:
--- a/umberhitch/tasks/leases.py
+++ b/umberhitch/tasks/leases.py
@@ -130,7 +130,8 @@
             if is_leaving:
                 self._append(Yield(self._name, lease.token), lease.token, 0.0)
             elif self._clock.seconds() >= self._valid_until_s - TTL_S + RENEW_EVERY_S:
-                self._append(Renew(self._name, lease.token), lease.token, TTL_S)
+                renewal = Renew(self._name, lease.token, self._router, self._incarnation, TTL_S)
+                self._append(renewal, lease.token, TTL_S)
         elif not is_leaving and self._may_take():
             previous = lease.token if lease is not None else NO_TOKEN
             record = Acquire(self._name, self._router, self._incarnation, previous, TTL_S)
--- a/umberhitch/tasks/tests/test_serving.py
+++ b/umberhitch/tasks/tests/test_serving.py
@@ -1,8 +1,11 @@
 """Serving requests on a virtual clock."""
 
+from twisted.internet.defer import ensureDeferred
+
 from umberhitch.config import VersionState
 from umberhitch.core.outcome import Done, NotRun, Reason, Unknown
 from umberhitch.fakes import NetworkFaults, expected_answer
+from umberhitch.tasks.resume import parse_locator
 from umberhitch.testing import AskOptions, World, make_state_change, make_work
 
 
@@ -75,10 +78,6 @@
     world.advance(0.15)
     world.lose_router("r1")
     locator = record.locators[-1]
-    from twisted.internet.defer import ensureDeferred
-
-    from umberhitch.tasks.resume import parse_locator
-
     where = parse_locator(locator)
     assert where is not None
     fetched = ensureDeferred(world.routers["r2"].resume.fetch(where, "acme", 0))
@@ -113,3 +112,19 @@
     record = world.ask("after", "r1")
     world.advance(2.0)
     assert isinstance(record.outcome, Done)
+
+
+def test_a_router_starts_from_a_snapshot_when_the_log_has_dropped_the_rest(world: World) -> None:
+    for index in range(520):
+        state = VersionState.RETIRED if index % 2 else VersionState.ACTIVE
+        world.publish(make_state_change(f"many-{index}", "m@2", state))
+    world.advance(15.0)
+    world.publish(make_state_change("last", "m@2", VersionState.STAGED))
+    world.advance(1.0)
+    wanted = world.routers["r2"].feed.config
+    world.memory.trim("config", 20)
+    world.lose_router("r2")
+    world.replace_router("r1")
+    world.advance(5.0)
+    assert world.routers["r1"].feed.config == wanted
+    assert world.routers["r1"].revision == world.agents["e1"].revision
--- a/umberhitch/testing/fuzz/_machine.py
+++ b/umberhitch/testing/fuzz/_machine.py
@@ -9,9 +9,11 @@
 
 from umberhitch.config import Change, SetState, VersionState
 from umberhitch.fakes import NetworkFaults
+from umberhitch.tasks.rollouts import RolloutError
 from umberhitch.testing._builders import make_change
 from umberhitch.testing._oracle import check_world
 from umberhitch.testing._world import AskOptions, World, WorldSettings
+from umberhitch.wire import Billed, Cancel, ConfigRecords, Finished, Order, Start
 
 __all__ = ["DeploymentMachine"]
 
@@ -116,6 +118,30 @@
         change = Change(f"chg-{self._next()}", router, [SetState(version, state, if_revision=seen)])
         node.change(change).addErrback(lambda failure: None)
 
+    @rule(action=st.sampled_from(["start", "hold", "go on", "roll back"]), router=router_names)
+    def roll_out(self, action: str, router: str) -> None:
+        """Start, hold, continue or undo a roll-out of m@2."""
+        node = self.world.routers.get(router)
+        if node is None or not node.feed.is_ready:
+            return
+        try:
+            node.rollouts.command(action, "m@2", "m@1").addErrback(lambda failure: None)
+        except RolloutError:
+            return
+
+    @rule(version=st.sampled_from(["m@1", "m@2"]), quality=st.sampled_from([0.3, 0.7, 0.9]))
+    def rate(self, version: str, quality: float) -> None:
+        """Let a version turn bad, or good again."""
+        self.world.ratings.quality[version] = quality
+
+    @rule(router=router_names, seconds=st.sampled_from([2, 8]))
+    def load(self, router: str, seconds: int) -> None:
+        """Send a steady load, so that there is evidence."""
+        for _ in range(seconds * 5):
+            if router in self.world.routers and self.world.routers[router].feed.is_ready:
+                self.world.ask(f"question {self._next()}", router)
+            self.world.advance(0.2)
+
     # Time
 
     @rule(seconds=pauses_s)
@@ -151,6 +177,16 @@
         """Cut two processes off from each other."""
         self.world.network.cut(one, other)
 
+    @rule(kind=st.sampled_from([Start, Cancel, Finished, Order, Billed, ConfigRecords]))
+    def hold_messages(self, kind: type) -> None:
+        """Keep messages of a kind on their way."""
+        self.world.network.hold_where(lambda one, other, message: isinstance(message, kind))
+
+    @rule()
+    def release_messages(self) -> None:
+        """Deliver what was kept."""
+        self.world.network.release()
+
     @rule()
     def mend(self) -> None:
         """Mend the network."""
