Subsets: each agent is served by eight routers, picked by rendezvous hash

Nothing may be a full mesh, and until now every router dialled every agent. An agent's bucket picks six routers of its availability zone and two of others; with eight routers or fewer all serve all. A withdrawal heard from a peer is passed on to three peers, no longer to all. Agents keep TLS and the documents' validators out of memory.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,7 +6,17 @@
 from absl import app as absl_app
 from msgspec import json
 
-NAMES = ("relay", "exposure", "decide", "appends", "recovery", "slopes", "capacity")
+NAMES = (
+    "relay",
+    "footprint",
+    "exposure",
+    "decide",
+    "subsets",
+    "appends",
+    "recovery",
+    "slopes",
+    "capacity",
+)
 
 
 def main(argv: list[str]) -> int:
--- a/umberhitch/adapters/caller_shapes.py
+++ b/umberhitch/adapters/caller_shapes.py
@@ -6,7 +6,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from umberhitch.config import Finding
-from umberhitch.config.documents import findings_of
+from umberhitch.config.border import findings_of
 from umberhitch.core.outcome import Done, NotRun, Reason, Unknown
 from umberhitch.errors import ConfigError
 
--- a/umberhitch/adapters/zmq_link.py
+++ b/umberhitch/adapters/zmq_link.py
@@ -13,7 +13,6 @@
 import zmq
 import zmq.utils.z85
 from twisted.internet.interfaces import IReadDescriptor
-from zmq.auth.thread import ThreadAuthenticator
 from zope.interface import implementer
 
 from umberhitch.errors import FrameError
@@ -69,6 +68,8 @@
     """
     context = zmq.Context()
     if keys is not None:
+        from zmq.auth.thread import ThreadAuthenticator  # 7 MB that only this needs
+
         authenticator = ThreadAuthenticator(context)
         authenticator.start()
         authenticator.configure_curve_callback("*", _DeploymentKey(keys.public))
--- a/umberhitch/cli/daemon.py
+++ b/umberhitch/cli/daemon.py
@@ -11,10 +11,9 @@
 
 from absl import app as absl_app
 from absl import flags
-from twisted.internet.defer import Deferred
 
 from umberhitch import __version__
-from umberhitch.adapters.logs import configure_logs
+from umberhitch.cli._lean import keep_out_tls
 from umberhitch.errors import SettingsError
 from umberhitch.settings import AgentFile, RouterFile, load_settings
 
@@ -53,8 +52,11 @@
 
 def serve(settings: RouterFile | AgentFile) -> int:
     """Run until a signal has drained the process."""
+    if isinstance(settings, AgentFile) and not settings.backend.url.startswith("https"):
+        keep_out_tls()
     from twisted.internet import reactor as default_reactor
 
+    from umberhitch.adapters.logs import configure_logs
     from umberhitch.adapters.zmq_link import make_context
     from umberhitch.nodes import curve_keys, make_agent_node, make_router_node
 
@@ -104,7 +106,7 @@
             return
         self._is_draining = True
         log.info("draining", extra={"limit_s": self._limit_s})
-        drained: Deferred[None] = self._node.drain()
+        drained = self._node.drain()
         drained.addCallback(lambda result: self._stop(EXIT_OK))
         self._reactor.callLater(self._limit_s, self._stop, EXIT_NOT_DRAINED)
 
--- a/umberhitch/config/documents.py
+++ b/umberhitch/config/documents.py
@@ -8,29 +8,16 @@
 from umberhitch.config._findings import Finding
 from umberhitch.config._fold import TYPES, check_references, object_name
 from umberhitch.config._model import Config, Limits
+from umberhitch.config.border import findings_of
 from umberhitch.errors import ConfigError
 
-__all__ = ["changes_to", "check_object", "findings_of", "parse_document"]
+__all__ = ["changes_to", "check_object", "parse_document"]
 
 for _cls in (*TYPES.values(), Limits):
     setattr(_cls, "__pydantic_config__", ConfigDict(extra="forbid"))  # noqa: B010
 _ADAPTERS: dict[Kind, TypeAdapter] = {kind: TypeAdapter(cls) for kind, cls in TYPES.items()}
 
 
-def findings_of(exc: ValidationError, place: str) -> list[Finding]:
-    """Return pydantic's errors as findings below ``place``."""
-    return [Finding(_path(place, err["loc"]), err["msg"]) for err in exc.errors()]
-
-
-def _path(place: str, loc: tuple[int | str, ...]) -> str:
-    for part in loc:
-        if isinstance(part, int):
-            place = f"{place}[{part}]"
-        else:
-            place = f"{place}.{part}" if place else part
-    return place
-
-
 def check_object(kind: Kind, raw: Any, place: str) -> list[Finding]:
     """Return the findings on one object's fields; references are not looked at."""
     try:
--- a/umberhitch/settings.py
+++ b/umberhitch/settings.py
@@ -9,7 +9,7 @@
 from pydantic import model_validator as model_check
 
 from umberhitch.config import Finding
-from umberhitch.config.documents import findings_of
+from umberhitch.config.border import findings_of
 from umberhitch.errors import SettingsError
 
 __all__ = [
--- a/umberhitch/tasks/fleet.py
+++ b/umberhitch/tasks/fleet.py
@@ -138,6 +138,13 @@
                 self._remove(endpoint)
         return [endpoint for endpoint in moved if endpoint is not None]
 
+    def release(self, names: Iterable[str]) -> None:
+        """Forget endpoints that other routers serve now, unless work runs there."""
+        for name in names:
+            endpoint = self.endpoints.get(name)
+            if endpoint is not None and not endpoint.own:
+                self._remove(endpoint)
+
     def _update_host(self, host: Host) -> Endpoint | None:
         endpoint = self.endpoints.get(host.name)
         is_new = endpoint is None or endpoint.address != host.address
--- a/umberhitch/tasks/router.py
+++ b/umberhitch/tasks/router.py
@@ -11,6 +11,7 @@
 from umberhitch.config import Change, SetState, Verdict, VersionState
 from umberhitch.core.evidence import EvidenceLimits
 from umberhitch.core.stops import DirectStops
+from umberhitch.core.subsets import SubsetLimits, Subsets
 from umberhitch.ports import Clock, Host, HostListPort, HostRole, LinkPort, LogPort, Timer
 from umberhitch.ports.rating import RatingPort
 from umberhitch.tasks.appender import AppenderLimits
@@ -84,6 +85,7 @@
     follow: FollowerPace = FollowerPace()
     fleet: FleetLimits = FleetLimits()
     billing: AppenderLimits = AppenderLimits()
+    subsets: SubsetLimits = SubsetLimits()
     evidence: EvidenceLimits = EvidenceLimits()
     evidence_s: float = 1.0
     rating_sample: float = 1.0
@@ -138,6 +140,7 @@
         self._peer_names: list[str] = []
         self._drained: Deferred[None] | None = None
         self.stops = DirectStops()
+        self._subsets = Subsets(settings.name, settings.subsets)
         self.fleet = Fleet(clock, settings.fleet)
         self.attempts = Attempts(
             settings.name, settings.incarnation, clock, link, self.fleet, settings.pace
@@ -227,7 +230,15 @@
 
     def take_hosts(self, hosts: list[Host]) -> None:
         """Take the platform's list of hosts."""
-        agents = [host for host in hosts if host.role is HostRole.AGENT]
+        zones = {host.name: host.zone for host in hosts if host.role is HostRole.ROUTER}
+        self._subsets.set_routers({**zones, self.settings.name: self.settings.zone})
+        agents = [
+            host for host in hosts if host.role is HostRole.AGENT and self._subsets.serves(host)
+        ]
+        served = {host.name for host in agents}
+        self.fleet.release(
+            host.name for host in hosts if host.role is HostRole.AGENT and host.name not in served
+        )
         for endpoint in self.fleet.update_hosts(agents):
             self._link.connect(endpoint.name, endpoint.address)
             self._link.send(endpoint.name, self._hello())
@@ -308,11 +319,17 @@
 
     def withdraw_directly(self, message: Withdrawal) -> None:
         """Stop a version here, and tell every agent and peer, ahead of the log."""
+        self._stop_version(message, self._peer_names)
+
+    def _pass_on_withdrawal(self, message: Withdrawal) -> None:
+        """Stop a version that a peer has stopped; few peers are told, else all would tell all."""
+        count = min(self.settings.peers_per_round, len(self._peer_names))
+        self._stop_version(message, self.rng.sample(self._peer_names, count))
+
+    def _stop_version(self, message: Withdrawal, peers: list[str]) -> None:
         if not self.stops.add(message, self.feed.fold):
             return
-        for name in self.fleet.endpoints:
-            self._link.send(name, message)
-        for name in self._peer_names:
+        for name in (*self.fleet.endpoints, *peers):
             self._link.send(name, message)
 
     def change(self, change: Change) -> Deferred[Verdict]:
@@ -349,7 +366,7 @@
             case ConfigSnapshot(data=data):
                 self.feed.take_snapshot(data)
             case Withdrawal():
-                self.withdraw_directly(message)
+                self._pass_on_withdrawal(message)
             case OrderReply():
                 self.rollouts.handle(message)
             case Evidence():
--- a/umberhitch/tasks/tests/test_fleet.py
+++ b/umberhitch/tasks/tests/test_fleet.py
@@ -70,3 +70,10 @@
     fleet.hear(Beat("e0", 1, "a", ["m@1"], EndpointState.READY, 0, 5, 1, 8))
     endpoint.own = 6
     assert endpoint.load() == (6 + 6 - 2) / 8
+
+
+def test_an_endpoint_that_another_router_serves_is_released_when_it_is_idle() -> None:
+    _, fleet = make_fleet(2)
+    fleet.endpoints["e0"].own = 1
+    fleet.release(["e0", "e1"])
+    assert names(fleet) == ["e0"]
