Slow heartbeats down as agents grow in number; two routers feed each agent

Each change would have gone to each agent eight times. Now a router asks its agents to beat so that it hears 50 a second at most (unchanged up to 50 agents), an agent's news still goes at once, and two routers of its availability zone feed an agent; the others step in where an agent lags for two seconds.

--- a/umberhitch/adapters/tests/test_zmq_link.py
+++ b/umberhitch/adapters/tests/test_zmq_link.py
@@ -4,6 +4,7 @@
 
 import pytest
 import zmq
+from msgspec import to_builtins
 from twisted.internet.task import Clock
 
 from umberhitch import PROTOCOL_VERSION
@@ -132,7 +133,7 @@
 
 
 def test_fields_that_a_newer_version_has_added_are_passed_over() -> None:
-    raw = [PROTOCOL_VERSION + 1, "x", [["hello", "r1", 1, "a", 0, -1, "new field"]], "new part"]
+    raw = [PROTOCOL_VERSION + 1, "x", [[*to_builtins(HELLO), "new field"]], "new part"]
     assert decode_frame(codec._encoder.encode(raw)).messages == [HELLO]
 
 
--- a/umberhitch/core/subsets.py
+++ b/umberhitch/core/subsets.py
@@ -28,10 +28,13 @@
         Of the agent's own availability zone.
     far : int
         Of other zones.
+    feeders : int
+        Of these, how many send it each change of configuration unasked.
     """
 
     near: int = 6
     far: int = 2
+    feeders: int = 2
 
 
 class Subsets:
@@ -66,6 +69,16 @@
             own = self._own[agent.zone] = self._own_buckets(agent.zone)
         return bucket_of(agent.name) in own
 
+    def feeds(self, agent: Host) -> bool:
+        """Whether this router sends an agent each change of configuration unasked."""
+        if len(self._zones) <= self._limits.feeders:
+            return True
+        near = [name for name, zone in self._zones.items() if zone == agent.zone]
+        candidates = near if len(near) >= self._limits.feeders else list(self._zones)
+        if self._router not in candidates:
+            return False
+        return self._ranks(agent.zone, bucket_of(agent.name), candidates, self._limits.feeders)
+
     def _own_buckets(self, zone: str) -> frozenset[int]:
         """Return the buckets of a zone's agents that this router serves."""
         near = [name for name, where in self._zones.items() if where == zone]
--- a/umberhitch/core/tests/test_subsets.py
+++ b/umberhitch/core/tests/test_subsets.py
@@ -49,3 +49,17 @@
     moved = len(stayed - after)
     assert moved <= len([pair for pair in after if pair[1] == "new"])
     assert moved < 0.05 * len(before)
+
+
+def test_each_agent_is_fed_by_two_routers_of_its_zone() -> None:
+    routers = {f"r{i}": ZONES[i % 4] for i in range(48)}
+    feeders: Counter[str] = Counter()
+    for name, zone in routers.items():
+        subsets = Subsets(name)
+        subsets.set_routers(routers)
+        for agent in make_agents(200):
+            if subsets.feeds(agent):
+                assert subsets.serves(agent)
+                assert zone == agent.zone
+                feeders[agent.name] += 1
+    assert set(feeders.values()) == {2}
--- a/umberhitch/tasks/agent.py
+++ b/umberhitch/tasks/agent.py
@@ -64,6 +64,8 @@
 
 log = getLogger(__name__)
 
+BEAT_SLACK_S = 0.05
+"""A heartbeat that is due this soon goes with the present round."""
 QUEUE_RETRY_AFTER_S = 1.0
 LEAVING_RETRY_AFTER_S = 0.2
 
@@ -112,7 +114,8 @@
 class _Router:
     incarnation: int
     heard_s: float
-    revision: int
+    beat_s: float
+    told_s: float = -1.0e9
 
 
 @dataclass(slots=True)
@@ -197,19 +200,21 @@
     def _tick(self) -> None:
         if self._is_stopped:
             return
-        self._beat()
+        self._beat(is_news=False)
         self._expire_parked()
         self._expire_running()
         self._hand_over_usage()
         self._clock.callLater(self.settings.beat_s, self._tick)
 
-    def _beat(self) -> None:
+    def _beat(self, is_news: bool = True) -> None:
+        """Tell the routers how things stand: news at once, else at the pace that each asks for."""
         now = self._clock.seconds()
         beat = self.beat()
         for name, router in list(self._routers.items()):
-            if now - router.heard_s > self.settings.router_silence_s:
+            if now - router.heard_s > self.settings.router_silence_s * max(1.0, router.beat_s):
                 del self._routers[name]
-            else:
+            elif is_news or now - router.told_s >= router.beat_s - BEAT_SLACK_S:
+                router.told_s = now
                 self._link.send(name, beat)
 
     def beat(self) -> Beat:
@@ -286,7 +291,8 @@
             return
         now = self._clock.seconds()
         self._fence.hear(hello.token)
-        self._routers[sender] = _Router(hello.incarnation, now, hello.revision)
+        router = self._routers[sender] = _Router(hello.incarnation, now, hello.beat_s)
+        router.told_s = now if known is None else known.told_s
         if known is None or known.incarnation != hello.incarnation:
             self._link.send(sender, self.beat())
         if hello.revision > self.revision:
@@ -321,7 +327,6 @@
             else:
                 self._admit(sender, start)
         self._recheck_queue()
-        self._beat()
 
     def _recheck_queue(self) -> None:
         for entry in self._queue.items():
--- a/umberhitch/tasks/fleet.py
+++ b/umberhitch/tasks/fleet.py
@@ -9,6 +9,9 @@
 __all__ = ["EMPTY_POOL", "Endpoint", "Fleet", "FleetLimits", "Pool", "make_pool"]
 
 
+BEATS_TO_SILENCE = 3
+
+
 @dataclass(frozen=True, slots=True)
 class FleetLimits:
     """When an agent is left out.
@@ -46,6 +49,11 @@
     state: EndpointState = EndpointState.READY
     is_listed_leaving: bool = False
     revision: int = -1
+    """Of its agent's configuration, as of the last heartbeat."""
+    sent_revision: int = -1
+    """Up to which its agent was sent the configuration, whether or not it arrived."""
+    is_fed: bool = True
+    """Whether this router sends its agent each change unasked."""
     is_loading: bool = False
     """Whether it is loading a version, so that what it serves is about to change."""
     reported: int = 0
@@ -115,9 +123,18 @@
     clock: Clock
     limits: FleetLimits = field(default_factory=FleetLimits)
     endpoints: dict[str, Endpoint] = field(default_factory=dict)
+    silence_s: float = 0.0
+    """How long an agent may be silent; grows with the pace of heartbeats."""
     _by_target: dict[str, list[Endpoint]] = field(default_factory=dict)
     _pools: dict[str, Pool] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.set_pace(0.0)
+
+    def set_pace(self, beat_s: float) -> None:
+        """Expect agents to be heard this often; three missed heartbeats are silence."""
+        self.silence_s = max(self.limits.silence_s, BEATS_TO_SILENCE * beat_s)
+
     def get(self, name: str) -> Endpoint | None:
         """Return an endpoint by name."""
         return self.endpoints.get(name)
@@ -133,7 +150,7 @@
         self._pools.clear()
         now = self.clock.seconds()
         for name, endpoint in list(self.endpoints.items()):
-            is_silent = now - endpoint.heard_s > self.limits.silence_s
+            is_silent = now - endpoint.heard_s > self.silence_s
             if name not in listed and is_silent and not endpoint.own:
                 self._remove(endpoint)
         return [endpoint for endpoint in moved if endpoint is not None]
@@ -225,7 +242,7 @@
 
     def is_silent(self, endpoint: Endpoint) -> bool:
         """Whether the endpoint's agent has not been heard lately."""
-        return self.clock.seconds() - endpoint.heard_s > self.limits.silence_s
+        return self.clock.seconds() - endpoint.heard_s > self.silence_s
 
     def candidates(self, target: str) -> Pool:
         """Return the endpoints that may get new work for a target."""
--- a/umberhitch/tasks/router.py
+++ b/umberhitch/tasks/router.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from logging import getLogger
+from math import ceil
 from random import Random
 
 from twisted.internet.defer import Deferred, ensureDeferred
@@ -12,7 +13,7 @@
 from umberhitch.core.evidence import EvidenceLimits
 from umberhitch.core.stops import DirectStops
 from umberhitch.core.subsets import SubsetLimits, Subsets
-from umberhitch.ports import Clock, Host, HostListPort, HostRole, LinkPort, LogPort, Timer
+from umberhitch.ports import Clock, Host, HostListPort, HostRole, LinkPort, LogPort
 from umberhitch.ports.rating import RatingPort
 from umberhitch.tasks.appender import AppenderLimits
 from umberhitch.tasks.attempts import AttemptPace, Attempts
@@ -20,7 +21,7 @@
 from umberhitch.tasks.claims import Claims
 from umberhitch.tasks.config_feed import ConfigFeed
 from umberhitch.tasks.evidence import EvidenceTask
-from umberhitch.tasks.fleet import Fleet, FleetLimits
+from umberhitch.tasks.fleet import Endpoint, Fleet, FleetLimits
 from umberhitch.tasks.follower import FollowerPace
 from umberhitch.tasks.leases import LeaseKeeper
 from umberhitch.tasks.requests import Requests
@@ -56,6 +57,10 @@
     return [op.version for op in change.ops if isinstance(op, SetState) and op.state in stopping]
 
 
+FEED_GRACE_S = 2.0
+"""How long another router is given to feed an agent, before this one does it too."""
+BEATS_PER_S = 50.0
+"""Heartbeats that a router hears in a second before it asks agents to slow down."""
 BILLING_APPENDS_PER_S = 100.0
 CLAIM_APPENDS_PER_S = 150.0
 """Appends that all routers together may make; the platform's log takes several hundred a second."""
@@ -134,7 +139,8 @@
         self.rng = rng
         self._link = link
         self._host_list = host_list
-        self._timers: list[Timer] = []
+        self._next_greeted = 0
+        self._changed_s = 0.0
         self._is_stopped = False
         self._peers: dict[str, Peer] = {}
         self._peer_names: list[str] = []
@@ -239,7 +245,10 @@
         self.fleet.release(
             host.name for host in hosts if host.role is HostRole.AGENT and host.name not in served
         )
-        for endpoint in self.fleet.update_hosts(agents):
+        moved = self.fleet.update_hosts(agents)
+        for host in agents:
+            self.fleet.endpoints[host.name].is_fed = self._subsets.feeds(host)
+        for endpoint in moved:
             self._link.connect(endpoint.name, endpoint.address)
             self._link.send(endpoint.name, self._hello())
         routers = {host.name: host for host in hosts if host.role is HostRole.ROUTER}
@@ -263,18 +272,30 @@
     def _hello(self) -> Hello:
         cfg = self.settings
         token = self.lease.highest_token
-        return Hello(cfg.name, cfg.incarnation, cfg.zone, self.feed.revision, token)
+        return Hello(cfg.name, cfg.incarnation, cfg.zone, self.feed.revision, token, self._beat_s())
+
+    def _beat_s(self) -> float:
+        """Return how often agents are to be heard, so that many do not cost too much."""
+        return max(self.settings.hello_s, len(self.fleet.endpoints) / BEATS_PER_S)
 
     def _greet(self) -> None:
         self.fleet.sweep()
-        hello = self._hello()
-        for name in self.fleet.endpoints:
-            self._link.send(name, hello)
+        self._greet_agents()
         digest = self.digest()
         count = min(self.settings.peers_per_round, len(self._peer_names))
         for name in self.rng.sample(self._peer_names, count):
             self._link.send(name, digest)
 
+    def _greet_agents(self) -> None:
+        """Greet the agents, all within the pace at which they are to be heard."""
+        hello = self._hello()
+        self.fleet.set_pace(hello.beat_s)
+        names = list(self.fleet.endpoints)
+        count = ceil(len(names) * self.settings.hello_s / hello.beat_s)
+        for index in range(min(count, len(names))):
+            self._link.send(names[(self._next_greeted + index) % len(names)], hello)
+        self._next_greeted += count
+
     def digest(self) -> RouterDigest:
         """Return what other routers are told of this one."""
         cfg = self.settings
@@ -287,9 +308,15 @@
         self.requests.config_changed()
         if self.state is RouterState.STARTING:
             self.state = RouterState.READY
+        self._changed_s = self._clock.seconds()
         for endpoint in self.fleet.endpoints.values():
-            if endpoint.incarnation >= 0:
-                self._send_update(endpoint.name, endpoint.revision)
+            if endpoint.incarnation >= 0 and endpoint.is_fed:
+                self._feed(endpoint, max(endpoint.revision, endpoint.sent_revision))
+
+    def _feed(self, endpoint: Endpoint, revision: int) -> None:
+        """Send an agent what follows a revision."""
+        self._send_update(endpoint.name, revision)
+        endpoint.sent_revision = self.feed.revision
 
     def _send_update(self, peer: str, revision: int) -> None:
         update = self.feed.updates_since(revision)
@@ -379,8 +406,11 @@
         if replaced is not None:
             self.attempts.agent_replaced(beat.endpoint, beat.incarnation)
         endpoint = self.fleet.get(beat.endpoint)
-        if endpoint is not None and endpoint.incarnation == beat.incarnation:
-            self._send_update(beat.endpoint, beat.revision)
+        if endpoint is None or endpoint.incarnation != beat.incarnation:
+            return
+        is_settled = self._clock.seconds() - self._changed_s >= FEED_GRACE_S
+        if beat.revision < self.feed.revision and (endpoint.is_fed or is_settled):
+            self._feed(endpoint, beat.revision)
 
     def _on_digest(self, sender: str, digest: RouterDigest) -> None:
         known = self._peers.get(sender)
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -107,6 +107,8 @@
     revision: int
     token: int = -1
     """Newest fencing token that the router has read of."""
+    beat_s: float = 1.0
+    """How often the router wants to hear of the agent, unless something has changed."""
 
 
 class Start(Struct, frozen=True, array_like=True, tag="start"):
