--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -4,6 +4,8 @@
 docs/CAPACITY.md is computed from: ``python -m benchmarks slopes > docs/capacity/slopes.json``.
 """
 
+import subprocess
+import sys
 import time
 import urllib.request
 from typing import Any
@@ -20,6 +22,7 @@
 CUSTOMER_COUNTS = (10, 500, 1500, 3000)
 STREAM_COUNTS = (0, 200, 400, 800)
 CHANGE_COUNTS = (0, 100, 200, 400)
+PENDING_COUNTS = (0, 5_000, 10_000, 20_000)
 WATCH_S = 8.0
 SETTLE_S = 4.0
 BEAT_S = 1.0
@@ -152,6 +155,12 @@
     return points
 
 
+def memory_by_pending_bills(count: int) -> float:
+    """Return the memory, in MB, that so many usage records take while the log is down."""
+    args = [sys.executable, "-m", "benchmarks._pending", str(count)]
+    return float(subprocess.run(args, capture_output=True, text=True, check=True).stdout)
+
+
 def change_once(log: str, name: str) -> None:
     """Append one change of a version's share."""
     import json
@@ -185,6 +194,7 @@
     by_routers = {count: agent_by_routers(count) for count in ROUTER_COUNTS}
     by_customers = {count: memory_by_customers(count) for count in CUSTOMER_COUNTS}
     streams = [(float(count), memory_by_streams(count)) for count in STREAM_COUNTS]
+    pending = [(float(count), memory_by_pending_bills(count)) for count in PENDING_COUNTS]
     tokens = token_cost()
     changes = change_cost()
     return {
@@ -198,4 +208,5 @@
             name: {"rows": rows, "fit": fit_line(rows).as_dict()} for name, rows in changes.items()
         },
         "request_ms": request_cost(),
+        "mb_by_pending_bills": {"rows": pending, "fit": fit_line(pending).as_dict()},
     }
