Talking agents of the benchmarks beat at the pace that routers ask for

Before, they beat once a second whatever they were told, and 256 agents cost a router 15.1 KB a second, so that the slope did not show the mechanism.

--- a/benchmarks/_pump.py
+++ b/benchmarks/_pump.py
@@ -45,22 +45,23 @@
         self._tokens = tokens
         self._token_s = token_s
         self._beat_s = beat_s
-        self._routers: set[str] = set()
+        self._routers: dict[str, float] = {}
         link.listen(self.receive)
-        self._beat()
 
-    def _beat(self) -> None:
-        for router in self._routers:
-            beat = Beat(self._name, 1, "a", ["m@1"], EndpointState.READY, 0, 0, 0, 64)
-            self._link.send(router, beat)
-        reactor.callLater(self._beat_s, self._beat)
+    def _beat(self, router: str) -> None:
+        beat = Beat(self._name, 1, "a", ["m@1"], EndpointState.READY, 0, 0, 0, 64)
+        self._link.send(router, beat)
+        reactor.callLater(max(self._beat_s, self._routers[router]), self._beat, router)
 
     def receive(self, sender: str, messages: list[Message]) -> None:
         """Answer what a router sent."""
         for message in messages:
             match message:
-                case Hello():
-                    self._routers.add(sender)
+                case Hello(beat_s=beat_s):
+                    is_new = sender not in self._routers
+                    self._routers[sender] = beat_s
+                    if is_new:
+                        self._beat(sender)
                 case Start():
                     self._link.send(sender, Taken(message.attempt))
                     reactor.callLater(self._token_s, self._token, sender, message, 0)
