Service-level burn: multi-window rates over all routers, as table and page

Counts and HDR histograms by minute, gathered from live routers when asked, merged exactly; alerts by the workbook's pairs of windows.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -9,11 +9,12 @@
 NAMES = (
     "relay",
     "footprint",
-    "exposure",
     "decide",
     "subsets",
     "appends",
     "recovery",
+    "exposure",
+    "overload",
     "slopes",
     "capacity",
 )
--- a/examples/generate.py
+++ b/examples/generate.py
@@ -27,9 +27,10 @@
     "customers": REGISTRY_CUSTOMERS,
     "large": 3,
     "classes": [
-        {"name": "lookup", "priority": 0, "quality_target": 0.70, "deadline_s": 3.0},
+        {"name": "lookup", "priority": 0, "quality_target": 0.70, "deadline_s": 3.0,
+         "objective": 0.999, "objective_latency_s": 1.0},
         {"name": "renewal", "priority": 1, "quality_target": 0.85, "deadline_s": 10.0,
-         "repeatable": False},
+         "repeatable": False, "objective": 0.999, "objective_latency_s": 3.0},
         {"name": "summary", "priority": 6, "quality_target": 0.80, "deadline_s": 120.0},
         {"name": "letter", "priority": 7, "quality_target": 0.85, "deadline_s": 120.0,
          "repeatable": False},
@@ -54,9 +55,10 @@
     "large": 2,
     "classes": [
         {"name": "question", "priority": 2, "quality_target": 0.75, "deadline_s": 20.0},
-        {"name": "draft", "priority": 4, "quality_target": 0.88, "deadline_s": 90.0},
+        {"name": "draft", "priority": 4, "quality_target": 0.88, "deadline_s": 90.0,
+         "objective": 0.99, "objective_latency_s": 20.0},
         {"name": "tag", "priority": 3, "quality_target": 0.90, "deadline_s": 30.0,
-         "repeatable": False},
+         "repeatable": False, "objective": 0.999, "objective_latency_s": 10.0},
         {"name": "default", "priority": 5, "quality_target": 0.75, "deadline_s": 60.0},
     ],
     "models": [
--- a/umberhitch/adapters/operator_api.py
+++ b/umberhitch/adapters/operator_api.py
@@ -10,6 +10,7 @@
 from msgspec import DecodeError, json
 
 from umberhitch import __version__
+from umberhitch.adapters.burn_page import burn_row, render_burn
 from umberhitch.adapters.http_server import send_json
 from umberhitch.adapters.metrics import Metrics
 from umberhitch.config import (
@@ -322,6 +323,26 @@
             if start >= batch.end:
                 return
 
+    @app.route("/admin/v1/burn", methods=["GET"])
+    async def burn(self, request: Any) -> bytes:
+        """Return the service-level burn over all routers."""
+        self._operator(request, Role.READ)
+        report = await self._router.burn.report()
+        rows = [burn_row(row) for row in report.rows]
+        return send_json(
+            request,
+            200,
+            {"burn": rows, "routers": report.routers, "missing": report.missing},
+        )
+
+    @app.route("/admin/v1/burn.html", methods=["GET"])
+    async def burn_page(self, request: Any) -> bytes:
+        """Return the same as a page."""
+        self._operator(request, Role.READ)
+        report = await self._router.burn.report()
+        request.setHeader("Content-Type", "text/html; charset=utf-8")
+        return render_burn(report).encode()
+
     # Roll-outs
 
     @app.route("/admin/v1/rollouts", methods=["GET"])
--- a/umberhitch/config/_model.py
+++ b/umberhitch/config/_model.py
@@ -92,6 +92,9 @@
     deadline_s: Annotated[float, Interval(ge=0.01, le=3600.0)] = 60.0
     repeatable: bool = True
     """Whether a request may run more than once; hedges and retries after a send need it."""
+    objective: Annotated[float, Interval(ge=0.0, lt=1.0)] = 0.0
+    """Share of requests that are to be done within ``objective_latency_s``; 0 for none."""
+    objective_latency_s: Positive = 10.0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/umberhitch/tasks/requests.py
+++ b/umberhitch/tasks/requests.py
@@ -262,6 +262,8 @@
             case Unknown(reason=reason):
                 trace.outcome, trace.reason = "unknown", reason.value
         self._count(outcome)
+        elapsed_s = self._clock.seconds() - (progress.due_s - progress.ask.deadline_s)
+        self._router.burn.ended(trace.customer, trace.klass, outcome, elapsed_s)
         log.info(
             "request ended",
             extra={
--- a/umberhitch/tasks/router.py
+++ b/umberhitch/tasks/router.py
@@ -18,6 +18,7 @@
 from umberhitch.tasks.appender import AppenderLimits
 from umberhitch.tasks.attempts import AttemptPace, Attempts
 from umberhitch.tasks.bills import BillWriter
+from umberhitch.tasks.burn import BurnTask
 from umberhitch.tasks.claims import Claims
 from umberhitch.tasks.config_feed import ConfigFeed
 from umberhitch.tasks.evidence import EvidenceTask
@@ -29,6 +30,8 @@
 from umberhitch.tasks.rollouts import ROLLOUT_LEASE, RolloutDriver
 from umberhitch.wire import (
     Beat,
+    BurnAsk,
+    BurnReply,
     Chunk,
     ConfigRecords,
     ConfigSnapshot,
@@ -169,6 +172,7 @@
         )
         self.rollouts = RolloutDriver(self, self.lease, clock, wall_s)
         self.requests = Requests(self, clock, wall_s, rng)
+        self.burn = BurnTask(self, clock, wall_s)
         self.resume = Resume(self.attempts, self.fleet)
 
     # Life cycle
@@ -396,6 +400,10 @@
                 self._pass_on_withdrawal(message)
             case OrderReply():
                 self.rollouts.handle(message)
+            case BurnAsk():
+                self.burn.answer(sender, message)
+            case BurnReply():
+                self.burn.take(sender, message)
             case Evidence():
                 self.evidence.take(message)
             case _:
--- a/umberhitch/tasks/tests/test_serving.py
+++ b/umberhitch/tasks/tests/test_serving.py
@@ -128,3 +128,21 @@
     world.advance(5.0)
     assert world.routers["r1"].feed.config == wanted
     assert world.routers["r1"].revision == world.agents["e1"].revision
+
+
+def test_burn_is_gathered_from_all_routers(world: World) -> None:
+    for engine in world.engines.values():
+        engine.faults.is_refusing = True
+    for router in ("r1", "r2"):
+        for index in range(3):
+            world.ask(f"{router} {index}", router, AskOptions(klass="lookup"))
+    world.advance(2.0)
+    gathered = ensureDeferred(world.routers["r1"].burn.report())
+    world.advance(2.0)
+    report = gathered.result
+    assert (report.routers, report.missing) == (["r1", "r2"], [])
+    assert [(row.customer, row.klass, row.bad) for row in report.rows] == [("acme", "lookup", 6)]
+    world.network.cut("r1", "r2")
+    gathered = ensureDeferred(world.routers["r1"].burn.report())
+    world.advance(2.0)
+    assert gathered.result.missing == ["r2"]
--- a/umberhitch/testing/_builders.py
+++ b/umberhitch/testing/_builders.py
@@ -49,7 +49,7 @@
         "customers": [make_customer(), make_customer("other")],
         "classes": [
             {"name": "default", "deadline_s": 10.0},
-            {"name": "lookup", "priority": 0, "deadline_s": 5.0},
+            {"name": "lookup", "priority": 0, "deadline_s": 5.0, "objective": 0.99},
             {"name": "renewal", "priority": 1, "repeatable": False, "deadline_s": 8.0},
         ],
         "models": [{"name": "m"}],
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -13,6 +13,9 @@
     "AttemptId",
     "Beat",
     "Billed",
+    "BurnAsk",
+    "BurnReply",
+    "BurnSlice",
     "Cancel",
     "Chunk",
     "ConfigRecords",
@@ -274,6 +277,31 @@
     latencies_ms: list[int]
 
 
+class BurnSlice(Struct, frozen=True, array_like=True):
+    """What one router counted of a customer and class in one minute."""
+
+    slot: int
+    customer: str
+    klass: str
+    good: int
+    bad: int
+    histogram: bytes
+    """Latencies in ms, as an encoded HDR histogram."""
+
+
+class BurnAsk(Struct, frozen=True, array_like=True, tag="burn?"):
+    """Send what you counted; asked when an operator wants to know, not all the time."""
+
+    ask: int
+
+
+class BurnReply(Struct, frozen=True, array_like=True, tag="burn"):
+    """A router's whole book."""
+
+    ask: int
+    slices: list[BurnSlice]
+
+
 class RouterDigest(Struct, frozen=True, array_like=True, tag="digest"):
     """A router tells another how far it has come, and asks for what it lacks."""
 
@@ -304,6 +332,8 @@
     | HandOver
     | RouterDigest
     | Evidence
+    | BurnAsk
+    | BurnReply
     | Order
     | OrderReply
 )
