--- a/umberhitch/core/queue.py
+++ b/umberhitch/core/queue.py
@@ -34,6 +34,17 @@
             if entry is not None:
                 return entry
 
+    def least_urgent(self) -> AttemptEntry | None:
+        """Return the member that would go last."""
+        if not self._members:
+            return None
+        return max(
+            self._members.values(), key=lambda entry: (self._priority(entry), entry.attempt.seq)
+        )
+
+    def _priority(self, entry: AttemptEntry) -> int:
+        return entry.start.priority if entry.start is not None else 0
+
     def remove(self, entry: AttemptEntry) -> None:
         """Remove an attempt, if it is there."""
         self._members.pop(entry.attempt, None)
--- a/umberhitch/tasks/agent.py
+++ b/umberhitch/tasks/agent.py
@@ -408,10 +408,19 @@
             return reason
         if len(self._usage) + self._ledger.live > self.settings.usage_records:
             return Reason.USAGE_FULL
-        if len(self._queue) >= self.settings.queue:
+        if len(self._queue) >= self.settings.queue and not self._give_way(start):
             return Reason.OVERLOADED
         return None
 
+    def _give_way(self, start: Start) -> bool:
+        """Refuse the least urgent attempt that waits, if it is less urgent than a new one."""
+        last = self._queue.least_urgent()
+        if last is None or last.start is None or last.start.priority <= start.priority:
+            return False
+        self._queue.remove(last)
+        self._finish(last, Refused(last.attempt, Reason.OVERLOADED, QUEUE_RETRY_AFTER_S))
+        return True
+
     def _permission(self, start: Start) -> Reason | None:
         if self._stops.holds(start.target, self._catch_up.fold):
             return Reason.WITHDRAWN
--- a/umberhitch/tasks/tests/test_serving.py
+++ b/umberhitch/tasks/tests/test_serving.py
@@ -6,7 +6,14 @@
 from umberhitch.core.outcome import Done, NotRun, Reason, Unknown
 from umberhitch.fakes import NetworkFaults, expected_answer
 from umberhitch.tasks.resume import parse_locator
-from umberhitch.testing import AskOptions, World, make_state_change, make_work
+from umberhitch.testing import (
+    AskOptions,
+    World,
+    WorldSettings,
+    make_change,
+    make_state_change,
+    make_work,
+)
 
 
 def test_a_request_is_answered_and_billed(world: World) -> None:
@@ -146,3 +153,19 @@
     gathered = ensureDeferred(world.routers["r1"].burn.report())
     world.advance(2.0)
     assert gathered.result.missing == ["r2"]
+
+
+def test_a_full_queue_gives_way_to_what_is_more_urgent() -> None:
+    made = World(
+        WorldSettings(endpoints={"e1": "m@1"}, routers=("r1",), agent={"slots": 1, "queue": 2})
+    )
+    made.publish(make_change())
+    made.start()
+    drafts = [made.ask(f"draft {index}", "r1") for index in range(3)]
+    made.advance(0.05)
+    urgent = made.ask("lookup", "r1", AskOptions(klass="lookup"))
+    made.advance(3.0)
+    assert isinstance(urgent.outcome, Done)
+    refused = [record for record in drafts if isinstance(record.outcome, NotRun)]
+    assert [record.outcome.reason for record in refused] == [Reason.OVERLOADED]
+    assert made.runs_of(refused[0].question) == 0
