--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -61,9 +61,9 @@
 def baseline() -> Iterator[None]:
     """Take the policy out: random endpoint, no priorities, retries without a budget."""
     choose, make_start = requests_module.choose_endpoint, requests_module.Start
-    may_retry = requests_module.Requests._may_retry
+    may_retry = requests_module.Requests.may_retry
 
-    def choose_randomly(pool: Any, near: Any, rng: Any, avoid: Any = ()) -> Any:
+    def choose_randomly(pool: Any, near: Any, rng: Any, *rest: Any) -> Any:
         return rng.choice(pool) if pool else None
 
     def start_alike(*args: Any) -> Any:
@@ -75,15 +75,15 @@
         self._retry_tokens = 1e9
         return may_retry(self, progress, outcome)
 
-    requests_module.choose_endpoint = choose_randomly
+    requests_module.choose_endpoint = choose_randomly  # type: ignore[assignment]
     requests_module.Start = start_alike  # type: ignore[assignment,misc]
-    requests_module.Requests._may_retry = always_retry  # type: ignore[method-assign]
+    requests_module.Requests.may_retry = always_retry  # type: ignore[method-assign]
     try:
         yield
     finally:
         requests_module.choose_endpoint = choose
         requests_module.Start = make_start  # type: ignore[misc]
-        requests_module.Requests._may_retry = may_retry  # type: ignore[method-assign]
+        requests_module.Requests.may_retry = may_retry  # type: ignore[method-assign]
 
 
 def offer(world: World, load: float, seconds: float) -> None:
--- a/umberhitch/adapters/caller_api.py
+++ b/umberhitch/adapters/caller_api.py
@@ -25,7 +25,7 @@
 from umberhitch.core.outcome import Done, NotRun, Outcome, Reason, Unknown
 from umberhitch.core.session import Session, read_session_token, sign_session_token
 from umberhitch.errors import ConfigError, SessionError
-from umberhitch.tasks.requests import Ask
+from umberhitch.tasks.asks import Ask
 from umberhitch.tasks.resume import parse_locator
 from umberhitch.tasks.router import Router
 from umberhitch.wire import EngineWork, ServiceWork
--- a/umberhitch/core/choice.py
+++ b/umberhitch/core/choice.py
@@ -38,8 +38,8 @@
     @property
     def zone(self) -> str: ...
 
-    def load(self) -> float:
-        """Work in progress and waiting, relative to the endpoint's slots."""
+    def load(self, is_urgent: bool) -> float:
+        """Work in progress and waiting that a new attempt would wait for, by slot."""
         ...
 
 
@@ -54,7 +54,7 @@
     zone: str
     value: float
 
-    def load(self) -> float:
+    def load(self, is_urgent: bool) -> float:
         """Return the value."""
         return self.value
 
@@ -141,7 +141,11 @@
 
 
 def choose_endpoint(
-    pool: Sequence[T], near: Sequence[T], rng: Random, avoid: Container[str] = ()
+    pool: Sequence[T],
+    near: Sequence[T],
+    rng: Random,
+    avoid: Container[str] = (),
+    is_urgent: bool = False,
 ) -> T | None:
     """Return the less loaded of two random endpoints, from the own availability zone if possible.
 
@@ -157,21 +161,25 @@
     rng : Random
     avoid : container of str
         Names of endpoints that were tried already.
+    is_urgent : bool
+        Whether the work overtakes what is not urgent in an agent's queue.
     """
-    best = _less_loaded_of_two(near, rng, avoid)
-    if best is not None and best.load() < SPILL_LOAD:
+    best = _less_loaded_of_two(near, rng, avoid, is_urgent)
+    if best is not None and best.load(is_urgent) < SPILL_LOAD:
         return best
-    other = _less_loaded_of_two(pool, rng, avoid)
-    if best is None or (other is not None and other.load() < best.load()):
+    other = _less_loaded_of_two(pool, rng, avoid, is_urgent)
+    if best is None or (other is not None and other.load(is_urgent) < best.load(is_urgent)):
         return other
     return best
 
 
-def _less_loaded_of_two(candidates: Sequence[T], rng: Random, avoid: Container[str]) -> T | None:
+def _less_loaded_of_two(
+    candidates: Sequence[T], rng: Random, avoid: Container[str], is_urgent: bool
+) -> T | None:
     if avoid:
         candidates = [cand for cand in candidates if cand.name not in avoid]
     if not candidates:
         return None
     first = candidates[int(rng.random() * len(candidates))]
     second = candidates[int(rng.random() * len(candidates))]
-    return first if first.load() <= second.load() else second
+    return first if first.load(is_urgent) <= second.load(is_urgent) else second
--- a/umberhitch/tasks/agent.py
+++ b/umberhitch/tasks/agent.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from logging import getLogger
 
 from msgspec import DecodeError, ValidationError
@@ -15,8 +15,7 @@
 from umberhitch.config import CatchUp, Config, Fold, Snapshot, decode_record
 from umberhitch.core.attempt import AttemptEntry, AttemptState
 from umberhitch.core.billing import cost_micros
-from umberhitch.core.fencing import Fence
-from umberhitch.core.ledger import BelowFloor, Fresh, Full, Ledger, LedgerLimits, Repeated
+from umberhitch.core.ledger import BelowFloor, Fresh, Full, Ledger, Repeated
 from umberhitch.core.outcome import Reason
 from umberhitch.core.permission import refusal_for
 from umberhitch.core.queue import WorkQueue
@@ -34,7 +33,11 @@
     Clock,
     LinkPort,
 )
+from umberhitch.tasks.agent_settings import AgentCounters, AgentSettings
+from umberhitch.tasks.loading import Loading
+from umberhitch.tasks.usage import UsageHold
 from umberhitch.wire import (
+    URGENT_PRIORITY,
     AttemptId,
     Beat,
     Billed,
@@ -51,7 +54,6 @@
     Message,
     NeedConfig,
     Order,
-    OrderReply,
     Refused,
     Start,
     Taken,
@@ -70,46 +72,6 @@
 LEAVING_RETRY_AFTER_S = 0.2
 
 
-@dataclass(frozen=True, kw_only=True)
-class AgentSettings:
-    """What an agent is told about itself."""
-
-    endpoint: str
-    incarnation: int
-    zone: str
-    targets: tuple[str, ...]
-    """What its endpoint serves: ``model@version`` names, or the name of a service."""
-    slots: int = 8
-    """Calls given to the endpoint at once."""
-    queue: int = 64
-    """Attempts that may wait for a slot."""
-    beat_s: float = 1.0
-    router_silence_s: float = 5.0
-    """A router not heard for this long gets no more heartbeats."""
-    config_wait_s: float = 1.0
-    """How long an attempt waits for a configuration that the router has and the agent lacks."""
-    handover_s: float = 10.0
-    """How long a usage record waits for its router before others are asked to write it."""
-    overdue_grace_s: float = 5.0
-    """How long past its deadline a running attempt is left to the engine, and again after that."""
-    order_warm_up_s: float = 3.0
-    """How long a new agent listens for fencing tokens before it carries out orders."""
-    usage_records: int = 2000
-    """Unconfirmed usage records held; beyond this, new work is refused."""
-    ledger: LedgerLimits = LedgerLimits()
-
-
-@dataclass(slots=True)
-class AgentCounters:
-    """Counts since the start, for metrics and tests."""
-
-    started: int = 0
-    finished: int = 0
-    failed: int = 0
-    refused: dict[str, int] = field(default_factory=dict)
-    handovers: int = 0
-
-
 @dataclass(slots=True)
 class _Router:
     incarnation: int
@@ -118,13 +80,6 @@
     told_s: float = -1.0e9
 
 
-@dataclass(slots=True)
-class _HeldUsage:
-    record: UsageRecord
-    router: str
-    since_s: float
-
-
 class Agent:
     """One agent incarnation.
 
@@ -161,14 +116,11 @@
         self._routers: dict[str, _Router] = {}
         self._watchers: dict[AttemptId, set[str]] = {}
         self._stops = DirectStops()
-        self._fence = Fence(clock.seconds() + settings.order_warm_up_s)
-        self._loading: Order | None = None
-        self.targets = settings.targets
-        """What the endpoint serves now; orders change it."""
-        self._served_before = settings.targets
+        self._loading = Loading(
+            backend, clock, settings.targets, settings.order_warm_up_s, self._on_targets
+        )
         self._parked: list[tuple[str, Start, float]] = []
-        self._usage: dict[str, _HeldUsage] = {}
-        self._handover_turn = 0
+        self._usage = UsageHold()
         self._drained: Deferred[None] | None = None
         self._is_stopped = False
 
@@ -224,13 +176,20 @@
             cfg.endpoint,
             cfg.incarnation,
             cfg.zone,
-            [] if self._loading is not None else list(self.targets),
+            [] if self._loading.is_under_way else list(self.targets),
             self.state,
             self.revision,
             self._running,
             len(self._queue),
             cfg.slots,
-            self._loading is not None,
+            self._loading.is_under_way,
+            self._count_urgent(),
+        )
+
+    def _count_urgent(self) -> int:
+        entries = (*self._running_entries.values(), *self._queue.items())
+        return sum(
+            entry.start is not None and entry.start.priority <= URGENT_PRIORITY for entry in entries
         )
 
     @property
@@ -290,7 +249,7 @@
         if known is not None and hello.incarnation < known.incarnation:
             return
         now = self._clock.seconds()
-        self._fence.hear(hello.token)
+        self._loading.fence.hear(hello.token)
         router = self._routers[sender] = _Router(hello.incarnation, now, hello.beat_s)
         router.told_s = now if known is None else known.told_s
         if known is None or known.incarnation != hello.incarnation:
@@ -401,7 +360,7 @@
     def _admission_refusal(self, start: Start) -> Reason | None:
         if self.state is EndpointState.LEAVING:
             return Reason.LEAVING
-        if start.target not in self.targets or self._loading is not None:
+        if start.target not in self.targets or self._loading.is_under_way:
             return Reason.NO_ENDPOINT
         reason = self._permission(start)
         if reason is not None:
@@ -509,8 +468,7 @@
                 log.info("back end failed", extra={"attempt": str(entry.attempt), "why": reason})
         self._running -= 1
         self._finish(entry, result)
-        if self._loading is not None and not self._running:
-            self._load()
+        self._loading.begin_if_idle(self._running)
         self._fill_slots()
 
     def _finish(self, entry: AttemptEntry, result: Finished | Failed | Refused) -> None:
@@ -573,36 +531,17 @@
     # Orders
 
     def _on_order(self, sender: str, order: Order) -> None:
-        """Load a version, unless the order comes from a holder that was replaced."""
-        if not self._fence.admits(order.token, self._clock.seconds()):
-            self._link.send(sender, OrderReply(order.order, False, "old fencing token"))
-            return
-        self._link.send(sender, OrderReply(order.order, True))
-        if self._loading is not None or self.targets == (order.target,):
-            return
-        self._loading = order
-        self._beat()
-        if not self._running:
-            self._load()
-
-    def _load(self) -> None:
-        """Have the engine load, once nothing runs on what it serves."""
-        order = self._loading
-        assert order is not None
-        self.targets = ()
-        loading = self._backend.load(order.target, order.token)
-        loading.addCallback(self._on_loaded, order)
-
-    def _on_loaded(self, is_done: bool, order: Order) -> None:
-        if self._is_stopped:
-            return
-        self._loading = None
-        if is_done:
-            self.targets = (order.target,)
-        else:
-            self.targets = self._served_before
-        self._served_before = self.targets
-        self._beat()
+        self._link.send(sender, self._loading.take(order))
+        self._loading.begin_if_idle(self._running)
+
+    def _on_targets(self) -> None:
+        if not self._is_stopped:
+            self._beat()
+
+    @property
+    def targets(self) -> tuple[str, ...]:
+        """What the endpoint serves now; orders change it."""
+        return self._loading.targets
 
     # Usage records
 
@@ -613,25 +552,20 @@
         record = UsageRecord(
             start.request, start.customer, start.target, usage, cost, klass=start.klass
         )
-        self._usage[start.request] = _HeldUsage(record, entry.attempt.router, self._clock.seconds())
+        self._usage.hold(record, self._clock.seconds())
 
     def _on_billed(self, message: Billed) -> None:
-        for request in message.requests:
-            self._usage.pop(request, None)
+        self._usage.confirm(message.requests)
         self._check_drained()
 
     def _hand_over_usage(self) -> None:
         """Offer overdue records to a router, another one at each turn."""
-        now = self._clock.seconds()
-        patience = 0.0 if self.state is EndpointState.LEAVING else self.settings.handover_s
-        overdue = [held for held in self._usage.values() if now - held.since_s >= patience]
-        names = sorted(self._routers)
-        if not overdue or not names:
-            return
-        self._handover_turn += 1
-        self.counters.handovers += 1
-        router = names[self._handover_turn % len(names)]
-        self._link.send(router, HandOver([held.record for held in overdue[:500]]))
+        patience_s = 0.0 if self.state is EndpointState.LEAVING else self.settings.handover_s
+        overdue = self._usage.overdue(self._clock.seconds(), patience_s)
+        router = self._usage.next_router(self._routers) if overdue else None
+        if router is not None:
+            self.counters.handovers += 1
+            self._link.send(router, HandOver(overdue))
 
 
 def _is_owner(entry: AttemptEntry, customer: str) -> bool:
--- a/umberhitch/tasks/attempts.py
+++ b/umberhitch/tasks/attempts.py
@@ -12,6 +12,7 @@
 from umberhitch.ports import Clock, LinkPort
 from umberhitch.tasks.fleet import Endpoint, Fleet
 from umberhitch.wire import (
+    URGENT_PRIORITY,
     AttemptId,
     Cancel,
     Chunk,
@@ -174,7 +175,7 @@
         self._open[start.attempt] = watch
         known = self._fleet.get(endpoint)
         if known is not None:
-            known.own += 1
+            known.enter(start.priority <= URGENT_PRIORITY)
         self._link.send(endpoint, start)
         return watch
 
@@ -207,7 +208,7 @@
             heard_s=now,
             asked_s=now,
         )
-        endpoint.own += 1
+        endpoint.enter(False)
         self._open[attempt] = watch
         return watch
 
@@ -248,7 +249,8 @@
         self._open.pop(watch.attempt, None)
         known = self._fleet.get(watch.endpoint)
         if known is not None:
-            known.own = max(0, known.own - 1)
+            is_urgent = watch.start is not None and watch.start.priority <= URGENT_PRIORITY
+            known.leave(is_urgent)
         for waiter in watch.waiters:
             waiter.callback(outcome)
 
--- a/umberhitch/tasks/fleet.py
+++ b/umberhitch/tasks/fleet.py
@@ -10,6 +10,8 @@
 
 
 BEATS_TO_SILENCE = 3
+FILLED_WEIGHT = 0.5
+"""How much filled slots count beside urgent work: all of them as much as half a slot's each."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +65,10 @@
     slots: int = 1
     own: int = 0
     """Attempts of this router in flight now."""
+    urgent: int = 0
+    """Urgent attempts running and queued as of the last heartbeat."""
+    urgent_own: int = 0
+    urgent_reported_own: int = 0
     heard_s: float = -1.0
     failures: int = 0
     """Consecutive attempts that failed or were refused by the back end."""
@@ -70,9 +76,28 @@
     """Consecutive ejections, without a success between."""
     ejected_until_s: float = -1.0
 
-    def load(self) -> float:
-        """Return the work at the endpoint per slot, corrected by what was sent since."""
-        return max(self.own, self.reported + self.own - self.reported_own) / self.slots
+    def load(self, is_urgent: bool = False) -> float:
+        """Return the work at the endpoint per slot, corrected by what was sent since.
+
+        What is urgent overtakes the rest of the queue, so that for it only urgent work counts, and
+        other work as far as it fills the slots.
+        """
+        whole = max(self.own, self.reported + self.own - self.reported_own) / self.slots
+        if not is_urgent:
+            return whole
+        since = self.urgent_own - self.urgent_reported_own
+        urgent = max(self.urgent_own, self.urgent + since) / self.slots
+        return urgent + FILLED_WEIGHT * min(1.0, whole)
+
+    def enter(self, is_urgent: bool) -> None:
+        """Count an attempt of this router in."""
+        self.own += 1
+        self.urgent_own += is_urgent
+
+    def leave(self, is_urgent: bool) -> None:
+        """Count an attempt of this router out."""
+        self.own = max(0, self.own - 1)
+        self.urgent_own = max(0, self.urgent_own - is_urgent)
 
 
 @dataclass(frozen=True, slots=True)
@@ -200,6 +225,8 @@
         endpoint.revision = beat.revision
         endpoint.reported = beat.running + beat.queued
         endpoint.reported_own = endpoint.own
+        endpoint.urgent = beat.urgent
+        endpoint.urgent_reported_own = endpoint.urgent_own
         endpoint.slots = max(1, beat.slots)
         endpoint.heard_s = self.clock.seconds()
         if tuple(beat.targets) != endpoint.targets:
--- /dev/null
+++ b/umberhitch/tasks/keyed.py
@@ -0,0 +1,154 @@
+"""Requests with an idempotency key: claimed in the log before the one dispatch.
+
+See docs/design/0002-idempotency-keys.md.
+"""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from umberhitch.core.claims import Claim, ClaimState, Release, Settle
+from umberhitch.core.outcome import Done, NotRun, Outcome, Reason, Unknown
+from umberhitch.ports import Clock
+from umberhitch.tasks.asks import Ask, Placement, Progress, record_answer, replay
+from umberhitch.tasks.attempts import OpenAttempt
+from umberhitch.wire import AttemptId
+
+if TYPE_CHECKING:
+    from umberhitch.tasks.requests import Requests
+    from umberhitch.tasks.router import Router
+
+__all__ = ["KeyedRequests"]
+
+CLAIM_WAIT_S = 2.0
+"""How long a keyed request waits for the log before it is refused."""
+KEY_POLL_S = 0.5
+LOG_RETRY_AFTER_S = 2.0
+
+
+class KeyedRequests:
+    """Serves the requests of one router that carry an idempotency key.
+
+    Parameters
+    ----------
+    router : Router
+    requests : Requests
+        Places and runs the attempts.
+    clock : Clock
+    wall_s : callable
+    """
+
+    def __init__(
+        self,
+        router: "Router",
+        requests: "Requests",
+        clock: Clock,
+        wall_s: Callable[[], float],
+    ) -> None:
+        self._router = router
+        self._requests = requests
+        self._clock = clock
+        self._wall_s = wall_s
+
+    async def serve(self, progress: Progress) -> Outcome:
+        """See a request with an idempotency key through."""
+        claims = self._router.claims
+        while True:
+            state = claims.holder(progress.ask.key)
+            if state is not None:
+                outcome = await self._follow_key(progress, state)
+            elif claims.follower.failures:
+                return _log_down("the log of idempotency keys cannot be reached")
+            else:
+                outcome = await self._claim_and_run(progress)
+            if outcome is not None:
+                return outcome
+            if self._clock.seconds() >= progress.due_s:
+                return NotRun(Reason.KEY_IN_USE, "the first request is still running", 1.0)
+
+    async def _claim_and_run(self, progress: Progress) -> Outcome | None:
+        """Claim the key and run; None if the state of the key must be looked at again."""
+        while True:
+            placement = self._requests.place(progress)
+            if isinstance(placement, NotRun):
+                return progress.refused or placement
+            state = await self._claim(progress, placement)
+            if state is None:
+                return _log_down("the idempotency key could not be recorded")
+            if state.claim.attempt != placement.attempt:
+                return None
+            outcome = await self._requests.attempt(progress, placement)
+            is_safe = isinstance(outcome, NotRun)
+            if not (is_safe and self._requests.may_retry(progress, outcome)):
+                self._record(progress.ask, placement.attempt, outcome)
+                return outcome
+            progress.avoid.add(placement.endpoint.name)
+
+    async def _claim(self, progress: Progress, placement: Placement) -> ClaimState | None:
+        ask = progress.ask
+        claim = Claim(
+            ask.key,
+            ask.request,
+            placement.attempt,
+            placement.endpoint.name,
+            placement.agent_incarnation,
+            ask.fingerprint,
+            self._wall_s(),
+        )
+        left_s = progress.due_s - self._clock.seconds()
+        return await self._router.claims.claim(claim, min(CLAIM_WAIT_S, left_s))
+
+    def _record(self, ask: Ask, attempt: AttemptId, outcome: Outcome) -> None:
+        claims = self._router.claims
+        match outcome:
+            case Done():
+                claims.settle(Settle(ask.key, ask.request, attempt, record_answer(outcome)))
+            case NotRun():
+                claims.release(Release(ask.key, ask.request, attempt))
+            case Unknown(reason=reason):
+                claims.settle(Settle(ask.key, ask.request, attempt, None, reason))
+
+    async def _follow_key(self, progress: Progress, state: ClaimState) -> Outcome | None:
+        """Answer from what another request with the same key did or does."""
+        claim = state.claim
+        if claim.fingerprint != progress.ask.fingerprint:
+            return NotRun(Reason.KEY_REUSED, "the key was used for another request")
+        settled = state.settled
+        if settled is not None:
+            if settled.answer is None:
+                return Unknown(Reason(settled.reason), "the first request's outcome is unknown")
+            return replay(settled.answer)
+        owner = claim.attempt
+        if self._router.is_router_alive(owner.router, owner.incarnation):
+            left_s = progress.due_s - self._clock.seconds()
+            await self._router.claims.wait_for_news(claim.key, min(KEY_POLL_S, left_s))
+            return None
+        return await self._settle_for(progress, claim)
+
+    async def _settle_for(self, progress: Progress, claim: Claim) -> Outcome | None:
+        """Find out, for a lost router, what became of the attempt that it claimed."""
+        endpoint = self._router.fleet.get(claim.endpoint)
+        if endpoint is None:
+            return Unknown(Reason.AGENT_LOST, "the first request's agent is gone")
+        watch: OpenAttempt = self._router.attempts.settle_foreign(
+            claim.attempt, endpoint, claim.agent_incarnation, progress.ask.customer.name
+        )
+        outcome = await self._router.attempts.outcome_of(watch)
+        claims = self._router.claims
+        match outcome:
+            case Done():
+                answer = record_answer(outcome)
+                claims.settle(Settle(claim.key, claim.request, claim.attempt, answer))
+                return replay(answer)
+            case NotRun():
+                claims.release(Release(claim.key, claim.request, claim.attempt))
+                await claims.wait_for_news(claim.key, CLAIM_WAIT_S)
+                return None
+            case Unknown(reason=Reason.NO_ANSWER | Reason.DEADLINE):
+                return outcome
+            case Unknown(reason=reason):
+                claims.settle(Settle(claim.key, claim.request, claim.attempt, None, reason))
+                return outcome
+
+
+def _log_down(detail: str) -> NotRun:
+    return NotRun(Reason.LOG_DOWN, detail, LOG_RETRY_AFTER_S)
--- a/umberhitch/testing/_world.py
+++ b/umberhitch/testing/_world.py
@@ -32,9 +32,9 @@
 from umberhitch.fakes._engine import EngineRun
 from umberhitch.ports import Host, HostRole
 from umberhitch.tasks.agent import Agent, AgentSettings
+from umberhitch.tasks.asks import Ask
 from umberhitch.tasks.bills import BILLING_STREAM
 from umberhitch.tasks.config_feed import CONFIG_STREAM
-from umberhitch.tasks.requests import Ask
 from umberhitch.tasks.router import Router, RouterSettings
 from umberhitch.testing._oracle import Violation
 from umberhitch.wire import EngineWork, ServiceWork
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -10,6 +10,7 @@
 from msgspec import Struct
 
 __all__ = [
+    "URGENT_PRIORITY",
     "AttemptId",
     "Beat",
     "Billed",
@@ -54,6 +55,10 @@
         return f"{self.router}.{self.incarnation}.{self.seq}"
 
 
+URGENT_PRIORITY = 2
+"""Attempts of this priority or a lower number are urgent: they overtake the others' queue."""
+
+
 class EndpointState(StrEnum):
     """What an agent says of its endpoint."""
 
@@ -197,6 +202,8 @@
     queued: int
     slots: int
     is_loading: bool = False
+    urgent: int = 0
+    """Attempts running and queued that are urgent; see `URGENT_PRIORITY`."""
 
 
 class Taken(Struct, frozen=True, array_like=True, tag="taken"):
