Bound on stale configuration, settable, 0 by default

A router refuses, not run, once neither it nor any peer that it hears has seen the log's end for max_staleness_s; status shows the age.

--- a/umberhitch/adapters/operator_api.py
+++ b/umberhitch/adapters/operator_api.py
@@ -221,6 +221,8 @@
                 "state": router.state.value,
                 "revision": router.feed.revision,
                 "source": router.feed.source.value,
+                "config_age_s": round(router.config_age_s(), 3),
+                "is_stale": router.is_stale,
                 "log": {"reachable": follower.failures == 0, "failures": follower.failures},
                 "usage_pending": router.bills.pending,
                 "requests_open": router.requests.open,
--- a/umberhitch/config/_model.py
+++ b/umberhitch/config/_model.py
@@ -191,6 +191,8 @@
     max_attempts: Annotated[int, Interval(ge=1, le=10)] = 3
     retry_budget: Fraction = 0.1
     """Retries allowed as a fraction of requests."""
+    max_staleness_s: Positive = 0.0
+    """A router refuses requests once its configuration may be older than this; 0 for never."""
     rollout_stages: Annotated[list[Fraction], Len(1, 20)] = field(
         default_factory=lambda: [0.05, 0.25, 1.0]
     )
--- a/umberhitch/scenarios/_runner.py
+++ b/umberhitch/scenarios/_runner.py
@@ -18,6 +18,7 @@
     WorldSettings,
     check_world,
     make_change,
+    make_document,
     make_version,
 )
 from umberhitch.wire import (
@@ -84,14 +85,21 @@
         """``endpoint e1 of m@1``"""
         self._endpoints[name] = target
 
+    def do_policy(self, step: Step, name: str, value: float) -> None:
+        """``policy max_staleness_s 10``"""
+        self._policy[name] = value
+
     def do_start_up(self, step: Step) -> None:
         """``start``"""
         self._world = World(
             WorldSettings(endpoints=self._endpoints, routers=self._routers, zones=self._zones)
         )
-        self._world.publish(make_change(versions=self._versions()))
+        self._world.publish(make_change(versions=self._versions(), policies=[self._make_policy()]))
         self._world.start()
 
+    def _make_policy(self) -> dict[str, Any]:
+        return {**make_document()["policies"][0], **self._policy}
+
     def _versions(self) -> list[dict[str, Any]]:
         names = {target.partition("@")[2] for target in self._endpoints.values() if "@" in target}
         return [
--- a/umberhitch/scenarios/_state.py
+++ b/umberhitch/scenarios/_state.py
@@ -28,6 +28,7 @@
         self._fetched: dict[str, Deferred] = {}
         self._drained: dict[str, Deferred] = {}
         self._paused = ""
+        self._policy: dict[str, float] = {}
         self._runs_at_drain: dict[str, int] = {}
         self._count = 0
 
--- a/umberhitch/tasks/config_feed.py
+++ b/umberhitch/tasks/config_feed.py
@@ -100,6 +100,11 @@
         """Offset of the last record applied; -1 before the first."""
         return self._catch_up.fold.revision
 
+    @property
+    def current_s(self) -> float | None:
+        """When this router last knew that it had everything in the log."""
+        return self.follower.current_s
+
     @property
     def is_ready(self) -> bool:
         """Whether there is a configuration to decide by."""
--- a/umberhitch/tasks/fleet.py
+++ b/umberhitch/tasks/fleet.py
@@ -10,8 +10,8 @@
 
 
 BEATS_TO_SILENCE = 3
-FILLED_WEIGHT = 0.5
-"""How much filled slots count beside urgent work: all of them as much as half a slot's each."""
+FILLED_WEIGHT = 0.1
+"""How much filled slots count beside urgent work: little enough only to decide between equals."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberhitch/tasks/follower.py
+++ b/umberhitch/tasks/follower.py
@@ -59,6 +59,8 @@
         self._running = False
         self.heard_s: float | None = None
         """When the service last answered."""
+        self.current_s: float | None = None
+        """When everything up to the stream's end was last known to be delivered."""
         self.end = 0
         """The stream's end as of the last answer."""
         self.failures = 0
@@ -116,4 +118,6 @@
         self.end = batch.end
         if batch.records:
             self._deliver(batch)
+        if self._start() >= batch.end:
+            self.current_s = self.heard_s
         self._next(0.0 if batch.records else self._pace.idle_s)
--- a/umberhitch/tasks/requests.py
+++ b/umberhitch/tasks/requests.py
@@ -145,6 +145,10 @@
         router = self._router
         if not router.is_ready:
             return NotRun(Reason.LEAVING, "this router takes no requests", 0.5)
+        if router.is_stale:
+            return NotRun(
+                Reason.STALE_CONFIG, "the configuration may be out of date", LOG_RETRY_AFTER_S
+            )
         if router.bills.is_full:
             return NotRun(Reason.LOG_DOWN, "usage cannot be recorded", LOG_RETRY_AFTER_S)
         return self.admission.admit(ask.customer.name, ask.customer.limits, self._clock.seconds())
--- a/umberhitch/tasks/router.py
+++ b/umberhitch/tasks/router.py
@@ -304,9 +304,37 @@
         """Return what other routers are told of this one."""
         cfg = self.settings
         return RouterDigest(
-            cfg.name, cfg.incarnation, cfg.zone, self.feed.revision, self.fleet.lowest_revisions()
+            cfg.name,
+            cfg.incarnation,
+            cfg.zone,
+            self.feed.revision,
+            self.fleet.lowest_revisions(),
+            self.config_age_s(),
         )
 
+    def config_age_s(self) -> float:
+        """Return how old the configuration may be at most, in seconds; negative if not known.
+
+        It is as fresh as the router's own last look at the end of the log, or as that of any peer
+        that it has heard and does not lag behind.
+        """
+        now = self._clock.seconds()
+        ages = [
+            digest_age_s + now - peer.heard_s
+            for peer in self._peers.values()
+            if (digest_age_s := peer.digest.age_s) >= 0 and peer.digest.revision <= self.revision
+        ]
+        if self.feed.current_s is not None:
+            ages.append(now - self.feed.current_s)
+        return min(ages, default=-1.0)
+
+    @property
+    def is_stale(self) -> bool:
+        """Whether the configuration is older than the policy admits."""
+        limit_s = self.feed.config.policy.max_staleness_s
+        age_s = self.config_age_s()
+        return limit_s > 0 and (age_s < 0 or age_s > limit_s)
+
     def _on_config(self) -> None:
         """Feed agents as soon as the revision has grown."""
         self.requests.config_changed()
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -318,6 +318,8 @@
     revision: int
     agents: dict[str, list[int]] = {}
     """For each availability zone: agents known, and the lowest revision among them."""
+    age_s: float = -1.0
+    """How old the router's configuration may be at most; negative if it cannot say."""
 
 
 Message = (
