--- a/umberhitch/adapters/metrics.py
+++ b/umberhitch/adapters/metrics.py
@@ -5,6 +5,7 @@
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
 
 from umberhitch.adapters.zmq_link import ZmqLink
@@ -22,7 +23,8 @@
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
         reader = PrometheusMetricReader(registry=self._registry)
-        self._provider = MeterProvider(metric_readers=[reader])
+        resource = Resource.create({"service.name": "umberhitch"})
+        self._provider = MeterProvider(metric_readers=[reader], resource=resource)
         self._meter = self._provider.get_meter("umberhitch")
 
     def gauge(self, name: str, description: str, read: Callable[[], Iterable[Reading]]) -> None:
--- /dev/null
+++ b/umberhitch/cli/tests/test_daemon.py
@@ -0,0 +1,80 @@
+"""The daemon as a process: its settings, its exit codes, its shutdown."""
+
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from msgspec import json
+
+LIMIT_S = 60.0
+AGENT = {
+    "role": "agent",
+    "name": "e1",
+    "zone": "a",
+    "listen": {"link": "127.0.0.1:0", "health": "127.0.0.1:0"},
+    "backend": {"url": "http://127.0.0.1:9", "targets": ["m@1"]},
+}
+
+
+def write(folder: Path, settings: dict) -> str:
+    path = folder / "settings.json"
+    path.write_bytes(json.encode(settings))
+    return f"--settings={path}"
+
+
+def run(*args: str) -> subprocess.CompletedProcess:
+    command = [sys.executable, "-m", "umberhitch.cli.daemon", *args]
+    return subprocess.run(command, capture_output=True, text=True, timeout=LIMIT_S)
+
+
+def test_check_accepts_good_settings(tmp_path: Path) -> None:
+    done = run(write(tmp_path, AGENT), "--check")
+    assert (done.returncode, done.stdout.endswith("ok\n")) == (0, True)
+
+
+def test_every_finding_in_bad_settings_is_reported(tmp_path: Path) -> None:
+    bad = {
+        **AGENT,
+        "zone": "",
+        "surplus": 1,
+        "listen": {"link": "localhost:1", "health": "127.0.0.1:99999"},
+    }
+    done = run(write(tmp_path, bad))
+    assert done.returncode == 2
+    lines = done.stderr.splitlines()
+    for place in ("zone", "surplus", "listen.link", "listen.health"):
+        assert any(f": {place}: " in line for line in lines), place
+
+
+def test_the_link_needs_keys_off_loopback(tmp_path: Path) -> None:
+    away = {**AGENT, "listen": {"link": "10.0.0.1:7000", "health": "127.0.0.1:0"}}
+    done = run(write(tmp_path, away), "--check")
+    assert done.returncode == 2
+    assert "link_keys" in done.stderr
+
+
+def test_unknown_flags_and_missing_files_have_their_exit_code(tmp_path: Path) -> None:
+    assert run("--nonsense").returncode == 2
+    assert run(f"--settings={tmp_path / 'none.json'}").returncode == 2
+    assert run("--version").stdout.startswith("umberhitchd ")
+
+
+def test_an_idle_agent_drains_at_once_and_keeps_tls_out(tmp_path: Path) -> None:
+    command = [sys.executable, "-m", "umberhitch.cli.daemon", write(tmp_path, AGENT)]
+    process = subprocess.Popen(command, stderr=subprocess.PIPE)
+    assert process.stderr is not None
+    try:
+        for line in process.stderr:
+            record = json.decode(line)
+            if "addresses" in record:
+                break
+        assert record["node"] == "e1"
+        mapped = Path(f"/proc/{process.pid}/maps").read_text()
+        assert "cryptography" not in mapped
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(LIMIT_S) == 0
+    finally:
+        process.kill()
+        process.wait()
+        process.stderr.close()
--- a/umberhitch/tasks/tests/test_serving.py
+++ b/umberhitch/tasks/tests/test_serving.py
@@ -1,5 +1,6 @@
 """Serving requests on a virtual clock."""
 
+import pytest
 from twisted.internet.defer import ensureDeferred
 
 from umberhitch.config import VersionState
@@ -7,6 +8,7 @@
 from umberhitch.fakes import NetworkFaults, expected_answer
 from umberhitch.tasks.resume import parse_locator
 from umberhitch.testing import (
+    SIGNING_SECRET,
     AskOptions,
     World,
     WorldSettings,
@@ -169,3 +171,18 @@
     refused = [record for record in drafts if isinstance(record.outcome, NotRun)]
     assert [record.outcome.reason for record in refused] == [Reason.OVERLOADED]
     assert made.runs_of(refused[0].question) == 0
+
+
+def test_logs_hold_ids_and_never_a_question_an_answer_or_a_key(
+    world: World, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level("DEBUG")
+    record = world.ask("confidential words", "r1", AskOptions(klass="renewal", key="my-key"))
+    world.engines["e1"].lose()
+    world.ask("other confidential words", "r1")
+    world.advance(3.0)
+    assert isinstance(record.outcome, Done)
+    text = "\n".join(str(vars(entry)) for entry in caplog.records)
+    assert record.request in text
+    for secret in ("confidential", "m@1/", "my-key", SIGNING_SECRET):
+        assert secret not in text
