--- a/umberhitch/adapters/caller_api.py
+++ b/umberhitch/adapters/caller_api.py
@@ -9,20 +9,18 @@
 from msgspec import json
 from xxhash import xxh3_64_hexdigest
 
+from umberhitch.adapters.caller_reply import Reply, RequestError
 from umberhitch.adapters.caller_shapes import (
     ChatBody,
     SessionBody,
     chat_answer,
-    chunk_event,
     error_body,
-    http_status,
-    last_events,
     parse_body,
 )
 from umberhitch.adapters.http_server import send_json
 from umberhitch.config import Customer, RequestClass, Service
 from umberhitch.core.choice import choose_version, permitted_versions
-from umberhitch.core.outcome import Done, NotRun, Outcome, Reason, Unknown
+from umberhitch.core.outcome import Done, NotRun, Reason
 from umberhitch.core.session import Session, read_session_token, sign_session_token
 from umberhitch.errors import ConfigError, SessionError
 from umberhitch.tasks.asks import Ask
@@ -38,81 +36,11 @@
 HEADER_PRIORITY = "Umberhitch-Priority"
 HEADER_SESSION = "Umberhitch-Session"
 HEADER_KEY = "Idempotency-Key"
-HEADER_REQUEST = "Umberhitch-Request-Id"
-HEADER_ANSWER = "Umberhitch-Answer"
 HEADER_REPLAYED = "Umberhitch-Replayed"
 MAX_KEY_CHARS = 256
 FORWARDED_HEADERS = ("content-type", "accept")
 
 
-class RequestError(Exception):
-    """A request that cannot be understood or is not authorised; it has not run."""
-
-    def __init__(self, status: int, code: str, message: str, findings: list | None = None) -> None:
-        super().__init__(message)
-        self.status = status
-        self.code = code
-        self.findings = findings
-
-
-class _Reply:
-    """Writes one answer, whole or as a stream, unless the caller has gone away."""
-
-    def __init__(self, request: Any, request_id: str, created_s: int) -> None:
-        self._request = request
-        self.request_id = request_id
-        self.created_s = created_s
-        self.is_gone = False
-        self.has_begun = False
-        self.model = ""
-        request.setHeader(HEADER_REQUEST, request_id)
-        request.notifyFinish().addErrback(self._on_gone)
-
-    def _on_gone(self, failure: Any) -> None:
-        self.is_gone = True
-
-    def place(self, locator: str) -> None:
-        """Tell the caller where its answer can be found again."""
-        if not self.has_begun:
-            self._request.setHeader(HEADER_ANSWER, locator)
-
-    def write_text(self, text: str) -> None:
-        """Stream a piece of the answer."""
-        if self.is_gone:
-            return
-        self.begin_stream()
-        self._request.write(chunk_event(self.request_id, self.created_s, self.model, text))
-
-    def begin_stream(self) -> None:
-        """Send the head of a stream, once."""
-        if not self.has_begun:
-            self.has_begun = True
-            self._request.setHeader("Content-Type", "text/event-stream")
-            self._request.setHeader("Cache-Control", "no-cache")
-
-    def end_stream(self, outcome: Outcome, wants_usage: bool) -> bytes:
-        """Return the end of a stream; a stream that is not whole ends with an error event."""
-        if isinstance(outcome, Done):
-            self.begin_stream()
-            return last_events(outcome, self.request_id, self.created_s, wants_usage)
-        if not self.has_begun:
-            return self.error(outcome)
-        body = error_body(*_described(outcome), self.request_id)
-        return b"data: " + json.encode(body) + b"\n\n"
-
-    def error(self, outcome: NotRun | Unknown) -> bytes:
-        """Return the error body of an outcome that is not done."""
-        if isinstance(outcome, NotRun) and outcome.retry_after_s > 0:
-            self._request.setHeader("Retry-After", f"{max(1, round(outcome.retry_after_s))}")
-        body = error_body(*_described(outcome), self.request_id)
-        return send_json(self._request, http_status(outcome), body)
-
-
-def _described(outcome: NotRun | Unknown) -> tuple[str, str, str]:
-    status = "not_run" if isinstance(outcome, NotRun) else "unknown"
-    return status, outcome.reason.value, outcome.detail or outcome.reason.value
-
-
 class CallerApi:
     """Owns the callers' routes of one router.
 
@@ -134,8 +62,8 @@
         self._wall_s = wall_s
         self._new_id = new_id
 
-    def _reply(self, request: Any) -> _Reply:
-        return _Reply(request, f"req-{self._new_id().hex}", int(self._wall_s()))
+    def _reply(self, request: Any) -> Reply:
+        return Reply(request, f"req-{self._new_id().hex}", int(self._wall_s()))
 
     # Understanding a request
 
--- a/umberhitch/adapters/operator_api.py
+++ b/umberhitch/adapters/operator_api.py
@@ -13,18 +13,21 @@
 from umberhitch.adapters.burn_page import burn_row, render_burn
 from umberhitch.adapters.http_server import send_json
 from umberhitch.adapters.metrics import Metrics
+from umberhitch.adapters.operator_shapes import (
+    change_of,
+    empty_zone,
+    lowest_of,
+    peer_row,
+    public,
+    touches,
+    verdict_body,
+    verdict_status,
+)
 from umberhitch.config import (
-    Accepted,
     Change,
-    Delete,
     Finding,
     Fold,
-    Ignored,
     Kind,
-    Rejected,
-    SetState,
-    Verdict,
-    decode_record,
 )
 from umberhitch.config import Put as PutOp
 from umberhitch.config.documents import changes_to, check_object
@@ -146,7 +149,7 @@
         self._operator(request, Role.READ)
         feed = self._router.feed
         snapshot = feed.fold.snapshot()
-        objects = {kind: [_public(row) for row in rows] for kind, rows in snapshot.objects.items()}
+        objects = {kind: [public(row) for row in rows] for kind, rows in snapshot.objects.items()}
         return send_json(
             request,
             200,
@@ -201,7 +204,7 @@
             verdict = await self._router.change(change)
         except LogError as exc:
             raise OperatorError(503, f"the change was not queued: {exc}") from exc
-        return send_json(request, _verdict_status(verdict), _verdict_body(verdict, change))
+        return send_json(request, verdict_status(verdict), verdict_body(verdict, change))
 
     # Status
 
@@ -227,7 +230,7 @@
                 "usage_pending": router.bills.pending,
                 "requests_open": router.requests.open,
                 "endpoints": [self._endpoint_row(name) for name in sorted(router.fleet.endpoints)],
-                "peers": [_peer_row(digest) for digest in router.peers()],
+                "peers": [peer_row(digest) for digest in router.peers()],
             },
         )
 
@@ -250,13 +253,13 @@
         router = self._router
         zones: dict[str, dict[str, Any]] = {}
         for digest in [router.digest(), *router.peers()]:
-            row = zones.setdefault(digest.zone, _empty_zone())
+            row = zones.setdefault(digest.zone, empty_zone())
             row["routers"] += 1
             row["routers_behind"] += digest.revision < revision
             for zone, (count, lowest) in digest.agents.items():
-                row = zones.setdefault(zone, _empty_zone())
+                row = zones.setdefault(zone, empty_zone())
                 row["agents"] = max(row["agents"], count)
-                row["lowest_agent_revision"] = _lowest(row["lowest_agent_revision"], lowest)
+                row["lowest_agent_revision"] = lowest_of(row["lowest_agent_revision"], lowest)
         for row in zones.values():
             lowest = row["lowest_agent_revision"]
             row["in_force"] = row["routers_behind"] == 0 and (lowest is None or lowest >= revision)
@@ -295,7 +298,7 @@
         rows: list[dict[str, Any]] = []
         async for offset, data in self._records(CONFIG_STREAM):
             verdict = fold.apply(offset, data)
-            change = _change_of(data)
+            change = change_of(data)
             if change is None or not touches(change, kind, name):
                 continue
             rows.append(
@@ -371,7 +374,7 @@
         except LogError as exc:
             raise OperatorError(503, f"the change was not queued: {exc}") from exc
         change = Change(f"rollout-{version}", "operator", [])
-        return send_json(request, _verdict_status(verdict), _verdict_body(verdict, change))
+        return send_json(request, verdict_status(verdict), verdict_body(verdict, change))
 
     # Bills
 
@@ -385,71 +388,8 @@
         return send_json(request, 200, {"bills": rows, "repeated_records": self._bills.repeats})
 
 
-def _change_of(data: bytes) -> Change | None:
-    try:
-        record = decode_record(data)
-    except DecodeError:
-        return None
-    return record if isinstance(record, Change) else None
-
-
-def touches(change: Change, kind: str, name: str) -> bool:
-    """Whether a change is about an object."""
-    for op in change.ops:
-        match op:
-            case SetState(version=version):
-                found = (Kind.VERSION.value, version)
-            case Delete(kind=op_kind, name=op_name):
-                found = (op_kind.value, op_name)
-            case PutOp(kind=op_kind, value=value):
-                is_version = op_kind is Kind.VERSION
-                own = f"{value.get('model')}@{value.get('name')}" if is_version else value["name"]
-                found = (op_kind.value, own)
-        if found == (kind, name):
-            return True
-    return False
-
-
-def _public(row: dict[str, Any]) -> dict[str, Any]:
-    """Leave out what must not be shown."""
-    return {name: value for name, value in row.items() if name != "secret"}
-
-
 def _decoded(request: Any) -> Any:
     try:
         return json.decode(request.content.read())
     except DecodeError as exc:
         raise OperatorError(400, "not valid", [Finding("body", f"not JSON: {exc}")]) from exc
-
-
-def _verdict_status(verdict: Verdict) -> int:
-    return 200 if isinstance(verdict, Accepted) else 409
-
-
-def _verdict_body(verdict: Verdict, change: Change) -> dict[str, Any]:
-    match verdict:
-        case Accepted(revision=revision):
-            return {"accepted": True, "change": change.change_id, "revision": revision}
-        case Rejected(revision=revision, findings=findings):
-            rows = [asdict(finding) for finding in findings]
-            return {
-                "accepted": False,
-                "change": change.change_id,
-                "revision": revision,
-                "error": "rejected",
-                "findings": rows,
-            }
-        case Ignored(reason=reason):
-            return {"accepted": False, "change": change.change_id, "error": reason, "findings": []}
-
-
-def _peer_row(digest: Any) -> dict[str, Any]:
-    return {"router": digest.router, "zone": digest.zone, "revision": digest.revision}
-
-
-def _empty_zone() -> dict[str, Any]:
-    return {"routers": 0, "routers_behind": 0, "agents": 0, "lowest_agent_revision": None}
-
-
-def _lowest(one: int | None, other: int) -> int:
-    return other if one is None else min(one, other)
--- /dev/null
+++ b/umberhitch/core/tests/test_queue.py
@@ -0,0 +1,76 @@
+"""The agent's queue."""
+
+from collections import Counter
+
+from umberhitch.core.attempt import AttemptEntry
+from umberhitch.core.queue import WorkQueue
+from umberhitch.testing import make_start
+
+
+class Filler:
+    """Pushes attempts with growing numbers."""
+
+    def __init__(self) -> None:
+        self.queue = WorkQueue()
+        self.seq = 0
+
+    def push(self, customer: str, priority: int = 5, share: float = 1.0) -> AttemptEntry:
+        self.seq += 1
+        start = make_start(self.seq, customer=customer, priority=priority)
+        entry = AttemptEntry(start.attempt, start)
+        self.queue.push(self.queue.place_for(priority, customer), entry, customer, share)
+        return entry
+
+    def pop_customers(self, count: int) -> list[str]:
+        return [self.queue.pop().start.customer for _ in range(count)]
+
+
+def test_urgent_work_goes_first_and_equals_in_order() -> None:
+    filler = Filler()
+    late, first, second = filler.push("a", 7), filler.push("a", 1), filler.push("a", 1)
+    assert [filler.queue.pop() for _ in range(3)] == [first, second, late]
+
+
+def test_a_backlog_does_not_hold_up_another_customer() -> None:
+    filler = Filler()
+    for _ in range(50):
+        filler.push("large")
+    filler.push("small")
+    assert "small" in filler.pop_customers(2)
+
+
+def test_shares_divide_what_there_is() -> None:
+    filler = Filler()
+    for _ in range(90):
+        filler.push("double", share=2.0)
+        filler.push("single", share=1.0)
+    assert Counter(filler.pop_customers(90)) == {"double": 60, "single": 30}
+
+
+def test_who_was_idle_gets_no_credit_for_it() -> None:
+    filler = Filler()
+    for _ in range(20):
+        filler.push("busy")
+    filler.pop_customers(10)
+    for _ in range(10):
+        filler.push("idle")
+    assert abs(Counter(filler.pop_customers(10))["idle"] - 5) <= 1
+
+
+def test_the_last_is_the_least_urgent_of_the_largest_backlog() -> None:
+    filler = Filler()
+    filler.push("small", 7)
+    for _ in range(3):
+        newest = filler.push("large", 7)
+    filler.push("large", 1)
+    last = filler.queue.last()
+    assert last is not None
+    assert last[1] is newest
+
+
+def test_what_was_removed_is_not_popped() -> None:
+    filler = Filler()
+    gone, stays = filler.push("a"), filler.push("a")
+    filler.queue.remove(gone)
+    assert len(filler.queue) == 1
+    assert filler.queue.pop() is stays
--- a/umberhitch/tasks/agent.py
+++ b/umberhitch/tasks/agent.py
@@ -69,6 +69,8 @@
 BEAT_SLACK_S = 0.05
 """A heartbeat that is due this soon goes with the present round."""
 QUEUE_RETRY_AFTER_S = 1.0
+LEAST_SHARE = 0.01
+"""A customer with a share of 0 gets this, so that it is not shut out for ever."""
 LEAVING_RETRY_AFTER_S = 0.2
 
 
@@ -348,7 +350,10 @@
                     self._finish(entry, Refused(entry.attempt, reason, _retry_after(reason)))
                     return
                 self._link.send(sender, Taken(entry.attempt))
-                self._queue.push(start.priority, entry)
+                place = self._queue.place_for(start.priority, start.customer)
+                owner = self.config.customers.get(start.customer)
+                share = max(LEAST_SHARE, owner.limits.share if owner is not None else 1.0)
+                self._queue.push(place, entry, start.customer, share)
                 self._fill_slots()
             case Repeated(entry=entry):
                 self._link.send(sender, entry.result or Taken(entry.attempt))
@@ -372,12 +377,16 @@
         return None
 
     def _give_way(self, start: Start) -> bool:
-        """Refuse the least urgent attempt that waits, if it is less urgent than a new one."""
-        last = self._queue.least_urgent()
-        if last is None or last.start is None or last.start.priority <= start.priority:
+        """Refuse the attempt that would go last, if a new one would go before it.
+
+        That is the least urgent one, and among equals one of the customer with the most in wait.
+        """
+        last = self._queue.last()
+        if last is None or self._queue.place_for(start.priority, start.customer) >= last[0]:
             return False
-        self._queue.remove(last)
-        self._finish(last, Refused(last.attempt, Reason.OVERLOADED, QUEUE_RETRY_AFTER_S))
+        entry = last[1]
+        self._queue.remove(entry)
+        self._finish(entry, Refused(entry.attempt, Reason.OVERLOADED, QUEUE_RETRY_AFTER_S))
         return True
 
     def _permission(self, start: Start) -> Reason | None:
