No step of a roll-out and no command undoes a change made in the meantime

Cause, found by reading the roll-out driver as a newcomer: its step wrote whole versions without the revision they were read at, so a step that was decided just before a withdrawal made the withdrawn version active again; taking a roll-out back activated the previous version even if it had been withdrawn; and the tool wrote whole customers, so that one operator's change of one field undid another's of another.

Every such write now names the revision; a step that was rejected is decided anew.

--- a/umberhitch/cli/_session.py
+++ b/umberhitch/cli/_session.py
@@ -188,8 +188,10 @@
         return self.client.call("POST", f"/admin/v1/rollouts/{statement.version}", body).body
 
     def _change(self, statements: list[Any]) -> int:
-        tables = self._get("/admin/v1/config")["objects"]
-        ops = compile_changes(statements, tables, self.options.if_revision)
+        config = self._get("/admin/v1/config")
+        ops = compile_changes(
+            statements, config["objects"], config["revisions"], self.options.if_revision
+        )
         body = {"ops": [to_builtins(op) for op in ops]}
         if self.options.is_dry_run:
             reply = self.client.call("POST", "/admin/v1/changes?dry_run=1", body).body
--- a/umberhitch/core/rollout.py
+++ b/umberhitch/core/rollout.py
@@ -21,8 +21,10 @@
     "RolloutView",
     "Step",
     "UpdatePlan",
+    "is_restorable",
     "make_rollout_life",
     "next_step",
+    "restored",
 ]
 
 MAX_LOADS = 2
@@ -156,6 +158,8 @@
     is_live = plan.state in (RolloutState.PLANNED, RolloutState.RUNNING, RolloutState.HELD)
     if is_live and new.state in (VersionState.QUARANTINED, VersionState.WITHDRAWN):
         return _roll_back(plan, new, old)
+    if not is_restorable(old) and plan.state in (RolloutState.PLANNED, RolloutState.RUNNING):
+        return _hold(plan, f"{old.key} is {old.state.value}")
     match plan.state:
         case RolloutState.PLANNED:
             return _enter_stage(plan, view, 0, new, old)
@@ -235,7 +239,17 @@
     next_plan = replace(
         plan, state=RolloutState.ROLLED_BACK, reason=f"{new.key} is {new.state.value}"
     )
-    return UpdatePlan(next_plan, (replace(old, state=VersionState.ACTIVE, share=1.0),))
+    return UpdatePlan(next_plan, (restored(old),) if is_restorable(old) else ())
+
+
+def is_restorable(ver: Version) -> bool:
+    """Whether a roll-out may give traffic back to a version; never to one that was withdrawn."""
+    return ver.state in (VersionState.ACTIVE, VersionState.RETIRED)
+
+
+def restored(ver: Version) -> Version:
+    """Return a version as it is once a roll-out has been taken back."""
+    return replace(ver, state=VersionState.ACTIVE, share=1.0)
 
 
 def _restore(plan: Rollout, view: RolloutView) -> Step | None:
--- a/umberhitch/language/_compile.py
+++ b/umberhitch/language/_compile.py
@@ -30,7 +30,7 @@
 class _Compiler:
     """Compiles statements one after the other, each seeing what the ones before changed."""
 
-    def __init__(self, tables: Tables, if_revision: int | None) -> None:
+    def __init__(self, tables: Tables, revisions: dict[str, int], if_revision: int | None) -> None:
         self.findings: list[Finding] = []
         self.ops: list[Op] = []
         self._rows = {
@@ -38,6 +38,7 @@
             for kind, rows in tables.items()
             for row in rows
         }
+        self._revisions = revisions
         self._if_revision = if_revision
 
     def compile(self, place: str, statement: ChangeStatement) -> None:
@@ -60,6 +61,13 @@
         self._rows[(kind, _name_of(kind, row))] = row
         self.ops.append(Put(Kind(kind), row, self._if_revision))
 
+    def _put_changed(self, kind: str, row: dict[str, Any]) -> None:
+        """Put an object that was read first: void if anyone has changed it in the meantime."""
+        seen = self._if_revision
+        if seen is None:
+            seen = self._revisions.get(f"{kind}/{_name_of(kind, row)}", 0)
+        self.ops.append(Put(Kind(kind), deepcopy(row), seen))
+
     def _row(self, place: str, kind: str, name: str) -> dict[str, Any] | None:
         row = self._rows.get((kind, name))
         if row is None:
@@ -76,7 +84,7 @@
         if statement.is_granted:
             names.append(statement.target)
         row[field] = names
-        self._put(Kind.CUSTOMER, row)
+        self._put_changed(Kind.CUSTOMER, row)
 
     def _set_field(self, place: str, statement: SetField) -> None:
         row = self._row(place, statement.kind, statement.name)
@@ -93,11 +101,14 @@
         if isinstance(value, float) and value.is_integer():
             value = int(value)
         target[last] = value
-        self._put(statement.kind, row)
+        self._put_changed(statement.kind, row)
 
 
 def compile_changes(
-    statements: list[ChangeStatement], tables: Tables, if_revision: int | None = None
+    statements: list[ChangeStatement],
+    tables: Tables,
+    revisions: dict[str, int],
+    if_revision: int | None = None,
 ) -> list[Op]:
     """Return the operations of statements that are to be applied whole or not at all.
 
@@ -106,6 +117,8 @@
     statements : list
     tables : dict
         The objects in force, by kind.
+    revisions : dict
+        The revision of each, by ``kind/name``.
     if_revision : int or None
         Revision that each object must still have.
 
@@ -114,7 +127,7 @@
     LanguageError
         With a finding for each statement that does not fit the configuration.
     """
-    compiler = _Compiler(tables, if_revision)
+    compiler = _Compiler(tables, revisions, if_revision)
     for index, statement in enumerate(statements, start=1):
         compiler.compile(f"statement {index}", statement)
     if compiler.findings:
--- a/umberhitch/scenarios/_runner.py
+++ b/umberhitch/scenarios/_runner.py
@@ -175,13 +175,13 @@
             wanted = make_state_change(list(step.items))
             ops = [SetState(wanted.version, wanted.state, wanted.share, revision)]
         else:
-            ops = compile_changes([make_permission(list(step.items))], self._tables(), revision)
+            fold = next(iter(self.world.routers.values())).feed.fold
+            statements = [make_permission(list(step.items))]
+            ops = compile_changes(
+                list(statements), fold.snapshot().objects, fold.revisions, revision
+            )
         return Change(name or f"chg-{self._count}", "scenario", ops)
 
-    def _tables(self) -> dict[str, Any]:
-        """Return the objects as the first router has them."""
-        return next(iter(self.world.routers.values())).feed.fold.snapshot().objects
-
     def do_command_rollout(self, step: Step, router: str, change: Step) -> None:
         """``at r1 roll out m@2 from m@1``"""
         wanted = make_rollout(list(change.items))
@@ -250,6 +250,7 @@
 
     def do_log_slow(self, step: Step, seconds: float, router: str | None) -> None:
         """``log slow 1s``, or ``log slow 1s at r1``"""
+        router = self._resolve(step, router) if router is not None else None
         self._log_faults(router).delay_s = seconds
 
     def do_log_loses(self, step: Step, answers: int) -> None:
--- a/umberhitch/tasks/rollouts.py
+++ b/umberhitch/tasks/rollouts.py
@@ -9,14 +9,25 @@
 from msgspec import to_builtins
 from twisted.internet.defer import Deferred
 
-from umberhitch.config import Change, Kind, Put, Rollout, RolloutState, Verdict
+from umberhitch.config import (
+    Change,
+    Kind,
+    Put,
+    Rollout,
+    RolloutState,
+    Verdict,
+    Version,
+    VersionState,
+)
 from umberhitch.core.rollout import (
     EndpointView,
     LoadEndpoint,
     RolloutView,
     UpdatePlan,
+    is_restorable,
     make_rollout_life,
     next_step,
+    restored,
 )
 from umberhitch.errors import UmberhitchError
 from umberhitch.ports import Clock
@@ -82,8 +93,9 @@
             plan = _commanded(plan, action, self._wall_s())
         seen = feed.fold.revisions.get(f"rollouts/{version}", 0)
         ops: list[Any] = [Put(Kind.ROLLOUT, to_builtins(plan), seen)]
-        if action == "roll back":
-            ops.append(self._restored(plan.previous))
+        old = feed.config.versions.get(plan.previous)
+        if action == "roll back" and old is not None and is_restorable(old):
+            ops.append(self._put_version(restored(old)))
         change = Change(f"rollout-{version}-{action}-{seen}", "operator", ops)
         return self._router.change(change)
 
@@ -104,6 +116,9 @@
         if replaced is None:
             raise RolloutError("say which version is replaced: roll out VERSION from VERSION")
         policy = config.policy
+        old = config.versions.get(replaced)
+        if old is None or old.state is not VersionState.ACTIVE:
+            raise RolloutError(f"{replaced} is not an active version")
         return Rollout(
             version=version,
             previous=replaced,
@@ -113,9 +128,13 @@
             min_answers=policy.rollout_min_answers,
         )
 
-    def _restored(self, previous: str) -> Put:
-        row = to_builtins(self._router.feed.config.versions[previous])
-        return Put(Kind.VERSION, {**row, "state": "active", "share": 1.0})
+    def _put_version(self, ver: Version) -> Put:
+        """Return the change of a version, void if anyone has changed it in the meantime.
+
+        Without that a step that was decided just before a withdrawal would undo it.
+        """
+        seen = self._router.feed.fold.revisions.get(f"versions/{ver.key}", 0)
+        return Put(Kind.VERSION, to_builtins(ver), seen)
 
     # Driving
 
@@ -176,11 +195,13 @@
         """Submit a step as a change that is based on the plan's revision."""
         feed = self._router.feed
         seen = feed.fold.revisions.get(f"rollouts/{plan.version}", 0)
-        change_id = f"rollout-{plan.version}-{update.plan.state.value}-{update.plan.stage}-{seen}"
+        ops: list[Any] = [Put(Kind.ROLLOUT, to_builtins(update.plan), seen)]
+        ops += [self._put_version(ver) for ver in update.versions]
+        newest = max(op.if_revision or 0 for op in ops)
+        step = f"{update.plan.state.value}-{update.plan.stage}"
+        change_id = f"rollout-{plan.version}-{step}-{seen}-{newest}"
         if self._pending == change_id:
             return
-        ops: list[Any] = [Put(Kind.ROLLOUT, to_builtins(update.plan), seen)]
-        ops += [Put(Kind.VERSION, to_builtins(ver)) for ver in update.versions]
         self._pending = change_id
         judge = self._router.evidence.judge
         judge.counts.pop(plan.version, None)
--- a/umberhitch/testing/_world.py
+++ b/umberhitch/testing/_world.py
@@ -13,7 +13,7 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import Clock
 
-from umberhitch.config import Change, Config, Fold, VersionState, encode_record
+from umberhitch.config import Change, Config, Fold, VersionState, decode_record, encode_record
 from umberhitch.core.billing import BillFold
 from umberhitch.core.outcome import Done, Outcome
 from umberhitch.core.session import Session, read_session_token, sign_session_token
@@ -228,7 +228,9 @@
         """Note permissions, and revisions that fall."""
         for offset, data in self.memory.all_records(CONFIG_STREAM)[-50:]:
             if offset > self._truth.revision:
+                before = self._truth.config
                 self._truth.apply(offset, data)
+                self._check_revival(before, data)
                 self._note_permissions(self._truth.config)
         processes: list[Router | Agent] = [*self.routers.values(), *self.agents.values()]
         for process in processes:
@@ -242,6 +244,18 @@
                 )
             self._seen_revisions[id(process)] = revision
 
+    def _check_revival(self, before: Config, data: bytes) -> None:
+        """No router brings back by itself a version that was withdrawn."""
+        record = decode_record(data)
+        if not isinstance(record, Change) or not record.author.startswith("router "):
+            return
+        for key, ver in self._truth.config.versions.items():
+            old = before.versions.get(key)
+            was_withdrawn = old is not None and old.state is VersionState.WITHDRAWN
+            if was_withdrawn and ver.state is not VersionState.WITHDRAWN:
+                detail = f"{record.author} brought back {key} by {record.change_id}"
+                self.violations.append(Violation("withdrawn gets no new work", detail))
+
     def _check_run(self, name: str, run: EngineRun) -> None:
         """Hold each run against the configuration that its own agent has at that moment."""
         agent = self.agents.get(name)
