Peers in a module of their own; silence grows with their number

Cause, found while reading: each router tells three others a second, so that at 370 routers one hears another every 123 s, but took it for lost after 10 s; it would have settled live routers' keys and cancelled their attempts.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -244,6 +244,11 @@
    interface loaded when first asked.
 5. **Heartbeats and configuration to agents.** To replace: heartbeats that name only what changed;
    changes as deltas of the agent's own view.
+6. **Routers' view of each other.** Each tells three others a second, so that at {ROUTERS} a router is
+   heard every {ROUTERS / 3:.0f} s by each other and counts as lost after {ROUTERS:.0f} s; judges and
+   lease candidates differ between routers meanwhile (harmless: changes are guarded, leases decided
+   by the log), and a lost router's keys are settled late. To replace: digests that pass on whom
+   they have heard of.
 
 ## A region that cannot reach the log for an hour
 
--- a/umberhitch/adapters/operator_api.py
+++ b/umberhitch/adapters/operator_api.py
@@ -230,7 +230,7 @@
                 "usage_pending": router.bills.pending,
                 "requests_open": router.requests.open,
                 "endpoints": [self._endpoint_row(name) for name in sorted(router.fleet.endpoints)],
-                "peers": [peer_row(digest) for digest in router.peers()],
+                "peers": [peer_row(digest) for digest in router.peers.live()],
             },
         )
 
@@ -252,7 +252,7 @@
         self._operator(request, Role.READ)
         router = self._router
         zones: dict[str, dict[str, Any]] = {}
-        for digest in [router.digest(), *router.peers()]:
+        for digest in [router.digest(), *router.peers.live()]:
             row = zones.setdefault(digest.zone, empty_zone())
             row["routers"] += 1
             row["routers_behind"] += digest.revision < revision
--- a/umberhitch/tasks/keyed.py
+++ b/umberhitch/tasks/keyed.py
@@ -118,7 +118,7 @@
                 return Unknown(Reason(settled.reason), "the first request's outcome is unknown")
             return replay(settled.answer)
         owner = claim.attempt
-        if self._router.is_router_alive(owner.router, owner.incarnation):
+        if self._router.peers.is_alive(owner.router, owner.incarnation):
             left_s = progress.due_s - self._clock.seconds()
             await self._router.claims.wait_for_news(claim.key, min(KEY_POLL_S, left_s))
             return None
--- a/umberhitch/tasks/router.py
+++ b/umberhitch/tasks/router.py
@@ -25,6 +25,7 @@
 from umberhitch.tasks.fleet import Endpoint, Fleet, FleetLimits
 from umberhitch.tasks.follower import FollowerPace
 from umberhitch.tasks.leases import LeaseKeeper
+from umberhitch.tasks.peers import Peers, PeersLimits
 from umberhitch.tasks.requests import Requests
 from umberhitch.tasks.resume import Resume
 from umberhitch.tasks.rollouts import ROLLOUT_LEASE, RolloutDriver
@@ -54,12 +55,6 @@
 log = getLogger(__name__)
 
 
-def stopped_versions(change: Change) -> list[str]:
-    """Return the versions to which a change gives no work any more, sessions included."""
-    stopping = (VersionState.WITHDRAWN, VersionState.QUARANTINED)
-    return [op.version for op in change.ops if isinstance(op, SetState) and op.state in stopping]
-
-
 FEED_GRACE_S = 2.0
 """How long another router is given to feed an agent, before this one does it too."""
 BEATS_PER_S = 50.0
@@ -69,6 +64,12 @@
 """Appends that all routers together may make; the platform's log takes several hundred a second."""
 
 
+def stopped_versions(change: Change) -> list[str]:
+    """Return the versions to which a change gives no work any more, sessions included."""
+    stopping = (VersionState.WITHDRAWN, VersionState.QUARANTINED)
+    return [op.version for op in change.ops if isinstance(op, SetState) and op.state in stopping]
+
+
 class RouterState(StrEnum):
     """Whether a router takes requests."""
 
@@ -86,9 +87,7 @@
     zone: str
     hello_s: float = 1.0
     hosts_s: float = 2.0
-    peers_per_round: int = 3
-    """Routers that get a digest each round; more would not make news travel much faster."""
-    peer_silence_s: float = 10.0
+    peers: PeersLimits = PeersLimits()
     pace: AttemptPace = AttemptPace()
     follow: FollowerPace = FollowerPace()
     fleet: FleetLimits = FleetLimits()
@@ -100,14 +99,6 @@
     """Share of answers that are sent to the rating service."""
 
 
-@dataclass(slots=True)
-class Peer:
-    """What a router knows of another."""
-
-    digest: RouterDigest
-    heard_s: float
-
-
 class Router:
     """One router incarnation.
 
@@ -145,8 +136,7 @@
         self._next_greeted = 0
         self._changed_s = 0.0
         self._is_stopped = False
-        self._peers: dict[str, Peer] = {}
-        self._peer_names: list[str] = []
+        self.peers = Peers(settings.name, settings.incarnation, clock, rng, link, settings.peers)
         self._drained: Deferred[None] | None = None
         self.stops = DirectStops()
         self._subsets = Subsets(settings.name, settings.subsets)
@@ -255,16 +245,8 @@
         for endpoint in moved:
             self._link.connect(endpoint.name, endpoint.address)
             self._link.send(endpoint.name, self._hello())
-        routers = {host.name: host for host in hosts if host.role is HostRole.ROUTER}
-        routers.pop(self.settings.name, None)
-        for name, host in routers.items():
-            if name not in self._peer_names:
-                self._link.connect(name, host.address)
-        for name in self._peer_names:
-            if name not in routers:
-                self._link.disconnect(name)
-        self._peer_names = sorted(routers)
-        count = 1 + len(routers)
+        self.peers.update_hosts({host.name: host for host in hosts if host.role is HostRole.ROUTER})
+        count = 1 + len(self.peers.names)
         self.requests.admission.routers = count
         self.bills.appender.share_service(count, BILLING_APPENDS_PER_S)
         self.claims.appender.share_service(count, CLAIM_APPENDS_PER_S)
@@ -286,8 +268,7 @@
         self.fleet.sweep()
         self._greet_agents()
         digest = self.digest()
-        count = min(self.settings.peers_per_round, len(self._peer_names))
-        for name in self.rng.sample(self._peer_names, count):
+        for name in self.peers.sample():
             self._link.send(name, digest)
 
     def _greet_agents(self) -> None:
@@ -318,14 +299,9 @@
         It is as fresh as the router's own last look at the end of the log, or as that of any peer
         that it has heard and does not lag behind.
         """
-        now = self._clock.seconds()
-        ages = [
-            digest_age_s + now - peer.heard_s
-            for peer in self._peers.values()
-            if (digest_age_s := peer.digest.age_s) >= 0 and peer.digest.revision <= self.revision
-        ]
+        ages = self.peers.config_ages_s(self.revision)
         if self.feed.current_s is not None:
-            ages.append(now - self.feed.current_s)
+            ages.append(self._clock.seconds() - self.feed.current_s)
         return min(ages, default=-1.0)
 
     @property
@@ -355,35 +331,21 @@
         if update is not None:
             self._link.send(peer, update)
 
-    def peers(self) -> list[RouterDigest]:
-        """Return the digests of the routers that were heard lately."""
-        horizon_s = self._clock.seconds() - self.settings.peer_silence_s
-        return [peer.digest for peer in self._peers.values() if peer.heard_s >= horizon_s]
-
     def live_peers(self) -> list[str]:
         """Return the names of the routers that were heard lately."""
-        return [digest.router for digest in self.peers()]
+        return [digest.router for digest in self.peers.live()]
 
     def send(self, peer: str, message: Message) -> None:
         """Send a message to another router, or to an agent."""
         self._link.send(peer, message)
 
-    def is_router_alive(self, name: str, incarnation: int) -> bool:
-        """Whether a router incarnation was heard lately, or is this one."""
-        if name == self.settings.name:
-            return incarnation == self.settings.incarnation
-        return any(
-            digest.router == name and digest.incarnation == incarnation for digest in self.peers()
-        )
-
     def withdraw_directly(self, message: Withdrawal) -> None:
         """Stop a version here, and tell every agent and peer, ahead of the log."""
-        self._stop_version(message, self._peer_names)
+        self._stop_version(message, self.peers.names)
 
     def _pass_on_withdrawal(self, message: Withdrawal) -> None:
         """Stop a version that a peer has stopped; few peers are told, else all would tell all."""
-        count = min(self.settings.peers_per_round, len(self._peer_names))
-        self._stop_version(message, self.rng.sample(self._peer_names, count))
+        self._stop_version(message, self.peers.sample())
 
     def _stop_version(self, message: Withdrawal, peers: list[str]) -> None:
         if not self.stops.add(message, self.feed.fold):
@@ -449,10 +411,8 @@
             self._feed(endpoint, beat.revision)
 
     def _on_digest(self, sender: str, digest: RouterDigest) -> None:
-        known = self._peers.get(sender)
-        if known is not None and digest.incarnation < known.digest.incarnation:
+        if not self.peers.hear(sender, digest):
             return
-        self._peers[sender] = Peer(digest, self._clock.seconds())
         if digest.revision < self.feed.revision:
             self._send_update(sender, digest.revision)
         elif digest.revision > self.feed.revision:
