Bound the answers kept for a key; look unknown ones up again at the agent

Cause, found while reading: a settlement held the whole answer, up to 4 MB, in the log; and an outcome that was unknown at the deadline stayed unknown for the key though the agent had the answer a second later. Now at most 16,384 characters are kept, and a key without an answer in the log is asked for at its agent.

Before: a later caller with the key got unknown for good; after: done, run once (test_an_outcome_that_was_unknown_is_looked_up_again_for_a_later_caller).

--- a/umberhitch/tasks/keyed.py
+++ b/umberhitch/tasks/keyed.py
@@ -22,6 +22,9 @@
 CLAIM_WAIT_S = 2.0
 """How long a keyed request waits for the log before it is refused."""
 KEY_POLL_S = 0.5
+LOOK_AGAIN_S = 2.0
+MAX_RECORDED_CHARS = 16_384
+"""Longer answers are not kept in the log; a later caller gets them while the agent has them."""
 LOG_RETRY_AFTER_S = 2.0
 
 
@@ -101,7 +104,7 @@
         claims = self._router.claims
         match outcome:
             case Done():
-                claims.settle(Settle(ask.key, ask.request, attempt, record_answer(outcome)))
+                self._record_done(ask.key, ask.request, attempt, outcome)
             case NotRun():
                 claims.release(Release(ask.key, ask.request, attempt))
             case Unknown(reason=reason):
@@ -115,7 +118,7 @@
         settled = state.settled
         if settled is not None:
             if settled.answer is None:
-                return Unknown(Reason(settled.reason), "the first request's outcome is unknown")
+                return await self._look_again(progress, claim, Reason(settled.reason))
             return replay(settled.answer)
         owner = claim.attempt
         if self._router.peers.is_alive(owner.router, owner.incarnation):
@@ -124,6 +127,33 @@
             return None
         return await self._settle_for(progress, claim)
 
+    async def _look_again(self, progress: Progress, claim: Claim, reason: Reason) -> Outcome:
+        """Answer for a key whose answer is not in the log: it was unknown then, or too long.
+
+        The agent may still have it.
+        """
+        endpoint = self._router.fleet.get(claim.endpoint)
+        unknown = Unknown(reason, "the first request's outcome is unknown")
+        if endpoint is None or endpoint.incarnation != claim.agent_incarnation:
+            return unknown
+        left_s = progress.due_s - self._clock.seconds()
+        watch = self._router.attempts.fetch(
+            claim.attempt, endpoint, progress.ask.customer.name, min(LOOK_AGAIN_S, left_s)
+        )
+        outcome = await self._router.attempts.outcome_of(watch)
+        if not isinstance(outcome, Done):
+            return unknown
+        self._record_done(claim.key, claim.request, claim.attempt, outcome)
+        return replay(record_answer(outcome))
+
+    def _record_done(self, key: str, request: str, attempt: AttemptId, done: Done) -> None:
+        """Record an answer, or only that there was one if it is too long for the log."""
+        if len(done.text) <= MAX_RECORDED_CHARS:
+            settle = Settle(key, request, attempt, record_answer(done))
+        else:
+            settle = Settle(key, request, attempt, None, Reason.EVICTED)
+        self._router.claims.settle(settle)
+
     async def _settle_for(self, progress: Progress, claim: Claim) -> Outcome | None:
         """Find out, for a lost router, what became of the attempt that it claimed."""
         endpoint = self._router.fleet.get(claim.endpoint)
@@ -136,9 +166,8 @@
         claims = self._router.claims
         match outcome:
             case Done():
-                answer = record_answer(outcome)
-                claims.settle(Settle(claim.key, claim.request, claim.attempt, answer))
-                return replay(answer)
+                self._record_done(claim.key, claim.request, claim.attempt, outcome)
+                return replay(record_answer(outcome))
             case NotRun():
                 claims.release(Release(claim.key, claim.request, claim.attempt))
                 await claims.wait_for_news(claim.key, CLAIM_WAIT_S)
--- a/umberhitch/tasks/tests/test_serving.py
+++ b/umberhitch/tasks/tests/test_serving.py
@@ -6,6 +6,7 @@
 from umberhitch.config import VersionState
 from umberhitch.core.outcome import Done, NotRun, Reason, Unknown
 from umberhitch.fakes import NetworkFaults, expected_answer
+from umberhitch.tasks import keyed as keyed_module
 from umberhitch.tasks.resume import parse_locator
 from umberhitch.testing import (
     SIGNING_SECRET,
@@ -186,3 +187,39 @@
     assert record.request in text
     for secret in ("confidential", "m@1/", "my-key", SIGNING_SECRET):
         assert secret not in text
+
+
+def test_an_answer_too_long_for_the_log_is_found_at_its_agent(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(keyed_module, "MAX_RECORDED_CHARS", 10)
+    options = AskOptions(klass="renewal", key="k")
+    first = world.ask("renew", "r1", options)
+    world.advance(2.0)
+    second = world.ask("renew", "r2", options)
+    world.advance(2.0)
+    assert isinstance(first.outcome, Done)
+    assert isinstance(second.outcome, Done)
+    assert second.outcome.text == first.outcome.text
+    for name in list(world.agents):
+        world.replace_agent(name)
+    world.advance(5.0)
+    third = world.ask("renew", "r2", options)
+    world.advance(2.0)
+    assert third.outcome == Unknown(Reason.EVICTED, "the first request's outcome is unknown")
+    assert world.runs_of("renew") == 1
+
+
+def test_an_outcome_that_was_unknown_is_looked_up_again_for_a_later_caller(world: World) -> None:
+    for engine in world.engines.values():
+        engine.faults.slowdown = 4.0
+    options = AskOptions(klass="renewal", key="k", deadline_s=0.5)
+    world.network.drop_where(lambda one, other, message: type(message).__name__ == "Cancel")
+    first = world.ask("renew", "r1", options)
+    world.advance(3.0)
+    world.network.mend_all()
+    later = world.ask("renew", "r2", AskOptions(klass="renewal", key="k"))
+    world.advance(2.0)
+    assert isinstance(first.outcome, Unknown)
+    assert isinstance(later.outcome, Done)
+    assert world.runs_of("renew") == 1
