--- a/umberhitch/adapters/tests/test_openai_client.py
+++ b/umberhitch/adapters/tests/test_openai_client.py
@@ -11,7 +11,7 @@
     return openai.OpenAI(base_url=f"http://{served.callers}/v1", api_key="key-acme", max_retries=0)
 
 
-MESSAGES = [{"role": "user", "content": "what is a swing clamp?"}]
+MESSAGES = [{"role": "user", "content": "what is a lease?"}]
 
 
 def test_models_are_listed(client: openai.OpenAI) -> None:
