--- a/umberhitch/embedded/_deployment.py
+++ b/umberhitch/embedded/_deployment.py
@@ -13,7 +13,13 @@
 from umberhitch.nodes import AgentNode, RouterNode, make_agent_node, make_router_node
 from umberhitch.ports import Host, HostRole
 from umberhitch.settings import AgentFile, RouterFile
-from umberhitch.standins import EngineStandin, HostListStandin, LogStandin, ServiceStandin
+from umberhitch.standins import (
+    EngineStandin,
+    HostListStandin,
+    LogStandin,
+    RatingStandin,
+    ServiceStandin,
+)
 from umberhitch.tasks.config_feed import CONFIG_STREAM
 
 __all__ = ["EmbeddedDeployment", "EndpointSpec", "start_deployment"]
@@ -49,6 +55,7 @@
     context: zmq.Context
     log: LogStandin
     host_list: FakeHostList
+    ratings: RatingStandin
     platform: dict[str, str]
     routers: dict[str, RouterNode] = field(default_factory=dict)
     agents: dict[str, AgentNode] = field(default_factory=dict)
@@ -131,11 +138,19 @@
 def start_deployment(reactor: Any) -> EmbeddedDeployment:
     """Start the platform's stand-ins; routers and endpoints are added to the result."""
     log = LogStandin(reactor, MemoryLog())
+    ratings = RatingStandin(reactor)
     host_list = FakeHostList()
     ports = []
     addresses = {}
-    for name, standin in (("log", log), ("hosts", HostListStandin(reactor, host_list))):
+    standins: dict[str, Any] = {
+        "log": log,
+        "hosts": HostListStandin(reactor, host_list),
+        "ratings": ratings,
+    }
+    for name, standin in standins.items():
         port, address = listen_http(reactor, standin.app, LOOPBACK, MAX_BODY_BYTES)
         ports.append(port)
         addresses[name] = f"http://{address}"
-    return EmbeddedDeployment(reactor, make_context(), log, host_list, addresses, ports=ports)
+    return EmbeddedDeployment(
+        reactor, make_context(), log, host_list, ratings, addresses, ports=ports
+    )
--- a/umberhitch/nodes.py
+++ b/umberhitch/nodes.py
@@ -129,6 +129,7 @@
     from umberhitch.adapters.caller_api import CallerApi
     from umberhitch.adapters.http_hosts import HttpHostList
     from umberhitch.adapters.http_log import HttpLog
+    from umberhitch.adapters.http_ratings import HttpRatings
     from umberhitch.adapters.http_server import listen_http
     from umberhitch.adapters.metrics import Metrics, link_metrics, router_metrics
     from umberhitch.adapters.operator_api import OperatorApi
@@ -152,6 +153,7 @@
             zone=settings.zone,
             hello_s=settings.hello_s,
             hosts_s=settings.hosts_s,
+            rating_sample=settings.rating_sample,
         ),
         reactor,
         time,
@@ -159,6 +161,7 @@
         link,
         log_port,
         HttpHostList(http, settings.platform.hosts),
+        HttpRatings(http, settings.platform.ratings) if settings.platform.ratings else None,
     )
     metrics = Metrics()
     router_metrics(metrics, router)
--- a/umberhitch/settings.py
+++ b/umberhitch/settings.py
@@ -69,6 +69,8 @@
 
     log: Url
     hosts: Url
+    ratings: Url | None = None
+    """Without a rating service, versions are judged by failures and latency alone."""
 
 
 class Tls(_Section):
@@ -127,6 +129,8 @@
     hello_s: Seconds = 1.0
     hosts_s: Seconds = 2.0
     token_flush_s: Annotated[float, Field(ge=0, le=1)] = 0.0
+    rating_sample: Annotated[float, Field(ge=0, le=1)] = 1.0
+    """Share of answers that are sent to the rating service."""
     max_body_bytes: Annotated[int, Field(ge=1024, le=1 << 28)] = 4 * 1024 * 1024
 
     @model_check(mode="after")
--- a/umberhitch/standins/__init__.py
+++ b/umberhitch/standins/__init__.py
@@ -3,6 +3,7 @@
 from umberhitch.standins.engine import EngineStandin
 from umberhitch.standins.hosts import HostListStandin
 from umberhitch.standins.log import LogStandin
+from umberhitch.standins.ratings import RatingStandin
 from umberhitch.standins.service import ServiceStandin
 
-__all__ = ["EngineStandin", "HostListStandin", "LogStandin", "ServiceStandin"]
+__all__ = ["EngineStandin", "HostListStandin", "LogStandin", "RatingStandin", "ServiceStandin"]
