--- a/umberhitch/scenarios/tests/test_mutations.py
+++ b/umberhitch/scenarios/tests/test_mutations.py
@@ -20,7 +20,7 @@
 from umberhitch.core.outcome import NotRun, Reason
 from umberhitch.core.stops import DirectStops
 from umberhitch.scenarios import SCENARIO_FILES, ScenarioError, parse_scenario, run_scenario
-from umberhitch.tasks import agent as agent_module
+from umberhitch.tasks import agent_config as agent_config_module
 from umberhitch.tasks import attempts as attempts_module
 from umberhitch.tasks import requests as requests_module
 from umberhitch.tasks import rollouts as rollouts_module
@@ -32,7 +32,7 @@
 
 
 def _allow_everything(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(agent_module, "refusal_for", lambda *args: None)
+    patch.setattr(agent_config_module, "refusal_for", lambda *args: None)
 
 
 def _forget_direct_stops(patch: pytest.MonkeyPatch) -> None:
--- a/umberhitch/tasks/agent.py
+++ b/umberhitch/tasks/agent.py
@@ -9,19 +9,14 @@
 from dataclasses import dataclass
 from logging import getLogger
 
-from msgspec import DecodeError, ValidationError
 from twisted.internet.defer import Deferred
 
-from umberhitch.config import CatchUp, Config, Fold, Snapshot, decode_record
+from umberhitch.config import Config
 from umberhitch.core.attempt import AttemptEntry, AttemptState
 from umberhitch.core.billing import cost_micros
 from umberhitch.core.ledger import BelowFloor, Fresh, Full, Ledger, Repeated
 from umberhitch.core.outcome import Reason
-from umberhitch.core.permission import refusal_for
 from umberhitch.core.queue import WorkQueue
-from umberhitch.core.session import Session, read_session_token
-from umberhitch.core.stops import DirectStops
-from umberhitch.errors import SessionError
 from umberhitch.ports import (
     BackendCall,
     BackendDone,
@@ -33,6 +28,7 @@
     Clock,
     LinkPort,
 )
+from umberhitch.tasks.agent_config import AgentConfig
 from umberhitch.tasks.agent_settings import AgentCounters, AgentSettings
 from umberhitch.tasks.loading import Loading
 from umberhitch.tasks.usage import UsageHold
@@ -107,17 +103,14 @@
         self.state = EndpointState.READY
         self.counters = AgentCounters()
         self._clock = clock
-        self._wall_s = wall_s
         self._link = link
         self._backend = backend
-        self._catch_up = CatchUp(Fold())
+        self._config = AgentConfig(wall_s)
         self._ledger = Ledger(settings.ledger)
         self._queue = WorkQueue()
-        self._running = 0
-        self._running_entries: dict[AttemptId, AttemptEntry] = {}
+        self._running: dict[AttemptId, AttemptEntry] = {}
         self._routers: dict[str, _Router] = {}
         self._watchers: dict[AttemptId, set[str]] = {}
-        self._stops = DirectStops()
         self._loading = Loading(
             backend, clock, settings.targets, settings.order_warm_up_s, self._on_targets
         )
@@ -181,7 +174,7 @@
             [] if self._loading.is_under_way else list(self.targets),
             self.state,
             self.revision,
-            self._running,
+            len(self._running),
             len(self._queue),
             cfg.slots,
             self._loading.is_under_way,
@@ -189,7 +182,7 @@
         )
 
     def _count_urgent(self) -> int:
-        entries = (*self._running_entries.values(), *self._queue.items())
+        entries = (*self._running.values(), *self._queue.items())
         return sum(
             entry.start is not None and entry.start.priority <= URGENT_PRIORITY for entry in entries
         )
@@ -197,12 +190,12 @@
     @property
     def revision(self) -> int:
         """Revision of the agent's configuration."""
-        return self._catch_up.fold.revision
+        return self._config.revision
 
     @property
     def config(self) -> Config:
         """The agent's configuration."""
-        return self._catch_up.fold.config
+        return self._config.config
 
     @property
     def unconfirmed_usage(self) -> int:
@@ -241,7 +234,7 @@
             case Order():
                 self._on_order(sender, message)
             case Withdrawal():
-                self._stops.add(message, self._catch_up.fold)
+                self._config.stop_version(message)
                 self._recheck_queue()
             case _:
                 log.warning("unexpected message", extra={"message_type": type(message).__name__})
@@ -262,22 +255,13 @@
     # Configuration
 
     def _on_records(self, sender: str, message: ConfigRecords) -> None:
-        if message.previous > self.revision:
+        if not self._config.follows(message):
             self._link.send(sender, NeedConfig(self.revision))
-            return
-        before = self.revision
-        self._catch_up.take(message.records)
-        if self.revision > before:
+        elif self._config.take_records(message):
             self._config_changed()
 
     def _on_snapshot(self, message: ConfigSnapshot) -> None:
-        try:
-            record = decode_record(message.data)
-        except (ValidationError, DecodeError) as exc:
-            log.warning("malformed snapshot", extra={"error": str(exc)})
-            return
-        if isinstance(record, Snapshot) and record.revision > self.revision:
-            self._catch_up.load(record)
+        if self._config.take_snapshot(message):
             self._config_changed()
 
     def _config_changed(self) -> None:
@@ -292,7 +276,7 @@
     def _recheck_queue(self) -> None:
         for entry in self._queue.items():
             if entry.start is not None:
-                reason = self._permission(entry.start)
+                reason = self._config.refusal(entry.start)
                 if reason is not None:
                     self._queue.remove(entry)
                     self._finish(entry, Refused(entry.attempt, reason))
@@ -313,9 +297,8 @@
         """
         now = self._clock.seconds()
         grace_s = self.settings.overdue_grace_s
-        for entry in list(self._running_entries.values()):
+        for entry in list(self._running.values()):
             if now >= entry.due_s + 2 * grace_s:
-                self._running -= 1
                 self._finish(entry, Failed(entry.attempt, Reason.DEADLINE))
                 self._fill_slots()
             elif now >= entry.due_s + grace_s:
@@ -367,7 +350,7 @@
             return Reason.LEAVING
         if start.target not in self.targets or self._loading.is_under_way:
             return Reason.NO_ENDPOINT
-        reason = self._permission(start)
+        reason = self._config.refusal(start)
         if reason is not None:
             return reason
         if len(self._usage) + self._ledger.live > self.settings.usage_records:
@@ -389,17 +372,6 @@
         self._finish(entry, Refused(entry.attempt, Reason.OVERLOADED, QUEUE_RETRY_AFTER_S))
         return True
 
-    def _permission(self, start: Start) -> Reason | None:
-        if self._stops.holds(start.target, self._catch_up.fold):
-            return Reason.WITHDRAWN
-        session: Session | None = None
-        if start.session:
-            try:
-                session = read_session_token(start.session, self.config, self._wall_s())
-            except SessionError:
-                return Reason.SESSION_ENDED
-        return refusal_for(self.config, start.customer, start.target, session)
-
     def _refuse_start(self, sender: str, start: Start, reason: Reason) -> None:
         """Refuse an attempt that is not in the ledger, and keep the refusal there."""
         match self._ledger.tombstone(start.attempt):
@@ -422,7 +394,7 @@
         self.counters.refused[reason] = self.counters.refused.get(reason, 0) + 1
 
     def _fill_slots(self) -> None:
-        while self._running < self.settings.slots and len(self._queue):
+        while len(self._running) < self.settings.slots and len(self._queue):
             entry = self._queue.pop()
             if self._clock.seconds() >= entry.due_s:
                 self._finish(entry, Refused(entry.attempt, Reason.DEADLINE))
@@ -436,8 +408,7 @@
         start = entry.start
         assert start is not None
         self._ledger.begin(entry)
-        self._running += 1
-        self._running_entries[entry.attempt] = entry
+        self._running[entry.attempt] = entry
         self.counters.started += 1
         call = BackendCall(
             str(entry.attempt),
@@ -475,14 +446,13 @@
                 result = Failed(entry.attempt, Reason.BACKEND_FAILED)
                 self.counters.failed += 1
                 log.info("back end failed", extra={"attempt": str(entry.attempt), "why": reason})
-        self._running -= 1
         self._finish(entry, result)
-        self._loading.begin_if_idle(self._running)
+        self._loading.begin_if_idle(len(self._running))
         self._fill_slots()
 
     def _finish(self, entry: AttemptEntry, result: Finished | Failed | Refused) -> None:
         self._ledger.end(entry, result)
-        self._running_entries.pop(entry.attempt, None)
+        self._running.pop(entry.attempt, None)
         if isinstance(result, Refused):
             self._count_refusal(result.reason)
         self._tell_watchers(entry, result)
@@ -541,7 +511,7 @@
 
     def _on_order(self, sender: str, order: Order) -> None:
         self._link.send(sender, self._loading.take(order))
-        self._loading.begin_if_idle(self._running)
+        self._loading.begin_if_idle(len(self._running))
 
     def _on_targets(self) -> None:
         if not self._is_stopped:
--- /dev/null
+++ b/umberhitch/tasks/agent_config.py
@@ -0,0 +1,81 @@
+"""The agent's copy of the configuration, and the permission that it gives."""
+
+from collections.abc import Callable
+from logging import getLogger
+
+from msgspec import DecodeError, ValidationError
+
+from umberhitch.config import CatchUp, Config, Fold, Snapshot, decode_record
+from umberhitch.core.outcome import Reason
+from umberhitch.core.permission import refusal_for
+from umberhitch.core.session import Session, read_session_token
+from umberhitch.core.stops import DirectStops
+from umberhitch.errors import SessionError
+from umberhitch.wire import ConfigRecords, ConfigSnapshot, Start, Withdrawal
+
+__all__ = ["AgentConfig"]
+
+log = getLogger(__name__)
+
+
+class AgentConfig:
+    """Owns the fold that routers feed.
+
+    Parameters
+    ----------
+    wall_s : callable
+        Returns seconds since the epoch; used only for the expiry of sessions.
+    """
+
+    def __init__(self, wall_s: Callable[[], float]) -> None:
+        self._wall_s = wall_s
+        self._catch_up = CatchUp(Fold())
+        self._stops = DirectStops()
+
+    @property
+    def revision(self) -> int:
+        """Offset of the last record applied."""
+        return self._catch_up.fold.revision
+
+    @property
+    def config(self) -> Config:
+        """The configuration at that revision."""
+        return self._catch_up.fold.config
+
+    def follows(self, message: ConfigRecords) -> bool:
+        """Whether the records follow what is here, without a gap."""
+        return message.previous <= self.revision
+
+    def take_records(self, message: ConfigRecords) -> bool:
+        """Apply records; returns whether the revision has grown."""
+        before = self.revision
+        self._catch_up.take(message.records)
+        return self.revision > before
+
+    def take_snapshot(self, message: ConfigSnapshot) -> bool:
+        """Load a snapshot, if it is newer; returns whether the revision has grown."""
+        try:
+            record = decode_record(message.data)
+        except (ValidationError, DecodeError) as exc:
+            log.warning("malformed snapshot", extra={"error": str(exc)})
+            return False
+        if not isinstance(record, Snapshot) or record.revision <= self.revision:
+            return False
+        self._catch_up.load(record)
+        return True
+
+    def stop_version(self, message: Withdrawal) -> None:
+        """Give a version no more work, ahead of the record in the log."""
+        self._stops.add(message, self._catch_up.fold)
+
+    def refusal(self, start: Start) -> Reason | None:
+        """Return why an attempt must not run, or None if it may."""
+        if self._stops.holds(start.target, self._catch_up.fold):
+            return Reason.WITHDRAWN
+        session: Session | None = None
+        if start.session:
+            try:
+                session = read_session_token(start.session, self.config, self._wall_s())
+            except SessionError:
+                return Reason.SESSION_ENDED
+        return refusal_for(self.config, start.customer, start.target, session)
