Commands and history work while there is a roll-out; one rule for objects' names

Cause, found by reading the whole change: the rule for an object's name stood four times, and three of them took a roll-out, which goes by its version, to have a `name`: once a roll-out existed, every command of the tool and every history failed with KeyError.

--- a/umberhitch/adapters/operator_api.py
+++ b/umberhitch/adapters/operator_api.py
@@ -311,9 +311,8 @@
             )
         return send_json(request, 200, {"changes": rows})
 
-    async def _records(self, stream: str) -> AsyncIterator[tuple[int, bytes]]:
-        """Iterate over what the log retains of a stream."""
-        start = 0
+    async def _records(self, stream: str, start: int = 0) -> AsyncIterator[tuple[int, bytes]]:
+        """Iterate over what the log retains of a stream, from an offset."""
         while True:
             try:
                 batch = await self._log_port.read(stream, start, READ_BATCH, 0.0)
@@ -382,7 +381,7 @@
     async def bills(self, request: Any) -> bytes:
         """Return the bill of each customer, from the billing stream."""
         self._operator(request, Role.READ)
-        async for offset, data in self._records(BILLING_STREAM):
+        async for offset, data in self._records(BILLING_STREAM, self._bills.next_offset):
             self._bills.apply(offset, data)
         rows = {name: asdict(bill) for name, bill in sorted(self._bills.bills.items())}
         return send_json(request, 200, {"bills": rows, "repeated_records": self._bills.repeats})
--- a/umberhitch/adapters/operator_shapes.py
+++ b/umberhitch/adapters/operator_shapes.py
@@ -8,15 +8,12 @@
 from umberhitch.config import (
     Accepted,
     Change,
-    Delete,
     Ignored,
-    Kind,
     Rejected,
-    SetState,
     Verdict,
     decode_record,
+    touched_object,
 )
-from umberhitch.config import Put as PutOp
 
 __all__ = [
     "change_of",
@@ -41,19 +38,7 @@
 
 def touches(change: Change, kind: str, name: str) -> bool:
     """Whether a change is about an object."""
-    for op in change.ops:
-        match op:
-            case SetState(version=version):
-                found = (Kind.VERSION.value, version)
-            case Delete(kind=op_kind, name=op_name):
-                found = (op_kind.value, op_name)
-            case PutOp(kind=op_kind, value=value):
-                is_version = op_kind is Kind.VERSION
-                own = f"{value.get('model')}@{value.get('name')}" if is_version else value["name"]
-                found = (op_kind.value, own)
-        if found == (kind, name):
-            return True
-    return False
+    return any(touched_object(op) == (kind, name) for op in change.ops)
 
 
 def public(row: dict[str, Any]) -> dict[str, Any]:
--- a/umberhitch/cli/_session.py
+++ b/umberhitch/cli/_session.py
@@ -9,6 +9,7 @@
 from msgspec import to_builtins
 
 from umberhitch.cli._client import ApiError, Client, UnreachableError
+from umberhitch.config import Kind, row_name
 from umberhitch.language import (
     Add,
     Bill,
@@ -161,7 +162,7 @@
                 return [self._with_revision(kind, row, config["revisions"]) for row in rows]
 
     def _with_revision(self, kind: str, row: Row, revisions: dict[str, int]) -> Row:
-        name = f"{row['model']}@{row['name']}" if kind == "versions" else row["name"]
+        name = row_name(Kind(kind), row)
         return {**row, "revision": revisions.get(f"{kind}/{name}", 0)}
 
     def _explain(self, request: str) -> list[Row]:
--- a/umberhitch/config/__init__.py
+++ b/umberhitch/config/__init__.py
@@ -14,6 +14,8 @@
     Snapshot,
     decode_record,
     encode_record,
+    row_name,
+    touched_object,
 )
 from umberhitch.config._findings import Finding, format_findings
 from umberhitch.config._fold import (
@@ -70,5 +72,7 @@
     "decode_record",
     "encode_record",
     "format_findings",
+    "row_name",
+    "touched_object",
     "version_key",
 ]
--- a/umberhitch/config/_change.py
+++ b/umberhitch/config/_change.py
@@ -5,7 +5,7 @@
 
 from msgspec import Struct, json
 
-from umberhitch.config._model import VersionState
+from umberhitch.config._model import VersionState, version_key
 
 __all__ = [
     "Change",
@@ -16,6 +16,8 @@
     "Snapshot",
     "decode_record",
     "encode_record",
+    "row_name",
+    "touched_object",
 ]
 
 
@@ -32,6 +34,17 @@
     ROLLOUT = "rollouts"
 
 
+def row_name(kind: Kind, row: dict[str, Any]) -> str:
+    """Return the name of an object from its fields as they stand in the log."""
+    match kind:
+        case Kind.VERSION:
+            return version_key(str(row.get("model")), str(row.get("name")))
+        case Kind.ROLLOUT:
+            return str(row.get("version"))
+        case _:
+            return str(row.get("name"))
+
+
 class Put(Struct, frozen=True, tag="put", omit_defaults=True):
     """Create or replace one object."""
 
@@ -40,6 +53,11 @@
     if_revision: int | None = None
     """Revision of the object that the author saw; 0 stands for an object that does not exist."""
 
+    @property
+    def name(self) -> str:
+        """Name of the object."""
+        return row_name(self.kind, self.value)
+
 
 class Delete(Struct, frozen=True, tag="delete", omit_defaults=True):
     """Remove one object."""
@@ -58,6 +76,15 @@
     if_revision: int | None = None
 
 
+def touched_object(op: Put | Delete | SetState) -> tuple[Kind, str]:
+    """Return kind and name of the object that an operation is about."""
+    match op:
+        case Put() | Delete():
+            return op.kind, op.name
+        case SetState(version=version):
+            return Kind.VERSION, version
+
+
 class Change(Struct, frozen=True, tag="change", omit_defaults=True):
     """A group of operations that is applied whole or not at all.
 
--- a/umberhitch/config/_fold.py
+++ b/umberhitch/config/_fold.py
@@ -20,6 +20,7 @@
     Snapshot,
     decode_record,
     encode_record,
+    touched_object,
 )
 from umberhitch.config._findings import Finding
 from umberhitch.config._model import (
@@ -199,14 +200,7 @@
 
     def _stamp(self, change: Change, offset: int) -> None:
         for op in change.ops:
-            match op:
-                case Put(kind=kind, value=raw):
-                    name = object_name(kind, convert(raw, TYPES[kind]))
-                    self.revisions[revision_key(kind, name)] = offset
-                case Delete(kind=kind, name=name):
-                    self.revisions[revision_key(kind, name)] = offset
-                case SetState(version=version):
-                    self.revisions[revision_key(Kind.VERSION, version)] = offset
+            self.revisions[revision_key(*touched_object(op))] = offset
 
     def _remember(self, change_id: str, verdict: Verdict) -> None:
         self.verdicts[change_id] = verdict
--- a/umberhitch/language/_compile.py
+++ b/umberhitch/language/_compile.py
@@ -5,7 +5,7 @@
 
 from msgspec import json
 
-from umberhitch.config import Delete, Finding, Kind, Put, SetState
+from umberhitch.config import Delete, Finding, Kind, Put, SetState, row_name
 from umberhitch.language._parser import LanguageError
 from umberhitch.language._statements import (
     Add,
@@ -23,10 +23,6 @@
 Tables = dict[str, list[dict[str, Any]]]
 
 
-def _name_of(kind: str, row: dict[str, Any]) -> str:
-    return f"{row['model']}@{row['name']}" if kind == Kind.VERSION else row["name"]
-
-
 class _Compiler:
     """Compiles statements one after the other, each seeing what the ones before changed."""
 
@@ -34,7 +30,7 @@
         self.findings: list[Finding] = []
         self.ops: list[Op] = []
         self._rows = {
-            (kind, _name_of(kind, row)): deepcopy(row)
+            (kind, row_name(Kind(kind), row)): deepcopy(row)
             for kind, rows in tables.items()
             for row in rows
         }
@@ -58,14 +54,14 @@
                 self.findings.append(Finding(place, "roll-outs are driven one at a time"))
 
     def _put(self, kind: str, row: dict[str, Any]) -> None:
-        self._rows[(kind, _name_of(kind, row))] = row
+        self._rows[(kind, row_name(Kind(kind), row))] = row
         self.ops.append(Put(Kind(kind), row, self._if_revision))
 
     def _put_changed(self, kind: str, row: dict[str, Any]) -> None:
         """Put an object that was read first: void if anyone has changed it in the meantime."""
         seen = self._if_revision
         if seen is None:
-            seen = self._revisions.get(f"{kind}/{_name_of(kind, row)}", 0)
+            seen = self._revisions.get(f"{kind}/{row_name(Kind(kind), row)}", 0)
         self.ops.append(Put(Kind(kind), deepcopy(row), seen))
 
     def _row(self, place: str, kind: str, name: str) -> dict[str, Any] | None:
--- a/umberhitch/language/tests/test_language.py
+++ b/umberhitch/language/tests/test_language.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from umberhitch.adapters.operator_shapes import touches
 from umberhitch.config import Change, Fold, Kind, Put, Rejected, encode_record
 from umberhitch.language import LanguageError, compile_changes, parse_statements
 from umberhitch.testing import make_change
@@ -47,3 +48,22 @@
 def test_text_in_quotes_may_hold_separators() -> None:
     (statement,) = parse_statements('set model m description = "a; b # c"')
     assert statement.value == "a; b # c"
+
+
+def test_commands_work_while_there_is_a_rollout() -> None:
+    """Found by reading: a roll-out's row has no ``name``, and every command failed on it."""
+    fold = make_fold()
+    plan = Put(Kind.ROLLOUT, {"version": "m@2", "previous": "m@1"})
+    fold.apply(6, encode_record(Change("plan", "a", [plan])))
+    (op,) = compile_text("permit acme x", fold)
+    assert op.name == "acme"
+    (op,) = compile_text("set rollout m@2 min_answers = 5", fold)
+    assert (op.name, op.if_revision) == ("m@2", 6)
+
+
+def test_a_change_knows_which_objects_it_touches() -> None:
+    plan = Put(Kind.ROLLOUT, {"version": "m@2", "previous": "m@1"})
+    change = Change("c", "a", [plan, Put(Kind.VERSION, {"model": "m", "name": "3"})])
+    assert touches(change, "rollouts", "m@2")
+    assert touches(change, "versions", "m@3")
+    assert not touches(change, "versions", "m@2")
