The keys' lifetime follows the policy; names that nothing used are gone

Cause, found by a search for unused names: idempotency_ttl_s was read by nothing, and every key lived 86,400 s. It is applied with each change of configuration now; a test with 60 s runs a key once at 30 s and again after 92 s. Removed: 5 unused names.

--- a/umberhitch/adapters/metrics.py
+++ b/umberhitch/adapters/metrics.py
@@ -61,6 +61,11 @@
     metrics.counter("umberhitch_link_frames_out", "frames", _one(lambda: count.frames_out))
     metrics.counter("umberhitch_link_bytes_in", "bytes", _one(lambda: count.bytes_in))
     metrics.counter("umberhitch_link_bytes_out", "bytes", _one(lambda: count.bytes_out))
+    metrics.counter(
+        "umberhitch_link_unroutable",
+        "frames to peers not reachable",
+        _one(lambda: count.unroutable),
+    )
     metrics.counter(
         "umberhitch_link_malformed", "frames dropped unread", _one(lambda: count.malformed)
     )
@@ -72,6 +77,11 @@
     metrics.counter("umberhitch_attempts_started", "attempts", _one(lambda: count.started))
     metrics.counter("umberhitch_attempts_finished", "attempts", _one(lambda: count.finished))
     metrics.counter("umberhitch_attempts_failed", "attempts", _one(lambda: count.failed))
+    metrics.counter(
+        "umberhitch_usage_handovers",
+        "times that overdue usage records were offered to a router",
+        _one(lambda: count.handovers),
+    )
     metrics.counter(
         "umberhitch_attempts_refused",
         "attempts by reason",
--- a/umberhitch/core/leases.py
+++ b/umberhitch/core/leases.py
@@ -80,8 +80,6 @@
     incarnation: int
     token: int
     ttl_s: float
-    last_offset: int
-    """Offset of the acquisition or of the last renewal."""
     is_yielded: bool = False
 
 
@@ -106,15 +104,13 @@
             case Acquire():
                 if lease is None or lease.is_yielded or lease.token == record.previous:
                     self.leases[record.name] = Lease(
-                        record.holder, record.incarnation, offset, record.ttl_s, offset
+                        record.holder, record.incarnation, offset, record.ttl_s
                     )
             case Renew(token=token):
                 if lease is None:
                     self.leases[record.name] = Lease(
-                        record.holder, record.incarnation, token, record.ttl_s, offset
+                        record.holder, record.incarnation, token, record.ttl_s
                     )
-                elif lease.token == token and not lease.is_yielded:
-                    lease.last_offset = offset
             case Yield(token=token):
                 if lease is not None and lease.token == token:
                     lease.is_yielded = True
--- a/umberhitch/fakes/_log.py
+++ b/umberhitch/fakes/_log.py
@@ -33,7 +33,6 @@
     def __init__(self) -> None:
         self._streams: dict[str, _Stream] = {}
         self.appends = 0
-        self.reads = 0
 
     def _stream(self, name: str) -> _Stream:
         return self._streams.setdefault(name, _Stream())
@@ -49,7 +48,6 @@
     def read(self, stream: str, start: int, limit: int) -> LogBatch:
         """Return records from ``start``; raises `LogTrimmedError` if they are gone."""
         source = self._stream(stream)
-        self.reads += 1
         if start < source.first:
             raise LogTrimmedError(source.first)
         index = start - source.first
--- a/umberhitch/tasks/attempts.py
+++ b/umberhitch/tasks/attempts.py
@@ -89,11 +89,6 @@
     cancel_reason: Reason = Reason.CANCELLED
     waiters: list[Deferred[Outcome]] = field(default_factory=list)
 
-    @property
-    def has_text(self) -> bool:
-        """Whether any of the answer has been handed on."""
-        return self.answer.length > 0
-
 
 class Attempts:
     """Owns the open attempts of one router incarnation.
@@ -143,10 +138,6 @@
         self._seq += 1
         return AttemptId(self._router, self._incarnation, self._seq)
 
-    def is_open(self, attempt: AttemptId) -> bool:
-        """Whether the attempt is being watched."""
-        return attempt in self._open
-
     def outcome_of(self, watch: OpenAttempt) -> Deferred[Outcome]:
         """Return a Deferred that fires with the outcome of an open attempt."""
         waiter: Deferred[Outcome] = Deferred()
--- a/umberhitch/tasks/leases.py
+++ b/umberhitch/tasks/leases.py
@@ -73,7 +73,6 @@
         self._routers = routers
         self._valid_until_s = 0.0
         self._valid_token = NO_TOKEN
-        self._seen_offset = NO_TOKEN
         self._seen_s = clock.seconds()
         self._is_appending = False
         self.fold = LeaseFold()
@@ -118,7 +117,7 @@
     def _on_batch(self, batch: LogBatch) -> None:
         for offset, data in batch.records:
             if self.fold.apply(offset, data) == self._name:
-                self._seen_offset, self._seen_s = offset, self._clock.seconds()
+                self._seen_s = self._clock.seconds()
 
     def tick(self, is_leaving: bool) -> None:
         """Renew the lease, take it if it is free, or give it up; called once a second."""
--- a/umberhitch/tasks/router.py
+++ b/umberhitch/tasks/router.py
@@ -314,6 +314,7 @@
     def _on_config(self) -> None:
         """Feed agents as soon as the revision has grown."""
         self.requests.config_changed()
+        self.claims.fold.ttl_s = self.feed.config.policy.idempotency_ttl_s
         if self.state is RouterState.STARTING:
             self.state = RouterState.READY
         self._changed_s = self._clock.seconds()
--- a/umberhitch/tasks/tests/test_serving.py
+++ b/umberhitch/tasks/tests/test_serving.py
@@ -223,3 +223,23 @@
     assert isinstance(first.outcome, Unknown)
     assert isinstance(later.outcome, Done)
     assert world.runs_of("renew") == 1
+
+
+def test_a_key_lives_as_long_as_the_policy_says() -> None:
+    """Found by a search for unused names: the setting had no effect."""
+    made = World(WorldSettings(endpoints={"e1": "m@1"}, routers=("r1",)))
+    policy = {"name": "policy", "idempotency_ttl_s": 60.0}
+    made.publish(make_change(policies=[policy]))
+    made.start()
+    options = AskOptions(klass="renewal", key="k")
+    made.ask("renew", "r1", options)
+    made.advance(30.0)
+    made.ask("renew", "r1", options)
+    made.advance(2.0)
+    assert made.runs_of("renew") == 1
+    made.advance(60.0)
+    made.ask("another", "r1", AskOptions(klass="renewal", key="other"))
+    made.advance(2.0)
+    made.ask("renew", "r1", options)
+    made.advance(2.0)
+    assert made.runs_of("renew") == 2
