--- /dev/null
+++ b/umberhitch/adapters/gateway_pages.py
@@ -0,0 +1,94 @@
+"""Pages of a router of the direct path: readiness for the balancer, metrics and status for people."""
+
+from collections.abc import Callable
+
+from msgspec import json
+
+from umberhitch.core.direct import IntakeLimits
+from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest
+from umberhitch.tasks.direct.gateway import Gateway
+
+__all__ = ["GatewayPages"]
+
+TEXT = b"text/plain; charset=utf-8"
+JSON = b"application/json"
+READINESS_ENDING = b"/readyz"
+"""The balancer asks by its own prefix."""
+
+
+class GatewayPages:
+    """Answers the balancer and operators; a `RequestHandler`."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self._gateway = gateway
+
+    def handle(self, raw: RawRequest, reply: CallerReply) -> Callable[[], None]:
+        """Answer at once."""
+        path = raw.target.partition(b"?")[0]
+        if path.endswith(READINESS_ENDING):
+            is_ready = self._gateway.is_ready
+            _send(reply, 200 if is_ready else 503, TEXT, b"ready\n" if is_ready else b"not ready\n")
+        elif path == b"/metrics":
+            _send(reply, 200, TEXT, self._metrics())
+        elif path == b"/status":
+            _send(reply, 200, JSON, json.encode(self._status()))
+        else:
+            _send(reply, 404, TEXT, b"no such page\n")
+        return _nothing
+
+    def intake(self) -> IntakeLimits:
+        """Return the limits that are in force."""
+        return IntakeLimits(body_bytes=0)
+
+    def keeps_connections(self) -> bool:
+        """Whether connections are kept after an answer."""
+        return True
+
+    def refuse_unread(self, status: int, problem: str) -> tuple[HeaderList, bytes]:
+        """Return headers and body of an answer to a request that was not taken."""
+        body = problem.encode("ascii", "replace") + b"\n"
+        return [(b"Content-Type", TEXT), (b"Content-Length", str(len(body)).encode())], body
+
+    def _status(self) -> dict[str, object]:
+        gateway = self._gateway
+        number = None if gateway.table is None else gateway.table.document.number
+        age_s = gateway.proof_age_s(gateway.clock.seconds())
+        return {
+            "router": gateway.settings.name,
+            "ready": gateway.is_ready,
+            "configuration": number,
+            "configuration_age_s": None if age_s == float("inf") else round(age_s, 3),
+            "endpoints": len(gateway.directory),
+            "running": len(gateway.running),
+            "routers": gateway.budget.routers,
+            "outcomes": gateway.counters.outcomes,
+            "refused": gateway.counters.refused,
+        }
+
+    def _metrics(self) -> bytes:
+        """Return what is counted, in the Prometheus text format."""
+        gateway, count = self._gateway, self._gateway.counters
+        lines = [
+            f"umberhitch_requests_total {count.requests}",
+            f"umberhitch_calls_total {count.calls}",
+            f"umberhitch_running {len(gateway.running)}",
+            f"umberhitch_endpoints {len(gateway.directory)}",
+            f"umberhitch_routers {gateway.budget.routers}",
+        ]
+        age_s = gateway.proof_age_s(gateway.clock.seconds())
+        if age_s != float("inf"):
+            lines.append(f"umberhitch_configuration_age_seconds {age_s:.3f}")
+        for name, by_label in (("outcomes", count.outcomes), ("refused", count.refused)):
+            for label, value in sorted(by_label.items()):
+                lines.append(f'umberhitch_{name}_total{{reason="{label}"}} {value}')
+        return ("\n".join(lines) + "\n").encode()
+
+
+def _send(reply: CallerReply, status: int, kind: bytes, body: bytes) -> None:
+    reply.head(status, [(b"Content-Type", kind), (b"Content-Length", str(len(body)).encode())])
+    reply.data(body)
+    reply.end()
+
+
+def _nothing() -> None:
+    """Do nothing: the answer is complete already."""
--- a/umberhitch/cli/daemon.py
+++ b/umberhitch/cli/daemon.py
@@ -1,8 +1,11 @@
 """``umberhitchd``: one router or agent, as its settings file says.
 
+Without ``--settings`` the file's path is taken from the environment, as the platform sets it.
+
 Exit codes: 0 after a drained shutdown, 1 if the drain did not end in time, 2 for bad settings.
 """
 
+import os
 import signal
 import sys
 from logging import getLogger
@@ -15,7 +18,7 @@
 from umberhitch import __version__
 from umberhitch.cli._lean import keep_out_tls
 from umberhitch.errors import SettingsError
-from umberhitch.settings import AgentFile, RouterFile, load_settings
+from umberhitch.settings import AgentFile, AnyFile, GatewayFile, RouterFile, load_settings
 
 __all__ = ["run"]
 
@@ -24,6 +27,9 @@
 EXIT_OK = 0
 EXIT_NOT_DRAINED = 1
 EXIT_BAD_SETTINGS = 2
+SETTINGS_VARIABLE = "UMBERHITCH_NODE_FILE"
+STOP_MARGIN_S = 0.6
+"""A shutdown that has to be cut short is cut so long before its time is up."""
 
 _SETTINGS = flags.DEFINE_string("settings", None, "path of the JSON settings file")
 _CHECK = flags.DEFINE_boolean("check", False, "validate the settings file and exit")
@@ -35,23 +41,26 @@
     if _VERSION.value:
         print(f"umberhitchd {__version__}")
         return EXIT_OK
-    if len(argv) > 1 or not _SETTINGS.value:
+    path = _SETTINGS.value or os.environ.get(SETTINGS_VARIABLE)
+    if len(argv) > 1 or not path:
         print("umberhitchd: usage: umberhitchd --settings=FILE [--check]", file=sys.stderr)
         return EXIT_BAD_SETTINGS
     try:
-        settings = load_settings(Path(_SETTINGS.value))
+        settings = load_settings(Path(path))
     except SettingsError as exc:
         for finding in exc.findings:
-            print(f"{_SETTINGS.value}: {finding}", file=sys.stderr)
+            print(f"{path}: {finding}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
     if _CHECK.value:
-        print(f"{_SETTINGS.value}: ok")
+        print(f"{path}: ok")
         return EXIT_OK
     return serve(settings)
 
 
-def serve(settings: RouterFile | AgentFile) -> int:
+def serve(settings: AnyFile) -> int:
     """Run until a signal has drained the process."""
+    if isinstance(settings, GatewayFile):
+        return serve_gateway(settings)
     if isinstance(settings, AgentFile) and not settings.backend.url.startswith("https"):
         keep_out_tls()
     from twisted.internet import reactor as default_reactor
@@ -77,6 +86,26 @@
     return shutdown.exit_code
 
 
+def serve_gateway(settings: GatewayFile) -> int:
+    """Run a router of the direct path; imports only what it needs, as it has to start fast."""
+    from time import time_ns
+
+    from twisted.internet import reactor as default_reactor
+
+    from umberhitch.adapters.logs import configure_logs
+    from umberhitch.adapters.zmq_link import make_context
+    from umberhitch.gateway_node import make_gateway_node
+
+    reactor: Any = default_reactor
+    configure_logs(settings.log_level, settings.name)
+    node = make_gateway_node(settings, reactor, make_context(), time_ns())
+    log.info("started", extra={"role": settings.role, "addresses": node.addresses()})
+    shutdown = _Shutdown(reactor, node, settings.drain_s - STOP_MARGIN_S)
+    reactor.callWhenRunning(shutdown.install)
+    reactor.run(installSignalHandlers=False)
+    return shutdown.exit_code
+
+
 class _Shutdown:
     """Drains the node at the first signal, and stops at the second or when time is up."""
 
--- /dev/null
+++ b/umberhitch/core/direct/__init__.py
@@ -0,0 +1,56 @@
+"""Decisions of the direct path, on which a router calls endpoints itself; no socket, no clock."""
+
+from umberhitch.core.direct._budget import BudgetLimits, RetryBudget
+from umberhitch.core.direct._cascade import Cascade, CascadeLimits
+from umberhitch.core.direct._directory import Directory, Endpoint
+from umberhitch.core.direct._events import EventCutter
+from umberhitch.core.direct._placement import Placed, Placement, PlacementLimits
+from umberhitch.core.direct._routes import RouteTable
+from umberhitch.core.direct._trial import Counts, Trial, TrialLimits
+from umberhitch.core.direct._types import (
+    Ask,
+    Customer,
+    Document,
+    EndpointEntry,
+    EndpointState,
+    IntakeLimits,
+    PromptPart,
+    ReplyHead,
+    ReportedLoad,
+    RolloutOrder,
+    RolloutState,
+    Route,
+    RouteKind,
+    Service,
+)
+
+__all__ = [
+    "Ask",
+    "BudgetLimits",
+    "Cascade",
+    "CascadeLimits",
+    "Counts",
+    "Customer",
+    "Directory",
+    "Document",
+    "Endpoint",
+    "EndpointEntry",
+    "EndpointState",
+    "EventCutter",
+    "IntakeLimits",
+    "Placed",
+    "Placement",
+    "PlacementLimits",
+    "PromptPart",
+    "ReplyHead",
+    "ReportedLoad",
+    "RetryBudget",
+    "RolloutOrder",
+    "RolloutState",
+    "Route",
+    "RouteKind",
+    "RouteTable",
+    "Service",
+    "Trial",
+    "TrialLimits",
+]
--- /dev/null
+++ b/umberhitch/core/direct/_placement.py
@@ -0,0 +1,286 @@
+"""Which endpoint a call goes to: the one with the least work before it.
+
+The work before a call is the reading of prompts that are not cached there, those of calls already
+placed included, times the endpoint's own pace. What an endpoint reports of its load is old when it
+comes and is the sum over all routers, so it corrects the own count and does not replace it.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from umberhitch.core.direct._directory import Endpoint
+from umberhitch.core.direct._types import Ask, PromptPart, ReportedLoad, Service
+
+__all__ = ["Placed", "Placement", "PlacementLimits"]
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementLimits:
+    """Weights of the estimate; times in seconds.
+
+    Attributes
+    ----------
+    first_token_s : float
+        Reading of one prompt token by the smallest model, until replies have shown the true pace.
+    growth : float
+        How much slower each next larger model is taken to be until then.
+    running_s : float
+        What one running call adds to the wait of another, on an engine.
+    plain_s : float
+        What one running call adds to the wait of another, on a plain service.
+    far_s : float
+        What another availability zone is worth: bytes between zones are paid for.
+    failing_s : float
+        Added in full for an endpoint whose every call fails.
+    load_age_s : float
+        Time in which a reported load loses two thirds of its weight.
+    cached_share : float
+        Share of an engine's memory taken to hold cached parts of prompts.
+    """
+
+    first_token_s: float = 0.000005
+    growth: float = 3.0
+    running_s: float = 0.0006
+    plain_s: float = 0.02
+    far_s: float = 0.004
+    failing_s: float = 0.5
+    load_age_s: float = 1.0
+    cached_share: float = 0.5
+
+
+PACE_WEIGHT = 0.1
+FAILURE_WEIGHT = 0.2
+"""Weight of the newest reading in the running means."""
+SLOWEST = 20.0
+
+
+@dataclass(slots=True)
+class Placed:
+    """A call that was placed, until it is released."""
+
+    incarnation: str
+    model: str
+    tokens: int
+    work_s: float
+    at_s: float
+    is_reading: bool = True
+
+
+@dataclass(slots=True)
+class _Seen:
+    """What this router has seen of one endpoint."""
+
+    running: int = 0
+    reading_s: float = 0.0
+    slow: float = 1.0
+    failing: float = 0.0
+    load: ReportedLoad | None = None
+    load_at_s: float = 0.0
+    others_running: int = 0
+    others_reading_s: float = 0.0
+    others_at_s: float = 0.0
+    cached: OrderedDict[tuple[str, str], int] = field(default_factory=OrderedDict)
+    cached_tokens: int = 0
+
+
+class Placement:
+    """Chooses endpoints and remembers what was placed on them.
+
+    Parameters
+    ----------
+    zone : str
+        The router's own availability zone.
+    limits : PlacementLimits
+    """
+
+    def __init__(self, zone: str, limits: PlacementLimits | None = None) -> None:
+        self._zone = zone
+        self.limits = limits or PlacementLimits()
+        self._seen: dict[str, _Seen] = {}
+        self._token_s: dict[str, float] = {}
+
+    def forget(self, known: Iterable[str]) -> None:
+        """Keep only what concerns endpoints that are still known."""
+        keep = set(known)
+        for incarnation in [each for each in self._seen if each not in keep]:
+            del self._seen[incarnation]
+
+    def token_s(self, model: str, models: tuple[str, ...]) -> float:
+        """Return the time in which a model reads one token."""
+        known = self._token_s.get(model)
+        if known is not None:
+            return known
+        rank = models.index(model) if model in models else 0
+        return self.limits.first_token_s * self.limits.growth**rank
+
+    def choose(
+        self,
+        endpoints: list[Endpoint],
+        ask: Ask,
+        model: str,
+        models: tuple[str, ...],
+        now_s: float,
+    ) -> tuple[Endpoint, float]:
+        """Return the endpoint with the least work, and the wait there in seconds.
+
+        Raises
+        ------
+        ValueError
+            If there is no endpoint.
+        """
+        token_s = self.token_s(model, models) if ask.prompt else 0.0
+        best: Endpoint | None = None
+        best_s = best_cost = float("inf")
+        for endpoint in endpoints:
+            wait_s = self._wait_s(endpoint, ask, model, token_s, now_s)
+            cost = wait_s + self._aversion_s(endpoint)
+            if cost < best_cost:
+                best, best_s, best_cost = endpoint, wait_s, cost
+        if best is None:
+            raise ValueError("no endpoint")
+        return best, best_s
+
+    def _wait_s(
+        self, endpoint: Endpoint, ask: Ask, model: str, token_s: float, now_s: float
+    ) -> float:
+        seen = self._seen.get(endpoint.entry.incarnation)
+        if seen is None:
+            return ask.prompt_tokens * token_s
+        running = float(seen.running + seen.others_running)
+        waiting = 0.0
+        if seen.load is not None:
+            weight = self._age_weight(now_s - seen.load_at_s)
+            running += weight * max(0, seen.load.running + seen.load.waiting - running)
+            waiting = weight * max(0, seen.load.waiting)
+        if not ask.prompt:
+            slots = max(1, endpoint.entry.slots)
+            each_s = self.limits.plain_s
+            return seen.slow * (each_s * running / slots + each_s * max(0.0, running - slots))
+        unread = ask.prompt_tokens - self.cached_tokens(endpoint.entry.incarnation, model, ask)
+        own_s = unread * token_s
+        queue_s = seen.reading_s + seen.others_reading_s
+        full_s = max(0.0, running - endpoint.entry.slots) * 0.05 if endpoint.entry.slots else 0.0
+        return (
+            seen.slow * (own_s + queue_s + running * self.limits.running_s)
+            + full_s
+            + 0.05 * waiting
+        )
+
+    def _aversion_s(self, endpoint: Endpoint) -> float:
+        seen = self._seen.get(endpoint.entry.incarnation)
+        far_s = 0.0 if endpoint.entry.zone == self._zone else self.limits.far_s
+        return far_s + (0.0 if seen is None else seen.failing * self.limits.failing_s)
+
+    def _age_weight(self, age_s: float) -> float:
+        return 1.0 / (1.0 + 2.0 * max(0.0, age_s) / self.limits.load_age_s)
+
+    def cached_tokens(self, incarnation: str, model: str, ask: Ask) -> int:
+        """Return how many tokens of the prompt the endpoint probably holds for a model."""
+        seen = self._seen.get(incarnation)
+        if seen is None:
+            return 0
+        tokens = 0
+        for part in ask.prompt[:-1]:
+            if (model, part.part_id) not in seen.cached:
+                break
+            tokens += part.tokens
+        return tokens
+
+    def place(
+        self,
+        endpoint: Endpoint,
+        ask: Ask,
+        model: str,
+        models: tuple[str, ...],
+        service: Service | None,
+        now_s: float,
+    ) -> Placed:
+        """Count a call on an endpoint until it is released."""
+        incarnation = endpoint.entry.incarnation
+        seen = self._seen.setdefault(incarnation, _Seen())
+        unread = ask.prompt_tokens - self.cached_tokens(incarnation, model, ask)
+        work_s = unread * self.token_s(model, models) if ask.prompt else 0.0
+        seen.running += 1
+        seen.reading_s += work_s
+        cache = (service.cache_tokens if service else 0) * self.limits.cached_share
+        self._cache(seen, model, ask.prompt[:-1], cache)
+        return Placed(incarnation, model, unread, work_s, now_s)
+
+    def _cache(
+        self, seen: _Seen, model: str, parts: tuple[PromptPart, ...], limit_tokens: float
+    ) -> None:
+        for part in parts:
+            key = (model, part.part_id)
+            if key in seen.cached:
+                seen.cached.move_to_end(key)
+                continue
+            seen.cached[key] = part.tokens
+            seen.cached_tokens += part.tokens
+        while seen.cached and seen.cached_tokens > limit_tokens:
+            seen.cached_tokens -= seen.cached.popitem(last=False)[1]
+
+    def began(self, placed: Placed, now_s: float) -> None:
+        """Note that a call's reply has begun: its prompt is read, and its pace is known."""
+        seen = self._finish_reading(placed)
+        if seen is None or placed.tokens < 300:
+            return
+        reading_s = (now_s - placed.at_s) / placed.tokens
+        known = self._token_s.get(placed.model)
+        if known is None:
+            self._token_s[placed.model] = reading_s
+            return
+        # The queue is in the reading too, so that a quick reply says more than a slow one.
+        weight = PACE_WEIGHT if reading_s < known else PACE_WEIGHT / 5
+        self._token_s[placed.model] = known + weight * (min(reading_s, 10 * known) - known)
+        ratio = min(SLOWEST, reading_s / known)
+        seen.slow = min(SLOWEST, max(0.5, seen.slow + PACE_WEIGHT * (ratio - seen.slow)))
+
+    def _finish_reading(self, placed: Placed) -> _Seen | None:
+        seen = self._seen.get(placed.incarnation)
+        if placed.is_reading:
+            placed.is_reading = False
+            if seen is not None:
+                seen.reading_s = max(0.0, seen.reading_s - placed.work_s)
+        return seen
+
+    def release(self, placed: Placed, is_failure: bool | None) -> None:
+        """Count a call no more; ``is_failure`` is None where the endpoint is not to blame."""
+        seen = self._finish_reading(placed)
+        if seen is None:
+            return
+        seen.running = max(0, seen.running - 1)
+        if is_failure is not None:
+            seen.failing += FAILURE_WEIGHT * (float(is_failure) - seen.failing)
+
+    def report(self, incarnation: str, load: ReportedLoad, now_s: float) -> None:
+        """Take the load that an endpoint reported."""
+        seen = self._seen.setdefault(incarnation, _Seen())
+        seen.load = load
+        seen.load_at_s = now_s
+
+    def others(self, incarnation: str, running: int, reading_s: float) -> None:
+        """Take what the other routers have placed on an endpoint, all together."""
+        seen = self._seen.setdefault(incarnation, _Seen())
+        seen.others_running = running
+        seen.others_reading_s = reading_s
+
+    def own(self) -> dict[str, tuple[int, float]]:
+        """Return running calls and unread work in seconds, by endpoint."""
+        return {
+            incarnation: (seen.running, seen.reading_s)
+            for incarnation, seen in self._seen.items()
+            if seen.running
+        }
+
+    def running(self, incarnation: str) -> int:
+        """Return this router's running calls on an endpoint."""
+        seen = self._seen.get(incarnation)
+        return 0 if seen is None else seen.running
+
+    def has_room(self, endpoint: Endpoint, now_s: float) -> bool:
+        """Whether an endpoint has a free slot, as far as this router knows."""
+        seen = self._seen.get(endpoint.entry.incarnation)
+        if seen is None or not endpoint.entry.slots:
+            return True
+        return seen.running + seen.others_running < endpoint.entry.slots
--- a/umberhitch/errors.py
+++ b/umberhitch/errors.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "AppenderFullError",
+    "BadAskError",
     "ConfigError",
     "FrameError",
     "LogAnswerLostError",
@@ -30,6 +31,14 @@
     """A settings file of the daemon is not valid."""
 
 
+class BadAskError(UmberhitchError):
+    """A caller's request is not proper; ``status`` is the answer's."""
+
+    def __init__(self, status: int, problem: str) -> None:
+        super().__init__(problem)
+        self.status = status
+
+
 class FrameError(UmberhitchError):
     """A frame from a peer could not be decoded and was dropped."""
 
--- /dev/null
+++ b/umberhitch/gateway_node.py
@@ -0,0 +1,140 @@
+"""A whole router of the direct path: settings in, running process out."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from logging import getLogger
+from random import Random, SystemRandom
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from umberhitch.adapters.gateway_pages import GatewayPages
+from umberhitch.adapters.h11_callers import CallerFactory
+from umberhitch.adapters.h11_endpoints import EndpointClient
+from umberhitch.adapters.zmq_link import ZmqLink
+from umberhitch.core.direct import BudgetLimits, TrialLimits
+from umberhitch.platform import (
+    Members,
+    PlatformWire,
+    Statuses,
+    StoreClient,
+    make_endpoint_feed,
+    make_operator_feed,
+)
+from umberhitch.ports.direct import Member
+from umberhitch.settings import GatewayFile, split_address
+from umberhitch.tasks.direct.gateway import Gateway, GatewaySettings
+from umberhitch.tasks.direct.peers import DirectPeers
+from umberhitch.tasks.direct.trials import Trials
+
+__all__ = ["GatewayNode", "make_gateway_node"]
+
+log = getLogger(__name__)
+
+PROOF_MARGIN = 0.9
+"""Share of the revocation bound after which requests with keys are refused."""
+BODIES_SHARE = 0.25
+"""Share of the process's memory that callers' bodies may take."""
+MIB = 1024 * 1024
+BACKLOG = 1024
+"""Connections that wait to be taken; a full queue costs callers seconds."""
+
+
+@dataclass(slots=True)
+class GatewayNode:
+    """A running router of the direct path with its sockets."""
+
+    gateway: Gateway
+    trials: Trials
+    peers: DirectPeers
+    link: ZmqLink
+    client: EndpointClient
+    callers: CallerFactory
+    _ports: dict[str, Any]
+
+    def addresses(self) -> dict[str, str]:
+        """Return where the router listens."""
+        found = {"link": self.link.address}
+        for name, port in self._ports.items():
+            at = port.getHost()
+            found[name] = f"{at.host}:{at.port}"
+        return found
+
+    def drain(self) -> Deferred[None]:
+        """Answer what has been read, then close what is idle."""
+        drained: Deferred[None] = Deferred()
+
+        def close() -> None:
+            self._ports["callers"].stopListening()
+            self.callers.close_idle()
+            drained.callback(None)
+
+        self.gateway.leave(close)
+        return drained
+
+    def stop(self) -> None:
+        """Close every socket."""
+        self.gateway.stop()
+        self.trials.stop()
+        self.peers.stop()
+        self.link.close()
+        self.client.close()
+        for port in self._ports.values():
+            port.stopListening()
+
+
+def make_gateway_node(
+    settings: GatewayFile, reactor: Any, context: Any, incarnation: int
+) -> GatewayNode:
+    """Start a router of the direct path."""
+    rng = Random(SystemRandom().getrandbits(64))
+    wire = PlatformWire()
+    client = EndpointClient(reactor, wire.read_reply)
+    store = StoreClient(client, reactor, settings.store)
+    trials = Trials(reactor, Statuses(store), TrialLimits(session_s=settings.bounds.session_s))
+    bounds = settings.bounds
+    gateway = Gateway(
+        GatewaySettings(
+            name=settings.name,
+            zone=settings.zone,
+            proof_age_s=PROOF_MARGIN * bounds.revocation_s,
+            budget=BudgetLimits(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s),
+        ),
+        reactor,
+        rng,
+        wire,
+        client,
+        make_operator_feed(store),
+        make_endpoint_feed(store),
+        trials,
+    )
+    link = ZmqLink(settings.name, reactor, context, settings.listen.link)
+    me = Member(settings.name, link.address)
+    peers = DirectPeers(me, incarnation, gateway, reactor, rng, link, Members(store))
+    callers = CallerFactory(reactor, _Front(gateway), int(settings.memory_mb * MIB * BODIES_SHARE))
+    pages = CallerFactory(reactor, GatewayPages(gateway), MIB)
+    ports = {
+        "callers": _listen(reactor, settings.listen.callers, callers),
+        "readiness": _listen(reactor, settings.listen.readiness, pages),
+        "pages": _listen(reactor, settings.listen.pages, pages),
+    }
+    gateway.start()
+    trials.start()
+    peers.start()
+    return GatewayNode(gateway, trials, peers, link, client, callers, ports)
+
+
+def _listen(reactor: Any, address: str, factory: CallerFactory) -> Any:
+    host, port = split_address(address)
+    return reactor.listenTCP(port, factory, backlog=BACKLOG, interface=host.strip("[]"))
+
+
+class _Front:
+    """The callers' side of a gateway; a `RequestHandler`."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self._gateway = gateway
+        self.handle: Callable[..., Callable[[], None]] = gateway.handle
+        self.intake = gateway.intake
+        self.keeps_connections = gateway.keeps_connections
+        self.refuse_unread = gateway.refuse_unread
--- /dev/null
+++ b/umberhitch/platform/_documents.py
@@ -0,0 +1,204 @@
+"""The documents in the platform's store, and the product's types for them.
+
+Names that mislead: a ``tenant`` is a customer, a ``server`` or replica an endpoint, and an endpoint's
+``id`` names one incarnation of it (each start has a new one).
+"""
+
+from msgspec import DecodeError, Struct, ValidationError, json
+
+from umberhitch.core.direct import (
+    Customer,
+    Document,
+    EndpointEntry,
+    EndpointState,
+    IntakeLimits,
+    RolloutOrder,
+    RolloutState,
+    Route,
+    RouteKind,
+    Service,
+)
+from umberhitch.errors import ConfigError
+
+__all__ = ["decode_endpoint", "decode_operator", "decode_status", "encode_status"]
+
+CONFIG_KEY = "config"
+ROLLOUT_PREFIX = "rollout/"
+KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAM,
+}
+
+
+class _Split(Struct):
+    service: str
+    weight: float
+
+
+class _Route(Struct, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 1000.0
+    priority: int = 0
+    service: str | None = None
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    target_gap_ms: float = 1000.0
+    sizes: list[str] = []
+
+
+class _Engine(Struct, rename="camel"):
+    slots: int = 0
+    kv_capacity_tokens: int = 0
+
+
+class _Service(Struct, rename="camel"):
+    name: str
+    max_connections: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(Struct, rename="camel", frozen=True):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Tenant(Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Config(Struct, rename="camel"):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+    tenants: list[_Tenant] = []
+
+
+class _Order(Struct, rename="camel"):
+    service: str
+    target: str
+    duration_s: float
+
+
+class _Entry(Struct, rename="camel"):
+    service: str
+    address: str
+    zone: str = ""
+    version: str = ""
+    slots: int = 0
+    state: str = "ready"
+
+
+class _Status(Struct):
+    target: str = ""
+    state: str = "in_progress"
+
+
+_config = json.Decoder(_Config)
+_order = json.Decoder(_Order)
+_entry = json.Decoder(_Entry)
+_status = json.Decoder(_Status)
+
+
+def decode_operator(key: str, value: bytes) -> Document | RolloutOrder | None:
+    """Return what an operator's record says, or None for a key that is not known.
+
+    Raises
+    ------
+    ConfigError
+        If it does not validate; the message has the place.
+    """
+    try:
+        if key == CONFIG_KEY:
+            return _document(_config.decode(value))
+        if key.startswith(ROLLOUT_PREFIX):
+            order = _order.decode(value)
+            return RolloutOrder(order.service, order.target, order.duration_s)
+    except (DecodeError, ValidationError, KeyError) as exc:
+        raise ConfigError([f"{key}: {exc}"]) from exc
+    return None
+
+
+def _document(raw: _Config) -> Document:
+    return Document(
+        raw.version,
+        tuple(map(_route, raw.routes)),
+        {each.name: _service(each) for each in raw.services},
+        {
+            key: Customer(tenant.name, tenant.priority)
+            for tenant in raw.tenants
+            for key in tenant.api_keys
+        },
+        IntakeLimits(
+            raw.limits.max_header_bytes,
+            raw.limits.max_body_bytes,
+            raw.limits.header_timeout_ms / 1000,
+            raw.limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def _route(raw: _Route) -> Route:
+    services = tuple((split.service, split.weight) for split in raw.traffic_split)
+    return Route(
+        raw.name,
+        raw.host,
+        raw.path_prefix,
+        KINDS[raw.kind],
+        raw.timeout_ms / 1000,
+        raw.target_latency_ms / 1000,
+        raw.priority,
+        services or ((raw.service or "", 1.0),),
+        raw.max_attempts,
+        raw.public,
+        raw.resumable,
+        raw.target_gap_ms / 1000,
+        tuple(raw.sizes),
+    )
+
+
+def _service(raw: _Service) -> Service:
+    if raw.engine is None:
+        return Service(raw.name, raw.max_connections)
+    engine = raw.engine
+    return Service(raw.name, raw.max_connections, engine.slots, engine.kv_capacity_tokens)
+
+
+def decode_endpoint(key: str, value: bytes) -> EndpointEntry | None:
+    """Return an endpoint's entry; raises `ConfigError` if it does not validate."""
+    try:
+        raw = _entry.decode(value)
+    except (DecodeError, ValidationError) as exc:
+        raise ConfigError([f"{key}: {exc}"]) from exc
+    state = EndpointState.READY if raw.state == "ready" else EndpointState.DRAINING
+    return EndpointEntry(key, raw.service, raw.address, raw.zone, raw.version, raw.slots, state)
+
+
+def decode_status(key: str, value: bytes) -> tuple[str, str, RolloutState] | None:
+    """Return service, target and state of a roll-out, or None for another record.
+
+    Raises `ConfigError` if it does not validate.
+    """
+    if not key.startswith(ROLLOUT_PREFIX):
+        return None
+    try:
+        raw = _status.decode(value)
+        return key.removeprefix(ROLLOUT_PREFIX), raw.target, RolloutState(raw.state)
+    except (DecodeError, ValidationError, ValueError) as exc:
+        raise ConfigError([f"{key}: {exc}"]) from exc
+
+
+def encode_status(service: str, target: str, state: RolloutState) -> tuple[str, bytes]:
+    """Return key and value of a roll-out's state."""
+    return ROLLOUT_PREFIX + service, json.encode({"target": target, "state": state.value})
--- /dev/null
+++ b/umberhitch/platform/_store.py
@@ -0,0 +1,289 @@
+"""The platform's store: keyed streams, conditional appends, membership. One client for all of it."""
+
+from base64 import b64decode
+from collections.abc import Callable
+from logging import getLogger
+from struct import Struct as Layout
+from struct import error as LayoutError
+from typing import Any, Generic, TypeVar
+from urllib.parse import urlencode
+
+from msgspec import DecodeError, json
+
+from umberhitch.adapters.h11_endpoints import EndpointClient, NoReplyError, fetch
+from umberhitch.core.direct import RolloutState
+from umberhitch.errors import (
+    ConfigError,
+    LogAnswerLostError,
+    LogTrimmedError,
+    LogUnavailableError,
+)
+from umberhitch.platform._documents import decode_status, encode_status
+from umberhitch.ports.clock import Clock
+from umberhitch.ports.direct import (
+    EndpointCall,
+    FeedBatch,
+    FeedRecord,
+    Member,
+    StoredStatus,
+)
+
+__all__ = ["KeyedFeed", "Members", "Statuses", "StoreClient"]
+
+log = getLogger(__name__)
+
+Value = TypeVar("Value")
+
+OPERATOR_TOPIC = "keyed.op"
+ENDPOINT_TOPIC = "keyed.servers"
+STATUS_TOPIC = "keyed.status"
+GROUP = "umberhitch-routers"
+GROUP_TOPICS = ["umberhitch-seats-1", "umberhitch-seats-2", "umberhitch-seats-3"]
+"""Only their partitions matter: a member that holds none does not appear among the owners."""
+
+CALL_S = 1.0
+"""A call that takes longer has failed; the store answers within some ms, slow within some 100."""
+READ_KB = 1024
+LENGTH = Layout(">I")
+OFFSETS = Layout(">QQ")
+
+
+class StoreClient:
+    """Calls the store.
+
+    Parameters
+    ----------
+    http : EndpointClient
+    clock : Clock
+    address : str
+        ``IP:PORT``.
+    """
+
+    def __init__(self, http: EndpointClient, clock: Clock, address: str) -> None:
+        self._http = http
+        self._clock = clock
+        self._address = address
+        self.calls = 0
+
+    async def call(
+        self, method: str, path: str, query: dict[str, Any], body: bytes = b"", wait_s: float = 0.0
+    ) -> tuple[int, bytes]:
+        """Return status and body of an answer.
+
+        Raises
+        ------
+        LogUnavailableError
+            The store refused the call, or could not be reached; it did nothing.
+        LogAnswerLostError
+            No answer came; the call may take effect, also later.
+        """
+        self.calls += 1
+        target = f"{path}?{urlencode(query)}" if query else path
+        headers = [(b"Host", self._address.encode())]
+        if method == "POST":
+            headers.append((b"Content-Length", str(len(body)).encode()))
+            headers.append((b"Content-Type", b"application/json"))
+        call = EndpointCall("", method.encode(), target.encode(), headers, body, is_once=True)
+        try:
+            head, data = await fetch(self._http, self._clock, self._address, call, CALL_S + wait_s)
+        except NoReplyError as exc:
+            if exc.was_sent:
+                raise LogAnswerLostError(str(exc)) from exc
+            raise LogUnavailableError(str(exc)) from exc
+        if head.status in (429, 503):
+            raise LogUnavailableError(f"the store answered {head.status}")
+        return head.status, data
+
+    async def call_json(self, path: str, body: dict[str, Any]) -> Any:
+        """Post JSON and return the answer's; raises as `call`."""
+        status, data = await self.call("POST", path, {}, json.encode(body))
+        return _json(status, data)
+
+
+def _json(status: int, data: bytes) -> Any:
+    if status != 200:
+        raise LogUnavailableError(f"the store answered {status}")
+    try:
+        return json.decode(data)
+    except DecodeError as exc:
+        raise LogUnavailableError(f"the store's answer is not JSON: {exc}") from exc
+
+
+class KeyedFeed(Generic[Value]):
+    """One keyed stream, decoded; a `FeedPort`.
+
+    Parameters
+    ----------
+    store : StoreClient
+    topic : str
+    decode : callable
+        Returns a record's value, or None for one that does not concern us; raises `ConfigError`.
+    """
+
+    def __init__(
+        self, store: StoreClient, topic: str, decode: Callable[[str, bytes], Value | None]
+    ) -> None:
+        self._store = store
+        self._topic = topic
+        self._decode = decode
+
+    async def newest(self) -> FeedBatch[Value]:
+        """Return the newest record of every key, and an offset from which nothing is missed."""
+        rows, end = await newest_rows(self._store, self._topic)
+        records = [self._record(key, value) for key, value in rows]
+        return FeedBatch(tuple(filter(None, records)), end)
+
+    async def since(self, offset: int, wait_s: float) -> FeedBatch[Value]:
+        """Return the records from an offset on, as soon as there is one or the wait is over."""
+        query = {
+            "topic": self._topic,
+            "part": 0,
+            "from": offset,
+            "maxKb": READ_KB,
+            "waitMs": int(wait_s * 1000),
+        }
+        try:
+            status, data = await self._store.call("GET", "/-/log-read", query, wait_s=wait_s)
+        except LogAnswerLostError as exc:
+            raise LogUnavailableError(str(exc)) from exc
+        if status == 410:
+            raise LogTrimmedError(int(_json(200, data).get("firstOffset", 0)))
+        if status != 200:
+            raise LogUnavailableError(f"the store answered {status}")
+        rows, end = _rows(data, offset)
+        records = [self._record(key, value) for key, value in rows]
+        return FeedBatch(tuple(filter(None, records)), end)
+
+    def _record(self, key: str, value: bytes) -> FeedRecord[Value] | None:
+        if not value:
+            return FeedRecord(key, None)
+        try:
+            decoded = self._decode(key, value)
+        except ConfigError as exc:
+            log.warning("record not valid", extra={"topic": self._topic, "problem": str(exc)})
+            return None
+        return None if decoded is None else FeedRecord(key, decoded)
+
+
+async def newest_rows(store: StoreClient, topic: str) -> tuple[list[tuple[str, bytes]], int]:
+    """Return all newest records of a topic, and the end before the first page was read."""
+    rows: list[tuple[str, bytes]] = []
+    end = -1
+    query: dict[str, Any] = {"topic": topic, "part": 0}
+    while True:
+        try:
+            status, data = await store.call("GET", "/-/log-newest", query)
+        except LogAnswerLostError as exc:
+            raise LogUnavailableError(str(exc)) from exc
+        if status == 404:
+            return rows, max(0, end)
+        page = _json(status, data)
+        # Pages are no snapshot: what changes meanwhile is read again from the first page's end.
+        end = page["endOffset"] if end < 0 else end
+        rows += [(item["key"], b64decode(item.get("value") or "")) for item in page["items"]]
+        if not page.get("hasMore"):
+            return rows, end
+        query["after"] = rows[-1][0]
+
+
+def _rows(data: bytes, offset: int) -> tuple[list[tuple[str, bytes]], int]:
+    """Return keys and values of raw records, and the offset after the last one."""
+    try:
+        OFFSETS.unpack_from(data)
+        rows = []
+        at = OFFSETS.size
+        while at < len(data):
+            (length,) = LENGTH.unpack_from(data, at)
+            at += LENGTH.size
+            record = data[at : at + length]
+            if len(record) != length:
+                raise LogUnavailableError("a record was cut off")
+            key_end = 1 + record[0]
+            rows.append((record[1:key_end].decode(), record[key_end:]))
+            at += length
+    except (LayoutError, IndexError, UnicodeDecodeError) as exc:
+        raise LogUnavailableError(f"malformed records: {exc}") from exc
+    return rows, offset + len(rows)
+
+
+class Statuses:
+    """The states of roll-outs; a `StatusPort`."""
+
+    def __init__(self, store: StoreClient) -> None:
+        self._store = store
+
+    async def read(self) -> StoredStatus:
+        """Return all states."""
+        rows, end = await newest_rows(self._store, STATUS_TOPIC)
+        states = {}
+        for key, value in rows:
+            try:
+                decoded = decode_status(key, value) if value else None
+            except ConfigError as exc:
+                log.warning("record not valid", extra={"topic": STATUS_TOPIC, "problem": str(exc)})
+                continue
+            if decoded is not None:
+                service, target, state = decoded
+                states[service] = (target, state)
+        return StoredStatus(states, end)
+
+    async def write(self, service: str, target: str, state: RolloutState, end: int) -> bool:
+        """Write a state unless anything was written since ``end``; return whether it was done."""
+        key, value = encode_status(service, target, state)
+        record = bytes([len(key)]) + key.encode() + value
+        query = {"topic": STATUS_TOPIC, "part": 0, "expectedOffset": end}
+        body = LENGTH.pack(len(record)) + record
+        status, data = await self._store.call("POST", "/-/log-append", query, body)
+        if status == 412:
+            return False
+        _json(status, data)
+        return True
+
+
+class Members:
+    """Membership of routers; a `MembersPort`.
+
+    The store gives the partitions of a topic to the members of a group; the rows of owners are the
+    list of members. A member's name in the group carries its address.
+    """
+
+    def __init__(self, store: StoreClient) -> None:
+        self._store = store
+        self._generation = 0
+
+    async def join(self, member: Member, ttl_s: float) -> int:
+        """Join or stay; return a number that changes with the membership."""
+        body = {
+            "group": GROUP,
+            "member": _label(member),
+            "topics": GROUP_TOPICS,
+            "ttlMs": int(ttl_s * 1000),
+            "generation": self._generation,
+        }
+        reply = await self._store.call_json("/-/log-join", body)
+        self._generation = int(reply["generation"])
+        return self._generation
+
+    async def leave(self, member: Member) -> None:
+        """Leave."""
+        await self._store.call_json("/-/log-leave", {"group": GROUP, "member": _label(member)})
+
+    async def members(self) -> list[Member]:
+        """Return all members."""
+        try:
+            status, data = await self._store.call("GET", "/-/log-owners", {"group": GROUP})
+        except LogAnswerLostError as exc:
+            raise LogUnavailableError(str(exc)) from exc
+        reply = _json(status, data)
+        rows = reply if isinstance(reply, list) else next(iter(reply.values()))
+        labels = {row[2] for row in rows if row[2]}
+        return [_member(label) for label in sorted(labels)]
+
+
+def _label(member: Member) -> str:
+    return f"{member.name}@{member.address}"
+
+
+def _member(label: str) -> Member:
+    name, _, address = label.rpartition("@")
+    return Member(name, address)
--- /dev/null
+++ b/umberhitch/ports/direct.py
@@ -0,0 +1,287 @@
+"""Ports of the direct path: callers, endpoints, the platform's store and the words on the wire."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Generic, Protocol, TypeVar
+
+from umberhitch.core.direct import (
+    Ask,
+    Document,
+    ReplyHead,
+    RolloutOrder,
+    RolloutState,
+)
+
+__all__ = [
+    "CallEvents",
+    "CallExtras",
+    "CallFailure",
+    "CallerReply",
+    "EndpointCall",
+    "EndpointPort",
+    "FeedBatch",
+    "FeedPort",
+    "FeedRecord",
+    "HeaderList",
+    "Member",
+    "MembersPort",
+    "OperatorValue",
+    "RawRequest",
+    "RunningCall",
+    "StatusPort",
+    "StoredStatus",
+    "WirePort",
+]
+
+HeaderList = list[tuple[bytes, bytes]]
+Value = TypeVar("Value")
+
+
+@dataclass(slots=True)
+class RawRequest:
+    """A caller's request as it came, body included.
+
+    Attributes
+    ----------
+    received_s : float
+        On the steady clock, when its first byte was read.
+    """
+
+    method: bytes
+    target: bytes
+    headers: HeaderList
+    body: bytes
+    received_s: float
+
+
+class CallerReply(Protocol):
+    """The way back to one caller; nothing may follow `end` or `abort`."""
+
+    def head(self, status: int, headers: HeaderList) -> None:
+        """Begin the reply."""
+        ...
+
+    def data(self, data: bytes) -> None:
+        """Send more of the body."""
+        ...
+
+    def end(self) -> None:
+        """End the reply as complete."""
+        ...
+
+    def abort(self) -> None:
+        """Break the connection, so that the reply does not look complete."""
+        ...
+
+    def on_pressure(self, pause: Callable[[], None], resume: Callable[[], None]) -> None:
+        """Name what is to be called when the caller reads too slowly, and when it has caught up."""
+        ...
+
+
+class CallFailure(StrEnum):
+    """Why a call ended without a whole reply."""
+
+    NOT_SENT = "not_sent"
+    """No connection: the endpoint certainly has nothing of it."""
+    BROKEN = "broken"
+    """It was sent, at least in part, and may have run."""
+
+
+class CallEvents(Protocol):
+    """What happens to a call; `on_end` or `on_failure` is the last."""
+
+    def on_head(self, head: ReplyHead) -> None:
+        """The head of the reply is there."""
+        ...
+
+    def on_data(self, data: bytes) -> None:
+        """More of the body is there."""
+        ...
+
+    def on_end(self) -> None:
+        """The reply is complete."""
+        ...
+
+    def on_failure(self, failure: CallFailure, detail: str) -> None:
+        """There will be no whole reply."""
+        ...
+
+
+class RunningCall(Protocol):
+    """A call that was sent to an endpoint."""
+
+    def cancel(self) -> None:
+        """Break the connection, so that the endpoint stops; no event follows."""
+        ...
+
+    def detach(self) -> None:
+        """Read the reply to its end and drop it, to keep the connection; no event follows."""
+        ...
+
+    def pause(self) -> None:
+        """Read nothing more for now."""
+        ...
+
+    def resume(self) -> None:
+        """Read on."""
+        ...
+
+
+@dataclass(slots=True)
+class EndpointCall:
+    """What is sent to an endpoint.
+
+    Attributes
+    ----------
+    is_once : bool
+        Whether it must not run twice: only a connection that is surely open is used for it.
+    """
+
+    call_id: str
+    method: bytes
+    target: bytes
+    headers: HeaderList
+    body: bytes
+    is_once: bool
+
+
+class EndpointPort(Protocol):
+    """Calls endpoints over connections that it keeps."""
+
+    def send(self, address: str, call: EndpointCall, events: CallEvents) -> RunningCall:
+        """Send a call to ``IP:PORT``; events come later, never from within."""
+        ...
+
+    def close_idle(self, address: str) -> None:
+        """Close the kept connections to an address."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class CallExtras:
+    """What the router itself says to the endpoint with a call.
+
+    Attributes
+    ----------
+    deadline_s : float
+        How long the endpoint may work on it.
+    incarnation : str
+        Another incarnation at the address refuses the call.
+    """
+
+    deadline_s: float
+    incarnation: str
+    customer: str | None
+    model: str | None
+    priority: int | None
+    last_event: bytes | None
+
+
+class WirePort(Protocol):
+    """The headers that callers, routers and endpoints exchange."""
+
+    def read_ask(self, raw: RawRequest) -> Ask:
+        """Decode a request; raises `BadAskError`."""
+        ...
+
+    def call_headers(self, ask: Ask, extras: CallExtras) -> HeaderList:
+        """Return all headers of a call."""
+        ...
+
+    def read_reply(self, status: int, headers: HeaderList) -> ReplyHead:
+        """Decode the head of an endpoint's reply."""
+        ...
+
+    def refusal_headers(self, call_id: str | None, retry_after_s: float | None) -> HeaderList:
+        """Return the headers of an answer of the router's own."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class FeedRecord(Generic[Value]):
+    """A record of a keyed stream; ``value`` is None where the key was dropped."""
+
+    key: str
+    value: Value | None
+
+
+@dataclass(frozen=True, slots=True)
+class FeedBatch(Generic[Value]):
+    """Records, and the offset after the last of them."""
+
+    records: tuple[FeedRecord[Value], ...]
+    end: int
+
+
+class FeedPort(Protocol[Value]):
+    """A keyed stream of the platform's store, decoded.
+
+    Both calls raise `LogUnavailableError` where the store does not answer, `since` also
+    `LogTrimmedError`. A record that does not validate is logged with its place and left out.
+    """
+
+    async def newest(self) -> FeedBatch[Value]:
+        """Return the newest record of every key, and an offset from which nothing is missed."""
+        ...
+
+    async def since(self, offset: int, wait_s: float) -> FeedBatch[Value]:
+        """Return the records from an offset on, as soon as there is one or the wait is over."""
+        ...
+
+
+OperatorValue = Document | RolloutOrder
+
+
+@dataclass(frozen=True, slots=True)
+class StoredStatus:
+    """What stands in the store on roll-outs."""
+
+    states: dict[str, tuple[str, RolloutState]]
+    """Target and state, by service."""
+    end: int
+
+
+class StatusPort(Protocol):
+    """The states of roll-outs in the store, for operators and other routers."""
+
+    async def read(self) -> StoredStatus:
+        """Return all states."""
+        ...
+
+    async def write(self, service: str, target: str, state: RolloutState, end: int) -> bool:
+        """Write a state unless anything was written since ``end``; return whether it was done.
+
+        Raises
+        ------
+        LogAnswerLostError
+            It may have been written.
+        LogUnavailableError
+            Nothing was written.
+        """
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A router that is alive as far as the store knows."""
+
+    name: str
+    address: str
+    """``IP:PORT`` of its link."""
+
+
+class MembersPort(Protocol):
+    """Membership of routers, kept by the store."""
+
+    async def join(self, member: Member, ttl_s: float) -> int:
+        """Join or stay; return a number that changes with the membership."""
+        ...
+
+    async def leave(self, member: Member) -> None:
+        """Leave."""
+        ...
+
+    async def members(self) -> list[Member]:
+        """Return all members."""
+        ...
--- a/umberhitch/settings.py
+++ b/umberhitch/settings.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "AgentFile",
+    "GatewayFile",
     "LinkKeys",
     "LogLevel",
     "Platform",
@@ -153,17 +154,59 @@
         return _require_keys(self)
 
 
+class GatewayListen(_Section):
+    """Addresses of a router of the direct path."""
+
+    callers: Address
+    readiness: Address
+    pages: Address
+    """Metrics and status."""
+    link: Address
+
+
+class Bounds(_Section):
+    """What the platform bounds; it hands these over with the settings."""
+
+    revocation_s: Seconds = 5.0
+    """A key that was taken away has no effect after this."""
+    retry_ratio: Annotated[float, Field(ge=0, le=10)] = 0.5
+    """Calls beyond the first, for each request."""
+    retry_slack: Annotated[float, Field(ge=0)] = 20.0
+    """Calls beyond the first that are allowed besides, over all routers."""
+    retry_window_s: Seconds = 10.0
+    session_s: Seconds = 5.0
+    """Requests of a session that are not further apart belong together."""
+
+
+class GatewayFile(_Section):
+    """Settings of a router of the direct path."""
+
+    role: Literal["gateway"]
+    name: Name
+    zone: Name
+    region: Name = "default"
+    log_level: LogLevel = "INFO"
+    drain_s: Seconds = 8.0
+    """How long a shutdown may take in all."""
+    memory_mb: Annotated[float, Field(ge=32)] = 128
+    """What the process may use."""
+    listen: GatewayListen
+    store: Address
+    bounds: Bounds = Bounds()
+
+
 def _require_keys(settings: Any) -> Any:
     if settings.link_keys is None and not _is_loopback(settings.listen.link):
         raise ValueError("link_keys are needed unless listen.link is on loopback")
     return settings
 
 
-SettingsFile = Annotated[RouterFile | AgentFile, Field(discriminator="role")]
-_adapter: TypeAdapter[RouterFile | AgentFile] = TypeAdapter(SettingsFile)
+AnyFile = RouterFile | AgentFile | GatewayFile
+SettingsFile = Annotated[AnyFile, Field(discriminator="role")]
+_adapter: TypeAdapter[AnyFile] = TypeAdapter(SettingsFile)
 
 
-def parse_settings(data: bytes) -> RouterFile | AgentFile:
+def parse_settings(data: bytes) -> AnyFile:
     """Return the settings in a file's content.
 
     Raises
@@ -184,7 +227,7 @@
 
 def _without_role(finding: Finding) -> Finding:
     """Drop the role that pydantic puts in front of each place."""
-    for role in ("router", "agent"):
+    for role in ("router", "agent", "gateway"):
         if finding.place.startswith(f"{role}."):
             return Finding(finding.place[len(role) + 1 :], finding.problem)
         if finding.place == role:
@@ -192,7 +235,7 @@
     return Finding(finding.place or "settings", finding.problem)
 
 
-def load_settings(path: Path) -> RouterFile | AgentFile:
+def load_settings(path: Path) -> AnyFile:
     """Return the settings in a file; raises `SettingsError` with every finding."""
     try:
         data = path.read_bytes()
--- /dev/null
+++ b/umberhitch/tasks/direct/exchange.py
@@ -0,0 +1,536 @@
+"""One caller's request on the direct path, from its head to its final answer.
+
+Every call to an endpoint ends in one of three ways: not run, done, unknown. Only a request of which
+every call surely did not run is refused as "not run"; what may have run is tried again only where it
+may be repeated. A request that is given up gets its answer at once.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from logging import getLogger
+from typing import Protocol
+
+from umberhitch.core.direct import (
+    Ask,
+    Customer,
+    Endpoint,
+    EventCutter,
+    Placed,
+    ReplyHead,
+    Route,
+    RouteKind,
+)
+from umberhitch.ports.clock import Clock, Timer
+from umberhitch.ports.direct import CallerReply, CallFailure, RunningCall
+
+__all__ = ["Exchange", "ExchangeLimits", "Permit", "Services"]
+
+log = getLogger(__name__)
+
+MAX_PLAIN_BYTES = 1_048_576
+"""A plain reply up to this size is passed on only when it is whole."""
+MAX_DIALS = 6
+"""Endpoints that could not be reached, for one request."""
+LEAST_LEFT_S = 0.02
+"""With less time left no call is begun."""
+
+
+@dataclass(frozen=True, slots=True)
+class ExchangeLimits:
+    """Times in seconds, or as multiples of what the route says.
+
+    Attributes
+    ----------
+    try_objectives : float
+        A call that may be repeated gets so many times the objective before it is tried elsewhere.
+    first_event_objectives : float
+        The same for the first event of a stream.
+    gap_factor : float
+        A stream that pauses for so many times its longest good pause counts as broken.
+    least_try_s : float
+        No call is given up before.
+    """
+
+    try_objectives: float = 2.5
+    first_event_objectives: float = 2.0
+    gap_factor: float = 2.5
+    least_try_s: float = 0.25
+
+
+@dataclass(slots=True)
+class Permit:
+    """What the configuration says of a request that it admits."""
+
+    ask: Ask
+    route: Route
+    service: str
+    customer: Customer | None
+    received_s: float
+    wants_target: bool | None
+    """Whether it goes to the new version of a roll-out; None without one."""
+
+
+class Services(Protocol):
+    """What a request needs of its router."""
+
+    clock: Clock
+    limits: ExchangeLimits
+
+    def choose(
+        self, permit: Permit, model: str | None, tried: set[str]
+    ) -> tuple[Endpoint, float] | None:
+        """Return an endpoint and the wait there, or None where none takes work."""
+        ...
+
+    def send(
+        self, permit: Permit, endpoint: Endpoint, model: str | None, call: "Exchange"
+    ) -> tuple[RunningCall, Placed]:
+        """Send the request to an endpoint."""
+        ...
+
+    def may_repeat(self, service: str) -> bool:
+        """Take one repeat from the shared budget, if there is one."""
+        ...
+
+    def larger_model(
+        self, permit: Permit, model: str, confidence: int | None, waited_s: float, tried: set[str]
+    ) -> str | None:
+        """Return the model to ask instead, or None to keep the answer."""
+        ...
+
+    def first_model(self, permit: Permit) -> str | None:
+        """Return the model to begin with."""
+        ...
+
+    def noted(self, permit: Permit, endpoint: Endpoint, is_bad: bool, model: str | None) -> None:
+        """Take note of how an endpoint answered."""
+        ...
+
+    def unreachable(self, endpoint: Endpoint) -> None:
+        """Take note that an endpoint could not be reached or went silent."""
+        ...
+
+    def moved(self, endpoint: Endpoint) -> None:
+        """Take note that another incarnation has the endpoint's address."""
+        ...
+
+    def began(self, placed: Placed, head: ReplyHead) -> None:
+        """Take note that a reply has begun."""
+        ...
+
+    def release(self, placed: Placed, is_failure: bool | None) -> None:
+        """Count a call no more."""
+        ...
+
+    def refuse(self, reply: CallerReply, permit: Permit, status: int, reason: str) -> None:
+        """Send an answer of the router's own."""
+        ...
+
+    def finished(self, exchange: "Exchange", outcome: str) -> None:
+        """Take note that a request has its final answer."""
+        ...
+
+
+class Exchange:
+    """One request.
+
+    Parameters
+    ----------
+    services : Services
+    permit : Permit
+    reply : CallerReply
+    """
+
+    def __init__(self, services: Services, permit: Permit, reply: CallerReply) -> None:
+        self.permit = permit
+        self._svc = services
+        self._reply = reply
+        self._clock = services.clock
+        ask, route = permit.ask, permit.route
+        self._deadline_s = permit.received_s + min(ask.patience_s, route.timeout_s)
+        self._sends = 0
+        self._dials = 0
+        self._may_have_run = False
+        self._tried: set[str] = set()
+        self._model: str | None = None
+        self._endpoint: Endpoint | None = None
+        self._placed: Placed | None = None
+        self._call: RunningCall | None = None
+        self._head: ReplyHead | None = None
+        self._held = bytearray()
+        self._is_streaming = False
+        self._is_relaying = False
+        self._cutter = EventCutter(ask.last_event)
+        self._is_paused = False
+        self._is_over = False
+        self._deadline: Timer | None = None
+        self._stall: Timer | None = None
+
+    # Life
+
+    def start(self) -> Callable[[], None]:
+        """Begin; returns what is to be called if the caller leaves."""
+        left_s = self._deadline_s - self._clock.seconds()
+        self._deadline = self._clock.callLater(max(0.0, left_s), self._on_deadline)
+        self._model = self._svc.first_model(self.permit)
+        self._next()
+        return self._on_caller_left
+
+    @property
+    def last_event(self) -> bytes | None:
+        """Id of the last event that the caller has."""
+        return self._cutter.last_id
+
+    @property
+    def left_s(self) -> float:
+        """Time until the final answer is due."""
+        return self._deadline_s - self._clock.seconds()
+
+    @property
+    def sends(self) -> int:
+        """Calls so far that reached an endpoint, or may have."""
+        return self._sends
+
+    @property
+    def model(self) -> str | None:
+        """Model that was asked last."""
+        return self._model
+
+    @property
+    def is_streaming(self) -> bool:
+        """Whether the head of a stream has gone to the caller."""
+        return self._is_streaming
+
+    def _next(self) -> None:
+        """Send the request to the next endpoint, or give up."""
+        if self._is_over:
+            return
+        if self.left_s < LEAST_LEFT_S:
+            self._give_up("deadline")
+            return
+        if self._sends >= self.permit.route.max_attempts:
+            self._give_up("attempts")
+            return
+        chosen = self._svc.choose(self.permit, self._model, self._tried)
+        if chosen is None:
+            self._give_up("no endpoint")
+            return
+        if self._sends > 0 and not self._svc.may_repeat(self.permit.service):
+            self._give_up("retry budget")
+            return
+        self._begin_call(chosen[0])
+
+    def _begin_call(self, endpoint: Endpoint) -> None:
+        self._endpoint = endpoint
+        self._head = None
+        self._held.clear()
+        self._sends += 1
+        self._tried.add(endpoint.entry.incarnation)
+        self._call, self._placed = self._svc.send(self.permit, endpoint, self._model, self)
+        if self._is_paused:
+            self._call.pause()
+        route, limits = self.permit.route, self._svc.limits
+        match route.kind:
+            case RouteKind.STREAM if route.is_repeatable:
+                self._watch(
+                    max(limits.least_try_s, limits.first_event_objectives * route.objective_s)
+                )
+            case RouteKind.IDEMPOTENT:
+                self._watch(max(limits.least_try_s, limits.try_objectives * route.objective_s))
+
+    def _end_call(self, is_failure: bool | None) -> None:
+        """Count the present call no more."""
+        self._unwatch()
+        placed, self._placed = self._placed, None
+        self._call = None
+        if placed is not None:
+            self._svc.release(placed, is_failure)
+
+    # Timers
+
+    def _watch(self, delay_s: float) -> None:
+        self._unwatch()
+        self._stall = self._clock.callLater(delay_s, self._on_stall)
+
+    def _unwatch(self) -> None:
+        stall, self._stall = self._stall, None
+        if stall is not None and stall.active():
+            stall.cancel()
+
+    def _on_stall(self) -> None:
+        """Try elsewhere what has been silent for too long, if that can be had."""
+        self._stall = None
+        if self._is_paused or self._call is None:
+            return
+        can_repeat = self._sends < self.permit.route.max_attempts
+        if not can_repeat or self._svc.choose(self.permit, self._model, self._tried) is None:
+            return
+        self._call.cancel()
+        self._broken("silent")
+
+    def _on_deadline(self) -> None:
+        self._deadline = None
+        if self._call is not None:
+            self._call.cancel()
+            self._may_have_run = True
+            self._end_call(None)
+        self._give_up("deadline")
+
+    def _on_caller_left(self) -> None:
+        if self._is_over:
+            return
+        if self._call is not None:
+            self._call.cancel()
+            self._end_call(None)
+        self._finish("caller left")
+
+    # Events of the call
+
+    def on_head(self, head: ReplyHead) -> None:
+        """Decide by the head of the reply what becomes of it."""
+        assert self._endpoint is not None
+        assert self._placed is not None
+        self._head = head
+        self._svc.began(self._placed, head)
+        if head.is_leaving:
+            self._svc.noted(self.permit, self._endpoint, False, None)
+        if head.not_run:
+            self._on_not_run(head)
+        elif head.is_success:
+            self._on_success(head)
+        else:
+            self._on_error(head)
+
+    def _on_not_run(self, head: ReplyHead) -> None:
+        assert self._call is not None
+        assert self._endpoint is not None
+        if head.is_elsewhere:
+            self._svc.moved(self._endpoint)
+        self._call.detach()
+        self._end_call(None)
+        self._next()
+
+    def _on_success(self, head: ReplyHead) -> None:
+        assert self._call is not None
+        if not head.is_signed:
+            self._call.cancel()
+            self._broken("no signature")
+            return
+        self._may_have_run = True
+        if self._is_streaming:
+            self._watch_gap()
+            return
+        larger = None
+        if self._model is not None and self._sends < self.permit.route.max_attempts:
+            waited_s = self._clock.seconds() - self.permit.received_s
+            larger = self._svc.larger_model(
+                self.permit, self._model, head.confidence, waited_s, self._tried
+            )
+        if larger is not None and self._svc.may_repeat(self.permit.service):
+            self._escalate(larger)
+            return
+        if self.permit.route.kind is RouteKind.STREAM:
+            self._is_streaming = True
+            self._reply.on_pressure(self._pause, self._resume)
+            self._reply.head(head.status, head.headers)
+            self._watch_gap()
+
+    def _escalate(self, larger: str) -> None:
+        """Drop the answer that has begun, of which the caller has nothing, and ask another model."""
+        assert self._call is not None
+        assert self._endpoint is not None
+        self._call.cancel()
+        self._svc.noted(self.permit, self._endpoint, False, None)
+        self._end_call(None)
+        previous = self._model
+        self._model = larger
+        self._tried.clear()
+        chosen = self._svc.choose(self.permit, self._model, self._tried)
+        if chosen is None:
+            self._model = previous
+            self._next()
+            return
+        self._begin_call(chosen[0])
+
+    def _on_error(self, head: ReplyHead) -> None:
+        """Handle a failure that the endpoint itself reports; it ran."""
+        assert self._call is not None
+        assert self._endpoint is not None
+        self._may_have_run = True
+        is_server_side = head.status >= 500
+        if is_server_side:
+            self._svc.noted(self.permit, self._endpoint, True, self._model)
+        if self._is_streaming:
+            self._call.detach()
+            self._end_call(is_server_side)
+            self._next()
+            return
+        if is_server_side and self._can_repeat():
+            self._call.detach()
+            self._end_call(True)
+            self._next()
+
+    def _can_repeat(self) -> bool:
+        route = self.permit.route
+        return (
+            route.is_repeatable
+            and self._sends < route.max_attempts
+            and self.left_s > LEAST_LEFT_S
+            and self._svc.choose(self.permit, self._model, self._tried) is not None
+        )
+
+    def on_data(self, data: bytes) -> None:
+        """Take more of the body."""
+        assert self._head is not None
+        if self._is_relaying:
+            self._reply.data(data)
+            return
+        if not self._is_streaming:
+            self._held += data
+            if len(self._held) > MAX_PLAIN_BYTES:
+                self._relay()
+            return
+        self._watch_gap()
+        try:
+            whole = self._cutter.feed(data)
+        except ValueError as exc:
+            assert self._call is not None
+            self._call.cancel()
+            self._broken(str(exc))
+            return
+        if whole:
+            self._reply.data(whole)
+
+    def _relay(self) -> None:
+        """Pass a long plain reply on as it comes."""
+        assert self._head is not None
+        self._is_relaying = True
+        self._reply.on_pressure(self._pause, self._resume)
+        self._reply.head(self._head.status, self._head.headers)
+        self._reply.data(bytes(self._held))
+        self._held.clear()
+
+    def _watch_gap(self) -> None:
+        if self.permit.route.is_repeatable:
+            self._watch(self._svc.limits.gap_factor * self.permit.route.gap_s)
+
+    def on_end(self) -> None:
+        """Take the end of the reply."""
+        assert self._head is not None
+        assert self._endpoint is not None
+        if self._is_streaming and not self._cutter.is_clean:
+            self._broken("ended within an event")
+            return
+        is_failure = self._head.status >= 500
+        if not is_failure:
+            self._svc.noted(self.permit, self._endpoint, False, self._model)
+        self._end_call(is_failure)
+        if not self._is_streaming and not self._is_relaying:
+            self._reply_whole(self._head, bytes(self._held))
+            return
+        self._reply.end()
+        self._finish("done")
+
+    def _reply_whole(self, head: ReplyHead, body: bytes) -> None:
+        headers = [item for item in head.headers if item[0].lower() != b"content-length"]
+        if head.status not in (204, 304):
+            headers.append((b"Content-Length", str(len(body)).encode()))
+        self._reply.head(head.status, headers)
+        if body:
+            self._reply.data(body)
+        self._reply.end()
+        self._finish("done" if head.is_success else "failed by the endpoint")
+
+    def on_failure(self, failure: CallFailure, detail: str) -> None:
+        """Take the end of a call without a whole reply."""
+        match failure:
+            case CallFailure.NOT_SENT:
+                self._not_sent(detail)
+            case CallFailure.BROKEN:
+                self._broken(detail)
+
+    def _not_sent(self, detail: str) -> None:
+        assert self._endpoint is not None
+        log.info("endpoint not reached", extra=self._facts(detail))
+        self._svc.unreachable(self._endpoint)
+        self._end_call(True)
+        self._sends -= 1
+        self._dials += 1
+        if self._dials >= MAX_DIALS:
+            self._give_up("no endpoint reached")
+            return
+        self._next()
+
+    def _broken(self, detail: str) -> None:
+        """A call was sent, and how it ended is not known."""
+        assert self._endpoint is not None
+        log.info("call broken", extra=self._facts(detail))
+        self._may_have_run = True
+        if self._head is None:
+            self._svc.unreachable(self._endpoint)
+        self._svc.noted(self.permit, self._endpoint, True, self._model)
+        self._end_call(True)
+        self._cutter.drop()
+        if self._is_relaying or not self.permit.route.is_repeatable:
+            self._give_up("unknown outcome")
+            return
+        self._next()
+
+    # The end
+
+    def _give_up(self, reason: str) -> None:
+        """Send the final answer."""
+        if self._is_over:
+            return
+        if self._is_streaming or self._is_relaying:
+            self._reply.abort()
+            self._finish(f"broken off: {reason}")
+            return
+        if not self._may_have_run:
+            self._svc.refuse(self._reply, self.permit, 503, reason)
+        else:
+            status = 504 if reason == "deadline" else 502
+            self._svc.refuse(self._reply, self.permit, status, reason)
+        self._finish(f"given up: {reason}")
+
+    def _finish(self, outcome: str) -> None:
+        self._is_over = True
+        self._unwatch()
+        deadline, self._deadline = self._deadline, None
+        if deadline is not None and deadline.active():
+            deadline.cancel()
+        self._svc.finished(self, outcome)
+
+    def cut(self) -> None:
+        """Break off: the process stops."""
+        if self._is_over:
+            return
+        if self._call is not None:
+            self._call.cancel()
+            self._may_have_run = True
+            self._end_call(None)
+        self._give_up("leaving")
+
+    # Pressure
+
+    def _pause(self) -> None:
+        self._is_paused = True
+        if self._call is not None:
+            self._call.pause()
+
+    def _resume(self) -> None:
+        self._is_paused = False
+        if self._call is not None:
+            self._call.resume()
+
+    def _facts(self, detail: str) -> dict[str, object]:
+        """Return what a log line says of the request."""
+        endpoint = self._endpoint.entry.incarnation if self._endpoint else None
+        return {
+            "request": self.permit.ask.call_id,
+            "route": self.permit.route.name,
+            "endpoint": endpoint,
+            "model": self._model,
+            "sends": self._sends,
+            "detail": detail,
+        }
--- /dev/null
+++ b/umberhitch/tasks/direct/feeds.py
@@ -0,0 +1,151 @@
+"""Follows the keyed streams of the platform's store: configuration, roll-outs, endpoints.
+
+Each feed is a loop of one call at a time. Its proof of freshness is the time at which it sent the
+last call that told it the end of the stream: what was not there then was acknowledged later.
+"""
+
+from collections.abc import Callable
+from logging import getLogger
+from random import Random
+from typing import Any, Generic, TypeVar
+
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from umberhitch.errors import LogError, LogTrimmedError
+from umberhitch.ports.clock import Clock
+from umberhitch.ports.direct import FeedBatch, FeedPort
+
+__all__ = ["Feed", "FeedPace"]
+
+log = getLogger(__name__)
+
+Value = TypeVar("Value")
+
+
+class FeedPace:
+    """Times of a feed, in seconds.
+
+    Parameters
+    ----------
+    wait_s : float
+        How long the store holds a call while there is nothing new.
+    pause_s : float
+        Pause between two calls; a stream in which something always comes is read no more often.
+    retry_s : float
+        Pause after a call that failed.
+    """
+
+    def __init__(self, wait_s: float, pause_s: float, retry_s: float = 0.25) -> None:
+        self.wait_s = wait_s
+        self.pause_s = pause_s
+        self.retry_s = retry_s
+
+
+class Feed(Generic[Value]):
+    """One keyed stream.
+
+    Parameters
+    ----------
+    name : str
+        For logs.
+    port : FeedPort
+    clock : Clock
+    rng : Random
+    pace : FeedPace
+    on_all : callable
+        Takes the newest record of every key; what is not in it is gone.
+    on_records : callable
+        Takes further records, and whether the store has been away lately.
+
+    Attributes
+    ----------
+    proved_s : float or None
+        What was acknowledged before then has been taken.
+    offset : int
+        Offset up to which records have been taken.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        port: FeedPort[Value],
+        clock: Clock,
+        rng: Random,
+        pace: FeedPace,
+        on_all: Callable[[FeedBatch[Value]], None],
+        on_records: Callable[[FeedBatch[Value], bool], None],
+    ) -> None:
+        self.name = name
+        self.proved_s: float | None = None
+        self.offset = -1
+        self._port = port
+        self._clock = clock
+        self._rng = rng
+        self._pace = pace
+        self._on_all = on_all
+        self._on_records = on_records
+        self._is_stopped = False
+        self._failed_since_s: float | None = None
+        self._back_s = float("-inf")
+
+    AWAY_S = 3.0
+    """So long after the store came back, entries that lapsed meanwhile may still return."""
+
+    def start(self) -> None:
+        """Begin to follow."""
+        ensureDeferred(self._run()).addErrback(self._report)
+
+    def stop(self) -> None:
+        """Follow no more."""
+        self._is_stopped = True
+
+    def _report(self, failure: Any) -> None:
+        log.error("feed ended", extra={"feed": self.name, "error": failure.getTraceback()})
+
+    async def _run(self) -> None:
+        is_whole = False
+        while not self._is_stopped:
+            called_s = self._clock.seconds()
+            try:
+                if is_whole:
+                    batch = await self._port.since(self.offset, self._pace.wait_s)
+                    self._note_back()
+                    if not self._is_stopped:
+                        self._on_records(batch, self._was_away())
+                else:
+                    batch = await self._port.newest()
+                    self._note_back()
+                    if not self._is_stopped:
+                        self._on_all(batch)
+                    is_whole = True
+            except LogTrimmedError as exc:
+                log.info("history gone", extra={"feed": self.name, "first": exc.first_offset})
+                is_whole = False
+                continue
+            except LogError as exc:
+                self._note_failure(exc)
+                await self._sleep(self._pace.retry_s * (0.5 + self._rng.random()))
+                continue
+            self.offset = batch.end
+            self.proved_s = called_s
+            await self._sleep(self._pace.pause_s)
+
+    def _was_away(self) -> bool:
+        return self._clock.seconds() - self._back_s < self.AWAY_S
+
+    def _note_failure(self, exc: LogError) -> None:
+        if self._failed_since_s is None:
+            self._failed_since_s = self._clock.seconds()
+            log.warning("store lost", extra={"feed": self.name, "error": str(exc)})
+
+    def _note_back(self) -> None:
+        if self._failed_since_s is not None:
+            self._back_s = self._clock.seconds()
+            away_s = self._back_s - self._failed_since_s
+            self._failed_since_s = None
+            log.info("store regained", extra={"feed": self.name, "away_s": round(away_s, 3)})
+
+    def _sleep(self, delay_s: float) -> Deferred[None]:
+        done: Deferred[None] = Deferred()
+        self._clock.callLater(max(0.0, delay_s), done.callback, None)
+        return done
--- /dev/null
+++ b/umberhitch/tasks/direct/gateway.py
@@ -0,0 +1,469 @@
+"""The router of the direct path: admits requests, finds endpoints, and answers for the whole."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from logging import getLogger
+from random import Random
+
+from xxhash import xxh3_64_intdigest
+
+from umberhitch.core.direct import (
+    Ask,
+    BudgetLimits,
+    Cascade,
+    CascadeLimits,
+    Customer,
+    Directory,
+    Document,
+    Endpoint,
+    EndpointEntry,
+    IntakeLimits,
+    Placed,
+    Placement,
+    PlacementLimits,
+    ReplyHead,
+    RetryBudget,
+    RolloutOrder,
+    Route,
+    RouteKind,
+    RouteTable,
+)
+from umberhitch.errors import BadAskError
+from umberhitch.ports.clock import Clock
+from umberhitch.ports.direct import (
+    CallerReply,
+    CallExtras,
+    EndpointCall,
+    EndpointPort,
+    FeedBatch,
+    FeedPort,
+    HeaderList,
+    OperatorValue,
+    RawRequest,
+    RunningCall,
+    WirePort,
+)
+from umberhitch.tasks.direct.exchange import Exchange, ExchangeLimits, Permit
+from umberhitch.tasks.direct.feeds import Feed, FeedPace
+from umberhitch.tasks.direct.trials import Trials
+
+__all__ = ["Gateway", "GatewayCounters", "GatewaySettings"]
+
+log = getLogger(__name__)
+
+HASH_RANGE = 1 << 64
+SWEEP_S = 0.25
+"""How often entries that have not come back are looked for."""
+LEAST_RETRY_S = 0.1
+"""Soonest time to come back that a refusal names."""
+STARTING_RETRY_S = 0.5
+"""Time to come back that is named while there is no configuration."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class GatewaySettings:
+    """What a router of the direct path is told.
+
+    Attributes
+    ----------
+    name, zone : str
+    proof_age_s : float
+        Requests with keys are refused where the proof that the keys are the newest is older.
+    drain_notice_s : float
+        At a shutdown, connections are taken for so long: the balancer notices only then.
+    """
+
+    name: str
+    zone: str
+    proof_age_s: float = 4.5
+    drain_notice_s: float = 2.6
+    operator_pace: FeedPace = field(default_factory=lambda: FeedPace(wait_s=1.2, pause_s=0.05))
+    endpoint_pace: FeedPace = field(default_factory=lambda: FeedPace(wait_s=1.0, pause_s=0.8))
+    budget: BudgetLimits = BudgetLimits()
+    cascade: CascadeLimits = CascadeLimits()
+    placement: PlacementLimits = PlacementLimits()
+    exchange: ExchangeLimits = ExchangeLimits()
+
+
+@dataclass(slots=True)
+class GatewayCounters:
+    """Counts since the start."""
+
+    requests: int = 0
+    calls: int = 0
+    outcomes: dict[str, int] = field(default_factory=dict)
+    refused: dict[str, int] = field(default_factory=dict)
+
+
+class Gateway:
+    """One router incarnation on the direct path; is the `Services` of its exchanges.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+    clock : Clock
+    rng : Random
+    wire : WirePort
+    endpoints : EndpointPort
+    operator_port, registry_port : FeedPort
+    trials : Trials
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        clock: Clock,
+        rng: Random,
+        wire: WirePort,
+        endpoints: EndpointPort,
+        operator_port: FeedPort[OperatorValue],
+        registry_port: FeedPort[EndpointEntry],
+        trials: Trials,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.limits = settings.exchange
+        self.counters = GatewayCounters()
+        self.directory = Directory()
+        self.placement = Placement(settings.zone, settings.placement)
+        self.budget = RetryBudget(settings.budget)
+        self.trials = trials
+        self.table: RouteTable | None = None
+        self.running: set[Exchange] = set()
+        self._cascade = Cascade(settings.cascade)
+        self._rng = rng
+        self._wire = wire
+        self._endpoints = endpoints
+        self._is_leaving = False
+        self._is_stopped = False
+        self._is_noticed = False
+        self._on_idle: Callable[[], None] | None = None
+        self.operator_feed: Feed[OperatorValue] = Feed(
+            "operator",
+            operator_port,
+            clock,
+            rng,
+            settings.operator_pace,
+            self._take_all_orders,
+            self._take_orders,
+        )
+        self.registry_feed: Feed[EndpointEntry] = Feed(
+            "registry",
+            registry_port,
+            clock,
+            rng,
+            settings.endpoint_pace,
+            self._take_all_endpoints,
+            self._take_endpoints,
+        )
+
+    # Life
+
+    def start(self) -> None:
+        """Begin to follow the store."""
+        self.operator_feed.start()
+        self.registry_feed.start()
+        self._sweep()
+
+    def stop(self) -> None:
+        """Do nothing more."""
+        self._is_stopped = True
+        self.operator_feed.stop()
+        self.registry_feed.stop()
+        for exchange in list(self.running):
+            exchange.cut()
+
+    def leave(self, on_idle: Callable[[], None]) -> None:
+        """Take no new connection soon; calls back when every request that was read is answered."""
+        self._is_leaving = True
+        self._on_idle = on_idle
+        self.clock.callLater(self.settings.drain_notice_s, self._look_idle, True)
+
+    def _look_idle(self, is_due: bool) -> None:
+        self._is_noticed = self._is_noticed or is_due
+        if self._on_idle is not None and self._is_noticed and not self.running:
+            on_idle, self._on_idle = self._on_idle, None
+            on_idle()
+
+    def _sweep(self) -> None:
+        if self._is_stopped:
+            return
+        self.directory.sweep(self.clock.seconds())
+        self.clock.callLater(SWEEP_S, self._sweep)
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether there are a configuration and a directory."""
+        return self.table is not None and self.directory.is_loaded
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return self.is_loaded and not self._is_leaving
+
+    def proof_age_s(self, at_s: float) -> float:
+        """Return how old the proof that the configuration is the newest was at a time."""
+        proved_s = self.operator_feed.proved_s
+        return float("inf") if proved_s is None else at_s - proved_s
+
+    # What the store says
+
+    def _take_all_orders(self, batch: FeedBatch[OperatorValue]) -> None:
+        self._take_orders(batch, False)
+        self.trials.keep([r.value for r in batch.records if isinstance(r.value, RolloutOrder)])
+
+    def _take_orders(self, batch: FeedBatch[OperatorValue], was_away: bool) -> None:
+        for record in batch.records:
+            match record.value:
+                case Document():
+                    self._take_document(record.value)
+                case RolloutOrder():
+                    self.trials.take_order(record.value)
+                case None if record.key.startswith("rollout/"):
+                    self.trials.drop(record.key.removeprefix("rollout/"))
+
+    def _take_document(self, document: Document) -> None:
+        if self.table is not None and document.number <= self.table.document.number:
+            return
+        self.table = RouteTable(document)
+        facts = {"number": document.number, "routes": len(document.routes)}
+        log.info("configuration in force", extra=facts)
+
+    def _take_all_endpoints(self, batch: FeedBatch[EndpointEntry]) -> None:
+        present = {record.key for record in batch.records if record.value is not None}
+        now_s = self.clock.seconds()
+        for incarnation in self.directory.incarnations():
+            if incarnation not in present:
+                self.directory.lapse(incarnation, now_s)
+        self._take_endpoints(batch, True)
+        self.directory.is_loaded = True
+
+    def _take_endpoints(self, batch: FeedBatch[EndpointEntry], was_away: bool) -> None:
+        for record in batch.records:
+            if record.value is not None:
+                self.directory.put(record.value)
+            elif was_away:
+                self.directory.lapse(record.key, self.clock.seconds())
+            else:
+                self._drop(record.key)
+        self.placement.forget(self.directory.incarnations())
+
+    def _drop(self, incarnation: str) -> None:
+        endpoint = self.directory.get(incarnation)
+        if endpoint is not None:
+            self._endpoints.close_idle(endpoint.entry.address)
+            self.directory.drop(incarnation)
+
+    # Requests
+
+    def intake(self) -> IntakeLimits:
+        """Return the limits that are in force."""
+        return IntakeLimits() if self.table is None else self.table.document.intake
+
+    def keeps_connections(self) -> bool:
+        """Whether connections are kept after an answer."""
+        return not self._is_leaving
+
+    def refuse_unread(self, status: int, problem: str) -> tuple[HeaderList, bytes]:
+        """Return headers and body of an answer to a request that was not taken."""
+        retry_s = LEAST_RETRY_S if status in (408, 503) else None
+        return self._own_answer(None, problem, retry_s)
+
+    def _own_answer(
+        self, call_id: str | None, reason: str, retry_s: float | None
+    ) -> tuple[HeaderList, bytes]:
+        body = b'{"error":"' + reason.encode("ascii", "replace").replace(b'"', b"'") + b'"}'
+        headers = self._wire.refusal_headers(call_id, retry_s)
+        headers.append((b"Content-Length", str(len(body)).encode()))
+        return headers, body
+
+    def handle(self, raw: RawRequest, reply: CallerReply) -> Callable[[], None]:
+        """Begin to answer a request; returns what is to be called if the caller leaves."""
+        self.counters.requests += 1
+        try:
+            ask = self._wire.read_ask(raw)
+        except BadAskError as exc:
+            self._answer(reply, None, exc.status, str(exc), None)
+            return _nothing
+        permit = self._admit(ask, raw.received_s)
+        if not isinstance(permit, Permit):
+            status, reason = permit
+            retry_s = STARTING_RETRY_S if status == 503 else None
+            self._answer(reply, ask.call_id, status, reason, retry_s)
+            return _nothing
+        self.budget.request(permit.service, raw.received_s)
+        exchange = Exchange(self, permit, reply)
+        self.running.add(exchange)
+        return exchange.start()
+
+    def _admit(self, ask: Ask, received_s: float) -> Permit | tuple[int, str]:
+        """Return the permit, or the status and reason of a refusal."""
+        table = self.table
+        if table is None or not self.directory.is_loaded:
+            return 503, "starting"
+        is_stale = self.proof_age_s(received_s) > self.settings.proof_age_s
+        route = table.find(ask.host, ask.path)
+        if route is None:
+            return (503, "configuration is old") if is_stale else (404, "no such route")
+        customer: Customer | None = None
+        if not route.is_public:
+            if is_stale:
+                return 503, "configuration is old"
+            customer = table.customer(ask.key)
+            if customer is None:
+                return 401, "unknown key"
+        service = self._pick_service(route)
+        draw = self._draw(ask)
+        wants = self.trials.wants_target(service, ask.session, draw, self.clock.seconds())
+        return Permit(ask, route, service, customer, received_s, wants)
+
+    def _pick_service(self, route: Route) -> str:
+        if len(route.services) == 1:
+            return route.services[0][0]
+        names = [name for name, _ in route.services]
+        weights = [weight for _, weight in route.services]
+        return self._rng.choices(names, weights)[0]
+
+    def _draw(self, ask: Ask) -> float:
+        if ask.session is None:
+            return self._rng.random()
+        return xxh3_64_intdigest(ask.session.encode()) / HASH_RANGE
+
+    # Services of an exchange
+
+    def first_model(self, permit: Permit) -> str | None:
+        """Return the model to begin with."""
+        return self._cascade.first(permit.route, permit.ask)
+
+    def larger_model(
+        self, permit: Permit, model: str, confidence: int | None, waited_s: float, tried: set[str]
+    ) -> str | None:
+        """Return the model to ask instead, or None to keep the answer."""
+        if not permit.ask.picks_model:
+            return None
+        if self.budget.left(permit.service, self.clock.seconds()) < 1.0:
+            return None
+        largest = permit.route.models[-1]
+        chosen = self.choose(permit, largest, set())
+        if chosen is None:
+            return None
+        return self._cascade.next_model(permit.route, model, confidence, waited_s, chosen[1])
+
+    def choose(
+        self, permit: Permit, model: str | None, tried: set[str]
+    ) -> tuple[Endpoint, float] | None:
+        """Return an endpoint and the wait there, or None where none takes work."""
+        now_s = self.clock.seconds()
+        ready = self.directory.ready(permit.service, now_s)
+        ready = self.trials.allowed(permit.service, permit.wants_target, ready)
+        fresh = [each for each in ready if each.entry.incarnation not in tried]
+        if not fresh:
+            return None
+        models = permit.route.models
+        return self.placement.choose(fresh, permit.ask, model or "", models, now_s)
+
+    def send(
+        self, permit: Permit, endpoint: Endpoint, model: str | None, call: Exchange
+    ) -> tuple[RunningCall, Placed]:
+        """Send the request to an endpoint."""
+        self.counters.calls += 1
+        ask, route = permit.ask, permit.route
+        assert self.table is not None
+        service = self.table.document.services.get(permit.service)
+        now_s = self.clock.seconds()
+        placed = self.placement.place(endpoint, ask, model or "", route.models, service, now_s)
+        customer = permit.customer
+        priority = route.priority
+        if customer is not None and customer.priority is not None:
+            priority = customer.priority
+        extras = CallExtras(
+            call.left_s,
+            endpoint.entry.incarnation,
+            None if customer is None else customer.name,
+            model,
+            priority if ask.prompt else None,
+            call.last_event,
+        )
+        request = EndpointCall(
+            ask.call_id,
+            ask.method,
+            ask.target,
+            self._wire.call_headers(ask, extras),
+            ask.body,
+            is_once=route.kind is RouteKind.NON_IDEMPOTENT,
+        )
+        return self._endpoints.send(endpoint.entry.address, request, call), placed
+
+    def may_repeat(self, service: str) -> bool:
+        """Take one repeat from the shared budget, if there is one."""
+        return self.budget.take(service, self.clock.seconds())
+
+    def noted(self, permit: Permit, endpoint: Endpoint, is_bad: bool, model: str | None) -> None:
+        """Take note of how an endpoint answered."""
+        if not is_bad:
+            self.directory.answered(endpoint)
+        if model is not None or is_bad:
+            self.trials.note(permit.service, permit.route.name, endpoint, is_bad)
+
+    def unreachable(self, endpoint: Endpoint) -> None:
+        """Take note that an endpoint could not be reached or went silent."""
+        self.directory.failed(endpoint, self.clock.seconds())
+
+    def moved(self, endpoint: Endpoint) -> None:
+        """Take note that another incarnation has the endpoint's address."""
+        log.info("address reused", extra={"endpoint": endpoint.entry.incarnation})
+        self.directory.drop(endpoint.entry.incarnation)
+
+    def began(self, placed: Placed, head: ReplyHead) -> None:
+        """Take note that a reply has begun."""
+        now_s = self.clock.seconds()
+        if head.load is not None:
+            self.placement.report(placed.incarnation, head.load, now_s)
+        if head.is_success:
+            self.placement.began(placed, now_s)
+
+    def release(self, placed: Placed, is_failure: bool | None) -> None:
+        """Count a call no more."""
+        self.placement.release(placed, is_failure)
+
+    def refuse(self, reply: CallerReply, permit: Permit, status: int, reason: str) -> None:
+        """Send an answer of the router's own."""
+        retry_s = None
+        if status == 503:
+            retry_s = max(LEAST_RETRY_S, 0.2 * permit.route.objective_s)
+        self._answer(reply, permit.ask.call_id, status, reason, retry_s)
+
+    def _answer(
+        self,
+        reply: CallerReply,
+        call_id: str | None,
+        status: int,
+        reason: str,
+        retry_s: float | None,
+    ) -> None:
+        self.counters.refused[reason] = self.counters.refused.get(reason, 0) + 1
+        facts = {"request": call_id, "status": status, "reason": reason}
+        log.info("refused", extra=facts)
+        headers, body = self._own_answer(call_id, reason, retry_s)
+        reply.head(status, headers)
+        reply.data(body)
+        reply.end()
+
+    def finished(self, exchange: Exchange, outcome: str) -> None:
+        """Take note that a request has its final answer."""
+        self.running.discard(exchange)
+        self.counters.outcomes[outcome] = self.counters.outcomes.get(outcome, 0) + 1
+        if outcome != "done":
+            facts = {
+                "request": exchange.permit.ask.call_id,
+                "route": exchange.permit.route.name,
+                "outcome": outcome,
+                "sends": exchange.sends,
+                "model": exchange.model,
+            }
+            log.info("request ended", extra=facts)
+        self._look_idle(False)
+
+
+def _nothing() -> None:
+    """Do nothing: the answer is complete already."""
--- /dev/null
+++ b/umberhitch/tasks/direct/peers.py
@@ -0,0 +1,203 @@
+"""Routers of the direct path find each other through the store, and talk over the link.
+
+What they tell each other is cumulative, so that lost and repeated messages do no harm. Everything
+works, less well, without a peer.
+"""
+
+from dataclasses import dataclass
+from logging import getLogger
+from random import Random
+
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from umberhitch.errors import LogError
+from umberhitch.ports.clock import Clock
+from umberhitch.ports.direct import Member, MembersPort
+from umberhitch.ports.link import LinkPort
+from umberhitch.tasks.direct.gateway import Gateway
+from umberhitch.wire import EndpointUse, Message, PeerReport
+
+__all__ = ["DirectPeers", "DirectPeersLimits"]
+
+log = getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class DirectPeersLimits:
+    """Times in seconds.
+
+    Attributes
+    ----------
+    report_s : float
+        How often each peer is told, and
+    full_pace_peers : int
+        up to how many of them; with more, proportionally less often.
+    silence_s : float
+        A peer not heard for so long counts for nothing.
+    ttl_s : float
+        How long the store keeps a router that does not say that it is alive.
+    """
+
+    report_s: float = 0.25
+    full_pace_peers: int = 8
+    silence_s: float = 2.0
+    ttl_s: float = 4.0
+
+
+@dataclass(slots=True)
+class _Heard:
+    report: PeerReport
+    at_s: float
+
+
+class DirectPeers:
+    """Owns a router's view of its peers.
+
+    Parameters
+    ----------
+    me : Member
+    incarnation : int
+    gateway : Gateway
+    clock : Clock
+    rng : Random
+    link : LinkPort
+    members : MembersPort
+    limits : DirectPeersLimits
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        incarnation: int,
+        gateway: Gateway,
+        clock: Clock,
+        rng: Random,
+        link: LinkPort,
+        members: MembersPort,
+        limits: DirectPeersLimits | None = None,
+    ) -> None:
+        self._me = me
+        self._incarnation = incarnation
+        self._gateway = gateway
+        self._clock = clock
+        self._rng = rng
+        self._link = link
+        self._port = members
+        self._limits = limits or DirectPeersLimits()
+        self._heard: dict[str, _Heard] = {}
+        self._known: dict[str, str] = {}
+        self._seq = 0
+        self._generation = -1
+        self._is_stopped = False
+        gateway.trials.rank = self.rank
+        gateway.trials.old_running = self.old_running
+
+    def start(self) -> None:
+        """Join, and begin to report."""
+        self._link.listen(self.receive)
+        ensureDeferred(self._keep_joined()).addErrback(
+            lambda failure: log.error("membership ended", extra={"error": failure.getTraceback()})
+        )
+        self._report()
+
+    def stop(self) -> None:
+        """Report no more, and leave."""
+        self._is_stopped = True
+        leaving = ensureDeferred(self._port.leave(self._me))
+        leaving.addErrback(lambda failure: log.info("not left", extra={"error": str(failure)}))
+
+    async def _keep_joined(self) -> None:
+        while not self._is_stopped:
+            try:
+                generation = await self._port.join(self._me, self._limits.ttl_s)
+                if generation != self._generation and not self._is_stopped:
+                    self._take_members(await self._port.members())
+                    self._generation = generation
+            except LogError as exc:
+                log.info("not joined", extra={"error": str(exc)})
+            await self._sleep(self._limits.ttl_s / 3 * (0.8 + 0.4 * self._rng.random()))
+
+    def _sleep(self, delay_s: float) -> Deferred[None]:
+        done: Deferred[None] = Deferred()
+        self._clock.callLater(delay_s, done.callback, None)
+        return done
+
+    def _take_members(self, members: list[Member]) -> None:
+        found = {each.name: each.address for each in members if each.name != self._me.name}
+        for name in [each for each in self._known if each not in found]:
+            self._link.disconnect(name)
+        for name, address in found.items():
+            self._link.connect(name, address)
+        self._known = found
+        log.info("peers", extra={"names": sorted(found)})
+
+    def _report(self) -> None:
+        if self._is_stopped:
+            return
+        self._add_up()
+        self._seq += 1
+        uses = [
+            EndpointUse(endpoint, running, round(reading_s, 4))
+            for endpoint, (running, reading_s) in self._gateway.placement.own().items()
+        ]
+        report = PeerReport(
+            self._me.name, self._incarnation, self._seq, uses, self._gateway.trials.reports()
+        )
+        for name in self._known:
+            self._link.send(name, report)
+        crowd = max(1.0, len(self._known) / self._limits.full_pace_peers)
+        self._clock.callLater(self._limits.report_s * crowd, self._report)
+
+    def live(self) -> list[PeerReport]:
+        """Return the newest reports of the peers that were heard lately."""
+        oldest_s = self._clock.seconds() - self._limits.silence_s
+        for name in [n for n, heard in self._heard.items() if heard.at_s < oldest_s]:
+            del self._heard[name]
+        return [heard.report for heard in self._heard.values()]
+
+    def rank(self) -> int:
+        """Return this router's place among the live ones, 0 first."""
+        return sum(report.router < self._me.name for report in self.live())
+
+    def old_running(self, service: str, version: str) -> int:
+        """Return how many calls run on a service's endpoints that are not of a version."""
+        gateway = self._gateway
+        old = {
+            each.entry.incarnation
+            for each in gateway.directory.of_service(service)
+            if each.entry.version != version
+        }
+        own = sum(gateway.placement.running(each) for each in old)
+        theirs = sum(
+            use.running for report in self.live() for use in report.uses if use.endpoint in old
+        )
+        return own + theirs
+
+    def _add_up(self) -> None:
+        """Hand over what all peers together have under way on each endpoint."""
+        reports = self.live()
+        totals: dict[str, tuple[int, float]] = {}
+        for report in reports:
+            for use in report.uses:
+                running, reading_s = totals.get(use.endpoint, (0, 0.0))
+                totals[use.endpoint] = (running + use.running, reading_s + use.reading_s)
+        for incarnation in self._gateway.directory.incarnations():
+            self._gateway.placement.others(incarnation, *totals.get(incarnation, (0, 0.0)))
+        self._gateway.budget.routers = max(1 + len(reports), 1 + len(self._known))
+
+    def receive(self, sender: str, messages: list[Message]) -> None:
+        """Handle what another router sent."""
+        for message in messages:
+            match message:
+                case PeerReport():
+                    self._on_report(message)
+                case _:
+                    log.warning("unexpected message", extra={"kind": type(message).__name__})
+
+    def _on_report(self, report: PeerReport) -> None:
+        known = self._heard.get(report.router)
+        order = (report.incarnation, report.seq)
+        if known is not None and order <= (known.report.incarnation, known.report.seq):
+            return
+        self._heard[report.router] = _Heard(report, self._clock.seconds())
+        self._gateway.trials.take(f"{report.router}.{report.incarnation}", report.trials)
--- /dev/null
+++ b/umberhitch/tasks/direct/trials.py
@@ -0,0 +1,246 @@
+"""Drives the roll-outs of the direct path, and tells each request which version is its.
+
+Every router drives: verdicts come from evidence that all share, and only grow worse for a version
+or further in time. What is final is written to the store under the condition that nothing was written
+since it was read, so that one verdict stands, whoever wrote it; no lease is needed, and the loss of
+any router, or of all, loses nothing but time.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from logging import getLogger
+
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from umberhitch.core.direct import (
+    Counts,
+    Endpoint,
+    RolloutOrder,
+    RolloutState,
+    Trial,
+    TrialLimits,
+)
+from umberhitch.errors import LogError
+from umberhitch.ports.clock import Clock
+from umberhitch.ports.direct import StatusPort
+from umberhitch.wire import RouteCounts, TrialReport
+
+__all__ = ["Trials"]
+
+log = getLogger(__name__)
+
+TICK_S = 0.1
+RETRY_S = 0.3
+"""Pause after a call to the store that failed."""
+RANK_S = 0.4
+"""So much later each next router writes, so that most find the state written already."""
+MAX_RECENT = 20_000
+FINAL = (RolloutState.COMPLETED, RolloutState.ROLLED_BACK)
+
+
+class Trials:
+    """All roll-outs, as one router sees them.
+
+    Parameters
+    ----------
+    clock : Clock
+    status : StatusPort
+    limits : TrialLimits
+
+    Attributes
+    ----------
+    rank : callable
+        Returns this router's place among the live ones, 0 first.
+    old_running : callable
+        Returns how many calls run on endpoints of a service that are not of a version.
+    """
+
+    def __init__(self, clock: Clock, status: StatusPort, limits: TrialLimits | None = None) -> None:
+        self._clock = clock
+        self._status = status
+        self._limits = limits or TrialLimits()
+        self._trials: dict[str, Trial] = {}
+        self._settling: set[str] = set()
+        self._written: dict[str, RolloutState] = {}
+        self._recent: dict[str, OrderedDict[str, float]] = {}
+        self._is_stopped = False
+        self.rank: Callable[[], int] = lambda: 0
+        self.old_running: Callable[[str, str], int] = lambda service, version: 0
+
+    def start(self) -> None:
+        """Begin to drive."""
+        if self._is_stopped:
+            return
+        now_s = self._clock.seconds()
+        for service, trial in self._trials.items():
+            self._drive(service, trial, now_s)
+        self._clock.callLater(TICK_S, self.start)
+
+    def stop(self) -> None:
+        """Drive no more."""
+        self._is_stopped = True
+
+    # Orders
+
+    def take_order(self, order: RolloutOrder) -> None:
+        """Take an operator's order; one that is known already changes nothing."""
+        known = self._trials.get(order.service)
+        if known is not None and known.order == order:
+            return
+        now_s = self._clock.seconds()
+        trial = Trial(order, now_s, self._limits)
+        for session, at_s in self._recent.pop(order.service, {}).items():
+            trial.seen_before(session, at_s)
+        self._trials[order.service] = trial
+        self._written.pop(order.service, None)
+        log.info("roll-out begins", extra={"service": order.service, "target": order.target})
+        self._settle(order.service, trial, RolloutState.IN_PROGRESS)
+
+    def drop(self, service: str) -> None:
+        """Forget an order that the operator has taken back."""
+        self._trials.pop(service, None)
+
+    def keep(self, orders: list[RolloutOrder]) -> None:
+        """Forget the orders that are not among those that stand."""
+        stands = {order.service for order in orders}
+        for service in [each for each in self._trials if each not in stands]:
+            self.drop(service)
+
+    def _drive(self, service: str, trial: Trial, now_s: float) -> None:
+        running = self.old_running(service, trial.order.target)
+        verdict = trial.verdict(now_s, running)
+        if verdict is RolloutState.ROLLED_BACK and trial.state is not verdict:
+            self._set_state(trial, verdict)
+        written = self._written.get(service)
+        wants_write = verdict in FINAL and written is not verdict
+        if (wants_write or written is None) and service not in self._settling:
+            self._settle(service, trial, verdict)
+
+    def _set_state(self, trial: Trial, state: RolloutState) -> None:
+        if trial.state is state:
+            return
+        trial.state = state
+        new, old = trial.pooled(True), trial.pooled(False)
+        facts = {
+            "service": trial.order.service,
+            "target": trial.order.target,
+            "state": state,
+            "new_answers": new.answers,
+            "new_bad": new.bad,
+            "old_answers": old.answers,
+            "old_bad": old.bad,
+            "part": round(trial.part(self._clock.seconds()), 3),
+        }
+        log.info("roll-out state", extra=facts)
+
+    # The store
+
+    def _settle(self, service: str, trial: Trial, state: RolloutState) -> None:
+        self._settling.add(service)
+        done = ensureDeferred(self._write(service, trial, state))
+        done.addErrback(
+            lambda failure: log.error("roll-out not written", extra={"e": str(failure)})
+        )
+        done.addBoth(lambda result: self._settling.discard(service))
+
+    async def _write(self, service: str, trial: Trial, state: RolloutState) -> None:
+        """Read what stands, and write the state unless a final one stands already."""
+        await self._sleep(RANK_S * self.rank())
+        while not self._is_stopped and self._trials.get(service) is trial:
+            if trial.state in FINAL:
+                state = trial.state
+            try:
+                stored = await self._status.read()
+                target, stands = stored.states.get(service, ("", RolloutState.IN_PROGRESS))
+                if target == trial.order.target and (stands in FINAL or stands is state):
+                    self._written[service] = stands
+                    if stands in FINAL:
+                        self._set_state(trial, stands)
+                    return
+                if await self._status.write(service, trial.order.target, state, stored.end):
+                    self._written[service] = state
+                    self._set_state(trial, state)
+                    return
+            except LogError as exc:
+                log.warning("roll-out state not written", extra={"error": str(exc)})
+                await self._sleep(RETRY_S)
+
+    def _sleep(self, delay_s: float) -> Deferred[None]:
+        done: Deferred[None] = Deferred()
+        self._clock.callLater(delay_s, done.callback, None)
+        return done
+
+    # Requests
+
+    def wants_target(
+        self, service: str, session: str | None, draw: float, now_s: float
+    ) -> bool | None:
+        """Return whether a request goes to the new version; None where there is no roll-out."""
+        trial = self._trials.get(service)
+        if trial is not None:
+            return trial.is_for_target(session, draw, now_s)
+        if session is not None:
+            recent = self._recent.setdefault(service, OrderedDict())
+            recent.pop(session, None)
+            recent[session] = now_s
+            while len(recent) > MAX_RECENT:
+                recent.popitem(last=False)
+        return None
+
+    def allowed(
+        self, service: str, wants_target: bool | None, endpoints: list[Endpoint]
+    ) -> list[Endpoint]:
+        """Return the endpoints that a request may go to now."""
+        trial = self._trials.get(service)
+        if trial is None:
+            return endpoints
+        target = trial.order.target
+        new = [each for each in endpoints if each.entry.version == target]
+        old = [each for each in endpoints if each.entry.version != target]
+        match trial.state:
+            case RolloutState.ROLLED_BACK:
+                return old
+            case RolloutState.COMPLETED:
+                return new or old
+        return (new or old) if wants_target else (old or new)
+
+    def note(self, service: str, route: str, endpoint: Endpoint, is_bad: bool) -> None:
+        """Count an answer."""
+        trial = self._trials.get(service)
+        if trial is not None:
+            is_target = endpoint.entry.version == trial.order.target
+            trial.note(is_target, route, endpoint.entry.incarnation, is_bad)
+
+    # Peers
+
+    def reports(self) -> list[TrialReport]:
+        """Return what the other routers are told."""
+        now_s = self._clock.seconds()
+        return [
+            TrialReport(
+                service,
+                trial.order.target,
+                now_s - trial.started_s,
+                trial.state,
+                [
+                    RouteCounts(is_target, route, each.answers, each.bad, sorted(each.endpoints))
+                    for (is_target, route), each in trial.own.items()
+                ],
+            )
+            for service, trial in self._trials.items()
+        ]
+
+    def take(self, router: str, reports: list[TrialReport]) -> None:
+        """Take what another incarnation of a router tells."""
+        for report in reports:
+            trial = self._trials.get(report.service)
+            if trial is None or trial.order.target != report.target:
+                continue
+            trial.started_s = min(trial.started_s, self._clock.seconds() - report.elapsed_s)
+            counts = {
+                (each.is_target, each.route): Counts(each.answers, each.bad, set(each.endpoints))
+                for each in report.counts
+            }
+            trial.take(router, counts)
+            if report.state in FINAL and trial.state is RolloutState.IN_PROGRESS:
+                self._set_state(trial, RolloutState(report.state))
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -22,6 +22,7 @@
     "ConfigRecords",
     "ConfigSnapshot",
     "EndpointState",
+    "EndpointUse",
     "EngineWork",
     "Evidence",
     "Failed",
@@ -33,11 +34,14 @@
     "NeedConfig",
     "Order",
     "OrderReply",
+    "PeerReport",
     "Refused",
+    "RouteCounts",
     "RouterDigest",
     "ServiceWork",
     "Start",
     "Taken",
+    "TrialReport",
     "Usage",
     "UsageRecord",
     "Withdrawal",
@@ -322,6 +326,47 @@
     """How old the router's configuration may be at most; negative if it cannot say."""
 
 
+class RouteCounts(Struct, frozen=True, array_like=True):
+    """Answers that one router has counted of one version of a roll-out, on one route."""
+
+    is_target: bool
+    route: str
+    answers: int
+    bad: int
+    endpoints: list[str]
+    """On which bad answers came."""
+
+
+class TrialReport(Struct, frozen=True, array_like=True):
+    """How one router sees a roll-out on the direct path."""
+
+    service: str
+    target: str
+    elapsed_s: float
+    state: str
+    counts: list[RouteCounts]
+    """Since the start of the roll-out, so that a lost report is made good by the next."""
+
+
+class EndpointUse(Struct, frozen=True, array_like=True):
+    """What one router has under way on one endpoint."""
+
+    endpoint: str
+    running: int
+    reading_s: float
+    """Prompts that are not read yet, in seconds of the endpoint's time."""
+
+
+class PeerReport(Struct, frozen=True, array_like=True, tag="peer"):
+    """What a router of the direct path tells the others, several times a second."""
+
+    router: str
+    incarnation: int
+    seq: int
+    uses: list[EndpointUse]
+    trials: list[TrialReport]
+
+
 Message = (
     Hello
     | Start
@@ -345,4 +390,5 @@
     | BurnReply
     | Order
     | OrderReply
+    | PeerReport
 )
