A leaving router refuses streams that would not end in time, and closes idle connections

Once the balancer has noticed (2.6 s), idle connections are closed and streams get 503 with a time to come back; plain requests are still served. Ruled out: new connections, which the balancer no longer sends then.

--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -1,4 +1,4 @@
-"""Pages of a router of the direct path: readiness for the balancer, metrics and status for people."""
+"""Pages of a router of the direct path: readiness for the balancer, metrics, status."""
 
 from collections.abc import Callable
 
--- a/umberhitch/cli/daemon.py
+++ b/umberhitch/cli/daemon.py
@@ -172,12 +172,12 @@
         self._reactor.callLater(self._limit_s, self._stop, EXIT_NOT_DRAINED)
 
     def _stop(self, exit_code: int) -> None:
-        if self._node is None:
+        node, self._node = self._node, None
+        if node is None:
             return
         self.exit_code = exit_code
         log.info("stopped", extra={"exit_code": exit_code})
-        self._node.stop()
-        self._node = None
+        node.stop()
         self._reactor.callLater(0.1, self._reactor.stop)
 
 
--- a/umberhitch/core/direct/_budget.py
+++ b/umberhitch/core/direct/_budget.py
@@ -6,7 +6,7 @@
 __all__ = ["BudgetLimits", "RetryBudget"]
 
 KEPT_BACK = 0.85
-"""Share of the budget that is used: the routers count on their own, and each alone may be unlucky."""
+"""Share of the budget that is used: each router counts on its own, and may be unlucky."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberhitch/core/direct/_cascade.py
+++ b/umberhitch/core/direct/_cascade.py
@@ -18,8 +18,8 @@
     Attributes
     ----------
     confidence : int
-        An answer of a smaller model that declares less is dropped while there is room. On the users'
-        bench 55 to 78 differ by less than its spread (`docs/design/0009`).
+        An answer of a smaller model that declares less is dropped while there is room. 55 to 78
+        differ by less than the spread of the runs (`docs/design/0009`).
     busy_confidence : int
         The same where the largest model's queue is as long as the objective.
     time_share : float
--- a/umberhitch/core/direct/_directory.py
+++ b/umberhitch/core/direct/_directory.py
@@ -12,7 +12,7 @@
 2 s after it (the platform's word)."""
 FIRST_BAN_S = 0.4
 LONGEST_BAN_S = 3.0
-"""An endpoint that cannot be reached is left alone for so long, doubled at each failure in a row."""
+"""An endpoint that cannot be reached is left alone so long, doubled at each failure in a row."""
 
 
 @dataclass(slots=True)
--- a/umberhitch/core/direct/_trial.py
+++ b/umberhitch/core/direct/_trial.py
@@ -1,10 +1,10 @@
-"""One roll-out on the direct path: which share of the work the new version gets, and the verdict.
+"""One roll-out on the direct path: the share that the new version gets, and the verdict.
 
-During the first half the new version gets a small, fixed share: a session keeps the version on which
-it began. Evidence is pooled over all routers. In the second half the share grows step by step, and
-only upwards, so that a session moves once and never back. A version that fails more than the old one
-gets nothing any more, at once; one that has shown nothing bad is declared good well before the time
-that the operator gave.
+During the first half the new version gets a small, fixed share: a session keeps the version on
+which it began. Evidence is pooled over all routers. In the second half the share grows step by
+step, and only upwards, so that a session moves once and never back. A version that fails more than
+the old one gets nothing any more, at once; one that has shown nothing bad is declared good well
+before the time that the operator gave.
 """
 
 from collections import OrderedDict
--- a/umberhitch/fakes/_direct.py
+++ b/umberhitch/fakes/_direct.py
@@ -117,8 +117,7 @@
 
     def _wait(self, wait_s: float) -> Deferred[None]:
         done: Deferred[None] = Deferred()
-        timer = self._clock.callLater(wait_s, self._time_out, done)
-        done.addCallback(lambda result: timer.active() and timer.cancel())
+        self._clock.callLater(wait_s, self._time_out, done)
         self._memory.waiting.append(done)
         return done
 
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -65,11 +65,11 @@
         drained: Deferred[None] = Deferred()
 
         def close() -> None:
-            self._ports["callers"].stopListening()
+            self._ports.pop("callers").stopListening()
             self.callers.close_idle()
             drained.callback(None)
 
-        self.gateway.leave(close)
+        self.gateway.leave(self.callers.close_idle, close)
         return drained
 
     def stop(self) -> None:
--- a/umberhitch/platform/_documents.py
+++ b/umberhitch/platform/_documents.py
@@ -1,7 +1,7 @@
 """The documents in the platform's store, and the product's types for them.
 
-Names that mislead: a ``tenant`` is a customer, a ``server`` or replica an endpoint, and an endpoint's
-``id`` names one incarnation of it (each start has a new one).
+Names that mislead: a ``tenant`` is a customer, a ``server`` or replica an endpoint, and an
+endpoint's ``id`` names one incarnation of it (each start has a new one).
 """
 
 from msgspec import DecodeError, Struct, ValidationError, json
--- a/umberhitch/platform/_headers.py
+++ b/umberhitch/platform/_headers.py
@@ -1,8 +1,8 @@
 """The headers on the users' platform, and the product's types for them.
 
-All names of headers stand here and nowhere else. Some mislead: ``Response-Signature`` is what makes a
-response count, ``Attempt-Id`` is the caller's id of its own attempt (not of a router's retry), and
-``Not-Executed`` is a promise, not a guess.
+All names of headers stand here and nowhere else. Some mislead: ``Response-Signature`` is what makes
+a response count, ``Attempt-Id`` is the caller's id of its own attempt (not of a router's retry),
+and ``Not-Executed`` is a promise, not a guess.
 """
 
 from urllib.parse import unquote
--- a/umberhitch/platform/_store.py
+++ b/umberhitch/platform/_store.py
@@ -1,10 +1,9 @@
-"""The platform's store: keyed streams, conditional appends, membership. One client for all of it."""
+"""The platform's store: keyed streams, conditional appends, membership. One client for all."""
 
+import struct
 from base64 import b64decode
 from collections.abc import Callable
 from logging import getLogger
-from struct import Struct as Layout
-from struct import error as LayoutError
 from typing import Any, Generic, TypeVar
 from urllib.parse import urlencode
 
@@ -44,8 +43,8 @@
 CALL_S = 1.0
 """A call that takes longer has failed; the store answers within some ms, slow within some 100."""
 READ_KB = 1024
-LENGTH = Layout(">I")
-OFFSETS = Layout(">QQ")
+LENGTH = struct.Struct(">I")
+OFFSETS = struct.Struct(">QQ")
 
 
 class StoreClient:
@@ -201,7 +200,7 @@
             key_end = 1 + record[0]
             rows.append((record[1:key_end].decode(), record[key_end:]))
             at += length
-    except (LayoutError, IndexError, UnicodeDecodeError) as exc:
+    except (struct.error, IndexError, UnicodeDecodeError) as exc:
         raise LogUnavailableError(f"malformed records: {exc}") from exc
     return rows, offset + len(rows)
 
--- a/umberhitch/tasks/direct/exchange.py
+++ b/umberhitch/tasks/direct/exchange.py
@@ -1,8 +1,8 @@
 """One caller's request on the direct path, from its head to its final answer.
 
 Every call to an endpoint ends in one of three ways: not run, done, unknown. Only a request of which
-every call surely did not run is refused as "not run"; what may have run is tried again only where it
-may be repeated. A request that is given up gets its answer at once.
+no call can have run is refused as "not run"; what may have run is tried again only where it may be
+repeated. A request that is given up gets its answer at once.
 """
 
 from collections.abc import Callable
@@ -336,7 +336,7 @@
             self._watch_gap()
 
     def _escalate(self, larger: str) -> None:
-        """Drop the answer that has begun, of which the caller has nothing, and ask another model."""
+        """Drop an answer of which the caller has nothing yet, and ask another model."""
         assert self._call is not None
         assert self._endpoint is not None
         self._call.cancel()
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -173,14 +173,27 @@
         for exchange in list(self.running):
             exchange.cut()
 
-    def leave(self, on_idle: Callable[[], None]) -> None:
-        """Take no new connection soon; calls back when every request that was read is answered."""
+    def leave(self, on_noticed: Callable[[], None], on_idle: Callable[[], None]) -> None:
+        """Fail the readiness page, and go on taking requests until the balancer has noticed.
+
+        Parameters
+        ----------
+        on_noticed : callable
+            Called then: no caller is sent here any more, and connections on which nothing is under
+            way may be closed. Streams that still come would not end in time, and are refused.
+        on_idle : callable
+            Called when after that every request that was read has its answer.
+        """
         self._is_leaving = True
         self._on_idle = on_idle
-        self.clock.callLater(self.settings.drain_notice_s, self._look_idle, True)
+        self.clock.callLater(self.settings.drain_notice_s, self._note_noticed, on_noticed)
 
-    def _look_idle(self, is_due: bool) -> None:
-        self._is_noticed = self._is_noticed or is_due
+    def _note_noticed(self, on_noticed: Callable[[], None]) -> None:
+        self._is_noticed = True
+        on_noticed()
+        self._look_idle()
+
+    def _look_idle(self) -> None:
         if self._on_idle is not None and self._is_noticed and not self.running:
             on_idle, self._on_idle = self._on_idle, None
             on_idle()
@@ -288,7 +301,10 @@
         permit = self._admit(ask, raw.received_s)
         if not isinstance(permit, Permit):
             status, reason = permit
-            retry_s = STARTING_RETRY_S if status == 503 else None
+            retry_s = None
+            if status == 503:
+                # At another router there is nothing to wait for.
+                retry_s = LEAST_RETRY_S if self._is_leaving else STARTING_RETRY_S
             self._answer(reply, ask.call_id, status, reason, retry_s)
             return _nothing
         self.budget.request(permit.service, raw.received_s)
@@ -305,6 +321,8 @@
         route = table.find(ask.host, ask.path)
         if route is None:
             return (503, "configuration is old") if is_stale else (404, "no such route")
+        if self._is_noticed and route.kind is RouteKind.STREAM:
+            return 503, "leaving"
         customer: Customer | None = None
         if not route.is_public:
             if is_stale:
@@ -462,7 +480,7 @@
                 "model": exchange.model,
             }
             log.info("request ended", extra=facts)
-        self._look_idle(False)
+        self._look_idle()
 
 
 def _nothing() -> None:
--- a/umberhitch/tasks/direct/tests/test_store.py
+++ b/umberhitch/tasks/direct/tests/test_store.py
@@ -1,5 +1,6 @@
 """What a router of the direct path takes from the store, and what it does without it."""
 
+from umberhitch.fakes import Reply
 from umberhitch.testing import DirectWorld, make_direct_document, make_route
 
 
@@ -108,12 +109,33 @@
     world = DirectWorld()
     world.add_endpoint("e1")
     router = world.ready_router()
-    done = []
-    router.gateway.leave(lambda: done.append(world.clock.seconds()))
+    noticed, done = [], []
+    router.gateway.leave(lambda: noticed.append(True), lambda: done.append(True))
     assert not router.gateway.is_ready
     ask = world.ask(router, "/look/x")
     world.run(1.0)
     assert ask.status == 200
-    assert done == []
+    assert (noticed, done) == ([], [])
     world.run(2.0)
-    assert len(done) == 1
+    assert (noticed, done) == ([True], [True])
+
+
+def test_a_stream_that_comes_too_late_to_end_is_refused_and_sent_elsewhere():
+    """It was once taken, and cut 0.2 s later when the time was up (registry, trouble-2)."""
+    world = DirectWorld()
+    endpoint = world.add_endpoint("e1")
+    endpoint.replies = [Reply(events=80)]
+    router = world.ready_router()
+    running = world.ask(router, "/draft/x")
+    done = []
+    router.gateway.leave(lambda: None, lambda: done.append(True))
+    world.run(2.7)
+    late = world.ask(router, "/draft/x")
+    plain = world.ask(router, "/look/x")
+    assert (late.status, late.reply.headers[b"Come-Back"]) == (503, b"0.100")
+    assert len(endpoint.calls) == 2
+    assert done == []
+    world.run(3.0)
+    assert running.reply.is_complete
+    assert plain.status == 200
+    assert done == [True]
--- a/umberhitch/tasks/direct/tests/test_trials.py
+++ b/umberhitch/tasks/direct/tests/test_trials.py
@@ -1,5 +1,7 @@
 """Roll-outs on the direct path: good ones end in time, bad ones soon, whoever is lost."""
 
+from itertools import pairwise
+
 from umberhitch.core.direct import RolloutState
 from umberhitch.fakes import Reply
 from umberhitch.testing import DirectWorld, make_direct_document
@@ -125,6 +127,6 @@
                 seen.setdefault(name, []).append("new" if address.startswith("@n") else "old")
     assert seen
     for versions in seen.values():
-        moves = sum(one != other for one, other in zip(versions, versions[1:], strict=False))
+        moves = sum(one != other for one, other in pairwise(versions))
         assert moves <= 1
         assert versions == sorted(versions, reverse=True) or "new" not in versions
--- a/umberhitch/tasks/direct/trials.py
+++ b/umberhitch/tasks/direct/trials.py
@@ -1,9 +1,9 @@
 """Drives the roll-outs of the direct path, and tells each request which version is its.
 
 Every router drives: verdicts come from evidence that all share, and only grow worse for a version
-or further in time. What is final is written to the store under the condition that nothing was written
-since it was read, so that one verdict stands, whoever wrote it; no lease is needed, and the loss of
-any router, or of all, loses nothing but time.
+or further in time. What is final is written to the store under the condition that nothing was
+written since it was read, so that one verdict stands, whoever wrote it; no lease is needed, and the
+loss of any router, or of all, loses nothing but time.
 """
 
 from collections import OrderedDict
--- a/umberhitch/testing/_direct.py
+++ b/umberhitch/testing/_direct.py
@@ -1,4 +1,4 @@
-"""Routers of the direct path on a virtual clock, with fakes of the store and of endpoints around."""
+"""Routers of the direct path on a virtual clock, with a fake store and fake endpoints around."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
