Restarted routers ask what was decided first; one call at a time tries what failed; find the store soon

Now the state is read at once, one call tries an endpoint again, and two calls of three give up after 0.35 s while the store is away.

--- /dev/null
+++ b/umberhitch/adapters/tests/test_h11_endpoints.py
@@ -0,0 +1,198 @@
+"""Calls to endpoints: what came back, and what it says of whether the call ran."""
+
+from dataclasses import dataclass, field
+
+import pytest
+from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError
+from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
+
+from umberhitch.adapters.h11_endpoints import EndpointClient, NoReplyError, fetch
+from umberhitch.core.direct import ReplyHead
+from umberhitch.ports.direct import CallFailure, EndpointCall, HeaderList
+from umberhitch.testing import dial
+
+ADDRESS = "10.0.0.1:80"
+
+
+@dataclass
+class Events:
+    """Keeps what happens to a call."""
+
+    statuses: list[int] = field(default_factory=list)
+    body: bytes = b""
+    is_ended: bool = False
+    failure: CallFailure | None = None
+
+    def on_head(self, head: ReplyHead) -> None:
+        self.statuses.append(head.status)
+
+    def on_data(self, data: bytes) -> None:
+        self.body += data
+
+    def on_end(self) -> None:
+        self.is_ended = True
+
+    def on_failure(self, failure: CallFailure, detail: str) -> None:
+        self.failure = failure
+
+
+def read_reply(status: int, headers: HeaderList) -> ReplyHead:
+    found = dict(headers)
+    call_id = found.get(b"Id")
+    return ReplyHead(status, headers, None if call_id is None else call_id.decode())
+
+
+def make_call(call_id: str = "a", is_once: bool = False) -> EndpointCall:
+    headers = [(b"Host", b"h"), (b"Content-Length", b"2")]
+    return EndpointCall(call_id, b"POST", b"/x", headers, b"hi", is_once)
+
+
+@pytest.fixture
+def reactor() -> MemoryReactorClock:
+    return MemoryReactorClock()
+
+
+@pytest.fixture
+def client(reactor: MemoryReactorClock) -> EndpointClient:
+    return EndpointClient(reactor, read_reply)
+
+
+def reply(call_id: str, body: bytes = b"ok", more: bytes = b"") -> bytes:
+    head = b"HTTP/1.1 200 OK\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n"
+    return head % (call_id.encode(), more, len(body)) + body
+
+
+def test_a_call_and_its_reply_pass_unchanged_and_the_connection_is_kept(reactor, client):
+    events = Events()
+    client.send(ADDRESS, make_call(), events)
+    protocol, transport = dial(reactor)
+    assert transport.take() == b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+    protocol.dataReceived(reply("a"))
+    assert (events.statuses, events.body, events.is_ended) == ([200], b"ok", True)
+    client.send(ADDRESS, make_call("b"), Events())
+    assert len(reactor.tcpClients) == 1
+    assert transport.take().startswith(b"POST")
+
+
+def test_without_a_connection_nothing_was_sent(reactor, client):
+    events = Events()
+    client.send(ADDRESS, make_call(), events)
+    factory = reactor.tcpClients[-1][2]
+    factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+    assert events.failure is CallFailure.NOT_SENT
+
+
+def test_a_late_reply_to_another_call_is_skipped(reactor, client):
+    first, second = Events(), Events()
+    client.send(ADDRESS, make_call("a"), first)
+    protocol, _ = dial(reactor)
+    protocol.dataReceived(reply("a"))
+    client.send(ADDRESS, make_call("b"), second)
+    protocol.dataReceived(reply("a", b"again"))
+    assert second.statuses == []
+    protocol.dataReceived(reply("b", b"mine"))
+    assert (second.body, second.is_ended) == (b"mine", True)
+
+
+def test_the_late_reply_and_the_own_one_may_come_together(reactor, client):
+    first, second = Events(), Events()
+    client.send(ADDRESS, make_call("a"), first)
+    protocol, _ = dial(reactor)
+    protocol.dataReceived(reply("a"))
+    client.send(ADDRESS, make_call("b"), second)
+    protocol.dataReceived(reply("a", b"again") + reply("b", b"mine"))
+    assert (second.body, second.is_ended) == (b"mine", True)
+
+
+def test_surplus_bytes_end_the_connection(reactor, client):
+    events = Events()
+    client.send(ADDRESS, make_call(), events)
+    protocol, transport = dial(reactor)
+    protocol.dataReceived(reply("a") + b"surplus")
+    assert events.is_ended
+    assert transport.disconnected
+    client.send(ADDRESS, make_call("b"), Events())
+    assert len(reactor.tcpClients) == 2
+
+
+def test_bytes_on_an_idle_connection_end_it(reactor, client):
+    client.send(ADDRESS, make_call(), Events())
+    protocol, transport = dial(reactor)
+    protocol.dataReceived(reply("a"))
+    protocol.dataReceived(b"HTTP/1.1 200 OK\r\n")
+    assert transport.disconnected
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"not http at all\r\n\r\n",
+        reply("a", b"x" * 50)[:-10],
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc",
+    ],
+)
+def test_a_torn_reply_is_never_whole(reactor, client, data):
+    events = Events()
+    client.send(ADDRESS, make_call(), events)
+    protocol, _ = dial(reactor)
+    protocol.dataReceived(data)
+    protocol.connectionLost(Failure(ConnectionDone()))
+    assert not events.is_ended
+    assert events.failure is CallFailure.BROKEN
+
+
+@pytest.mark.parametrize(
+    ("reason", "is_whole"), [(ConnectionDone(), True), (ConnectionLost(), False)]
+)
+def test_a_reply_without_a_length_is_whole_only_if_the_connection_was_closed(
+    reactor, client, reason, is_whole
+):
+    events = Events()
+    client.send(ADDRESS, make_call(), events)
+    protocol, _ = dial(reactor)
+    protocol.dataReceived(b"HTTP/1.1 200 OK\r\nId: a\r\n\r\nbody")
+    protocol.connectionLost(Failure(reason))
+    assert events.is_ended is is_whole
+    assert (events.failure is CallFailure.BROKEN) is not is_whole
+
+
+def test_a_cancelled_call_resets_its_connection_and_says_nothing(reactor, client):
+    events = Events()
+    running = client.send(ADDRESS, make_call(), events)
+    protocol, transport = dial(reactor)
+    running.cancel()
+    assert transport.disconnected
+    protocol.connectionLost(Failure(ConnectionLost()))
+    assert (events.failure, events.is_ended) == (None, False)
+
+
+def test_a_call_that_must_not_run_twice_uses_no_old_connection(reactor, client):
+    client.send(ADDRESS, make_call(), Events())
+    protocol, _ = dial(reactor)
+    protocol.dataReceived(reply("a"))
+    reactor.advance(2.0)
+    client.send(ADDRESS, make_call("b", is_once=True), Events())
+    assert len(reactor.tcpClients) == 2
+    client.send(ADDRESS, make_call("c"), Events())
+    assert len(reactor.tcpClients) == 2
+
+
+def test_a_connection_is_not_used_near_the_end_of_the_time_that_the_endpoint_keeps_it(
+    reactor, client
+):
+    client.send(ADDRESS, make_call(), Events())
+    protocol, _ = dial(reactor)
+    protocol.dataReceived(reply("a", more=b"Keep-Alive: timeout=2\r\n"))
+    reactor.advance(1.5)
+    client.send(ADDRESS, make_call("b"), Events())
+    assert len(reactor.tcpClients) == 2
+
+
+def test_a_fetch_that_takes_too_long_may_have_had_its_effect(reactor, client):
+    failures: list[Failure] = []
+    fetch(client, reactor, ADDRESS, make_call(), 1.0).addErrback(failures.append)
+    dial(reactor)
+    reactor.advance(1.1)
+    assert failures[0].check(NoReplyError)
+    assert failures[0].value.was_sent
--- a/umberhitch/core/direct/_directory.py
+++ b/umberhitch/core/direct/_directory.py
@@ -10,9 +10,12 @@
 RETURN_S = 2.2
 """How long an entry that lapsed while the registry was away is kept: such entries are back about
 2 s after it (the platform's word)."""
-FIRST_BAN_S = 0.4
+FIRST_BAN_S = 0.5
 LONGEST_BAN_S = 3.0
-"""An endpoint that cannot be reached is left alone so long, doubled at each failure in a row."""
+"""An endpoint that cannot be reached is left alone so long, doubled at each failure in a row. Then
+one call at a time tries it, until one is answered."""
+TRY_S = 0.6
+"""Time after which a call that tries an endpoint again has told how it is."""
 
 
 @dataclass(slots=True)
@@ -100,6 +103,11 @@
     def _is_only(self, each: Endpoint) -> bool:
         return each.entry.state is EndpointState.READY and each.lapses_s is None
 
+    def tried(self, endpoint: Endpoint, now_s: float) -> None:
+        """Note that a call goes to an endpoint; after a failure the others wait for how it ends."""
+        if endpoint.failures:
+            endpoint.banned_until_s = max(endpoint.banned_until_s, now_s + TRY_S)
+
     def failed(self, endpoint: Endpoint, now_s: float) -> None:
         """Note that an endpoint could not be reached or broke off."""
         ban_s = min(LONGEST_BAN_S, FIRST_BAN_S * 2**endpoint.failures)
--- a/umberhitch/core/direct/_types.py
+++ b/umberhitch/core/direct/_types.py
@@ -244,7 +244,6 @@
     is_signed: bool = False
     not_run: bool = False
     is_elsewhere: bool = False
-    is_leaving: bool = False
     confidence: int | None = None
     load: ReportedLoad | None = None
 
--- a/umberhitch/fakes/_direct.py
+++ b/umberhitch/fakes/_direct.py
@@ -96,14 +96,14 @@
         self._faults = faults
         self.calls = 0
 
-    async def newest(self) -> FeedBatch[Value]:
+    async def newest(self, patience_s: float) -> FeedBatch[Value]:
         """Return the newest record of every key."""
         await self._reach()
         newest = {record.key: record for record in self._memory.records}
         kept = tuple(record for record in newest.values() if record.value is not None)
         return FeedBatch(kept, len(self._memory.records))
 
-    async def since(self, offset: int, wait_s: float) -> FeedBatch[Value]:
+    async def since(self, offset: int, wait_s: float, patience_s: float) -> FeedBatch[Value]:
         """Return records, waiting for the first."""
         await self._reach()
         if offset < self._memory.first:
--- a/umberhitch/platform/_headers.py
+++ b/umberhitch/platform/_headers.py
@@ -130,7 +130,6 @@
             is_signed=b"response-signature" in first,
             not_run=b"not-executed" in first or status in NOT_RUN_STATUSES,
             is_elsewhere=status == 421 and b"replica-id" in first,
-            is_leaving=connection.lower() == b"close",
             confidence=int(confidence) if confidence.isdigit() else None,
             load=_load(first.get(b"replica-load")),
         )
--- a/umberhitch/platform/_store.py
+++ b/umberhitch/platform/_store.py
@@ -65,7 +65,12 @@
         self.calls = 0
 
     async def call(
-        self, method: str, path: str, query: dict[str, Any], body: bytes = b"", wait_s: float = 0.0
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any],
+        body: bytes = b"",
+        patience_s: float = CALL_S,
     ) -> tuple[int, bytes]:
         """Return status and body of an answer.
 
@@ -84,7 +89,7 @@
             headers.append((b"Content-Type", b"application/json"))
         call = EndpointCall("", method.encode(), target.encode(), headers, body, is_once=True)
         try:
-            head, data = await fetch(self._http, self._clock, self._address, call, CALL_S + wait_s)
+            head, data = await fetch(self._http, self._clock, self._address, call, patience_s)
         except NoReplyError as exc:
             if exc.was_sent:
                 raise LogAnswerLostError(str(exc)) from exc
@@ -126,13 +131,13 @@
         self._topic = topic
         self._decode = decode
 
-    async def newest(self) -> FeedBatch[Value]:
+    async def newest(self, patience_s: float) -> FeedBatch[Value]:
         """Return the newest record of every key, and an offset from which nothing is missed."""
-        rows, end = await newest_rows(self._store, self._topic)
+        rows, end = await newest_rows(self._store, self._topic, patience_s)
         records = [self._record(key, value) for key, value in rows]
         return FeedBatch(tuple(filter(None, records)), end)
 
-    async def since(self, offset: int, wait_s: float) -> FeedBatch[Value]:
+    async def since(self, offset: int, wait_s: float, patience_s: float) -> FeedBatch[Value]:
         """Return the records from an offset on, as soon as there is one or the wait is over."""
         query = {
             "topic": self._topic,
@@ -142,7 +147,9 @@
             "waitMs": int(wait_s * 1000),
         }
         try:
-            status, data = await self._store.call("GET", "/-/log-read", query, wait_s=wait_s)
+            status, data = await self._store.call(
+                "GET", "/-/log-read", query, patience_s=wait_s + patience_s
+            )
         except LogAnswerLostError as exc:
             raise LogUnavailableError(str(exc)) from exc
         if status == 410:
@@ -164,14 +171,16 @@
         return None if decoded is None else FeedRecord(key, decoded)
 
 
-async def newest_rows(store: StoreClient, topic: str) -> tuple[list[tuple[str, bytes]], int]:
+async def newest_rows(
+    store: StoreClient, topic: str, patience_s: float = CALL_S
+) -> tuple[list[tuple[str, bytes]], int]:
     """Return all newest records of a topic, and the end before the first page was read."""
     rows: list[tuple[str, bytes]] = []
     end = -1
     query: dict[str, Any] = {"topic": topic, "part": 0}
     while True:
         try:
-            status, data = await store.call("GET", "/-/log-newest", query)
+            status, data = await store.call("GET", "/-/log-newest", query, patience_s=patience_s)
         except LogAnswerLostError as exc:
             raise LogUnavailableError(str(exc)) from exc
         if status == 404:
--- /dev/null
+++ b/umberhitch/platform/tests/test_headers.py
@@ -0,0 +1,120 @@
+"""Heads on the users' platform: what passes, what does not, and what it means."""
+
+import pytest
+
+from umberhitch.core.direct import PromptPart, ReportedLoad
+from umberhitch.errors import BadAskError
+from umberhitch.platform import PlatformWire
+from umberhitch.ports.direct import CallExtras, RawRequest
+
+WIRE = PlatformWire()
+HEAD = [
+    (b"Host", b"models.example:80"),
+    (b"Attempt-Id", b"abc"),
+    (b"Authorization", b"Bearer secret"),
+    (b"Deadline-Ms", b"1500"),
+    (b"Model", b"*"),
+    (b"Token-Count", b"1000,80"),
+    (b"Prompt-Prefix", b"5c1e:800,91bd:200"),
+    (b"X-Own", b"1"),
+]
+EXTRAS = CallExtras(1.2, "i-1", "acme", "large", 12, b"7")
+
+
+def read(*more: tuple[bytes, bytes]):
+    return WIRE.read_ask(RawRequest(b"POST", b"/a/b?q=1", [*HEAD, *more], b"body", 0.0))
+
+
+def test_a_request_is_decoded():
+    ask = read()
+    assert (ask.host, ask.path, ask.key, ask.patience_s) == (
+        "models.example",
+        "/a/b",
+        "secret",
+        1.5,
+    )
+    assert ask.picks_model
+    assert ask.prompt == (PromptPart("5c1e", 800), PromptPart("91bd", 200))
+    assert ask.output_tokens == 80
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        b"Cache-Hold",
+        b"Pin-Ms",
+        b"Kv-Backup",
+        b"Kv-From",
+        b"Kv-Fetch",
+        b"Expect-Instance",
+        b"Expect-Version",
+        b"Tenant",
+        b"Request-Priority",
+        b"Upgrade",
+        b"TE",
+    ],
+)
+def test_what_only_the_router_may_set_does_not_pass(name: bytes):
+    headers = WIRE.call_headers(read((name, b"forged")), EXTRAS)
+    assert (name, b"forged") not in headers
+
+
+def test_what_the_router_sets_is_set_once():
+    forged = [(b"tenant", b"other"), (b"Connection", b"X-Own"), (b"last-event-id", b"3")]
+    headers = WIRE.call_headers(read(*forged), EXTRAS)
+    names = [name.lower() for name, _ in headers]
+    assert len(names) == len(set(names))
+    assert b"x-own" not in names
+    assert b"authorization" not in names
+    found = {name.lower(): value for name, value in headers}
+    assert found[b"tenant"] == b"acme"
+    assert found[b"model"] == b"large"
+    assert found[b"deadline-ms"] == b"1200"
+    assert found[b"request-priority"] == b"9"
+    assert found[b"last-event-id"] == b"7"
+    assert found[b"attempt-id"] == b"abc"
+
+
+@pytest.mark.parametrize(
+    ("headers", "status"),
+    [
+        ([(b"Host", b"h")], 400),
+        ([(b"Host", b"h"), (b"Attempt-Id", b"a"), (b"Deadline-Ms", b"-1")], 400),
+        ([(b"Host", b"h"), (b"Attempt-Id", b"a"), (b"Prompt-Prefix", b"x")], 400),
+    ],
+)
+def test_malformed_heads_are_refused(headers: list, status: int):
+    with pytest.raises(BadAskError) as caught:
+        WIRE.read_ask(RawRequest(b"GET", b"/", headers, b"", 0.0))
+    assert caught.value.status == status
+
+
+def test_a_reply_is_decoded():
+    head = WIRE.read_reply(
+        200,
+        [
+            (b"Attempt-Id", b"abc"),
+            (b"Response-Signature", b"s"),
+            (b"Confidence", b"62"),
+            (b"Replica-Load", b"3,0,8"),
+            (b"Connection", b"close"),
+        ],
+    )
+    assert (head.call_id, head.is_signed, head.confidence) == ("abc", True, 62)
+    assert (head.load, head.not_run) == (ReportedLoad(3, 0, 8), False)
+    assert (b"Response-Signature", b"s") in head.headers
+    assert all(name != b"Connection" for name, _ in head.headers)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_run"),
+    [
+        (503, [(b"Not-Executed", b"1")], True),
+        (503, [], False),
+        (429, [], False),
+        (421, [(b"Replica-Id", b"i-2")], True),
+        (500, [], False),
+    ],
+)
+def test_only_a_promise_means_not_run(status: int, headers: list, not_run: bool):
+    assert WIRE.read_reply(status, headers).not_run is not_run
--- a/umberhitch/ports/direct.py
+++ b/umberhitch/ports/direct.py
@@ -221,12 +221,21 @@
     `LogTrimmedError`. A record that does not validate is logged with its place and left out.
     """
 
-    async def newest(self) -> FeedBatch[Value]:
+    async def newest(self, patience_s: float) -> FeedBatch[Value]:
         """Return the newest record of every key, and an offset from which nothing is missed."""
         ...
 
-    async def since(self, offset: int, wait_s: float) -> FeedBatch[Value]:
-        """Return the records from an offset on, as soon as there is one or the wait is over."""
+    async def since(self, offset: int, wait_s: float, patience_s: float) -> FeedBatch[Value]:
+        """Return the records from an offset on, as soon as there is one or the wait is over.
+
+        Parameters
+        ----------
+        offset : int
+        wait_s : float
+            How long the store may hold the call.
+        patience_s : float
+            A call has failed that takes so much longer.
+        """
         ...
 
 
--- a/umberhitch/tasks/direct/exchange.py
+++ b/umberhitch/tasks/direct/exchange.py
@@ -292,8 +292,6 @@
         assert self._placed is not None
         self._head = head
         self._svc.began(self._placed, head)
-        if head.is_leaving:
-            self._svc.noted(self.permit, self._endpoint, False, None)
         if head.not_run:
             self._on_not_run(head)
         elif head.is_success:
@@ -340,7 +338,6 @@
         assert self._call is not None
         assert self._endpoint is not None
         self._call.cancel()
-        self._svc.noted(self.permit, self._endpoint, False, None)
         self._end_call(None)
         previous = self._model
         self._model = larger
--- a/umberhitch/tasks/direct/feeds.py
+++ b/umberhitch/tasks/direct/feeds.py
@@ -33,12 +33,23 @@
         Pause between two calls; a stream in which something always comes is read no more often.
     retry_s : float
         Pause after a call that failed.
+    patience_s : tuple of float
+        A call has failed that takes so much longer than the wait: the first after an answer, and
+        then by turns. Most are short, so that a store that is back is found soon; one is long, so
+        that a slow one is found at all.
     """
 
-    def __init__(self, wait_s: float, pause_s: float, retry_s: float = 0.25) -> None:
+    def __init__(
+        self,
+        wait_s: float,
+        pause_s: float,
+        retry_s: float = 0.15,
+        patience_s: tuple[float, ...] = (1.0, 0.35, 0.35),
+    ) -> None:
         self.wait_s = wait_s
         self.pause_s = pause_s
         self.retry_s = retry_s
+        self.patience_s = patience_s
 
 
 class Feed(Generic[Value]):
@@ -104,18 +115,20 @@
 
     async def _run(self) -> None:
         is_whole = False
+        failures = 0
         while not self._is_stopped:
             called_s = self._clock.seconds()
+            patience_s = self._pace.patience_s[failures % len(self._pace.patience_s)]
             try:
                 if is_whole:
                     # After an outage, know at once what stands; else let the store hold the call.
                     wait_s = self._pace.wait_s if self._failed_since_s is None else 0.0
-                    batch = await self._port.since(self.offset, wait_s)
+                    batch = await self._port.since(self.offset, wait_s, patience_s)
                     self._note_back()
                     if not self._is_stopped:
                         self._on_records(batch, self._was_away())
                 else:
-                    batch = await self._port.newest()
+                    batch = await self._port.newest(patience_s)
                     self._note_back()
                     if not self._is_stopped:
                         self._on_all(batch)
@@ -125,9 +138,11 @@
                 is_whole = False
                 continue
             except LogError as exc:
+                failures += 1
                 self._note_failure(exc)
                 await self._sleep(self._pace.retry_s * (0.5 + self._rng.random()))
                 continue
+            failures = 0
             self.offset = batch.end
             self.proved_s = called_s
             await self._sleep(self._pace.pause_s)
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -389,6 +389,7 @@
         assert self.table is not None
         service = self.table.document.services.get(permit.service)
         now_s = self.clock.seconds()
+        self.directory.tried(endpoint, now_s)
         placed = self.placement.place(endpoint, ask, model or "", route.models, service, now_s)
         customer = permit.customer
         priority = route.priority
@@ -418,8 +419,6 @@
 
     def noted(self, permit: Permit, endpoint: Endpoint, is_bad: bool, model: str | None) -> None:
         """Take note of how an endpoint answered."""
-        if not is_bad:
-            self.directory.answered(endpoint)
         if model is not None or is_bad:
             self.trials.note(permit.service, permit.route.name, endpoint, is_bad)
 
@@ -435,6 +434,9 @@
     def began(self, placed: Placed, head: ReplyHead) -> None:
         """Take note that a reply has begun."""
         now_s = self.clock.seconds()
+        endpoint = self.directory.get(placed.incarnation)
+        if endpoint is not None and not head.is_elsewhere:
+            self.directory.answered(endpoint)
         if head.load is not None:
             self.placement.report(placed.incarnation, head.load, now_s)
         if head.is_success:
--- a/umberhitch/tasks/direct/tests/test_trials.py
+++ b/umberhitch/tasks/direct/tests/test_trials.py
@@ -3,7 +3,7 @@
 from itertools import pairwise
 
 from umberhitch.core.direct import RolloutState
-from umberhitch.fakes import Reply
+from umberhitch.fakes import Reply, StoreFaults
 from umberhitch.testing import DirectWorld, make_direct_document
 
 ERROR = Reply(status=500, body=b"error")
@@ -130,3 +130,16 @@
         moves = sum(one != other for one, other in pairwise(versions))
         assert moves <= 1
         assert versions == sorted(versions, reverse=True) or "new" not in versions
+
+
+def test_a_restarted_router_sends_nothing_to_a_new_version_before_it_knows_what_was_decided():
+    world = _world()
+    _begin(world, ERROR)
+    _traffic(world, 8.0)
+    new = _exposed(world)[1]
+    for router in world.routers.values():
+        router.peers.stop()
+    world.add_router("r9", status_faults=StoreFaults(is_down=True))
+    world.run(0.1)
+    _traffic(world, 3.0, ["r9"])
+    assert _exposed(world)[1] == new
--- a/umberhitch/tasks/direct/trials.py
+++ b/umberhitch/tasks/direct/trials.py
@@ -61,6 +61,8 @@
         self._limits = limits or TrialLimits()
         self._trials: dict[str, Trial] = {}
         self._settling: set[str] = set()
+        self._unread: set[str] = set()
+        """Services of whose roll-out it is not known yet whether it was decided before."""
         self._written: dict[str, RolloutState] = {}
         self._recent: dict[str, OrderedDict[str, float]] = {}
         self._is_stopped = False
@@ -93,6 +95,7 @@
             trial.seen_before(session, at_s)
         self._trials[order.service] = trial
         self._written.pop(order.service, None)
+        self._unread.add(order.service)
         log.info("roll-out begins", extra={"service": order.service, "target": order.target})
         self._settle(order.service, trial, RolloutState.IN_PROGRESS)
 
@@ -145,18 +148,23 @@
 
     async def _write(self, service: str, trial: Trial, state: RolloutState) -> None:
         """Read what stands, and write the state unless a final one stands already."""
-        await self._sleep(RANK_S * self.rank())
+        has_waited = False
         while not self._is_stopped and self._trials.get(service) is trial:
             if trial.state in FINAL:
                 state = trial.state
             try:
                 stored = await self._status.read()
+                self._unread.discard(service)
                 target, stands = stored.states.get(service, ("", RolloutState.IN_PROGRESS))
                 if target == trial.order.target and (stands in FINAL or stands is state):
                     self._written[service] = stands
                     if stands in FINAL:
                         self._set_state(trial, stands)
                     return
+                if not has_waited and self.rank():
+                    has_waited = True
+                    await self._sleep(RANK_S * self.rank())
+                    continue
                 if await self._status.write(service, trial.order.target, state, stored.end):
                     self._written[service] = state
                     self._set_state(trial, state)
@@ -178,7 +186,8 @@
         """Return whether a request goes to the new version; None where there is no roll-out."""
         trial = self._trials.get(service)
         if trial is not None:
-            return trial.is_for_target(session, draw, now_s)
+            is_known = service not in self._unread
+            return is_known and trial.is_for_target(session, draw, now_s)
         if session is not None:
             recent = self._recent.setdefault(service, OrderedDict())
             recent.pop(session, None)
@@ -242,5 +251,6 @@
                 for each in report.counts
             }
             trial.take(router, counts)
+            self._unread.discard(report.service)
             if report.state in FINAL and trial.state is RolloutState.IN_PROGRESS:
                 self._set_state(trial, RolloutState(report.state))
--- a/umberhitch/testing/__init__.py
+++ b/umberhitch/testing/__init__.py
@@ -19,6 +19,7 @@
     make_route,
 )
 from umberhitch.testing._oracle import Violation, check_world
+from umberhitch.testing._transports import FakeTransport, dial
 from umberhitch.testing._world import AskOptions, CallerRecord, World, WorldSettings
 
 __all__ = [
@@ -28,10 +29,12 @@
     "DirectAsk",
     "DirectRouter",
     "DirectWorld",
+    "FakeTransport",
     "Violation",
     "World",
     "WorldSettings",
     "check_world",
+    "dial",
     "make_change",
     "make_customer",
     "make_direct_document",
--- a/umberhitch/testing/_direct.py
+++ b/umberhitch/testing/_direct.py
@@ -121,13 +121,15 @@
         self.registry.put(incarnation, make_endpoint_entry(incarnation, version))
         return endpoint
 
-    def add_router(self, name: str = "r1", slack: float = 100.0) -> DirectRouter:
+    def add_router(
+        self, name: str = "r1", slack: float = 100.0, status_faults: StoreFaults | None = None
+    ) -> DirectRouter:
         """Start a router."""
         clock = ProcessClock(self.clock)
         faults = StoreFaults()
         operator = FakeFeed(self.operator, clock, faults)
         registry = FakeFeed(self.registry, clock, faults)
-        trials = Trials(clock, FakeStatuses(self.statuses, faults))
+        trials = Trials(clock, FakeStatuses(self.statuses, status_faults or faults))
         gateway = Gateway(
             GatewaySettings(name=name, zone="a", budget=BudgetLimits(0.9, slack, 10.0)),
             clock,
