--- a/umberhitch/adapters/http_server.py
+++ b/umberhitch/adapters/http_server.py
@@ -8,7 +8,7 @@
 from twisted.web.http import Request as BaseRequest
 from twisted.web.server import Request, Site
 
-from umberhitch.settings import split_address
+from umberhitch.addresses import split_address
 
 __all__ = ["BoundedSite", "listen_http", "send_json"]
 
--- a/umberhitch/cli/daemon.py
+++ b/umberhitch/cli/daemon.py
@@ -12,13 +12,13 @@
 from pathlib import Path
 from typing import Any
 
-from absl import app as absl_app
 from absl import flags
+from msgspec import structs
 
 from umberhitch import __version__
 from umberhitch.cli._lean import keep_out_tls
 from umberhitch.errors import SettingsError
-from umberhitch.settings import AgentFile, AnyFile, GatewayFile, RouterFile, load_settings
+from umberhitch.gateway_settings import GatewayFile, load_gateway_file
 
 __all__ = ["run"]
 
@@ -46,7 +46,7 @@
         print("umberhitchd: usage: umberhitchd --settings=FILE [--check]", file=sys.stderr)
         return EXIT_BAD_SETTINGS
     try:
-        settings = load_settings(Path(path))
+        settings = load_any(Path(path))
     except SettingsError as exc:
         for finding in exc.findings:
             print(f"{path}: {finding}", file=sys.stderr)
@@ -57,10 +57,25 @@
     return serve(settings, path)
 
 
-def serve(settings: AnyFile, path: str) -> int:
+def load_any(path: Path) -> Any:
+    """Return the settings in a file; raises `SettingsError` with every finding.
+
+    The other roles' are loaded by a module that a router of the direct path has no time to import.
+    """
+    settings = load_gateway_file(path)
+    if settings is not None:
+        return settings
+    from umberhitch.settings import load_settings
+
+    return load_settings(path)
+
+
+def serve(settings: Any, path: str) -> int:
     """Run until a signal has drained the process."""
     if isinstance(settings, GatewayFile):
         return serve_gateway(settings, path)
+    from umberhitch.settings import AgentFile, RouterFile
+
     if isinstance(settings, AgentFile) and not settings.backend.url.startswith("https"):
         keep_out_tls()
     from twisted.internet import reactor as default_reactor
@@ -124,16 +139,19 @@
 
     def _reload(self) -> None:
         try:
-            settings = load_settings(Path(self._path))
+            settings = load_any(Path(self._path))
         except SettingsError as exc:
             findings = [str(finding) for finding in exc.findings]
             log.error("settings not valid, the old ones hold", extra={"findings": findings})
             return
-        old, new = self._settings.model_dump(), settings.model_dump()
-        changed = sorted(key for key in new if new[key] != old.get(key))
-        if "log_level" in changed and isinstance(settings, GatewayFile):
+        if not isinstance(settings, GatewayFile):
+            log.error("settings of another role, the old ones hold")
+            return
+        old, new = structs.asdict(self._settings), structs.asdict(settings)
+        changed = sorted(key for key in new if new[key] != old[key])
+        if "log_level" in changed:
             getLogger().setLevel(settings.log_level)
-            self._settings = self._settings.model_copy(update={"log_level": settings.log_level})
+            self._settings = structs.replace(self._settings, log_level=settings.log_level)
         need_restart = [key for key in changed if key != "log_level"]
         log.info("settings read again", extra={"changed": changed, "need_restart": need_restart})
 
@@ -183,7 +201,7 @@
 
 def run() -> None:
     """Entry point."""
-    absl_app.run(main, flags_parser=_parse_flags)
+    sys.exit(main(_parse_flags(sys.argv)))
 
 
 def _parse_flags(argv: list[str]) -> list[str]:
--- a/umberhitch/cli/tests/test_daemon.py
+++ b/umberhitch/cli/tests/test_daemon.py
@@ -117,3 +117,33 @@
         process.send_signal(signal.SIGTERM)
         process.communicate(timeout=LIMIT_S)
         assert process.returncode == 0
+
+
+def test_every_finding_in_bad_settings_of_a_gateway_is_reported(tmp_path: Path) -> None:
+    bad = {
+        **GATEWAY,
+        "zone": "",
+        "surplus": 1,
+        "store": "nowhere",
+        "listen": {**GATEWAY["listen"], "link": "127.0.0.1:99999"},
+        "bounds": {"retry_ratio": -1},
+    }
+    del bad["name"]
+    done = run(write(tmp_path, bad), "--check")
+    assert done.returncode == 2
+    lines = done.stderr.splitlines()
+    for place in ("name", "zone", "surplus", "store", "listen.link", "bounds.retry_ratio"):
+        assert any(f": {place}: " in line for line in lines), place
+
+
+def test_a_gateway_starts_without_what_it_does_not_use(tmp_path: Path) -> None:
+    """Its start is time in which callers are refused."""
+    code = (
+        "import sys; sys.argv = ['d', sys.argv[1]]\n"
+        "from umberhitch.cli import daemon\n"
+        "import umberhitch.gateway_node, umberhitch.adapters.logs\n"
+        "print(*sorted({'pydantic', 'klein', 'treq', 'opentelemetry', 'lark'} & set(sys.modules)))"
+    )
+    command = [sys.executable, "-c", code, "x"]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=LIMIT_S)
+    assert (done.returncode, done.stdout.strip()) == (0, "")
--- a/umberhitch/config/__init__.py
+++ b/umberhitch/config/__init__.py
@@ -17,7 +17,6 @@
     row_name,
     touched_object,
 )
-from umberhitch.config._findings import Finding, format_findings
 from umberhitch.config._fold import (
     Accepted,
     Fold,
@@ -41,6 +40,7 @@
     VersionState,
     version_key,
 )
+from umberhitch.findings import Finding, format_findings
 
 __all__ = [
     "Accepted",
--- a/umberhitch/config/_fold.py
+++ b/umberhitch/config/_fold.py
@@ -22,7 +22,6 @@
     encode_record,
     touched_object,
 )
-from umberhitch.config._findings import Finding
 from umberhitch.config._model import (
     Config,
     Customer,
@@ -34,6 +33,7 @@
     SigningKey,
     Version,
 )
+from umberhitch.findings import Finding
 
 __all__ = ["Accepted", "Fold", "Ignored", "Rejected", "Verdict", "check_references"]
 
--- a/umberhitch/config/border.py
+++ b/umberhitch/config/border.py
@@ -2,7 +2,7 @@
 
 from pydantic import ValidationError
 
-from umberhitch.config._findings import Finding
+from umberhitch.findings import Finding
 
 __all__ = ["findings_of"]
 
--- a/umberhitch/config/documents.py
+++ b/umberhitch/config/documents.py
@@ -5,11 +5,11 @@
 from pydantic import ConfigDict, TypeAdapter, ValidationError
 
 from umberhitch.config._change import Change, Delete, Kind, Put
-from umberhitch.config._findings import Finding
 from umberhitch.config._fold import TYPES, check_references, object_name
 from umberhitch.config._model import Config, Limits
 from umberhitch.config.border import findings_of
 from umberhitch.errors import ConfigError
+from umberhitch.findings import Finding
 
 __all__ = ["changes_to", "check_object", "parse_document"]
 
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -12,7 +12,9 @@
 from umberhitch.adapters.h11_callers import CallerFactory
 from umberhitch.adapters.h11_endpoints import EndpointClient
 from umberhitch.adapters.zmq_link import ZmqLink
+from umberhitch.addresses import split_address
 from umberhitch.core.direct import BudgetLimits, TrialLimits
+from umberhitch.gateway_settings import GatewayFile
 from umberhitch.platform import (
     Members,
     PlatformWire,
@@ -22,7 +24,6 @@
     make_operator_feed,
 )
 from umberhitch.ports.direct import Member
-from umberhitch.settings import GatewayFile, split_address
 from umberhitch.tasks.direct.gateway import Gateway, GatewaySettings
 from umberhitch.tasks.direct.peers import DirectPeers
 from umberhitch.tasks.direct.trials import Trials
--- a/umberhitch/settings.py
+++ b/umberhitch/settings.py
@@ -8,13 +8,13 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
 from pydantic import model_validator as model_check
 
-from umberhitch.config import Finding
+from umberhitch.addresses import split_address
 from umberhitch.config.border import findings_of
 from umberhitch.errors import SettingsError
+from umberhitch.findings import Finding
 
 __all__ = [
     "AgentFile",
-    "GatewayFile",
     "LinkKeys",
     "LogLevel",
     "Platform",
@@ -22,20 +22,8 @@
     "SettingsFile",
     "load_settings",
     "parse_settings",
-    "split_address",
 ]
 
-MAX_PORT = 65535
-
-
-def split_address(text: str) -> tuple[str, int]:
-    """Return the IP number and port of ``IP:PORT``; raises ``ValueError`` if it is neither."""
-    host, _, port = text.rpartition(":")
-    ip_address(host.strip("[]"))
-    if not port.isdecimal() or int(port) > MAX_PORT:
-        raise ValueError(f'"{port}" is not a port')
-    return host, int(port)
-
 
 def _check_address(text: str) -> str:
     split_address(text)
@@ -154,54 +142,13 @@
         return _require_keys(self)
 
 
-class GatewayListen(_Section):
-    """Addresses of a router of the direct path."""
-
-    callers: Address
-    readiness: Address
-    pages: Address
-    """Metrics and status."""
-    link: Address
-
-
-class Bounds(_Section):
-    """What the platform bounds; it hands these over with the settings."""
-
-    revocation_s: Seconds = 5.0
-    """A key that was taken away has no effect after this."""
-    retry_ratio: Annotated[float, Field(ge=0, le=10)] = 0.5
-    """Calls beyond the first, for each request."""
-    retry_slack: Annotated[float, Field(ge=0)] = 20.0
-    """Calls beyond the first that are allowed besides, over all routers."""
-    retry_window_s: Seconds = 10.0
-    session_s: Seconds = 5.0
-    """Requests of a session that are not further apart belong together."""
-
-
-class GatewayFile(_Section):
-    """Settings of a router of the direct path."""
-
-    role: Literal["gateway"]
-    name: Name
-    zone: Name
-    region: Name = "default"
-    log_level: LogLevel = "INFO"
-    drain_s: Seconds = 8.0
-    """How long a shutdown may take in all."""
-    memory_mb: Annotated[float, Field(ge=32)] = 128
-    """What the process may use."""
-    listen: GatewayListen
-    store: Address
-    bounds: Bounds = Bounds()
-
-
 def _require_keys(settings: Any) -> Any:
     if settings.link_keys is None and not _is_loopback(settings.listen.link):
         raise ValueError("link_keys are needed unless listen.link is on loopback")
     return settings
 
 
-AnyFile = RouterFile | AgentFile | GatewayFile
+AnyFile = RouterFile | AgentFile
 SettingsFile = Annotated[AnyFile, Field(discriminator="role")]
 _adapter: TypeAdapter[AnyFile] = TypeAdapter(SettingsFile)
 
@@ -227,7 +174,7 @@
 
 def _without_role(finding: Finding) -> Finding:
     """Drop the role that pydantic puts in front of each place."""
-    for role in ("router", "agent", "gateway"):
+    for role in ("router", "agent"):
         if finding.place.startswith(f"{role}."):
             return Finding(finding.place[len(role) + 1 :], finding.problem)
         if finding.place == role:
