Model choice by expected worth; a home for shared parts; stand-ins of the platform and process tests

Cause: one bar for all requests drops answers whose second reading costs more than it gains, and keeps others. Now the answer is dropped where the larger model's is expected to be worth more, price and time counted. Fewer store calls: registry every 1.1 s, operator calls held 1.6 s.

--- a/umberhitch/core/direct/_placement.py
+++ b/umberhitch/core/direct/_placement.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from xxhash import xxh3_64_intdigest
+
 from umberhitch.core.direct._directory import Endpoint
 from umberhitch.core.direct._types import Ask, PromptPart, ReportedLoad, Service
 
@@ -37,6 +39,9 @@
         Time in which a reported load loses two thirds of its weight.
     cached_share : float
         Share of an engine's memory taken to hold cached parts of prompts.
+    home_share : float
+        Chance that the home of a shared part holds it, where this router does not know. Routers see
+        only what they placed themselves; the home is the same for all of them.
     """
 
     first_token_s: float = 0.000005
@@ -47,6 +52,7 @@
     failing_s: float = 0.5
     load_age_s: float = 1.0
     cached_share: float = 0.5
+    home_share: float = 0.5
 
 
 PACE_WEIGHT = 0.1
@@ -84,6 +90,18 @@
     cached_tokens: int = 0
 
 
+def _home(endpoints: list[Endpoint], ask: Ask) -> Endpoint | None:
+    """Return the endpoint that is the home of a prompt's shared parts (rendezvous hash)."""
+    if len(ask.prompt) < 2:
+        return None
+    part = ask.prompt[-2].part_id
+    return max(
+        endpoints,
+        key=lambda each: xxh3_64_intdigest(f"{part}|{each.entry.incarnation}".encode()),
+        default=None,
+    )
+
+
 class Placement:
     """Chooses endpoints and remembers what was placed on them.
 
@@ -132,9 +150,12 @@
         token_s = self.token_s(model, models) if ask.prompt else 0.0
         best: Endpoint | None = None
         best_s = best_cost = float("inf")
+        home = _home(endpoints, ask)
         for endpoint in endpoints:
             wait_s = self._wait_s(endpoint, ask, model, token_s, now_s)
             cost = wait_s + self._aversion_s(endpoint)
+            if endpoint is home:
+                cost -= self._home_gain_s(endpoint, ask, model, token_s)
             if cost < best_cost:
                 best, best_s, best_cost = endpoint, wait_s, cost
         if best is None:
@@ -167,6 +188,12 @@
             + 0.05 * waiting
         )
 
+    def _home_gain_s(self, endpoint: Endpoint, ask: Ask, model: str, token_s: float) -> float:
+        """Return the time that the home of a prompt's parts probably saves."""
+        shared = ask.prompt_tokens - ask.prompt[-1].tokens
+        unknown = shared - self.cached_tokens(endpoint.entry.incarnation, model, ask)
+        return self.limits.home_share * unknown * token_s
+
     def _aversion_s(self, endpoint: Endpoint) -> float:
         seen = self._seen.get(endpoint.entry.incarnation)
         far_s = 0.0 if endpoint.entry.zone == self._zone else self.limits.far_s
--- a/umberhitch/core/direct/_types.py
+++ b/umberhitch/core/direct/_types.py
@@ -87,12 +87,15 @@
         Requests that one endpoint runs at once; 0 if not known.
     cache_tokens : int
         Tokens that one engine's memory holds; 0 for plain services.
+    prices : dict of str to float
+        Of its models, for 1,000 tokens generated.
     """
 
     name: str
     max_connections: int = 100
     slots: int = 0
     cache_tokens: int = 0
+    prices: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/umberhitch/core/direct/tests/test_cascade.py
@@ -0,0 +1,47 @@
+"""Model choice: by confidence, price and time."""
+
+import pytest
+
+from umberhitch.core.direct import Ask, Cascade, PromptPart, RouteKind
+from umberhitch.testing import make_route
+
+ROUTE = make_route("draft", RouteKind.STREAM, models=("small", "large"), objective_s=1.5)
+PRICES = {"small": 0.02, "large": 0.35}
+
+
+def make_ask(read: int = 800, made: int = 300) -> Ask:
+    parts = (PromptPart("p", read),)
+    return Ask("a", b"POST", b"/", "h", "/", [], None, 10.0, True, parts, made)
+
+
+def choose(confidence: int | None, wait_s: float = 0.1, ask: Ask | None = None) -> str | None:
+    return Cascade().next_model(ROUTE, ask or make_ask(), "small", confidence, PRICES, 0.05, wait_s)
+
+
+def test_the_smallest_model_is_asked_first_where_there_are_attempts_for_another():
+    assert Cascade().first(ROUTE, make_ask()) == "small"
+    single = make_route("draft", RouteKind.STREAM, models=("small", "large"), max_attempts=1)
+    assert Cascade().first(single, make_ask()) == "large"
+
+
+@pytest.mark.parametrize(
+    ("confidence", "expected"), [(0, "large"), (40, "large"), (100, None), (None, None)]
+)
+def test_a_doubtful_answer_is_dropped_and_a_sure_one_kept(confidence, expected):
+    assert choose(confidence) == expected
+
+
+def test_what_would_come_late_is_dropped_only_if_it_is_worth_little():
+    assert choose(50, wait_s=2.0) is None
+    assert choose(0, wait_s=2.0) == "large"
+
+
+def test_the_bar_is_lower_where_the_large_model_costs_much_of_the_worth():
+    bars = []
+    for ask in (make_ask(800, 300), make_ask(2400, 20)):
+        bars.append(max(each for each in range(101) if choose(each, ask=ask) is not None))
+    assert bars[0] > bars[1]
+
+
+def test_the_largest_models_answer_is_kept():
+    assert Cascade().next_model(ROUTE, make_ask(), "large", 0, PRICES, 0.1, 0.1) is None
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -99,6 +99,7 @@
             name=settings.name,
             zone=settings.zone,
             proof_age_s=PROOF_MARGIN * bounds.revocation_s,
+            drain_notice_s=settings.drain_notice_s,
             budget=BudgetLimits(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s),
         ),
         reactor,
--- a/umberhitch/gateway_settings.py
+++ b/umberhitch/gateway_settings.py
@@ -58,6 +58,8 @@
     log_level: LogLevel = "INFO"
     drain_s: Seconds = 8.0
     """How long a shutdown may take in all."""
+    drain_notice_s: Seconds = 2.6
+    """How long the balancer takes to notice that a router is not ready: two checks, 1 s apart."""
     memory_mb: Annotated[float, Meta(ge=32)] = 128
     """What the process may use."""
     bounds: Bounds = Bounds()
--- a/umberhitch/platform/_documents.py
+++ b/umberhitch/platform/_documents.py
@@ -53,9 +53,15 @@
     sizes: list[str] = []
 
 
+class _Model(Struct):
+    name: str
+    cost: float = 0.0
+
+
 class _Engine(Struct, rename="camel"):
     slots: int = 0
     kv_capacity_tokens: int = 0
+    models: list[_Model] = []
 
 
 class _Service(Struct, rename="camel"):
@@ -172,7 +178,8 @@
     if raw.engine is None:
         return Service(raw.name, raw.max_connections)
     engine = raw.engine
-    return Service(raw.name, raw.max_connections, engine.slots, engine.kv_capacity_tokens)
+    prices = {model.name: model.cost for model in engine.models}
+    return Service(raw.name, raw.max_connections, engine.slots, engine.kv_capacity_tokens, prices)
 
 
 def decode_endpoint(key: str, value: bytes) -> EndpointEntry | None:
--- /dev/null
+++ b/umberhitch/platform/standins/__main__.py
@@ -0,0 +1,123 @@
+"""A platform on loopback, as a program: ``python -m umberhitch.platform.standins``.
+
+Prints the addresses of its store and of its control as one JSON line. Control calls:
+
+| call | does |
+| --- | --- |
+| ``POST /operator/KEY`` | writes the body as an operator's document |
+| ``POST /endpoints/ID`` ``{"service", "version", "zone"}`` | starts an endpoint and registers it |
+| ``POST /endpoints/ID/state/STATE`` | registers a state: ``ready``, ``draining``, or ``gone`` |
+| ``POST /endpoints/ID/faults`` | sets fields of `EndpointFaults` |
+| ``GET /endpoints/ID/runs`` | what has run there |
+| ``POST /store/faults`` | sets fields of `StoreFaults` |
+| ``GET /status/KEY`` | what the system wrote |
+"""
+
+import sys
+from dataclasses import asdict
+from typing import Any
+
+from absl import app as absl_app
+from absl import flags
+from klein import Klein
+from msgspec import json
+from twisted.internet import reactor as _reactor
+
+from umberhitch.adapters.http_server import listen_http, send_json
+from umberhitch.platform._store import ENDPOINT_TOPIC, OPERATOR_TOPIC, STATUS_TOPIC
+from umberhitch.platform.standins._endpoint import EndpointStandin
+from umberhitch.platform.standins._store import StoreStandin
+
+default_reactor: Any = _reactor
+ANY_PORT = "127.0.0.1:0"
+MAX_BODY_BYTES = 4 * 1024 * 1024
+
+
+class Platform:
+    """The store and the endpoints of one stand-in platform."""
+
+    app = Klein()
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        self.store = StoreStandin(reactor)
+        self._endpoints: dict[str, EndpointStandin] = {}
+        self._entries: dict[str, dict[str, Any]] = {}
+
+    @app.route("/operator/<path:key>", methods=["POST"])
+    def write_operator(self, request: Any, key: str) -> bytes:
+        """Write an operator's document."""
+        self.store.put(OPERATOR_TOPIC, key, request.content.read())
+        return send_json(request, 200, {})
+
+    @app.route("/endpoints/<name>", methods=["POST"])
+    def add_endpoint(self, request: Any, name: str) -> bytes:
+        """Start an endpoint."""
+        endpoint = EndpointStandin(self._reactor, name)
+        _, address = listen_http(self._reactor, endpoint.app, ANY_PORT, MAX_BODY_BYTES)
+        self._endpoints[name] = endpoint
+        self._entries[name] = {
+            "zone": "a",
+            "slots": 8,
+            **json.decode(request.content.read()),
+            "address": address,
+            "state": "ready",
+        }
+        self._register(name)
+        return send_json(request, 200, {"address": address})
+
+    @app.route("/endpoints/<name>/state/<state>", methods=["POST"])
+    def set_state(self, request: Any, name: str, state: str) -> bytes:
+        """Register a state."""
+        self._entries[name]["state"] = state
+        self._register(name)
+        return send_json(request, 200, {})
+
+    def _register(self, name: str) -> None:
+        entry = self._entries[name]
+        value = b"" if entry["state"] == "gone" else json.encode(entry)
+        self.store.put(ENDPOINT_TOPIC, name, value)
+
+    @app.route("/endpoints/<name>/faults", methods=["POST"])
+    def set_faults(self, request: Any, name: str) -> bytes:
+        """Set an endpoint's faults."""
+        return _set(request, self._endpoints[name].faults)
+
+    @app.route("/store/faults", methods=["POST"])
+    def set_store_faults(self, request: Any) -> bytes:
+        """Set the store's faults."""
+        return _set(request, self.store.faults)
+
+    @app.route("/endpoints/<name>/runs", methods=["GET"])
+    def runs(self, request: Any, name: str) -> bytes:
+        """Return what has run."""
+        return send_json(request, 200, [asdict(run) for run in self._endpoints[name].runs])
+
+    @app.route("/status/<path:key>", methods=["GET"])
+    def status(self, request: Any, key: str) -> bytes:
+        """Return what the system wrote."""
+        row = self.store.newest(STATUS_TOPIC).get(key)
+        return send_json(request, 200, None if row is None else json.decode(row[0]))
+
+
+def _set(request: Any, faults: Any) -> bytes:
+    for name, value in json.decode(request.content.read()).items():
+        if not hasattr(faults, name):
+            return send_json(request, 400, {"error": f'no fault "{name}"'})
+        setattr(faults, name, value)
+    return send_json(request, 200, asdict(faults))
+
+
+def main(argv: list[str]) -> None:
+    """Serve until killed."""
+    platform = Platform(default_reactor)
+    found = {}
+    for name, app in (("store", platform.store.app), ("control", platform.app)):
+        _, found[name] = listen_http(default_reactor, app, ANY_PORT, MAX_BODY_BYTES)
+    print(json.encode(found).decode(), flush=True)
+    default_reactor.run()
+
+
+if __name__ == "__main__":
+    flags.FLAGS.mark_as_parsed()
+    absl_app.run(main, argv=sys.argv)
--- /dev/null
+++ b/umberhitch/platform/standins/_endpoint.py
@@ -0,0 +1,104 @@
+"""A stand-in of an endpoint of the users' platform: a model replica or a plain service."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from klein import Klein
+from twisted.internet.defer import Deferred
+
+__all__ = ["EndpointFaults", "EndpointStandin"]
+
+EVENTS = 4
+
+
+@dataclass
+class EndpointFaults:
+    """What is wrong with the endpoint at the moment.
+
+    Attributes
+    ----------
+    status : int
+        Status of its replies.
+    is_shedding : bool
+        It refuses everything, and says that nothing has run.
+    break_after : int
+        Streams break off within the event after so many; 0 for never.
+    event_s : float
+        Time between events.
+    confidence : int
+        What its models declare.
+    """
+
+    status: int = 200
+    is_shedding: bool = False
+    break_after: int = 0
+    event_s: float = 0.01
+    confidence: int = 100
+
+
+@dataclass
+class Run:
+    """A request that ran."""
+
+    call_id: str
+    customer: str
+    model: str
+
+
+@dataclass
+class EndpointStandin:
+    """An endpoint; serve ``app``."""
+
+    reactor: Any
+    incarnation: str
+    faults: EndpointFaults = field(default_factory=EndpointFaults)
+    runs: list[Run] = field(default_factory=list)
+
+    app = Klein()
+
+    @app.route("/", branch=True)
+    def run(self, request: Any) -> Any:
+        """Run any request."""
+        head = request.requestHeaders
+        call_id = head.getRawHeaders("Attempt-Id", [""])[0]
+        expected = head.getRawHeaders("Expect-Instance", [self.incarnation])[0]
+        if expected != self.incarnation:
+            request.setHeader("Replica-Id", self.incarnation)
+            request.setResponseCode(421)
+            return b""
+        if self.faults.is_shedding:
+            request.setHeader("Not-Executed", "1")
+            request.setResponseCode(503)
+            return b""
+        model = head.getRawHeaders("Model", [""])[0]
+        self.runs.append(Run(call_id, head.getRawHeaders("Tenant", [""])[0], model))
+        request.setHeader("Attempt-Id", call_id)
+        request.setHeader("Response-Signature", f"signed.{self.incarnation}.{call_id}")
+        request.setResponseCode(self.faults.status)
+        if not model or self.faults.status != 200:
+            return f"{self.incarnation} has run {call_id}".encode()
+        request.setHeader("Confidence", str(self.faults.confidence))
+        request.setHeader("Content-Type", "text/event-stream")
+        start = int(head.getRawHeaders("Last-Event-Id", ["0"])[0])
+        return self._stream(request, start)
+
+    def _stream(self, request: Any, start: int) -> Deferred[None]:
+        done: Deferred[None] = Deferred()
+        is_left: list[bool] = []
+        request.notifyFinish().addErrback(lambda failure: is_left.append(True))
+
+        def send(number: int, count: int) -> None:
+            if is_left:
+                return
+            if self.faults.break_after and count > self.faults.break_after:
+                request.write(b"id: %d\ndata: bro" % number)
+                request.transport.abortConnection()
+                return
+            request.write(b"id: %d\ndata: e%d\n\n" % (number, number))
+            if number >= EVENTS:
+                done.callback(None)
+                return
+            self.reactor.callLater(self.faults.event_s, send, number + 1, count + 1)
+
+        self.reactor.callLater(self.faults.event_s, send, start + 1, 1)
+        return done
--- /dev/null
+++ b/umberhitch/platform/standins/client.py
@@ -0,0 +1,171 @@
+"""Drives a stand-in platform and routers on it, for tests and for trying things out."""
+
+import subprocess
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+from time import monotonic, sleep
+from typing import Any
+
+from msgspec import json
+
+__all__ = ["Answer", "LocalPlatform", "RouterProcess", "eventually"]
+
+LIMIT_S = 40.0
+"""Longest wait for anything; far more than it takes, so that a busy machine changes no verdict."""
+POLL_S = 0.05
+LOOPBACK = "127.0.0.1:0"
+
+
+def eventually(check: Callable[[], Any]) -> Any:
+    """Return what a check returns as soon as it is true.
+
+    Raises
+    ------
+    TimeoutError
+        If it never is.
+    """
+    end_s = monotonic() + LIMIT_S
+    while monotonic() < end_s:
+        found = check()
+        if found:
+            return found
+        sleep(POLL_S)
+    raise TimeoutError("never came true")
+
+
+@dataclass(frozen=True)
+class Answer:
+    """What a caller got; the status is 0 where the connection broke before an answer."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+    is_whole: bool = True
+
+
+def call(
+    address: str, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
+) -> Answer:
+    """Make one HTTP call on a connection of its own."""
+    connection = HTTPConnection(address, timeout=LIMIT_S)
+    try:
+        connection.request(method, path, body or None, headers or {})
+        response = connection.getresponse()
+        found = {name.lower(): value for name, value in response.getheaders()}
+        try:
+            return Answer(response.status, response.read(), found)
+        except (HTTPException, OSError) as exc:
+            partial = getattr(exc, "partial", b"")
+            return Answer(response.status, partial, found, is_whole=False)
+    except (HTTPException, OSError):
+        return Answer(0, b"", {}, is_whole=False)
+    finally:
+        connection.close()
+
+
+@dataclass
+class RouterProcess:
+    """A router of the direct path, as a process."""
+
+    process: subprocess.Popen
+    addresses: dict[str, str]
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer would send callers there."""
+        return call(self.addresses["readiness"], "GET", "/-/readyz").status == 200
+
+    def status(self) -> dict[str, Any]:
+        """Return the router's status page."""
+        return json.decode(call(self.addresses["pages"], "GET", "/status").body)
+
+    def ask(self, path: str, call_id: str, key: str, model: str | None = None) -> Answer:
+        """Send a caller's request."""
+        headers = {
+            "Host": "models.example",
+            "Attempt-Id": call_id,
+            "Authorization": f"Bearer {key}",
+            "Deadline-Ms": "8000",
+        }
+        if model is not None:
+            headers |= {"Model": model, "Token-Count": "100,40", "Prompt-Prefix": "aa:60,bb:40"}
+        return call(self.addresses["callers"], "POST", path, b"body", headers)
+
+    def kill(self) -> None:
+        """End it without notice."""
+        self.process.kill()
+        self.process.wait()
+
+
+@dataclass
+class LocalPlatform:
+    """A stand-in platform in a process of its own, and the routers on it.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings and logs.
+    """
+
+    folder: Path
+    routers: list[RouterProcess] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        command = [sys.executable, "-m", "umberhitch.platform.standins"]
+        self._process = subprocess.Popen(command, stdout=subprocess.PIPE)
+        assert self._process.stdout is not None
+        found = json.decode(self._process.stdout.readline())
+        self._store, self._control = found["store"], found["control"]
+
+    def close(self) -> None:
+        """End every process that was started here."""
+        for router in self.routers:
+            router.kill()
+        self._process.kill()
+        self._process.wait()
+        assert self._process.stdout is not None
+        self._process.stdout.close()
+
+    def control(self, method: str, path: str, body: Any = None) -> Any:
+        """Make a call of the stand-in's control."""
+        answer = call(self._control, method, path, b"" if body is None else json.encode(body))
+        assert answer.status == 200, answer
+        return json.decode(answer.body)
+
+    def runs(self, endpoint: str) -> list[dict[str, str]]:
+        """Return what has run on an endpoint."""
+        return self.control("GET", f"/endpoints/{endpoint}/runs")
+
+    def start_router(self, name: str) -> RouterProcess:
+        """Start a router and wait until it is ready."""
+        settings = {
+            "role": "gateway",
+            "name": name,
+            "zone": "a",
+            "listen": dict.fromkeys(("callers", "readiness", "pages", "link"), LOOPBACK),
+            "store": self._store,
+            "drain_s": LIMIT_S,
+            "drain_notice_s": 6.0,
+        }
+        path = self.folder / f"{name}.json"
+        path.write_bytes(json.encode(settings))
+        log = self.folder / f"{name}.log"
+        command = [sys.executable, "-m", "umberhitch.cli.daemon", f"--settings={path}"]
+        with log.open("ab") as sink:
+            begin = sink.tell()
+            process = subprocess.Popen(command, stderr=sink)
+        addresses = eventually(lambda: _addresses(log.read_bytes()[begin:]))
+        router = RouterProcess(process, addresses)
+        self.routers.append(router)
+        eventually(lambda: router.is_ready)
+        return router
+
+
+def _addresses(log: bytes) -> dict[str, str] | None:
+    for line in log.splitlines():
+        if b'"addresses"' in line and line.endswith(b"}"):
+            return json.decode(line)["addresses"]
+    return None
--- /dev/null
+++ b/umberhitch/platform/tests/test_processes.py
@@ -0,0 +1,186 @@
+"""The whole path as processes on a stand-in platform: store, endpoints, routers, over sockets."""
+
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from umberhitch.platform.standins.client import LocalPlatform, RouterProcess, eventually
+
+KEY = "k1"
+ROUTE = {
+    "host": "models.example",
+    "service": "svc",
+    "timeoutMs": 8000,
+    "targetLatencyMs": 1000,
+    "priority": 0,
+    "public": False,
+}
+ROUTES = [
+    {**ROUTE, "name": "look", "pathPrefix": "/look/", "kind": "idempotent", "maxAttempts": 2},
+    {**ROUTE, "name": "order", "pathPrefix": "/order/", "kind": "non_idempotent"},
+    {
+        **ROUTE,
+        "name": "draft",
+        "pathPrefix": "/draft/",
+        "kind": "streaming",
+        "maxAttempts": 3,
+        "resumable": True,
+        "targetGapMs": 1000,
+        "sizes": ["small", "large"],
+    },
+]
+EVENTS = b"".join(b"id: %d\ndata: e%d\n\n" % (each, each) for each in range(1, 5))
+
+
+def publish(platform: LocalPlatform, number: int, keys: tuple[str, ...] = (KEY,)) -> None:
+    config = {
+        "version": number,
+        "routes": ROUTES,
+        "services": [{"name": "svc", "engine": {"slots": 8, "kvCapacityTokens": 10000}}],
+        "tenants": [{"name": "acme", "apiKeys": list(keys)}],
+    }
+    platform.control("POST", "/operator/config", config)
+
+
+@pytest.fixture
+def platform(tmp_path: Path) -> Iterator[LocalPlatform]:
+    found = LocalPlatform(tmp_path)
+    try:
+        publish(found, 1)
+        for name in ("e1", "e2"):
+            add(found, name, "v1")
+        yield found
+    finally:
+        found.close()
+
+
+def add(platform: LocalPlatform, name: str, version: str) -> None:
+    platform.control("POST", f"/endpoints/{name}", {"service": "svc", "version": version})
+
+
+def ran(platform: LocalPlatform, call_id: str, *names: str) -> int:
+    runs = [run for name in names or ("e1", "e2") for run in platform.runs(name)]
+    return sum(run["call_id"] == call_id for run in runs)
+
+
+def settle(router: RouterProcess, endpoints: int) -> None:
+    eventually(lambda: router.status()["endpoints"] == endpoints)
+
+
+def test_a_calm_day(platform):
+    router = platform.start_router("r1")
+    settle(router, 2)
+    look = router.ask("/look/x", "a1", KEY)
+    assert (look.status, look.headers["response-signature"].startswith("signed.")) == (200, True)
+    order = router.ask("/order/x", "a2", KEY)
+    assert (order.status, ran(platform, "a2")) == (200, 1)
+    draft = router.ask("/draft/x", "a3", KEY, model="*")
+    assert (draft.status, draft.body, draft.is_whole) == (200, EVENTS, True)
+    assert {run["customer"] for run in platform.runs("e1") + platform.runs("e2")} == {"acme"}
+    assert router.ask("/none/x", "a4", KEY).status == 404
+    assert router.ask("/look/x", "a5", "stolen").status == 401
+
+
+def test_a_broken_stream_goes_on_elsewhere_and_a_doubtful_answer_is_dropped(platform):
+    router = platform.start_router("r1")
+    settle(router, 2)
+    for name in ("e1", "e2"):
+        platform.control("POST", f"/endpoints/{name}/faults", {"break_after": 2})
+    broken = router.ask("/draft/x", "b1", KEY, model="small")
+    assert (broken.body, broken.is_whole) == (EVENTS, True)
+    for name in ("e1", "e2"):
+        faults = {"break_after": 0, "confidence": 0}
+        platform.control("POST", f"/endpoints/{name}/faults", faults)
+    doubtful = router.ask("/draft/x", "b2", KEY, model="*")
+    assert (doubtful.body, doubtful.is_whole) == (EVENTS, True)
+    models = [
+        run["model"]
+        for name in ("e1", "e2")
+        for run in platform.runs(name)
+        if run["call_id"] == "b2"
+    ]
+    assert sorted(models) == ["large", "small"]
+
+
+def test_a_key_that_is_taken_away_and_an_endpoint_that_drains(platform):
+    router = platform.start_router("r1")
+    settle(router, 2)
+    publish(platform, 2, keys=("k2",))
+    eventually(lambda: router.status()["configuration"] == 2)
+    assert router.ask("/look/x", "c1", KEY).status == 401
+    assert ran(platform, "c1") == 0
+    platform.control("POST", "/endpoints/e1/state/draining")
+    eventually(lambda: _reaches_only(platform, router, "e2"))
+
+
+def _reaches_only(platform: LocalPlatform, router: RouterProcess, name: str) -> bool:
+    before = {each: len(platform.runs(each)) for each in ("e1", "e2")}
+    for number in range(4):
+        router.ask("/look/x", f"d{number}", "k2")
+    after = {each: len(platform.runs(each)) for each in ("e1", "e2")}
+    return all(after[each] == before[each] for each in after if each != name)
+
+
+def test_a_refusal_says_that_nothing_has_run_and_when_to_come_back(platform):
+    router = platform.start_router("r1")
+    settle(router, 2)
+    for name in ("e1", "e2"):
+        platform.control("POST", f"/endpoints/{name}/faults", {"is_shedding": True})
+    refused = router.ask("/order/x", "f1", KEY)
+    assert (refused.status, ran(platform, "f1")) == (503, 0)
+    assert float(refused.headers["retry-after"]) > 0
+
+
+def test_a_roll_out_of_a_bad_version_survives_the_loss_of_a_router(platform):
+    routers = [platform.start_router(f"r{number}") for number in range(2)]
+    eventually(lambda: all(router.status()["routers"] == 2 for router in routers))
+    add(platform, "n1", "v2")
+    platform.control("POST", "/endpoints/n1/faults", {"status": 500})
+    for router in routers:
+        settle(router, 3)
+    order = {"service": "svc", "target": "v2", "durationS": 30}
+    platform.control("POST", "/operator/rollout/svc", order)
+    eventually(lambda: platform.control("GET", "/status/rollout/svc"))
+    routers[0].kill()
+    numbers = iter(range(100_000))
+
+    def is_turned_back() -> bool:
+        for _ in range(20):
+            routers[1].ask("/look/x", f"g{next(numbers)}", KEY)
+        return platform.control("GET", "/status/rollout/svc")["state"] == "rolled_back"
+
+    eventually(is_turned_back)
+    before = len(platform.runs("n1"))
+    for number in range(20):
+        assert routers[1].ask("/look/x", f"h{number}", KEY).status == 200
+    assert len(platform.runs("n1")) == before
+
+
+def test_all_routers_killed_and_started_again_go_on_from_the_store(platform):
+    for number in range(2):
+        platform.start_router(f"r{number}")
+    publish(platform, 5, keys=("k5",))
+    for router in platform.routers:
+        router.kill()
+    platform.routers.clear()
+    again = platform.start_router("r0")
+    assert again.status()["configuration"] == 5
+    settle(again, 2)
+    assert again.ask("/look/x", "i1", KEY).status == 401
+    assert again.ask("/look/x", "i2", "k5").status == 200
+
+
+def test_a_store_that_is_away_is_waited_for_and_a_router_that_stops_ends_what_it_has(platform):
+    router = platform.start_router("r1")
+    settle(router, 2)
+    platform.control("POST", "/store/faults", {"is_down": True})
+    eventually(lambda: router.ask("/look/x", "j1", KEY).status == 503)
+    platform.control("POST", "/store/faults", {"is_down": False})
+    eventually(lambda: router.ask("/look/x", "j2", KEY).status == 200)
+    router.process.send_signal(signal.SIGTERM)
+    eventually(lambda: not router.is_ready)
+    late = router.ask("/look/x", "j3", KEY)
+    assert (late.status, late.headers.get("connection")) == (200, "close")
+    assert router.process.wait() == 0
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -27,6 +27,7 @@
     Route,
     RouteKind,
     RouteTable,
+    Service,
 )
 from umberhitch.errors import BadAskError
 from umberhitch.ports.clock import Clock
@@ -77,8 +78,8 @@
     zone: str
     proof_age_s: float = 4.5
     drain_notice_s: float = 2.6
-    operator_pace: FeedPace = field(default_factory=lambda: FeedPace(wait_s=1.2, pause_s=0.05))
-    endpoint_pace: FeedPace = field(default_factory=lambda: FeedPace(wait_s=1.0, pause_s=0.8))
+    operator_pace: FeedPace = field(default_factory=lambda: FeedPace(wait_s=1.6, pause_s=0.05))
+    endpoint_pace: FeedPace = field(default_factory=lambda: FeedPace(wait_s=1.0, pause_s=1.1))
     budget: BudgetLimits = BudgetLimits()
     cascade: CascadeLimits = CascadeLimits()
     placement: PlacementLimits = PlacementLimits()
@@ -365,7 +366,15 @@
         chosen = self.choose(permit, largest, set())
         if chosen is None:
             return None
-        return self._cascade.next_model(permit.route, model, confidence, waited_s, chosen[1])
+        service = self._service(permit)
+        prices = service.prices if service is not None else {}
+        return self._cascade.next_model(
+            permit.route, permit.ask, model, confidence, prices, waited_s, chosen[1]
+        )
+
+    def _service(self, permit: Permit) -> Service | None:
+        assert self.table is not None
+        return self.table.document.services.get(permit.service)
 
     def choose(
         self, permit: Permit, model: str | None, tried: set[str]
@@ -386,8 +395,7 @@
         """Send the request to an endpoint."""
         self.counters.calls += 1
         ask, route = permit.ask, permit.route
-        assert self.table is not None
-        service = self.table.document.services.get(permit.service)
+        service = self._service(permit)
         now_s = self.clock.seconds()
         self.directory.tried(endpoint, now_s)
         placed = self.placement.place(endpoint, ask, model or "", route.models, service, now_s)
