--- a/umberhitch/tasks/direct/exchange.py
+++ b/umberhitch/tasks/direct/exchange.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from logging import getLogger
 from typing import Protocol
 
 from umberhitch.core.direct import (
@@ -25,8 +24,6 @@
 
 __all__ = ["Exchange", "ExchangeLimits", "Permit", "Services"]
 
-log = getLogger(__name__)
-
 MAX_PLAIN_BYTES = 1_048_576
 """A plain reply up to this size is passed on only when it is whole."""
 MAX_DIALS = 6
@@ -130,6 +127,10 @@
         """Take note that a request has its final answer."""
         ...
 
+    def decided(self, exchange: "Exchange", what: str, is_failure: bool, **facts: object) -> None:
+        """Write a decision to the log."""
+        ...
+
 
 class Exchange:
     """One request.
@@ -196,6 +197,11 @@
         """Model that was asked last."""
         return self._model
 
+    @property
+    def endpoint(self) -> Endpoint | None:
+        """Endpoint that was asked last."""
+        return self._endpoint
+
     @property
     def is_streaming(self) -> bool:
         """Whether the head of a stream has gone to the caller."""
@@ -218,15 +224,24 @@
         if self._sends > 0 and not self._svc.may_repeat(self.permit.service):
             self._give_up("retry budget")
             return
-        self._begin_call(chosen[0])
+        self._begin_call(*chosen)
 
-    def _begin_call(self, endpoint: Endpoint) -> None:
+    def _begin_call(self, endpoint: Endpoint, wait_s: float) -> None:
         self._endpoint = endpoint
         self._head = None
         self._held.clear()
         self._sends += 1
         self._tried.add(endpoint.entry.incarnation)
         self._call, self._placed = self._svc.send(self.permit, endpoint, self._model, self)
+        self._svc.decided(
+            self,
+            "call sent",
+            False,
+            version=endpoint.entry.version,
+            expected_s=round(wait_s, 4),
+            left_s=round(self.left_s, 3),
+            after_event=None if self.last_event is None else self.last_event.decode("latin-1"),
+        )
         if self._is_paused:
             self._call.pause()
         route, limits = self.permit.route, self._svc.limits
@@ -304,6 +319,7 @@
         assert self._endpoint is not None
         if head.is_elsewhere:
             self._svc.moved(self._endpoint)
+        self._svc.decided(self, "call not run", True, status=head.status)
         self._call.detach()
         self._end_call(None)
         self._next()
@@ -337,6 +353,8 @@
         """Drop an answer of which the caller has nothing yet, and ask another model."""
         assert self._call is not None
         assert self._endpoint is not None
+        confidence = None if self._head is None else self._head.confidence
+        self._svc.decided(self, "answer dropped", False, confidence=confidence, larger=larger)
         self._call.cancel()
         self._end_call(None)
         previous = self._model
@@ -347,7 +365,7 @@
             self._model = previous
             self._next()
             return
-        self._begin_call(chosen[0])
+        self._begin_call(*chosen)
 
     def _on_error(self, head: ReplyHead) -> None:
         """Handle a failure that the endpoint itself reports; it ran."""
@@ -355,6 +373,7 @@
         assert self._endpoint is not None
         self._may_have_run = True
         is_server_side = head.status >= 500
+        self._svc.decided(self, "endpoint failed", True, status=head.status)
         if is_server_side:
             self._svc.noted(self.permit, self._endpoint, True, self._model)
         if self._is_streaming:
@@ -448,7 +467,7 @@
 
     def _not_sent(self, detail: str) -> None:
         assert self._endpoint is not None
-        log.info("endpoint not reached", extra=self._facts(detail))
+        self._svc.decided(self, "endpoint not reached", True, detail=detail)
         self._svc.unreachable(self._endpoint)
         self._end_call(True)
         self._sends -= 1
@@ -461,7 +480,7 @@
     def _broken(self, detail: str) -> None:
         """A call was sent, and how it ended is not known."""
         assert self._endpoint is not None
-        log.info("call broken", extra=self._facts(detail))
+        self._svc.decided(self, "call broken", True, detail=detail, had_head=self._head is not None)
         self._may_have_run = True
         if self._head is None:
             self._svc.unreachable(self._endpoint)
@@ -522,15 +541,3 @@
         self._is_paused = False
         if self._call is not None:
             self._call.resume()
-
-    def _facts(self, detail: str) -> dict[str, object]:
-        """Return what a log line says of the request."""
-        endpoint = self._endpoint.entry.incarnation if self._endpoint else None
-        return {
-            "request": self.permit.ask.call_id,
-            "route": self.permit.route.name,
-            "endpoint": endpoint,
-            "model": self._model,
-            "sends": self._sends,
-            "detail": detail,
-        }
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -44,6 +44,7 @@
     RunningCall,
     WirePort,
 )
+from umberhitch.tasks.direct.decisions import DecisionLog
 from umberhitch.tasks.direct.exchange import Exchange, ExchangeLimits, Permit
 from umberhitch.tasks.direct.feeds import Feed, FeedPace
 from umberhitch.tasks.direct.trials import Trials
@@ -129,6 +130,7 @@
         self.placement = Placement(settings.zone, settings.placement)
         self.budget = RetryBudget(settings.budget)
         self.trials = trials
+        self.decisions = DecisionLog(clock)
         self.table: RouteTable | None = None
         self.running: set[Exchange] = set()
         self._cascade = Cascade(settings.cascade)
@@ -470,8 +472,7 @@
         retry_s: float | None,
     ) -> None:
         self.counters.refused[reason] = self.counters.refused.get(reason, 0) + 1
-        facts = {"request": call_id, "status": status, "reason": reason}
-        log.info("refused", extra=facts)
+        self.decisions.write("refused", call_id, True, status=status, reason=reason)
         headers, body = self._own_answer(call_id, reason, retry_s)
         reply.head(status, headers)
         reply.data(body)
@@ -481,17 +482,32 @@
         """Take note that a request has its final answer."""
         self.running.discard(exchange)
         self.counters.outcomes[outcome] = self.counters.outcomes.get(outcome, 0) + 1
-        if outcome != "done":
-            facts = {
-                "request": exchange.permit.ask.call_id,
-                "route": exchange.permit.route.name,
-                "outcome": outcome,
-                "sends": exchange.sends,
-                "model": exchange.model,
-            }
-            log.info("request ended", extra=facts)
+        elapsed_s = round(self.clock.seconds() - exchange.permit.received_s, 4)
+        is_failure = outcome != "done"
+        self.decided(exchange, "request ended", is_failure, outcome=outcome, elapsed_s=elapsed_s)
         self._look_idle()
 
+    def decided(self, exchange: Exchange, what: str, is_failure: bool, **facts: object) -> None:
+        """Write a decision to the log, with what it rests on."""
+        endpoint = exchange.endpoint
+        assert self.table is not None
+        self.decisions.write(
+            what,
+            exchange.permit.ask.call_id,
+            is_failure,
+            route=exchange.permit.route.name,
+            endpoint=None if endpoint is None else endpoint.entry.incarnation,
+            model=exchange.model,
+            sends=exchange.sends,
+            configuration=self.table.document.number,
+            registry_age_s=self._registry_age_s(),
+            **facts,
+        )
+
+    def _registry_age_s(self) -> float | None:
+        proved_s = self.registry_feed.proved_s
+        return None if proved_s is None else round(self.clock.seconds() - proved_s, 3)
+
 
 def _nothing() -> None:
     """Do nothing: the answer is complete already."""
