Proof of freshness up to the end of a held call; listen for callers before the rest is imported

Now an empty answer after the whole wait proves up to its end, less 0.1 s; the limit is 0.97 of the revocation bound, both times being of one steady clock; the callers' socket listens after settings are read and before Twisted is imported.

--- a/umberhitch/cli/tests/test_daemon.py
+++ b/umberhitch/cli/tests/test_daemon.py
@@ -4,9 +4,12 @@
 import subprocess
 import sys
 from pathlib import Path
+from socket import create_connection
 
 from msgspec import json
 
+from umberhitch.cli.daemon import listen_early
+
 LIMIT_S = 60.0
 AGENT = {
     "role": "agent",
@@ -147,3 +150,10 @@
     command = [sys.executable, "-c", code, "x"]
     done = subprocess.run(command, capture_output=True, text=True, timeout=LIMIT_S)
     assert (done.returncode, done.stdout.strip()) == (0, "")
+
+
+def test_callers_are_taken_before_the_process_is_ready() -> None:
+    """They found no connection for 0.6 s after a restart (registry, trouble-3)."""
+    with listen_early("127.0.0.1:0") as listening:
+        with create_connection(listening.getsockname(), LIMIT_S) as caller:
+            caller.sendall(b"GET")
--- a/umberhitch/fakes/_direct.py
+++ b/umberhitch/fakes/_direct.py
@@ -56,13 +56,14 @@
     ----------
     is_down : bool
         Every call is refused.
-    is_silent : bool
-        No call is answered for `silent_s`.
     lose_answers : int
         So many of the next writes take effect while their answers are lost.
+    holds : bool
+        Calls are held while there is nothing new; else they are answered at once.
     """
 
     is_down: bool = False
+    holds: bool = True
     delay_s: float = 0.0
     lose_answers: int = 0
 
@@ -108,7 +109,7 @@
         await self._reach()
         if offset < self._memory.first:
             raise LogTrimmedError(self._memory.first)
-        if offset >= len(self._memory.records):
+        if offset >= len(self._memory.records) and self._faults.holds:
             await self._wait(wait_s)
             if self._faults.is_down:
                 raise LogUnavailableError("down")
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from logging import getLogger
 from random import Random, SystemRandom
+from socket import AF_INET, socket
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -32,13 +33,12 @@
 
 log = getLogger(__name__)
 
-PROOF_MARGIN = 0.9
-"""Share of the revocation bound after which requests with keys are refused."""
+PROOF_MARGIN = 0.97
+"""Share of the revocation bound after which requests with keys are refused. Proof and request are
+timed by the same steady clock, and a request was sent before its first byte is read."""
 BODIES_SHARE = 0.25
 """Share of the process's memory that callers' bodies may take."""
 MIB = 1024 * 1024
-BACKLOG = 1024
-"""Connections that wait to be taken; a full queue costs callers seconds."""
 
 
 @dataclass(slots=True)
@@ -85,9 +85,20 @@
 
 
 def make_gateway_node(
-    settings: GatewayFile, reactor: Any, context: Any, incarnation: int
+    settings: GatewayFile, reactor: Any, context: Any, incarnation: int, callers_socket: socket
 ) -> GatewayNode:
-    """Start a router of the direct path."""
+    """Start a router of the direct path.
+
+    Parameters
+    ----------
+    settings : GatewayFile
+    reactor : IReactorTCP
+    context : zmq.Context
+    incarnation : int
+        Grows from one start of the process to the next.
+    callers_socket : socket
+        Listens for callers already; it is closed here.
+    """
     rng = Random(SystemRandom().getrandbits(64))
     wire = PlatformWire()
     client = EndpointClient(reactor, wire.read_reply)
@@ -116,7 +127,7 @@
     callers = CallerFactory(reactor, _Front(gateway), int(settings.memory_mb * MIB * BODIES_SHARE))
     pages = CallerFactory(reactor, GatewayPages(gateway), MIB)
     ports = {
-        "callers": _listen(reactor, settings.listen.callers, callers),
+        "callers": _adopt(reactor, callers_socket, callers),
         "readiness": _listen(reactor, settings.listen.readiness, pages),
         "pages": _listen(reactor, settings.listen.pages, pages),
     }
@@ -128,7 +139,13 @@
 
 def _listen(reactor: Any, address: str, factory: CallerFactory) -> Any:
     host, port = split_address(address)
-    return reactor.listenTCP(port, factory, backlog=BACKLOG, interface=host.strip("[]"))
+    return reactor.listenTCP(port, factory, interface=host.strip("[]"))
+
+
+def _adopt(reactor: Any, listening: socket, factory: CallerFactory) -> Any:
+    with listening:
+        listening.setblocking(False)
+        return reactor.adoptStreamPort(listening.fileno(), AF_INET, factory)
 
 
 class _Front:
--- a/umberhitch/tasks/direct/feeds.py
+++ b/umberhitch/tasks/direct/feeds.py
@@ -1,7 +1,8 @@
 """Follows the keyed streams of the platform's store: configuration, roll-outs, endpoints.
 
-Each feed is a loop of one call at a time. Its proof of freshness is the time at which it sent the
-last call that told it the end of the stream: what was not there then was acknowledged later.
+Each feed is a loop of one call at a time. Its proof of freshness is the time at which the last
+answered call was sent: what was not there then was acknowledged later. Where the store held the
+call for the whole wait and had nothing, it is the end of that wait.
 """
 
 from collections.abc import Callable
@@ -21,6 +22,9 @@
 
 Value = TypeVar("Value")
 
+HOLD_MARGIN_S = 0.1
+"""The store may hold a call a little shorter than it was asked to; its timers are its own."""
+
 
 class FeedPace:
     """Times of a feed, in seconds.
@@ -118,6 +122,7 @@
         failures = 0
         while not self._is_stopped:
             called_s = self._clock.seconds()
+            wait_s = 0.0
             patience_s = self._pace.patience_s[failures % len(self._pace.patience_s)]
             try:
                 if is_whole:
@@ -145,6 +150,8 @@
             failures = 0
             self.offset = batch.end
             self.proved_s = called_s
+            if wait_s and not batch.records and self._clock.seconds() - called_s >= wait_s:
+                self.proved_s = called_s + wait_s - HOLD_MARGIN_S
             await self._sleep(self._pace.pause_s)
 
     def _was_away(self) -> bool:
--- a/umberhitch/tasks/direct/tests/test_store.py
+++ b/umberhitch/tasks/direct/tests/test_store.py
@@ -139,3 +139,28 @@
     assert running.reply.is_complete
     assert plain.status == 200
     assert done == [True]
+
+
+def test_a_call_that_the_store_held_proves_up_to_its_end():
+    """The proof was once as old as two waits, and callers were refused 2.4 s after an outage began
+    (registry, trouble-3, seconds 20 and 21)."""
+    world = DirectWorld()
+    router = world.ready_router()
+    ages = []
+    for _ in range(100):
+        world.run(0.1)
+        ages.append(router.gateway.proof_age_s(world.clock.seconds()))
+    assert max(ages) < 1.85
+
+
+def test_a_call_that_was_not_held_proves_only_what_stood_when_it_was_sent():
+    world = DirectWorld()
+    router = world.ready_router()
+    router.faults.holds = False
+    router.faults.delay_s = 0.4
+    world.run(5.0)
+    calls = router.operator.calls
+    assert router.gateway.proof_age_s(world.clock.seconds()) >= 0.0
+    while router.operator.calls == calls:
+        world.run(0.01)
+    assert router.gateway.proof_age_s(world.clock.seconds()) >= 0.4
