--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -52,7 +52,7 @@
     def _status(self) -> dict[str, object]:
         gateway = self._gateway
         number = None if gateway.table is None else gateway.table.document.number
-        age_s = gateway.proof_age_s(gateway.clock.seconds())
+        age_s = gateway.view.proof_age_s(gateway.clock.seconds())
         return {
             "router": gateway.settings.name,
             "ready": gateway.is_ready,
@@ -75,7 +75,7 @@
             f"umberhitch_endpoints {len(gateway.directory)}",
             f"umberhitch_routers {gateway.budget.routers}",
         ]
-        age_s = gateway.proof_age_s(gateway.clock.seconds())
+        age_s = gateway.view.proof_age_s(gateway.clock.seconds())
         if age_s != float("inf"):
             lines.append(f"umberhitch_configuration_age_seconds {age_s:.3f}")
         for name, by_label in (("outcomes", count.outcomes), ("refused", count.refused)):
--- a/umberhitch/adapters/h11_callers.py
+++ b/umberhitch/adapters/h11_callers.py
@@ -16,7 +16,7 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-from umberhitch.adapters.h11_endpoints import detect_silence
+from umberhitch.adapters.silence import detect_silence
 from umberhitch.core.direct import IntakeLimits
 from umberhitch.ports.clock import Clock, Timer
 from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest
--- a/umberhitch/adapters/h11_endpoints.py
+++ b/umberhitch/adapters/h11_endpoints.py
@@ -9,15 +9,14 @@
 from dataclasses import dataclass
 from ipaddress import ip_address
 from logging import getLogger
-from socket import IPPROTO_TCP, SO_KEEPALIVE, SOL_SOCKET, TCP_NODELAY
 from typing import Any
 
 import h11
-from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from umberhitch.adapters.silence import detect_silence
 from umberhitch.core.direct import ReplyHead
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import (
@@ -27,22 +26,10 @@
     HeaderList,
 )
 
-__all__ = [
-    "EndpointClient",
-    "EndpointClientLimits",
-    "NoReplyError",
-    "detect_silence",
-    "fetch",
-]
+__all__ = ["EndpointClient", "EndpointClientLimits"]
 
 log = getLogger(__name__)
 
-TCP_KEEPIDLE = 4
-TCP_KEEPINTVL = 5
-TCP_KEEPCNT = 6
-TCP_USER_TIMEOUT = 18
-"""Linux, tcp(7)."""
-
 
 @dataclass(frozen=True, slots=True)
 class EndpointClientLimits:
@@ -66,17 +53,6 @@
     once_idle_s: float = 1.5
 
 
-def detect_silence(transport: Any, silence_s: float) -> None:
-    """Let the kernel end a connection whose other side does not answer."""
-    sock = transport.getHandle()
-    sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-    sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
-    sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, 1)
-    sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, 1)
-    sock.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, 2)
-    sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, int(silence_s * 1000))
-
-
 class _Call:
     """One call; the connection's side of `RunningCall`."""
 
@@ -387,51 +363,3 @@
         """Close every kept connection."""
         for address in list(self._idle):
             self.close_idle(address)
-
-
-class NoReplyError(Exception):
-    """A call brought no whole reply; ``was_sent`` tells whether it may have had an effect."""
-
-    def __init__(self, was_sent: bool, detail: str) -> None:
-        super().__init__(detail)
-        self.was_sent = was_sent
-
-
-class _Fetch:
-    """Collects one whole reply."""
-
-    def __init__(self, clock: Clock, timeout_s: float) -> None:
-        self.done: Deferred[tuple[ReplyHead, bytes]] = Deferred()
-        self.running: _Call | None = None
-        self._head: ReplyHead | None = None
-        self._body = bytearray()
-        self._timer = clock.callLater(timeout_s, self._on_timeout)
-
-    def on_head(self, head: ReplyHead) -> None:
-        self._head = head
-
-    def on_data(self, data: bytes) -> None:
-        self._body += data
-
-    def on_end(self) -> None:
-        assert self._head is not None
-        self._timer.cancel()
-        self.done.callback((self._head, bytes(self._body)))
-
-    def on_failure(self, failure: CallFailure, detail: str) -> None:
-        self._timer.cancel()
-        self.done.errback(NoReplyError(failure is not CallFailure.NOT_SENT, detail))
-
-    def _on_timeout(self) -> None:
-        assert self.running is not None
-        self.running.cancel()
-        self.done.errback(NoReplyError(True, "no reply in time"))
-
-
-def fetch(
-    client: EndpointClient, clock: Clock, address: str, call: EndpointCall, timeout_s: float
-) -> Deferred[tuple[ReplyHead, bytes]]:
-    """Send a call and return its whole reply; fails with `NoReplyError`."""
-    collector = _Fetch(clock, timeout_s)
-    collector.running = client.send(address, call, collector)
-    return collector.done
--- a/umberhitch/adapters/tests/test_h11_endpoints.py
+++ b/umberhitch/adapters/tests/test_h11_endpoints.py
@@ -7,7 +7,8 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
-from umberhitch.adapters.h11_endpoints import EndpointClient, NoReplyError, fetch
+from umberhitch.adapters.h11_endpoints import EndpointClient
+from umberhitch.adapters.h11_fetch import NoReplyError, fetch
 from umberhitch.core.direct import ReplyHead
 from umberhitch.ports.direct import CallFailure, EndpointCall, HeaderList
 from umberhitch.testing import dial
--- a/umberhitch/cli/tests/test_daemon.py
+++ b/umberhitch/cli/tests/test_daemon.py
@@ -154,6 +154,8 @@
 
 def test_callers_are_taken_before_the_process_is_ready() -> None:
     """They found no connection for 0.6 s after a restart (registry, trouble-3)."""
-    with listen_early("127.0.0.1:0") as listening:
-        with create_connection(listening.getsockname(), LIMIT_S) as caller:
-            caller.sendall(b"GET")
+    with (
+        listen_early("127.0.0.1:0") as listening,
+        create_connection(listening.getsockname(), LIMIT_S) as caller,
+    ):
+        caller.sendall(b"GET")
--- a/umberhitch/fakes/__init__.py
+++ b/umberhitch/fakes/__init__.py
@@ -4,16 +4,18 @@
 """
 
 from umberhitch.fakes._clock import ProcessClock
-from umberhitch.fakes._direct import (
+from umberhitch.fakes._direct_http import (
     FakeEndpoint,
     FakeEndpoints,
+    FakeReply,
+    FakeWire,
+    Reply,
+)
+from umberhitch.fakes._direct_store import (
     FakeFeed,
     FakeMembers,
-    FakeReply,
     FakeStatuses,
-    FakeWire,
     KeyedMemory,
-    Reply,
     StoreFaults,
 )
 from umberhitch.fakes._engine import EngineFaults, EnginePace, FakeEngine, expected_answer
--- /dev/null
+++ b/umberhitch/fakes/_direct_store.py
@@ -0,0 +1,159 @@
+"""The store around a router of the direct path, in memory and on any clock."""
+
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+from twisted.internet.defer import Deferred, succeed
+
+from umberhitch.core.direct import RolloutState
+from umberhitch.errors import LogAnswerLostError, LogTrimmedError, LogUnavailableError
+from umberhitch.ports.clock import Clock
+from umberhitch.ports.direct import FeedBatch, FeedRecord, Member, StoredStatus
+
+__all__ = ["FakeFeed", "FakeMembers", "FakeStatuses", "KeyedMemory", "StoreFaults"]
+
+Value = TypeVar("Value")
+
+
+@dataclass
+class StoreFaults:
+    """What is wrong with the store for one router.
+
+    Attributes
+    ----------
+    is_down : bool
+        Every call is refused.
+    lose_answers : int
+        So many of the next writes take effect while their answers are lost.
+    holds : bool
+        Calls are held while there is nothing new; else they are answered at once.
+    """
+
+    is_down: bool = False
+    holds: bool = True
+    delay_s: float = 0.0
+    lose_answers: int = 0
+
+
+class KeyedMemory(Generic[Value]):
+    """A keyed stream."""
+
+    def __init__(self) -> None:
+        self.records: list[FeedRecord[Value]] = []
+        self.first = 0
+        self.waiting: list[Deferred[None]] = []
+
+    def put(self, key: str, value: Value | None) -> None:
+        """Append a record."""
+        self.records.append(FeedRecord(key, value))
+        waiting, self.waiting = self.waiting, []
+        for done in waiting:
+            done.callback(None)
+
+    def forget_history(self) -> None:
+        """Drop every record but the newest of each key, for those who read by offset."""
+        self.first = len(self.records)
+
+
+class FakeFeed(Generic[Value]):
+    """A `FeedPort` to a `KeyedMemory`."""
+
+    def __init__(self, memory: KeyedMemory[Value], clock: Clock, faults: StoreFaults) -> None:
+        self._memory = memory
+        self._clock = clock
+        self._faults = faults
+        self.calls = 0
+
+    async def newest(self, patience_s: float) -> FeedBatch[Value]:
+        """Return the newest record of every key."""
+        await self._reach()
+        newest = {record.key: record for record in self._memory.records}
+        kept = tuple(record for record in newest.values() if record.value is not None)
+        return FeedBatch(kept, len(self._memory.records))
+
+    async def since(self, offset: int, wait_s: float, patience_s: float) -> FeedBatch[Value]:
+        """Return records, waiting for the first."""
+        await self._reach()
+        if offset < self._memory.first:
+            raise LogTrimmedError(self._memory.first)
+        if offset >= len(self._memory.records) and self._faults.holds:
+            await self._wait(wait_s)
+            if self._faults.is_down:
+                raise LogUnavailableError("down")
+        records = tuple(self._memory.records[offset:])
+        return FeedBatch(records, offset + len(records))
+
+    def _wait(self, wait_s: float) -> Deferred[None]:
+        done: Deferred[None] = Deferred()
+        self._clock.callLater(wait_s, self._time_out, done)
+        self._memory.waiting.append(done)
+        return done
+
+    def _time_out(self, done: Deferred[None]) -> None:
+        if done in self._memory.waiting:
+            self._memory.waiting.remove(done)
+            done.callback(None)
+
+    def _reach(self) -> Deferred[None]:
+        self.calls += 1
+        return _reach(self._clock, self._faults)
+
+
+def _reach(clock: Clock, faults: StoreFaults) -> Deferred[None]:
+    if faults.is_down:
+        raise LogUnavailableError("down")
+    if not faults.delay_s:
+        return succeed(None)
+    done: Deferred[None] = Deferred()
+    clock.callLater(faults.delay_s, done.callback, None)
+    return done
+
+
+class FakeStatuses:
+    """A `StatusPort`; several routers may share the rows."""
+
+    def __init__(self, rows: list[tuple[str, str, RolloutState]], faults: StoreFaults) -> None:
+        self.rows = rows
+        self._faults = faults
+
+    async def read(self) -> StoredStatus:
+        """Return all states."""
+        if self._faults.is_down:
+            raise LogUnavailableError("down")
+        states = {service: (target, state) for service, target, state in self.rows}
+        return StoredStatus(states, len(self.rows))
+
+    async def write(self, service: str, target: str, state: RolloutState, end: int) -> bool:
+        """Write a state unless anything was written since ``end``."""
+        if self._faults.is_down:
+            raise LogUnavailableError("down")
+        if end != len(self.rows):
+            return False
+        self.rows.append((service, target, state))
+        if self._faults.lose_answers > 0:
+            self._faults.lose_answers -= 1
+            raise LogAnswerLostError("answer lost")
+        return True
+
+
+class FakeMembers:
+    """A `MembersPort`; routers share the dictionary."""
+
+    def __init__(self, rows: dict[str, Member], faults: StoreFaults) -> None:
+        self._rows = rows
+        self._faults = faults
+
+    async def join(self, member: Member, ttl_s: float) -> int:
+        """Join or stay."""
+        if self._faults.is_down:
+            raise LogUnavailableError("down")
+        self._rows[member.name] = member
+        return len(self._rows)
+
+    async def leave(self, member: Member) -> None:
+        """Leave."""
+        self._rows.pop(member.name, None)
+
+    async def members(self) -> list[Member]:
+        """Return all members."""
+        return list(self._rows.values())
--- a/umberhitch/platform/_store.py
+++ b/umberhitch/platform/_store.py
@@ -9,7 +9,8 @@
 
 from msgspec import DecodeError, json
 
-from umberhitch.adapters.h11_endpoints import EndpointClient, NoReplyError, fetch
+from umberhitch.adapters.h11_endpoints import EndpointClient
+from umberhitch.adapters.h11_fetch import NoReplyError, fetch
 from umberhitch.core.direct import RolloutState
 from umberhitch.errors import (
     ConfigError,
--- a/umberhitch/tasks/direct/exchange.py
+++ b/umberhitch/tasks/direct/exchange.py
@@ -6,23 +6,13 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Protocol
-
-from umberhitch.core.direct import (
-    Ask,
-    Customer,
-    Endpoint,
-    EventCutter,
-    Placed,
-    ReplyHead,
-    Route,
-    RouteKind,
-)
-from umberhitch.ports.clock import Clock, Timer
+
+from umberhitch.core.direct import Endpoint, EventCutter, Placed, ReplyHead, RouteKind
+from umberhitch.ports.clock import Timer
 from umberhitch.ports.direct import CallerReply, CallFailure, RunningCall
+from umberhitch.tasks.direct.services import Permit, Services
 
-__all__ = ["Exchange", "ExchangeLimits", "Permit", "Services"]
+__all__ = ["Exchange"]
 
 MAX_PLAIN_BYTES = 1_048_576
 """A plain reply up to this size is passed on only when it is whole."""
@@ -32,106 +22,6 @@
 """With less time left no call is begun."""
 
 
-@dataclass(frozen=True, slots=True)
-class ExchangeLimits:
-    """Times in seconds, or as multiples of what the route says.
-
-    Attributes
-    ----------
-    try_objectives : float
-        A call that may be repeated gets so many times the objective before it is tried elsewhere.
-    first_event_objectives : float
-        The same for the first event of a stream.
-    gap_factor : float
-        A stream that pauses for so many times its longest good pause counts as broken.
-    least_try_s : float
-        No call is given up before.
-    """
-
-    try_objectives: float = 2.5
-    first_event_objectives: float = 2.0
-    gap_factor: float = 2.5
-    least_try_s: float = 0.25
-
-
-@dataclass(slots=True)
-class Permit:
-    """What the configuration says of a request that it admits."""
-
-    ask: Ask
-    route: Route
-    service: str
-    customer: Customer | None
-    received_s: float
-    wants_target: bool | None
-    """Whether it goes to the new version of a roll-out; None without one."""
-
-
-class Services(Protocol):
-    """What a request needs of its router."""
-
-    clock: Clock
-    limits: ExchangeLimits
-
-    def choose(
-        self, permit: Permit, model: str | None, tried: set[str]
-    ) -> tuple[Endpoint, float] | None:
-        """Return an endpoint and the wait there, or None where none takes work."""
-        ...
-
-    def send(
-        self, permit: Permit, endpoint: Endpoint, model: str | None, call: "Exchange"
-    ) -> tuple[RunningCall, Placed]:
-        """Send the request to an endpoint."""
-        ...
-
-    def may_repeat(self, service: str) -> bool:
-        """Take one repeat from the shared budget, if there is one."""
-        ...
-
-    def larger_model(
-        self, permit: Permit, model: str, confidence: int | None, waited_s: float, tried: set[str]
-    ) -> str | None:
-        """Return the model to ask instead, or None to keep the answer."""
-        ...
-
-    def first_model(self, permit: Permit) -> str | None:
-        """Return the model to begin with."""
-        ...
-
-    def noted(self, permit: Permit, endpoint: Endpoint, is_bad: bool, model: str | None) -> None:
-        """Take note of how an endpoint answered."""
-        ...
-
-    def unreachable(self, endpoint: Endpoint) -> None:
-        """Take note that an endpoint could not be reached or went silent."""
-        ...
-
-    def moved(self, endpoint: Endpoint) -> None:
-        """Take note that another incarnation has the endpoint's address."""
-        ...
-
-    def began(self, placed: Placed, head: ReplyHead) -> None:
-        """Take note that a reply has begun."""
-        ...
-
-    def release(self, placed: Placed, is_failure: bool | None) -> None:
-        """Count a call no more."""
-        ...
-
-    def refuse(self, reply: CallerReply, permit: Permit, status: int, reason: str) -> None:
-        """Send an answer of the router's own."""
-        ...
-
-    def finished(self, exchange: "Exchange", outcome: str) -> None:
-        """Take note that a request has its final answer."""
-        ...
-
-    def decided(self, exchange: "Exchange", what: str, is_failure: bool, **facts: object) -> None:
-        """Write a decision to the log."""
-        ...
-
-
 class Exchange:
     """One request.
 
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -14,7 +14,6 @@
     CascadeLimits,
     Customer,
     Directory,
-    Document,
     Endpoint,
     EndpointEntry,
     IntakeLimits,
@@ -23,7 +22,6 @@
     PlacementLimits,
     ReplyHead,
     RetryBudget,
-    RolloutOrder,
     Route,
     RouteKind,
     RouteTable,
@@ -36,7 +34,6 @@
     CallExtras,
     EndpointCall,
     EndpointPort,
-    FeedBatch,
     FeedPort,
     HeaderList,
     OperatorValue,
@@ -45,8 +42,10 @@
     WirePort,
 )
 from umberhitch.tasks.direct.decisions import DecisionLog
-from umberhitch.tasks.direct.exchange import Exchange, ExchangeLimits, Permit
-from umberhitch.tasks.direct.feeds import Feed, FeedPace
+from umberhitch.tasks.direct.exchange import Exchange
+from umberhitch.tasks.direct.feeds import FeedPace
+from umberhitch.tasks.direct.services import ExchangeLimits, Permit
+from umberhitch.tasks.direct.store_view import StoreView
 from umberhitch.tasks.direct.trials import Trials
 
 __all__ = ["Gateway", "GatewayCounters", "GatewaySettings"]
@@ -54,8 +53,6 @@
 log = getLogger(__name__)
 
 HASH_RANGE = 1 << 64
-SWEEP_S = 0.25
-"""How often entries that have not come back are looked for."""
 LEAST_RETRY_S = 0.1
 """Soonest time to come back that a refusal names."""
 STARTING_RETRY_S = 0.5
@@ -126,53 +123,38 @@
         self.clock = clock
         self.limits = settings.exchange
         self.counters = GatewayCounters()
-        self.directory = Directory()
         self.placement = Placement(settings.zone, settings.placement)
         self.budget = RetryBudget(settings.budget)
         self.trials = trials
         self.decisions = DecisionLog(clock)
-        self.table: RouteTable | None = None
         self.running: set[Exchange] = set()
         self._cascade = Cascade(settings.cascade)
         self._rng = rng
         self._wire = wire
         self._endpoints = endpoints
         self._is_leaving = False
-        self._is_stopped = False
         self._is_noticed = False
         self._on_idle: Callable[[], None] | None = None
-        self.operator_feed: Feed[OperatorValue] = Feed(
-            "operator",
-            operator_port,
+        self.view = StoreView(
             clock,
             rng,
-            settings.operator_pace,
-            self._take_all_orders,
-            self._take_orders,
-        )
-        self.registry_feed: Feed[EndpointEntry] = Feed(
-            "registry",
+            operator_port,
             registry_port,
-            clock,
-            rng,
+            settings.operator_pace,
             settings.endpoint_pace,
-            self._take_all_endpoints,
-            self._take_endpoints,
+            trials,
+            self._on_endpoints,
         )
 
     # Life
 
     def start(self) -> None:
         """Begin to follow the store."""
-        self.operator_feed.start()
-        self.registry_feed.start()
-        self._sweep()
+        self.view.start()
 
     def stop(self) -> None:
         """Do nothing more."""
-        self._is_stopped = True
-        self.operator_feed.stop()
-        self.registry_feed.stop()
+        self.view.stop()
         for exchange in list(self.running):
             exchange.cut()
 
@@ -201,74 +183,25 @@
             on_idle, self._on_idle = self._on_idle, None
             on_idle()
 
-    def _sweep(self) -> None:
-        if self._is_stopped:
-            return
-        self.directory.sweep(self.clock.seconds())
-        self.clock.callLater(SWEEP_S, self._sweep)
+    def _on_endpoints(self, gone: list[str]) -> None:
+        for address in gone:
+            self._endpoints.close_idle(address)
+        self.placement.forget(self.directory.incarnations())
+
+    @property
+    def directory(self) -> Directory:
+        """The endpoints, as the registry has them."""
+        return self.view.directory
 
     @property
-    def is_loaded(self) -> bool:
-        """Whether there are a configuration and a directory."""
-        return self.table is not None and self.directory.is_loaded
+    def table(self) -> RouteTable | None:
+        """The configuration in force."""
+        return self.view.table
 
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send callers here."""
-        return self.is_loaded and not self._is_leaving
-
-    def proof_age_s(self, at_s: float) -> float:
-        """Return how old the proof that the configuration is the newest was at a time."""
-        proved_s = self.operator_feed.proved_s
-        return float("inf") if proved_s is None else at_s - proved_s
-
-    # What the store says
-
-    def _take_all_orders(self, batch: FeedBatch[OperatorValue]) -> None:
-        self._take_orders(batch, False)
-        self.trials.keep([r.value for r in batch.records if isinstance(r.value, RolloutOrder)])
-
-    def _take_orders(self, batch: FeedBatch[OperatorValue], was_away: bool) -> None:
-        for record in batch.records:
-            match record.value:
-                case Document():
-                    self._take_document(record.value)
-                case RolloutOrder():
-                    self.trials.take_order(record.value)
-                case None if record.key.startswith("rollout/"):
-                    self.trials.drop(record.key.removeprefix("rollout/"))
-
-    def _take_document(self, document: Document) -> None:
-        if self.table is not None and document.number <= self.table.document.number:
-            return
-        self.table = RouteTable(document)
-        facts = {"number": document.number, "routes": len(document.routes)}
-        log.info("configuration in force", extra=facts)
-
-    def _take_all_endpoints(self, batch: FeedBatch[EndpointEntry]) -> None:
-        present = {record.key for record in batch.records if record.value is not None}
-        now_s = self.clock.seconds()
-        for incarnation in self.directory.incarnations():
-            if incarnation not in present:
-                self.directory.lapse(incarnation, now_s)
-        self._take_endpoints(batch, True)
-        self.directory.is_loaded = True
-
-    def _take_endpoints(self, batch: FeedBatch[EndpointEntry], was_away: bool) -> None:
-        for record in batch.records:
-            if record.value is not None:
-                self.directory.put(record.value)
-            elif was_away:
-                self.directory.lapse(record.key, self.clock.seconds())
-            else:
-                self._drop(record.key)
-        self.placement.forget(self.directory.incarnations())
-
-    def _drop(self, incarnation: str) -> None:
-        endpoint = self.directory.get(incarnation)
-        if endpoint is not None:
-            self._endpoints.close_idle(endpoint.entry.address)
-            self.directory.drop(incarnation)
+        return self.view.is_loaded and not self._is_leaving
 
     # Requests
 
@@ -318,9 +251,9 @@
     def _admit(self, ask: Ask, received_s: float) -> Permit | tuple[int, str]:
         """Return the permit, or the status and reason of a refusal."""
         table = self.table
-        if table is None or not self.directory.is_loaded:
+        if table is None or not self.view.is_loaded:
             return 503, "starting"
-        is_stale = self.proof_age_s(received_s) > self.settings.proof_age_s
+        is_stale = self.view.proof_age_s(received_s) > self.settings.proof_age_s
         route = table.find(ask.host, ask.path)
         if route is None:
             return (503, "configuration is old") if is_stale else (404, "no such route")
@@ -500,14 +433,10 @@
             model=exchange.model,
             sends=exchange.sends,
             configuration=self.table.document.number,
-            registry_age_s=self._registry_age_s(),
+            registry_age_s=self.view.registry_age_s(),
             **facts,
         )
 
-    def _registry_age_s(self) -> float | None:
-        proved_s = self.registry_feed.proved_s
-        return None if proved_s is None else round(self.clock.seconds() - proved_s, 3)
-
 
 def _nothing() -> None:
     """Do nothing: the answer is complete already."""
--- /dev/null
+++ b/umberhitch/tasks/direct/store_view.py
@@ -0,0 +1,146 @@
+"""What a router of the direct path believes, as the platform's store told it."""
+
+from collections.abc import Callable
+from logging import getLogger
+from random import Random
+
+from umberhitch.core.direct import Directory, Document, EndpointEntry, RolloutOrder, RouteTable
+from umberhitch.ports.clock import Clock
+from umberhitch.ports.direct import FeedBatch, FeedPort, OperatorValue
+from umberhitch.tasks.direct.feeds import Feed, FeedPace
+from umberhitch.tasks.direct.trials import Trials
+
+__all__ = ["StoreView"]
+
+log = getLogger(__name__)
+
+SWEEP_S = 0.25
+"""How often entries that have not come back are looked for."""
+
+
+class StoreView:
+    """Owns the feeds, the configuration in force and the directory of endpoints.
+
+    Parameters
+    ----------
+    clock : Clock
+    rng : Random
+    operator_port, registry_port : FeedPort
+    operator_pace, endpoint_pace : FeedPace
+    trials : Trials
+        Gets the orders of roll-outs.
+    on_endpoints : callable
+        Called when endpoints have come or gone, with the addresses of those that are gone.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        rng: Random,
+        operator_port: FeedPort[OperatorValue],
+        registry_port: FeedPort[EndpointEntry],
+        operator_pace: FeedPace,
+        endpoint_pace: FeedPace,
+        trials: Trials,
+        on_endpoints: Callable[[list[str]], None],
+    ) -> None:
+        self.clock = clock
+        self.directory = Directory()
+        self.trials = trials
+        self.table: RouteTable | None = None
+        self._on_endpoints = on_endpoints
+        self._is_stopped = False
+        self.operator_feed: Feed[OperatorValue] = Feed(
+            "operator",
+            operator_port,
+            clock,
+            rng,
+            operator_pace,
+            self._take_all_orders,
+            self._take_orders,
+        )
+        self.registry_feed: Feed[EndpointEntry] = Feed(
+            "registry",
+            registry_port,
+            clock,
+            rng,
+            endpoint_pace,
+            self._take_all_endpoints,
+            self._take_endpoints,
+        )
+
+    def start(self) -> None:
+        """Begin to follow the store."""
+        self.operator_feed.start()
+        self.registry_feed.start()
+        self._sweep()
+
+    def stop(self) -> None:
+        """Follow it no more."""
+        self._is_stopped = True
+        self.operator_feed.stop()
+        self.registry_feed.stop()
+
+    def _sweep(self) -> None:
+        if self._is_stopped:
+            return
+        self.directory.sweep(self.clock.seconds())
+        self.clock.callLater(SWEEP_S, self._sweep)
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether there are a configuration and a directory."""
+        return self.table is not None and self.directory.is_loaded
+
+    def proof_age_s(self, at_s: float) -> float:
+        """Return how old the proof that the configuration is the newest was at a time."""
+        proved_s = self.operator_feed.proved_s
+        return float("inf") if proved_s is None else at_s - proved_s
+
+    def registry_age_s(self) -> float | None:
+        """Return how old the directory is, or None while there is none."""
+        proved_s = self.registry_feed.proved_s
+        return None if proved_s is None else round(self.clock.seconds() - proved_s, 3)
+
+    def _take_all_orders(self, batch: FeedBatch[OperatorValue]) -> None:
+        self._take_orders(batch, False)
+        self.trials.keep([r.value for r in batch.records if isinstance(r.value, RolloutOrder)])
+
+    def _take_orders(self, batch: FeedBatch[OperatorValue], was_away: bool) -> None:
+        for record in batch.records:
+            match record.value:
+                case Document():
+                    self._take_document(record.value)
+                case RolloutOrder():
+                    self.trials.take_order(record.value)
+                case None if record.key.startswith("rollout/"):
+                    self.trials.drop(record.key.removeprefix("rollout/"))
+
+    def _take_document(self, document: Document) -> None:
+        if self.table is not None and document.number <= self.table.document.number:
+            return
+        self.table = RouteTable(document)
+        facts = {"number": document.number, "routes": len(document.routes)}
+        log.info("configuration in force", extra=facts)
+
+    def _take_all_endpoints(self, batch: FeedBatch[EndpointEntry]) -> None:
+        present = {record.key for record in batch.records if record.value is not None}
+        now_s = self.clock.seconds()
+        for incarnation in self.directory.incarnations():
+            if incarnation not in present:
+                self.directory.lapse(incarnation, now_s)
+        self._take_endpoints(batch, True)
+        self.directory.is_loaded = True
+
+    def _take_endpoints(self, batch: FeedBatch[EndpointEntry], was_away: bool) -> None:
+        gone: list[str] = []
+        for record in batch.records:
+            known = self.directory.get(record.key)
+            if record.value is not None:
+                self.directory.put(record.value)
+            elif was_away:
+                self.directory.lapse(record.key, self.clock.seconds())
+            elif known is not None:
+                gone.append(known.entry.address)
+                self.directory.drop(record.key)
+        self._on_endpoints(gone)
--- a/umberhitch/tasks/direct/tests/test_store.py
+++ b/umberhitch/tasks/direct/tests/test_store.py
@@ -149,7 +149,7 @@
     ages = []
     for _ in range(100):
         world.run(0.1)
-        ages.append(router.gateway.proof_age_s(world.clock.seconds()))
+        ages.append(router.gateway.view.proof_age_s(world.clock.seconds()))
     assert max(ages) < 1.85
 
 
@@ -160,7 +160,7 @@
     router.faults.delay_s = 0.4
     world.run(5.0)
     calls = router.operator.calls
-    assert router.gateway.proof_age_s(world.clock.seconds()) >= 0.0
+    assert router.gateway.view.proof_age_s(world.clock.seconds()) >= 0.0
     while router.operator.calls == calls:
         world.run(0.01)
-    assert router.gateway.proof_age_s(world.clock.seconds()) >= 0.4
+    assert router.gateway.view.proof_age_s(world.clock.seconds()) >= 0.4
