--- a/umberhitch/core/direct/_trial.py
+++ b/umberhitch/core/direct/_trial.py
@@ -9,6 +9,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from math import sqrt
 
 from umberhitch.core.direct._types import RolloutOrder, RolloutState
 
@@ -35,6 +36,12 @@
         Rate of bad answers over which a version is turned back, and
     bad_ratio : float
         how many times the old version's rate it must be.
+    usual_rate : float
+        Rate of bad answers that is taken for usual where the old version has shown less.
+    deviations : float
+        Standard deviations by which bad answers must exceed what the old version's rate leads to
+        expect (a Poisson law), on two endpoints at least: so that a small rate is found too, given
+        enough answers.
     session_s : float
         Requests of a session that are not further apart belong together.
     """
@@ -45,6 +52,8 @@
     least_bad: int = 3
     bad_rate: float = 0.12
     bad_ratio: float = 3.0
+    usual_rate: float = 0.005
+    deviations: float = 3.0
     session_s: float = 5.0
 
 
@@ -69,6 +78,15 @@
         return self.bad / self.answers if self.answers else 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Pin:
+    """The version of a session, and when it was seen last."""
+
+    is_target: bool
+    at_s: float
+    draw: float
+
+
 class Trial:
     """One router's view of one roll-out.
 
@@ -87,7 +105,7 @@
         self.state = RolloutState.IN_PROGRESS
         self.own: dict[tuple[bool, str], Counts] = {}
         self._others: dict[str, dict[tuple[bool, str], Counts]] = {}
-        self._sessions: OrderedDict[str, tuple[bool, float]] = OrderedDict()
+        self._sessions: OrderedDict[str, _Pin] = OrderedDict()
 
     def part(self, now_s: float) -> float:
         """Return which part of the time has passed."""
@@ -107,7 +125,9 @@
                 share = value
         return share
 
-    def is_for_target(self, session: str | None, draw: float, now_s: float) -> bool:
+    def is_for_target(
+        self, session: str | None, draw: float, now_s: float, has_target: bool = True
+    ) -> bool:
         """Whether a request goes to the new version.
 
         Parameters
@@ -116,24 +136,45 @@
         draw : float
             0 to 1; the same for every request of a session, whichever router it reaches.
         now_s : float
+        has_target : bool
+            Whether any endpoint of the new version takes work.
         """
-        chosen = draw < self.share(now_s)
+        chosen = has_target and draw < self.share(now_s)
         if session is None or self.state is not RolloutState.IN_PROGRESS:
             return chosen
         known = self._sessions.pop(session, None)
-        if known is not None and now_s - known[1] <= self.limits.session_s:
-            if known[0]:
+        if known is not None and now_s - known.at_s <= self.limits.session_s:
+            if known.is_target:
                 chosen = True  # never back
             elif self.part(now_s) < self.limits.steps[0][0]:
                 chosen = False  # begun on the old version: stays for the first half
-        self._sessions[session] = (chosen, now_s)
+        self._sessions[session] = _Pin(chosen, now_s, draw)
         while len(self._sessions) > MAX_SESSIONS:
             self._sessions.popitem(last=False)
         return chosen
 
-    def seen_before(self, session: str, at_s: float) -> None:
-        """Note a session that was on the old version when the roll-out began."""
-        self._sessions.setdefault(session, (False, at_s))
+    def seen_before(self, session: str, at_s: float, draw: float) -> None:
+        """Note a session that is on the old version, here or at another router."""
+        known = self._sessions.get(session)
+        if known is None or (not known.is_target and known.at_s < at_s):
+            self._sessions[session] = _Pin(False, at_s, draw)
+
+    def kept_back(self, now_s: float) -> list[str]:
+        """Return the sessions that another router would send to the new version, and must not.
+
+        They are on the old version and began there before the roll-out, though their draw is within
+        the share of the first half.
+        """
+        if self.state is not RolloutState.IN_PROGRESS:
+            return []
+        if self.part(now_s) >= self.limits.steps[0][0]:
+            return []
+        oldest_s = now_s - self.limits.session_s
+        return [
+            session
+            for session, pin in self._sessions.items()
+            if pin.draw < self.limits.first_share and not pin.is_target and pin.at_s >= oldest_s
+        ]
 
     def note(self, is_target: bool, route: str, endpoint: str, is_bad: bool) -> None:
         """Count an answer that this router got."""
@@ -173,7 +214,11 @@
         limits = self.limits
         if new.bad < limits.least_bad:
             return False
-        return new.rate > max(limits.bad_rate, limits.bad_ratio * old.rate)
+        if new.rate > max(limits.bad_rate, limits.bad_ratio * old.rate):
+            return True
+        expected = new.answers * max(limits.usual_rate, old.rate)
+        bar = limits.least_bad + expected + limits.deviations * sqrt(expected)
+        return new.bad > bar and len(new.endpoints) > 1
 
     def verdict(self, now_s: float, old_running: int) -> RolloutState:
         """Return the state that the roll-out should have now.
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -103,7 +103,7 @@
     wire = PlatformWire()
     client = EndpointClient(reactor, wire.read_reply)
     store = StoreClient(client, reactor, settings.store)
-    trials = Trials(reactor, Statuses(store), TrialLimits(session_s=settings.bounds.session_s))
+    trials = Trials(reactor, rng, Statuses(store), TrialLimits(session_s=settings.bounds.session_s))
     bounds = settings.bounds
     gateway = Gateway(
         GatewaySettings(
--- a/umberhitch/tasks/direct/exchange.py
+++ b/umberhitch/tasks/direct/exchange.py
@@ -48,6 +48,9 @@
         self._placed: Placed | None = None
         self._call: RunningCall | None = None
         self._head: ReplyHead | None = None
+        self._sent_s = 0.0
+        self._expected_s = 0.0
+        self._is_slow = False
         self._held = bytearray()
         self._is_streaming = False
         self._is_relaying = False
@@ -118,6 +121,9 @@
 
     def _begin_call(self, endpoint: Endpoint, wait_s: float) -> None:
         self._endpoint = endpoint
+        self._sent_s = self._clock.seconds()
+        self._expected_s = wait_s
+        self._is_slow = False
         self._head = None
         self._held.clear()
         self._sends += 1
@@ -196,6 +202,8 @@
         assert self._endpoint is not None
         assert self._placed is not None
         self._head = head
+        taken_s = self._clock.seconds() - self._sent_s
+        self._is_slow = self._svc.is_slow(self._expected_s, taken_s)
         self._svc.began(self._placed, head)
         if head.not_run:
             self._on_not_run(head)
@@ -246,6 +254,7 @@
         confidence = None if self._head is None else self._head.confidence
         self._svc.decided(self, "answer dropped", False, confidence=confidence, larger=larger)
         self._call.cancel()
+        self._svc.noted(self.permit, self._endpoint, self._is_slow)
         self._end_call(None)
         previous = self._model
         self._model = larger
@@ -265,7 +274,7 @@
         is_server_side = head.status >= 500
         self._svc.decided(self, "endpoint failed", True, status=head.status)
         if is_server_side:
-            self._svc.noted(self.permit, self._endpoint, True, self._model)
+            self._svc.noted(self.permit, self._endpoint, True)
         if self._is_streaming:
             self._call.detach()
             self._end_call(is_server_side)
@@ -329,7 +338,7 @@
             return
         is_failure = self._head.status >= 500
         if not is_failure:
-            self._svc.noted(self.permit, self._endpoint, False, self._model)
+            self._svc.noted(self.permit, self._endpoint, self._is_slow)
         self._end_call(is_failure)
         if not self._is_streaming and not self._is_relaying:
             self._reply_whole(self._head, bytes(self._held))
@@ -374,7 +383,7 @@
         self._may_have_run = True
         if self._head is None:
             self._svc.unreachable(self._endpoint)
-        self._svc.noted(self.permit, self._endpoint, True, self._model)
+        self._svc.noted(self.permit, self._endpoint, True)
         self._end_call(True)
         self._cutter.drop()
         if self._is_streaming:
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -5,8 +5,6 @@
 from logging import getLogger
 from random import Random
 
-from xxhash import xxh3_64_intdigest
-
 from umberhitch.core.direct import (
     Ask,
     BudgetLimits,
@@ -52,7 +50,9 @@
 
 log = getLogger(__name__)
 
-HASH_RANGE = 1 << 64
+SLOW_FACTOR = 4.0
+SLOW_S = 0.25
+"""A reply that begins so many times later than expected, and so much later still, is a slow one."""
 LEAST_RETRY_S = 0.1
 """Soonest time to come back that a refusal names."""
 STARTING_RETRY_S = 0.5
@@ -267,8 +267,9 @@
             if customer is None:
                 return 401, "unknown key"
         service = self._pick_service(route)
-        draw = self._draw(ask)
-        wants = self.trials.wants_target(service, ask.session, draw, self.clock.seconds())
+        now_s = self.clock.seconds()
+        ready = self.directory.ready(service, now_s)
+        wants = self.trials.wants_target(service, ask.session, now_s, ready)
         return Permit(ask, route, service, customer, received_s, wants)
 
     def _pick_service(self, route: Route) -> str:
@@ -278,11 +279,6 @@
         weights = [weight for _, weight in route.services]
         return self._rng.choices(names, weights)[0]
 
-    def _draw(self, ask: Ask) -> float:
-        if ask.session is None:
-            return self._rng.random()
-        return xxh3_64_intdigest(ask.session.encode()) / HASH_RANGE
-
     # Services of an exchange
 
     def first_model(self, permit: Permit) -> str | None:
@@ -360,10 +356,13 @@
         """Take one repeat from the shared budget, if there is one."""
         return self.budget.take(service, self.clock.seconds())
 
-    def noted(self, permit: Permit, endpoint: Endpoint, is_bad: bool, model: str | None) -> None:
+    def is_slow(self, expected_s: float, taken_s: float) -> bool:
+        """Whether a reply began much later than expected; as evidence on a version."""
+        return taken_s > SLOW_FACTOR * expected_s + SLOW_S
+
+    def noted(self, permit: Permit, endpoint: Endpoint, is_bad: bool) -> None:
         """Take note of how an endpoint answered."""
-        if model is not None or is_bad:
-            self.trials.note(permit.service, permit.route.name, endpoint, is_bad)
+        self.trials.note(permit.service, permit.route.name, endpoint, is_bad)
 
     def unreachable(self, endpoint: Endpoint) -> None:
         """Take note that an endpoint could not be reached or went silent."""
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -80,7 +80,11 @@
         """Return the model to begin with."""
         ...
 
-    def noted(self, permit: Permit, endpoint: Endpoint, is_bad: bool, model: str | None) -> None:
+    def is_slow(self, expected_s: float, taken_s: float) -> bool:
+        """Whether a reply began much later than expected."""
+        ...
+
+    def noted(self, permit: Permit, endpoint: Endpoint, is_bad: bool) -> None:
         """Take note of how an endpoint answered."""
         ...
 
--- a/umberhitch/tasks/direct/tests/test_trials.py
+++ b/umberhitch/tasks/direct/tests/test_trials.py
@@ -2,7 +2,7 @@
 
 from itertools import pairwise
 
-from umberhitch.core.direct import RolloutState
+from umberhitch.core.direct import RolloutOrder, RolloutState, Trial, TrialLimits
 from umberhitch.fakes import Reply, StoreFaults
 from umberhitch.testing import DirectWorld, make_direct_document
 
@@ -143,3 +143,72 @@
     world.run(0.1)
     _traffic(world, 3.0, ["r9"])
     assert _exposed(world)[1] == new
+
+
+def test_a_small_rate_of_failures_is_found_against_a_version_that_has_none():
+    """7.6 % of the answers were bad, 18 of 235 against 0 of 711, and below the bar for rates; the
+    version got 700 of 2,080 requests (own day rollout-load, registry)."""
+    trial = Trial(RolloutOrder("svc", "v2", 20.0), 0.0, TrialLimits())
+    for number in range(711):
+        trial.note(False, "draft", f"e{number % 4}", False)
+    found = 0
+    for number in range(235):
+        trial.note(True, "draft", f"n{number % 4}", number % 13 == 0)
+        found = found or (number if trial.is_bad() else 0)
+    assert 0 < found < 120
+
+
+def test_the_usual_rate_of_failures_turns_no_version_back():
+    trial = Trial(RolloutOrder("svc", "v2", 20.0), 0.0, TrialLimits())
+    for number in range(2000):
+        trial.note(False, "look", f"e{number % 4}", number % 7 == 0)
+        trial.note(True, "look", f"n{number % 4}", number % 7 == 3)
+        assert not trial.is_bad()
+
+
+def test_a_version_of_a_plain_service_is_judged_by_its_good_answers_too():
+    world = _world()
+    _begin(world, Reply())
+    for name in ("n1", "n2", "e1", "e2", "e3"):
+        world.endpoints.by_address[f"@{name}"].replies = [ERROR]
+    _traffic(world, 0.9 * DURATION_S)
+    assert world.statuses[-1] == ("svc", "v2", RolloutState.COMPLETED)
+
+
+def test_a_slow_version_is_turned_back():
+    world = _world()
+    _begin(world, Reply(delay_s=0.5))
+    _traffic(world, 9.0)
+    assert world.statuses[-1] == ("svc", "v2", RolloutState.ROLLED_BACK)
+
+
+def test_a_session_that_ran_on_the_old_version_for_want_of_the_new_one_stays_there():
+    """Its draw was within the share, but no endpoint of the new version was registered yet."""
+    world = _world(1)
+    router = world.routers["r0"]
+    world.roll_out("v2", DURATION_S)
+    world.run(0.5)
+    sessions = [f"s{number}" for number in range(100)]
+    for session in sessions:
+        world.ask(router, "/look/x", Session_Name=session)
+    world.run(0.1)
+    for name in ("n1", "n2"):
+        world.add_endpoint(name, "v2")
+    world.run(1.5)
+    for session in sessions:
+        world.ask(router, "/look/x", Session_Name=session)
+    world.run(0.1)
+    assert _exposed(world) == (200, 0)
+
+
+def test_a_session_that_comes_from_a_router_that_leaves_stays_on_its_version():
+    world = _world(2)
+    sessions = [f"s{number}" for number in range(100)]
+    for session in sessions:
+        world.ask(world.routers["r0"], "/look/x", Session_Name=session)
+    _begin(world, Reply())
+    world.run(0.6)
+    for session in sessions:
+        world.ask(world.routers["r1"], "/look/x", Session_Name=session)
+    world.run(0.1)
+    assert _exposed(world)[1] == 0
--- a/umberhitch/tasks/direct/trials.py
+++ b/umberhitch/tasks/direct/trials.py
@@ -9,8 +9,10 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from logging import getLogger
+from random import Random
 
 from twisted.internet.defer import Deferred, ensureDeferred
+from xxhash import xxh3_64_intdigest
 
 from umberhitch.core.direct import (
     Counts,
@@ -35,6 +37,9 @@
 RANK_S = 0.4
 """So much later each next router writes, so that most find the state written already."""
 MAX_RECENT = 20_000
+MAX_KEPT_BACK = 200
+"""Sessions in a report; they are 8 % of those of the last seconds at one router."""
+HASH_RANGE = 1 << 64
 FINAL = (RolloutState.COMPLETED, RolloutState.ROLLED_BACK)
 
 
@@ -44,6 +49,7 @@
     Parameters
     ----------
     clock : Clock
+    rng : Random
     status : StatusPort
     limits : TrialLimits
 
@@ -55,8 +61,11 @@
         Returns how many calls run on endpoints of a service that are not of a version.
     """
 
-    def __init__(self, clock: Clock, status: StatusPort, limits: TrialLimits | None = None) -> None:
+    def __init__(
+        self, clock: Clock, rng: Random, status: StatusPort, limits: TrialLimits | None = None
+    ) -> None:
         self._clock = clock
+        self._rng = rng
         self._status = status
         self._limits = limits or TrialLimits()
         self._trials: dict[str, Trial] = {}
@@ -64,7 +73,7 @@
         self._unread: set[str] = set()
         """Services of whose roll-out it is not known yet whether it was decided before."""
         self._written: dict[str, RolloutState] = {}
-        self._recent: dict[str, OrderedDict[str, float]] = {}
+        self._recent: dict[str, OrderedDict[str, tuple[float, float]]] = {}
         self._is_stopped = False
         self.rank: Callable[[], int] = lambda: 0
         self.old_running: Callable[[str, str], int] = lambda service, version: 0
@@ -91,8 +100,8 @@
             return
         now_s = self._clock.seconds()
         trial = Trial(order, now_s, self._limits)
-        for session, at_s in self._recent.pop(order.service, {}).items():
-            trial.seen_before(session, at_s)
+        for session, (at_s, draw) in self._recent.pop(order.service, {}).items():
+            trial.seen_before(session, at_s, draw)
         self._trials[order.service] = trial
         self._written.pop(order.service, None)
         self._unread.add(order.service)
@@ -181,17 +190,30 @@
     # Requests
 
     def wants_target(
-        self, service: str, session: str | None, draw: float, now_s: float
+        self, service: str, session: str | None, now_s: float, endpoints: list[Endpoint]
     ) -> bool | None:
-        """Return whether a request goes to the new version; None where there is no roll-out."""
+        """Return whether a request goes to the new version; None where there is no roll-out.
+
+        Parameters
+        ----------
+        service : str
+        session : str or None
+            Requests of one session are drawn alike at every router.
+        now_s : float
+        endpoints : list of Endpoint
+            Those of the service that take work.
+        """
+        draw = self._rng.random() if session is None else _draw(session)
         trial = self._trials.get(service)
         if trial is not None:
-            is_known = service not in self._unread
-            return is_known and trial.is_for_target(session, draw, now_s)
+            has_target = service not in self._unread and any(
+                each.entry.version == trial.order.target for each in endpoints
+            )
+            return trial.is_for_target(session, draw, now_s, has_target)
         if session is not None:
             recent = self._recent.setdefault(service, OrderedDict())
             recent.pop(session, None)
-            recent[session] = now_s
+            recent[session] = (now_s, draw)
             while len(recent) > MAX_RECENT:
                 recent.popitem(last=False)
         return None
@@ -235,6 +257,7 @@
                     RouteCounts(is_target, route, each.answers, each.bad, sorted(each.endpoints))
                     for (is_target, route), each in trial.own.items()
                 ],
+                trial.kept_back(now_s)[:MAX_KEPT_BACK],
             )
             for service, trial in self._trials.items()
         ]
@@ -251,6 +274,13 @@
                 for each in report.counts
             }
             trial.take(router, counts)
+            for session in report.kept_back:
+                trial.seen_before(session, self._clock.seconds(), _draw(session))
             self._unread.discard(report.service)
             if report.state in FINAL and trial.state is RolloutState.IN_PROGRESS:
                 self._set_state(trial, RolloutState(report.state))
+
+
+def _draw(session: str) -> float:
+    """Return a session's number from 0 to 1, the same at every router."""
+    return xxh3_64_intdigest(session.encode()) / HASH_RANGE
--- a/umberhitch/testing/_direct.py
+++ b/umberhitch/testing/_direct.py
@@ -129,7 +129,7 @@
         faults = StoreFaults()
         operator = FakeFeed(self.operator, clock, faults)
         registry = FakeFeed(self.registry, clock, faults)
-        trials = Trials(clock, FakeStatuses(self.statuses, status_faults or faults))
+        trials = Trials(clock, Random(name), FakeStatuses(self.statuses, status_faults or faults))
         gateway = Gateway(
             GatewaySettings(name=name, zone="a", budget=BudgetLimits(0.9, slack, 10.0)),
             clock,
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -346,6 +346,8 @@
     state: str
     counts: list[RouteCounts]
     """Since the start of the roll-out, so that a lost report is made good by the next."""
+    kept_back: list[str] = []
+    """Sessions that stay on the old version, though their share would send them to the new one."""
 
 
 class EndpointUse(Struct, frozen=True, array_like=True):
