Evidence on versions: failures and slowness apart, by the pace of events; estimates of work without feedback

The share grows later (0.3 at 0.51, 0.6 at 0.60, 1 at 0.68 of the time) so that what shows only under load is found below the exposure bound. Estimates: the expected wait of calls on v2 rose to 395 s, as queues were learned as a slow model and as a slow endpoint at once; the queue is taken off before a pace is learned, and both are bounded.

--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -4,9 +4,10 @@
 from umberhitch.core.direct._cascade import Cascade, CascadeLimits
 from umberhitch.core.direct._directory import Directory, Endpoint
 from umberhitch.core.direct._events import EventCutter
+from umberhitch.core.direct._pace import Paces, PacesLimits
 from umberhitch.core.direct._placement import Placed, Placement, PlacementLimits
 from umberhitch.core.direct._routes import RouteTable
-from umberhitch.core.direct._trial import Counts, Trial, TrialLimits
+from umberhitch.core.direct._trial import AnswerVerdict, Counts, EvidenceBar, Trial, TrialLimits
 from umberhitch.core.direct._types import (
     Ask,
     Customer,
@@ -25,6 +26,7 @@
 )
 
 __all__ = [
+    "AnswerVerdict",
     "Ask",
     "BudgetLimits",
     "Cascade",
@@ -37,7 +39,10 @@
     "EndpointEntry",
     "EndpointState",
     "EventCutter",
+    "EvidenceBar",
     "IntakeLimits",
+    "Paces",
+    "PacesLimits",
     "Placed",
     "Placement",
     "PlacementLimits",
--- a/umberhitch/core/direct/_placement.py
+++ b/umberhitch/core/direct/_placement.py
@@ -58,7 +58,11 @@
 PACE_WEIGHT = 0.1
 FAILURE_WEIGHT = 0.2
 """Weight of the newest reading in the running means."""
-SLOWEST = 20.0
+SLOWEST = 8.0
+"""An endpoint is taken to be at most so many times slower than usual."""
+LEAST_TOKEN_S = 0.000001
+LEAST_BASE_S = 0.02
+"""Shorter waits say nothing of an endpoint's pace: the way there and back is in them."""
 
 
 @dataclass(slots=True)
@@ -69,6 +73,8 @@
     model: str
     tokens: int
     work_s: float
+    base_s: float
+    """Expected wait on an endpoint of usual pace, queue included."""
     at_s: float
     is_reading: bool = True
 
@@ -179,14 +185,13 @@
             each_s = self.limits.plain_s
             return seen.slow * (each_s * running / slots + each_s * max(0.0, running - slots))
         unread = ask.prompt_tokens - self.cached_tokens(endpoint.entry.incarnation, model, ask)
-        own_s = unread * token_s
-        queue_s = seen.reading_s + seen.others_reading_s
+        base_s = self._base_s(seen, unread * token_s, running)
         full_s = max(0.0, running - endpoint.entry.slots) * 0.05 if endpoint.entry.slots else 0.0
-        return (
-            seen.slow * (own_s + queue_s + running * self.limits.running_s)
-            + full_s
-            + 0.05 * waiting
-        )
+        return seen.slow * base_s + full_s + 0.05 * waiting
+
+    def _base_s(self, seen: _Seen, own_s: float, running: float) -> float:
+        """Return the wait on an endpoint of usual pace."""
+        return own_s + seen.reading_s + seen.others_reading_s + running * self.limits.running_s
 
     def _home_gain_s(self, endpoint: Endpoint, ask: Ask, model: str, token_s: float) -> float:
         """Return the time that the home of a prompt's parts probably saves."""
@@ -228,11 +233,12 @@
         seen = self._seen.setdefault(incarnation, _Seen())
         unread = ask.prompt_tokens - self.cached_tokens(incarnation, model, ask)
         work_s = unread * self.token_s(model, models) if ask.prompt else 0.0
+        base_s = self._base_s(seen, work_s, seen.running + seen.others_running)
         seen.running += 1
         seen.reading_s += work_s
         cache = (service.cache_tokens if service else 0) * self.limits.cached_share
         self._cache(seen, model, ask.prompt[:-1], cache)
-        return Placed(incarnation, model, unread, work_s, now_s)
+        return Placed(incarnation, model, unread, work_s, base_s, now_s)
 
     def _cache(
         self, seen: _Seen, model: str, parts: tuple[PromptPart, ...], limit_tokens: float
@@ -252,15 +258,17 @@
         seen = self._finish_reading(placed)
         if seen is None or placed.tokens < 300:
             return
-        reading_s = (now_s - placed.at_s) / placed.tokens
+        taken_s = now_s - placed.at_s
+        # The queue is taken off before a pace is learned, else a crowd looks like a slow model.
+        reading_s = max(0.0, taken_s - (placed.base_s - placed.work_s)) / placed.tokens
         known = self._token_s.get(placed.model)
         if known is None:
-            self._token_s[placed.model] = reading_s
+            self._token_s[placed.model] = max(reading_s, LEAST_TOKEN_S)
             return
-        # The queue is in the reading too, so that a quick reply says more than a slow one.
-        weight = PACE_WEIGHT if reading_s < known else PACE_WEIGHT / 5
-        self._token_s[placed.model] = known + weight * (min(reading_s, 10 * known) - known)
-        ratio = min(SLOWEST, reading_s / known)
+        self._token_s[placed.model] = max(
+            LEAST_TOKEN_S, known + PACE_WEIGHT * (min(reading_s, 2 * known) - known)
+        )
+        ratio = min(SLOWEST, taken_s / max(placed.base_s, LEAST_BASE_S))
         seen.slow = min(SLOWEST, max(0.5, seen.slow + PACE_WEIGHT * (ratio - seen.slow)))
 
     def _finish_reading(self, placed: Placed) -> _Seen | None:
--- a/umberhitch/core/direct/_trial.py
+++ b/umberhitch/core/direct/_trial.py
@@ -9,15 +9,54 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from enum import StrEnum
 from math import sqrt
 
 from umberhitch.core.direct._types import RolloutOrder, RolloutState
 
-__all__ = ["Counts", "Trial", "TrialLimits"]
+__all__ = ["AnswerVerdict", "Counts", "EvidenceBar", "Trial", "TrialLimits"]
 
 MAX_SESSIONS = 20_000
 
 
+@dataclass(frozen=True, slots=True)
+class EvidenceBar:
+    """When answers of one kind turn a version back.
+
+    Attributes
+    ----------
+    least : int
+        So many of them at least.
+    rate : float
+        A rate over this is too much, if it is
+    ratio : float
+        so many times that of the old version.
+    usual_rate : float
+        What the old version's rate is taken for at most, where it has shown none.
+    deviations : float
+        Standard deviations by which they must exceed what the old version's rate leads to expect (a
+        Poisson law), on two endpoints at least: so that a small rate is found too, given answers.
+    """
+
+    least: int = 3
+    rate: float = 0.12
+    ratio: float = 3.0
+    usual_rate: float = 0.005
+    deviations: float = 3.0
+
+    def is_over(self, new: int, new_of: int, old: int, old_of: int, endpoints: int) -> bool:
+        """Whether ``new`` of ``new_of`` answers are too many beside ``old`` of ``old_of``."""
+        if new < self.least:
+            return False
+        old_rate = old / old_of if old_of else 0.0
+        if new / new_of > max(self.rate, self.ratio * old_rate):
+            return True
+        # With few answers of the old version its rate may be higher than it has shown.
+        likely = max(old_rate, min(self.usual_rate, (old + 1) / (old_of + 1)))
+        expected = new_of * likely
+        return new > self.least + expected + self.deviations * sqrt(expected) and endpoints > 1
+
+
 @dataclass(frozen=True, slots=True)
 class TrialLimits:
     """How a roll-out goes.
@@ -30,53 +69,43 @@
         From which part of the time on the new version gets which share.
     done_part : float
         Part of the time after which a good version is declared so.
-    least_bad : int
-        Bad answers without which no version is turned back.
-    bad_rate : float
-        Rate of bad answers over which a version is turned back, and
-    bad_ratio : float
-        how many times the old version's rate it must be.
-    usual_rate : float
-        Rate of bad answers that is taken for usual where the old version has shown less.
-    deviations : float
-        Standard deviations by which bad answers must exceed what the old version's rate leads to
-        expect (a Poisson law), on two endpoints at least: so that a small rate is found too, given
-        enough answers.
+    failed, slow : EvidenceBar
     session_s : float
         Requests of a session that are not further apart belong together.
     """
 
-    first_share: float = 0.08
-    steps: tuple[tuple[float, float], ...] = ((0.52, 0.25), (0.58, 0.5), (0.64, 1.0))
-    done_part: float = 0.78
-    least_bad: int = 3
-    bad_rate: float = 0.12
-    bad_ratio: float = 3.0
-    usual_rate: float = 0.005
-    deviations: float = 3.0
+    first_share: float = 0.09
+    steps: tuple[tuple[float, float], ...] = ((0.51, 0.3), (0.6, 0.6), (0.68, 1.0))
+    done_part: float = 0.8
+    failed: EvidenceBar = EvidenceBar()
+    slow: EvidenceBar = EvidenceBar(least=4, rate=0.2, usual_rate=0.02)
     session_s: float = 5.0
 
 
+class AnswerVerdict(StrEnum):
+    """How an answer speaks for the version that made it."""
+
+    GOOD = "good"
+    FAILED = "failed"
+    SLOW = "slow"
+
+
 @dataclass(slots=True)
 class Counts:
     """Answers of one version, on one route or on all.
 
     Attributes
     ----------
-    answers, bad : int
+    answers, failed, slow : int
     endpoints : set of str
-        On which bad answers came.
+        On which failed or slow answers came.
     """
 
     answers: int = 0
-    bad: int = 0
+    failed: int = 0
+    slow: int = 0
     endpoints: set[str] = field(default_factory=set)
 
-    @property
-    def rate(self) -> float:
-        """Share of bad answers."""
-        return self.bad / self.answers if self.answers else 0.0
-
 
 @dataclass(frozen=True, slots=True)
 class _Pin:
@@ -176,13 +205,17 @@
             if pin.draw < self.limits.first_share and not pin.is_target and pin.at_s >= oldest_s
         ]
 
-    def note(self, is_target: bool, route: str, endpoint: str, is_bad: bool) -> None:
+    def note(self, is_target: bool, route: str, endpoint: str, verdict: AnswerVerdict) -> None:
         """Count an answer that this router got."""
         counts = self.own.setdefault((is_target, route), Counts())
         counts.answers += 1
-        if is_bad:
-            counts.bad += 1
-            counts.endpoints.add(endpoint)
+        match verdict:
+            case AnswerVerdict.FAILED:
+                counts.failed += 1
+                counts.endpoints.add(endpoint)
+            case AnswerVerdict.SLOW:
+                counts.slow += 1
+                counts.endpoints.add(endpoint)
 
     def take(self, router: str, counts: dict[tuple[bool, str], Counts]) -> None:
         """Take what another incarnation of a router has counted since its start."""
@@ -195,7 +228,8 @@
             for (of_target, name), counts in source.items():
                 if of_target == is_target and route in (None, name):
                     total.answers += counts.answers
-                    total.bad += counts.bad
+                    total.failed += counts.failed
+                    total.slow += counts.slow
                     total.endpoints |= counts.endpoints
         return total
 
@@ -211,14 +245,10 @@
 
     def _is_worse(self, route: str | None) -> bool:
         new, old = self.pooled(True, route), self.pooled(False, route)
-        limits = self.limits
-        if new.bad < limits.least_bad:
-            return False
-        if new.rate > max(limits.bad_rate, limits.bad_ratio * old.rate):
-            return True
-        expected = new.answers * max(limits.usual_rate, old.rate)
-        bar = limits.least_bad + expected + limits.deviations * sqrt(expected)
-        return new.bad > bar and len(new.endpoints) > 1
+        of, on = (new.answers, old.answers), len(new.endpoints)
+        return self.limits.failed.is_over(
+            new.failed, of[0], old.failed, of[1], on
+        ) or self.limits.slow.is_over(new.slow, of[0], old.slow, of[1], on)
 
     def verdict(self, now_s: float, old_running: int) -> RolloutState:
         """Return the state that the roll-out should have now.
--- a/umberhitch/tasks/direct/exchange.py
+++ b/umberhitch/tasks/direct/exchange.py
@@ -7,7 +7,14 @@
 
 from collections.abc import Callable
 
-from umberhitch.core.direct import Endpoint, EventCutter, Placed, ReplyHead, RouteKind
+from umberhitch.core.direct import (
+    AnswerVerdict,
+    Endpoint,
+    EventCutter,
+    Placed,
+    ReplyHead,
+    RouteKind,
+)
 from umberhitch.ports.clock import Timer
 from umberhitch.ports.direct import CallerReply, CallFailure, RunningCall
 from umberhitch.tasks.direct.services import Permit, Services
@@ -18,6 +25,9 @@
 """A plain reply up to this size is passed on only when it is whole."""
 MAX_DIALS = 6
 """Endpoints that could not be reached, for one request."""
+PACED_EVENTS = 8
+LEAST_PACED_EVENTS = 2
+"""Events after the first by which the pace of a stream is judged; fewer where it has no more."""
 LEAST_LEFT_S = 0.02
 """With less time left no call is begun."""
 
@@ -49,8 +59,8 @@
         self._call: RunningCall | None = None
         self._head: ReplyHead | None = None
         self._sent_s = 0.0
-        self._expected_s = 0.0
-        self._is_slow = False
+        self._paced_from: tuple[int, float] | None = None
+        self._is_noted = False
         self._held = bytearray()
         self._is_streaming = False
         self._is_relaying = False
@@ -122,8 +132,8 @@
     def _begin_call(self, endpoint: Endpoint, wait_s: float) -> None:
         self._endpoint = endpoint
         self._sent_s = self._clock.seconds()
-        self._expected_s = wait_s
-        self._is_slow = False
+        self._paced_from = None
+        self._is_noted = False
         self._head = None
         self._held.clear()
         self._sends += 1
@@ -202,8 +212,6 @@
         assert self._endpoint is not None
         assert self._placed is not None
         self._head = head
-        taken_s = self._clock.seconds() - self._sent_s
-        self._is_slow = self._svc.is_slow(self._expected_s, taken_s)
         self._svc.began(self._placed, head)
         if head.not_run:
             self._on_not_run(head)
@@ -254,7 +262,6 @@
         confidence = None if self._head is None else self._head.confidence
         self._svc.decided(self, "answer dropped", False, confidence=confidence, larger=larger)
         self._call.cancel()
-        self._svc.noted(self.permit, self._endpoint, self._is_slow)
         self._end_call(None)
         previous = self._model
         self._model = larger
@@ -274,7 +281,7 @@
         is_server_side = head.status >= 500
         self._svc.decided(self, "endpoint failed", True, status=head.status)
         if is_server_side:
-            self._svc.noted(self.permit, self._endpoint, True)
+            self._note(AnswerVerdict.FAILED)
         if self._is_streaming:
             self._call.detach()
             self._end_call(is_server_side)
@@ -315,6 +322,36 @@
             return
         if whole:
             self._reply.data(whole)
+            self._note_pace(is_end=False)
+
+    def _note_pace(self, is_end: bool) -> None:
+        """Judge the answer by its pace: soon if it is slow, else at its end."""
+        assert self._endpoint is not None
+        now_s = self._clock.seconds()
+        if not self._is_streaming:
+            self._judge(now_s - self._sent_s)
+            return
+        if self._paced_from is None:
+            self._paced_from = (self._cutter.count, now_s)
+        events = self._cutter.count - self._paced_from[0]
+        if events >= PACED_EVENTS or (is_end and events >= LEAST_PACED_EVENTS):
+            self._judge((now_s - self._paced_from[1]) / events)
+        elif is_end:
+            self._note(AnswerVerdict.GOOD)
+
+    def _judge(self, pace_s: float) -> None:
+        if self._is_noted:
+            return
+        assert self._endpoint is not None
+        is_slow = self._svc.paced(self.permit, self._endpoint, self._model, pace_s)
+        self._note(AnswerVerdict.SLOW if is_slow else AnswerVerdict.GOOD)
+
+    def _note(self, verdict: AnswerVerdict) -> None:
+        """Note how the endpoint answered: once a call, and once more if it fails after that."""
+        assert self._endpoint is not None
+        if not self._is_noted or verdict is AnswerVerdict.FAILED:
+            self._svc.noted(self.permit, self._endpoint, verdict)
+        self._is_noted = True
 
     def _relay(self) -> None:
         """Pass a long plain reply on as it comes."""
@@ -338,7 +375,7 @@
             return
         is_failure = self._head.status >= 500
         if not is_failure:
-            self._svc.noted(self.permit, self._endpoint, self._is_slow)
+            self._note_pace(is_end=True)
         self._end_call(is_failure)
         if not self._is_streaming and not self._is_relaying:
             self._reply_whole(self._head, bytes(self._held))
@@ -383,7 +420,7 @@
         self._may_have_run = True
         if self._head is None:
             self._svc.unreachable(self._endpoint)
-        self._svc.noted(self.permit, self._endpoint, True)
+        self._note(AnswerVerdict.FAILED)
         self._end_call(True)
         self._cutter.drop()
         if self._is_streaming:
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from umberhitch.core.direct import (
+    AnswerVerdict,
     Ask,
     BudgetLimits,
     Cascade,
@@ -15,6 +16,7 @@
     Endpoint,
     EndpointEntry,
     IntakeLimits,
+    Paces,
     Placed,
     Placement,
     PlacementLimits,
@@ -50,9 +52,6 @@
 
 log = getLogger(__name__)
 
-SLOW_FACTOR = 4.0
-SLOW_S = 0.25
-"""A reply that begins so many times later than expected, and so much later still, is a slow one."""
 LEAST_RETRY_S = 0.1
 """Soonest time to come back that a refusal names."""
 STARTING_RETRY_S = 0.5
@@ -129,6 +128,7 @@
         self.decisions = DecisionLog(clock)
         self.running: set[Exchange] = set()
         self._cascade = Cascade(settings.cascade)
+        self._paces = Paces()
         self._rng = rng
         self._wire = wire
         self._endpoints = endpoints
@@ -356,13 +356,17 @@
         """Take one repeat from the shared budget, if there is one."""
         return self.budget.take(service, self.clock.seconds())
 
-    def is_slow(self, expected_s: float, taken_s: float) -> bool:
-        """Whether a reply began much later than expected; as evidence on a version."""
-        return taken_s > SLOW_FACTOR * expected_s + SLOW_S
+    def paced(self, permit: Permit, endpoint: Endpoint, model: str | None, pace_s: float) -> bool:
+        """Take note of a pace, and return whether it is slow."""
+        what = permit.route.name if model is None else model
+        is_slow = self._paces.is_slow(permit.service, what, pace_s)
+        if not self.trials.is_target(permit.service, endpoint):
+            self._paces.learn(permit.service, what, pace_s)
+        return is_slow
 
-    def noted(self, permit: Permit, endpoint: Endpoint, is_bad: bool) -> None:
+    def noted(self, permit: Permit, endpoint: Endpoint, verdict: AnswerVerdict) -> None:
         """Take note of how an endpoint answered."""
-        self.trials.note(permit.service, permit.route.name, endpoint, is_bad)
+        self.trials.note(permit.service, permit.route.name, endpoint, verdict)
 
     def unreachable(self, endpoint: Endpoint) -> None:
         """Take note that an endpoint could not be reached or went silent."""
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
-from umberhitch.core.direct import Ask, Customer, Endpoint, Placed, ReplyHead, Route
+from umberhitch.core.direct import AnswerVerdict, Ask, Customer, Endpoint, Placed, ReplyHead, Route
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import CallerReply, RunningCall
 
@@ -80,11 +80,11 @@
         """Return the model to begin with."""
         ...
 
-    def is_slow(self, expected_s: float, taken_s: float) -> bool:
-        """Whether a reply began much later than expected."""
+    def paced(self, permit: Permit, endpoint: Endpoint, model: str | None, pace_s: float) -> bool:
+        """Take note of a pace, and return whether it is slow."""
         ...
 
-    def noted(self, permit: Permit, endpoint: Endpoint, is_bad: bool) -> None:
+    def noted(self, permit: Permit, endpoint: Endpoint, verdict: AnswerVerdict) -> None:
         """Take note of how an endpoint answered."""
         ...
 
--- a/umberhitch/tasks/direct/tests/test_trials.py
+++ b/umberhitch/tasks/direct/tests/test_trials.py
@@ -2,7 +2,7 @@
 
 from itertools import pairwise
 
-from umberhitch.core.direct import RolloutOrder, RolloutState, Trial, TrialLimits
+from umberhitch.core.direct import AnswerVerdict, RolloutOrder, RolloutState, Trial, TrialLimits
 from umberhitch.fakes import Reply, StoreFaults
 from umberhitch.testing import DirectWorld, make_direct_document
 
@@ -150,10 +150,11 @@
     version got 700 of 2,080 requests (own day rollout-load, registry)."""
     trial = Trial(RolloutOrder("svc", "v2", 20.0), 0.0, TrialLimits())
     for number in range(711):
-        trial.note(False, "draft", f"e{number % 4}", False)
+        trial.note(False, "draft", f"e{number % 4}", AnswerVerdict.GOOD)
     found = 0
     for number in range(235):
-        trial.note(True, "draft", f"n{number % 4}", number % 13 == 0)
+        verdict = AnswerVerdict.GOOD if number % 13 else AnswerVerdict.FAILED
+        trial.note(True, "draft", f"n{number % 4}", verdict)
         found = found or (number if trial.is_bad() else 0)
     assert 0 < found < 120
 
@@ -161,8 +162,10 @@
 def test_the_usual_rate_of_failures_turns_no_version_back():
     trial = Trial(RolloutOrder("svc", "v2", 20.0), 0.0, TrialLimits())
     for number in range(2000):
-        trial.note(False, "look", f"e{number % 4}", number % 7 == 0)
-        trial.note(True, "look", f"n{number % 4}", number % 7 == 3)
+        old = AnswerVerdict.GOOD if number % 7 else AnswerVerdict.FAILED
+        new = AnswerVerdict.GOOD if (number + 4) % 7 else AnswerVerdict.FAILED
+        trial.note(False, "look", f"e{number % 4}", old)
+        trial.note(True, "look", f"n{number % 4}", new)
         assert not trial.is_bad()
 
 
@@ -177,11 +180,32 @@
 
 def test_a_slow_version_is_turned_back():
     world = _world()
+    for _ in range(20):  # what is usual, and no session that would stay on the old version
+        for router in world.routers.values():
+            world.ask(router, "/look/x")
+        world.run(0.05)
     _begin(world, Reply(delay_s=0.5))
     _traffic(world, 9.0)
     assert world.statuses[-1] == ("svc", "v2", RolloutState.ROLLED_BACK)
 
 
+def test_a_version_whose_streams_are_slow_is_turned_back_before_they_end():
+    """Its replies began in time; its events came 8 times slower (own day rollout-slow)."""
+    world = _world()
+    for name in ("e1", "e2", "e3"):
+        world.endpoints.by_address[f"@{name}"].reply = Reply(events=30, gap_s=0.02)
+
+    def ask_for_drafts(seconds: float) -> None:
+        for turn in range(round(seconds / 0.05)):
+            world.ask(list(world.routers.values())[turn % 3], "/draft/x")
+            world.run(0.05)
+
+    ask_for_drafts(2.0)
+    _begin(world, Reply(events=30, gap_s=0.16))
+    ask_for_drafts(9.0)
+    assert world.statuses[-1] == ("svc", "v2", RolloutState.ROLLED_BACK)
+
+
 def test_a_session_that_ran_on_the_old_version_for_want_of_the_new_one_stays_there():
     """Its draw was within the share, but no endpoint of the new version was registered yet."""
     world = _world(1)
--- a/umberhitch/tasks/direct/trials.py
+++ b/umberhitch/tasks/direct/trials.py
@@ -15,6 +15,7 @@
 from xxhash import xxh3_64_intdigest
 
 from umberhitch.core.direct import (
+    AnswerVerdict,
     Counts,
     Endpoint,
     RolloutOrder,
@@ -138,9 +139,11 @@
             "target": trial.order.target,
             "state": state,
             "new_answers": new.answers,
-            "new_bad": new.bad,
+            "new_failed": new.failed,
+            "new_slow": new.slow,
             "old_answers": old.answers,
-            "old_bad": old.bad,
+            "old_failed": old.failed,
+            "old_slow": old.slow,
             "part": round(trial.part(self._clock.seconds()), 3),
         }
         log.info("roll-out state", extra=facts)
@@ -235,12 +238,17 @@
                 return new or old
         return (new or old) if wants_target else (old or new)
 
-    def note(self, service: str, route: str, endpoint: Endpoint, is_bad: bool) -> None:
+    def note(self, service: str, route: str, endpoint: Endpoint, verdict: AnswerVerdict) -> None:
         """Count an answer."""
         trial = self._trials.get(service)
         if trial is not None:
-            is_target = endpoint.entry.version == trial.order.target
-            trial.note(is_target, route, endpoint.entry.incarnation, is_bad)
+            is_target = self.is_target(service, endpoint)
+            trial.note(is_target, route, endpoint.entry.incarnation, verdict)
+
+    def is_target(self, service: str, endpoint: Endpoint) -> bool:
+        """Whether an endpoint is of the version that a roll-out brings in."""
+        trial = self._trials.get(service)
+        return trial is not None and endpoint.entry.version == trial.order.target
 
     # Peers
 
@@ -253,10 +261,7 @@
                 trial.order.target,
                 now_s - trial.started_s,
                 trial.state,
-                [
-                    RouteCounts(is_target, route, each.answers, each.bad, sorted(each.endpoints))
-                    for (is_target, route), each in trial.own.items()
-                ],
+                [_counts(is_target, route, each) for (is_target, route), each in trial.own.items()],
                 trial.kept_back(now_s)[:MAX_KEPT_BACK],
             )
             for service, trial in self._trials.items()
@@ -270,7 +275,9 @@
                 continue
             trial.started_s = min(trial.started_s, self._clock.seconds() - report.elapsed_s)
             counts = {
-                (each.is_target, each.route): Counts(each.answers, each.bad, set(each.endpoints))
+                (each.is_target, each.route): Counts(
+                    each.answers, each.failed, each.slow, set(each.endpoints)
+                )
                 for each in report.counts
             }
             trial.take(router, counts)
@@ -284,3 +291,8 @@
 def _draw(session: str) -> float:
     """Return a session's number from 0 to 1, the same at every router."""
     return xxh3_64_intdigest(session.encode()) / HASH_RANGE
+
+
+def _counts(is_target: bool, route: str, counts: Counts) -> RouteCounts:
+    endpoints = sorted(counts.endpoints)
+    return RouteCounts(is_target, route, counts.answers, counts.failed, counts.slow, endpoints)
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -332,9 +332,10 @@
     is_target: bool
     route: str
     answers: int
-    bad: int
+    failed: int
+    slow: int
     endpoints: list[str]
-    """On which bad answers came."""
+    """On which failed or slow answers came."""
 
 
 class TrialReport(Struct, frozen=True, array_like=True):
