A new version is proved under load on one endpoint before it gets the rest

Now from half of the time on new work goes to one endpoint of the new version until three quarters of its slots are taken (calls that read under 4,000 tokens only), then to all. Ruled out: a finer bar for rates, as there was no failure to count.

--- a/umberhitch/fakes/_direct_http.py
+++ b/umberhitch/fakes/_direct_http.py
@@ -54,7 +54,16 @@
 
 @dataclass
 class FakeEndpoint:
-    """An endpoint; ``replies`` are used up one by one, then ``reply``."""
+    """An endpoint; ``replies`` are used up one by one, then ``reply``.
+
+    Attributes
+    ----------
+    fails_over : int
+        With more calls than this under way, further ones fail; 0 for never.
+    """
+
+    fails_over: int = 0
+    active: int = 0
 
     reply: Reply = field(default_factory=Reply)
     replies: list[Reply] = field(default_factory=list)
@@ -83,8 +92,11 @@
         if self._endpoint is None:
             return Reply(failure=CallFailure.NOT_SENT)
         self._endpoint.calls.append(self._call)
-        replies = self._endpoint.replies
-        reply = replies.pop(0) if replies else self._endpoint.reply
+        endpoint = self._endpoint
+        reply = endpoint.replies.pop(0) if endpoint.replies else endpoint.reply
+        if endpoint.fails_over and endpoint.active > endpoint.fails_over:
+            reply = Reply(status=500, delay_s=reply.delay_s)
+        endpoint.active += 1
         if not reply.not_run and reply.failure is not CallFailure.NOT_SENT:
             self._endpoint.ran.append(self._call.call_id)
         return reply
@@ -132,6 +144,8 @@
 
     def _end(self) -> None:
         events, self._events = self._events, None
+        if self._endpoint is not None:
+            self._endpoint.active -= 1
         if events is not None:
             events.on_end()
 
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -52,6 +52,8 @@
 
 log = getLogger(__name__)
 
+LIGHT_TOKENS = 4000
+"""A call that reads less may be sent where many others are: it delays their tokens little."""
 LEAST_RETRY_S = 0.1
 """Soonest time to come back that a refusal names."""
 STARTING_RETRY_S = 0.5
@@ -135,6 +137,7 @@
         self._is_leaving = False
         self._is_noticed = False
         self._on_idle: Callable[[], None] | None = None
+        trials.running = self.placement.all_running
         self.view = StoreView(
             clock,
             rng,
@@ -313,8 +316,9 @@
         """Return an endpoint and the wait there, or None where none takes work."""
         now_s = self.clock.seconds()
         ready = self.directory.ready(permit.service, now_s)
-        ready = self.trials.allowed(permit.service, permit.wants_target, ready)
         fresh = [each for each in ready if each.entry.incarnation not in tried]
+        is_light = permit.ask.prompt_tokens < LIGHT_TOKENS
+        fresh = self.trials.allowed(permit.service, permit.wants_target, fresh, is_light)
         if not fresh:
             return None
         models = permit.route.models
--- a/umberhitch/tasks/direct/tests/test_trials.py
+++ b/umberhitch/tasks/direct/tests/test_trials.py
@@ -236,3 +236,18 @@
         world.ask(world.routers["r1"], "/look/x", Session_Name=session)
     world.run(0.1)
     assert _exposed(world)[1] == 0
+
+
+def test_a_version_that_fails_only_under_load_is_found_before_much_has_run_on_it():
+    """It answered well at its usual share and was declared good (own day rollout-load-calm)."""
+    world = _world()
+    for name in ("e1", "e2", "e3"):
+        world.endpoints.by_address[f"@{name}"].reply = Reply(delay_s=0.4)
+    _begin(world, Reply(delay_s=0.4))
+    loaded = [world.endpoints.by_address[f"@{name}"] for name in ("n1", "n2")]
+    for endpoint in loaded:
+        endpoint.fails_over = 3
+    _traffic(world, 0.9 * DURATION_S)
+    assert world.statuses[-1] == ("svc", "v2", RolloutState.ROLLED_BACK)
+    old, new = _exposed(world)
+    assert new <= 0.15 * (old + new)
