--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,6 +7,7 @@
 from msgspec import json
 
 NAMES = (
+    "direct",
     "relay",
     "footprint",
     "decide",
--- a/umberhitch/core/direct/_directory.py
+++ b/umberhitch/core/direct/_directory.py
@@ -1,7 +1,10 @@
 """Which endpoints there are, and which of them take new work."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from random import Random
+
+from xxhash import xxh3_64_intdigest
 
 from umberhitch.core.direct._types import EndpointEntry, EndpointState
 
@@ -18,6 +21,15 @@
 """Time after which a call that tries an endpoint again has told how it is."""
 
 
+ALL_LOOKED_AT = 48
+"""Up to so many endpoints of a service, all are looked at; of more, a sample."""
+SAMPLE = 32
+"""Drawn for one decision: the least loaded of so many is close to the least loaded of all
+(Mitzenmacher, 2001)."""
+HOME_BUCKETS = 1024
+"""Shared parts fall into so many buckets, each with a home."""
+
+
 @dataclass(slots=True)
 class Endpoint:
     """One incarnation of an endpoint, with what this router has seen of it."""
@@ -36,12 +48,62 @@
         )
 
 
+@dataclass(slots=True)
+class _Members:
+    """The endpoints of one service, with what is worked out from them when it is asked for."""
+
+    by_incarnation: dict[str, Endpoint] = field(default_factory=dict)
+    listed: list[Endpoint] | None = None
+    homes: dict[int, tuple[int, Endpoint]] = field(default_factory=dict)
+    """By bucket: the home's score, and the home."""
+
+    def put(self, endpoint: Endpoint) -> None:
+        """Take an endpoint, or a change of its entry; only homes that it wins or loses move."""
+        self.by_incarnation[endpoint.entry.incarnation] = endpoint
+        self.listed = None
+        self._give_up_homes(endpoint)
+        if endpoint.entry.state is EndpointState.READY:
+            for bucket, (score, _) in self.homes.items():
+                own = _score(bucket, endpoint)
+                if own > score:
+                    self.homes[bucket] = (own, endpoint)
+
+    def remove(self, endpoint: Endpoint) -> None:
+        """Forget an endpoint."""
+        if self.by_incarnation.pop(endpoint.entry.incarnation, None) is not None:
+            self.listed = None
+            self._give_up_homes(endpoint)
+
+    def _give_up_homes(self, endpoint: Endpoint) -> None:
+        lost = [bucket for bucket, (_, home) in self.homes.items() if home is endpoint]
+        for bucket in lost:
+            del self.homes[bucket]
+
+    def home(self, bucket: int) -> Endpoint | None:
+        """Return the home of a bucket, worked out when it is first asked for."""
+        found = self.homes.get(bucket)
+        if found is None:
+            scored = [(_score(bucket, each), index) for index, each in enumerate(self.all())]
+            if not scored:
+                return None
+            score, index = max(scored)
+            found = self.homes[bucket] = (score, self.all()[index])
+        return found[1]
+
+    def all(self) -> list[Endpoint]:
+        """Return the endpoints that are not draining."""
+        if self.listed is None:
+            ready = EndpointState.READY
+            self.listed = [e for e in self.by_incarnation.values() if e.entry.state is ready]
+        return self.listed
+
+
 class Directory:
     """The registry's entries as they reached this router."""
 
     def __init__(self) -> None:
         self._endpoints: dict[str, Endpoint] = {}
-        self._by_service: dict[str, dict[str, Endpoint]] = {}
+        self._by_service: dict[str, _Members] = {}
         self.is_loaded = False
 
     def __len__(self) -> int:
@@ -50,20 +112,28 @@
     def put(self, entry: EndpointEntry) -> None:
         """Take an entry that is new, or newer than the one known."""
         known = self._endpoints.get(entry.incarnation)
+        if known is not None and known.entry == entry and known.lapses_s is None:
+            return
         if known is None:
             known = Endpoint(entry)
             self._endpoints[entry.incarnation] = known
         elif known.entry.service != entry.service:
-            self._by_service.get(known.entry.service, {}).pop(entry.incarnation, None)
+            self._remove(known)
         known.entry = entry
         known.lapses_s = None
-        self._by_service.setdefault(entry.service, {})[entry.incarnation] = known
+        members = self._by_service.setdefault(entry.service, _Members())
+        members.put(known)
 
     def drop(self, incarnation: str) -> None:
         """Forget an endpoint whose entry is gone."""
         known = self._endpoints.pop(incarnation, None)
         if known is not None:
-            self._by_service.get(known.entry.service, {}).pop(incarnation, None)
+            self._remove(known)
+
+    def _remove(self, known: Endpoint) -> None:
+        members = self._by_service.get(known.entry.service)
+        if members is not None:
+            members.remove(known)
 
     def lapse(self, incarnation: str, now_s: float) -> None:
         """Keep an endpoint a little whose entry went while the registry was away."""
@@ -87,21 +157,33 @@
 
     def of_service(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service, those that take no work included."""
-        return list(self._by_service.get(service, {}).values())
+        members = self._by_service.get(service)
+        return [] if members is None else list(members.by_incarnation.values())
 
-    def ready(self, service: str, now_s: float) -> list[Endpoint]:
-        """Return the endpoints of a service that take new work.
+    def ready(self, service: str, now_s: float, rng: Random | None = None) -> list[Endpoint]:
+        """Return endpoints of a service that take new work.
 
-        Where all that are not leaving are banned, the bans are not kept: trying beats refusing.
+        With a random source, those of a large service are a sample. Where all that are not leaving
+        are banned, the bans are not kept: trying beats refusing.
         """
-        known = self._by_service.get(service, {}).values()
+        members = self._by_service.get(service)
+        if members is None:
+            return []
+        known = members.all()
+        if rng is not None and len(known) > ALL_LOOKED_AT:
+            known = rng.sample(known, SAMPLE)
         ready = [each for each in known if each.takes_work(now_s)]
-        if ready:
-            return ready
-        return [each for each in known if each.takes_work(float("inf")) or self._is_only(each)]
+        return ready or [each for each in known if each.lapses_s is None]
+
+    def home(self, service: str, part: str) -> Endpoint | None:
+        """Return the endpoint that is the home of a shared part (rendezvous hash, by buckets).
 
-    def _is_only(self, each: Endpoint) -> bool:
-        return each.entry.state is EndpointState.READY and each.lapses_s is None
+        It is the same at every router that knows the same endpoints, and moves only with its own.
+        """
+        members = self._by_service.get(service)
+        if members is None:
+            return None
+        return members.home(xxh3_64_intdigest(part.encode()) % HOME_BUCKETS)
 
     def tried(self, endpoint: Endpoint, now_s: float) -> None:
         """Note that a call goes to an endpoint; after a failure the others wait for how it ends."""
@@ -118,3 +200,7 @@
         """Note that an endpoint answered."""
         endpoint.failures = 0
         endpoint.banned_until_s = 0.0
+
+
+def _score(bucket: int, endpoint: Endpoint) -> int:
+    return xxh3_64_intdigest(f"{bucket}|{endpoint.entry.incarnation}".encode())
--- a/umberhitch/core/direct/_placement.py
+++ b/umberhitch/core/direct/_placement.py
@@ -9,8 +9,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from xxhash import xxh3_64_intdigest
-
 from umberhitch.core.direct._directory import Endpoint
 from umberhitch.core.direct._types import Ask, PromptPart, ReportedLoad, Service
 
@@ -96,18 +94,6 @@
     cached_tokens: int = 0
 
 
-def _home(endpoints: list[Endpoint], ask: Ask) -> Endpoint | None:
-    """Return the endpoint that is the home of a prompt's shared parts (rendezvous hash)."""
-    if len(ask.prompt) < 2:
-        return None
-    part = ask.prompt[-2].part_id
-    return max(
-        endpoints,
-        key=lambda each: xxh3_64_intdigest(f"{part}|{each.entry.incarnation}".encode()),
-        default=None,
-    )
-
-
 class Placement:
     """Chooses endpoints and remembers what was placed on them.
 
@@ -145,9 +131,21 @@
         model: str,
         models: tuple[str, ...],
         now_s: float,
+        home: Endpoint | None = None,
     ) -> tuple[Endpoint, float]:
         """Return the endpoint with the least work, and the wait there in seconds.
 
+        Parameters
+        ----------
+        endpoints : list of Endpoint
+        ask : Ask
+        model : str
+        models : tuple of str
+            All of the route, smallest first.
+        now_s : float
+        home : Endpoint or None
+            Where the shared parts of the prompt probably are.
+
         Raises
         ------
         ValueError
@@ -156,7 +154,6 @@
         token_s = self.token_s(model, models) if ask.prompt else 0.0
         best: Endpoint | None = None
         best_s = best_cost = float("inf")
-        home = _home(endpoints, ask)
         for endpoint in endpoints:
             wait_s = self._wait_s(endpoint, ask, model, token_s, now_s)
             cost = wait_s + self._aversion_s(endpoint)
--- a/umberhitch/core/direct/tests/test_directory.py
+++ b/umberhitch/core/direct/tests/test_directory.py
@@ -1,6 +1,8 @@
 """The directory: bans, and one call at a time for what failed."""
 
-from umberhitch.core.direct import Directory
+from random import Random
+
+from umberhitch.core.direct import Directory, EndpointState
 from umberhitch.testing import make_endpoint_entry
 
 
@@ -23,3 +25,36 @@
     directory.put(make_endpoint_entry("e1"))
     directory.failed(directory.get("e1"), 0.0)
     assert len(directory.ready("svc", 0.1)) == 1
+
+
+def test_a_home_moves_only_with_its_own_endpoint():
+    directory = Directory()
+    for number in range(20):
+        directory.put(make_endpoint_entry(f"e{number}"))
+    parts = [f"p{number}" for number in range(200)]
+    before = {part: directory.home("svc", part).entry.incarnation for part in parts}
+    directory.drop("e3")
+    after = {part: directory.home("svc", part).entry.incarnation for part in parts}
+    moved = {part for part in parts if before[part] != after[part]}
+    assert moved == {part for part in parts if before[part] == "e3"}
+
+
+def test_of_a_large_service_a_sample_is_looked_at():
+    directory = Directory()
+    for number in range(600):
+        directory.put(make_endpoint_entry(f"e{number}"))
+    assert len(directory.ready("svc", 0.0, Random(1))) == 32
+    assert len(directory.ready("svc", 0.0)) == 600
+    small = Directory()
+    for number in range(40):
+        small.put(make_endpoint_entry(f"e{number}"))
+    assert len(small.ready("svc", 0.0, Random(1))) == 40
+
+
+def test_a_draining_endpoint_takes_no_work_and_is_no_home():
+    directory = Directory()
+    directory.put(make_endpoint_entry("e1"))
+    directory.put(make_endpoint_entry("e2"))
+    directory.put(make_endpoint_entry("e1", state=EndpointState.DRAINING))
+    assert [each.entry.incarnation for each in directory.ready("svc", 0.0)] == ["e2"]
+    assert directory.home("svc", "p").entry.incarnation == "e2"
--- a/umberhitch/core/direct/tests/test_placement.py
+++ b/umberhitch/core/direct/tests/test_placement.py
@@ -1,6 +1,14 @@
 """Placement: least work, what is cached, and the same home for all routers."""
 
-from umberhitch.core.direct import Ask, Endpoint, Placement, PromptPart, ReportedLoad, Service
+from umberhitch.core.direct import (
+    Ask,
+    Directory,
+    Endpoint,
+    Placement,
+    PromptPart,
+    ReportedLoad,
+    Service,
+)
 from umberhitch.testing import make_endpoint_entry
 
 MODELS = ("small", "large")
@@ -18,7 +26,16 @@
 
 
 def choose(placement: Placement, ask: Ask, now_s: float = 0.0) -> Endpoint:
-    return placement.choose(ENDPOINTS, ask, "large", MODELS, now_s)[0]
+    home = home_of(ask) if ask.prompt else None
+    return placement.choose(ENDPOINTS, ask, "large", MODELS, now_s, home)[0]
+
+
+def home_of(ask: Ask) -> Endpoint:
+    directory = Directory()
+    for endpoint in ENDPOINTS:
+        directory.put(endpoint.entry)
+    home = directory.home("svc", ask.prompt[-2].part_id)
+    return next(each for each in ENDPOINTS if each.entry == home.entry)
 
 
 def test_plain_calls_spread_over_endpoints():
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -271,7 +271,7 @@
                 return 401, "unknown key"
         service = self._pick_service(route)
         now_s = self.clock.seconds()
-        ready = self.directory.ready(service, now_s)
+        ready = self.directory.ready(service, now_s, self._rng)
         wants = self.trials.wants_target(service, ask.session, now_s, ready)
         return Permit(ask, route, service, customer, received_s, wants)
 
@@ -315,14 +315,19 @@
     ) -> tuple[Endpoint, float] | None:
         """Return an endpoint and the wait there, or None where none takes work."""
         now_s = self.clock.seconds()
-        ready = self.directory.ready(permit.service, now_s)
+        ready = self.directory.ready(permit.service, now_s, self._rng)
+        home = None
+        if len(permit.ask.prompt) > 1:
+            home = self.directory.home(permit.service, permit.ask.prompt[-2].part_id)
+            if home is not None and home.takes_work(now_s) and home not in ready:
+                ready.append(home)
         fresh = [each for each in ready if each.entry.incarnation not in tried]
         is_light = permit.ask.prompt_tokens < LIGHT_TOKENS
         fresh = self.trials.allowed(permit.service, permit.wants_target, fresh, is_light)
         if not fresh:
             return None
         models = permit.route.models
-        return self.placement.choose(fresh, permit.ask, model or "", models, now_s)
+        return self.placement.choose(fresh, permit.ask, model or "", models, now_s, home)
 
     def send(
         self, permit: Permit, endpoint: Endpoint, model: str | None, call: Exchange
