Metrics of the connections' side; unused functions are gone

Counts of callers, bodies, connections, store calls and link frames on /metrics; 3 functions that nothing called removed.

--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -17,10 +17,18 @@
 
 
 class GatewayPages:
-    """Answers the balancer and operators; a `RequestHandler`."""
+    """Answers the balancer and operators; a `RequestHandler`.
 
-    def __init__(self, gateway: Gateway) -> None:
+    Parameters
+    ----------
+    gateway : Gateway
+    transport : callable
+        Returns counts of the connections' side, by name.
+    """
+
+    def __init__(self, gateway: Gateway, transport: Callable[[], dict[str, int]]) -> None:
         self._gateway = gateway
+        self._transport = transport
 
     def handle(self, raw: RawRequest, reply: CallerReply) -> Callable[[], None]:
         """Answer at once."""
@@ -75,6 +83,7 @@
             f"umberhitch_endpoints {len(gateway.directory)}",
             f"umberhitch_routers {gateway.budget.routers}",
         ]
+        lines += [f"umberhitch_{name} {value}" for name, value in self._transport().items()]
         age_s = gateway.view.proof_age_s(gateway.clock.seconds())
         if age_s != float("inf"):
             lines.append(f"umberhitch_configuration_age_seconds {age_s:.3f}")
--- a/umberhitch/adapters/h11_callers.py
+++ b/umberhitch/adapters/h11_callers.py
@@ -363,8 +363,3 @@
         for connection in list(self.connections):
             if connection.is_idle:
                 connection.close_soon()
-
-    def abort_all(self) -> None:
-        """Break every connection."""
-        for connection in list(self.connections):
-            connection.abort()
--- a/umberhitch/core/direct/_placement.py
+++ b/umberhitch/core/direct/_placement.py
@@ -314,10 +314,3 @@
         """Return the running calls on an endpoint, those that peers told of included."""
         seen = self._seen.get(incarnation)
         return 0 if seen is None else seen.running + seen.others_running
-
-    def has_room(self, endpoint: Endpoint, now_s: float) -> bool:
-        """Whether an endpoint has a free slot, as far as this router knows."""
-        seen = self._seen.get(endpoint.entry.incarnation)
-        if seen is None or not endpoint.entry.slots:
-            return True
-        return seen.running + seen.others_running < endpoint.entry.slots
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -125,7 +125,19 @@
     me = Member(settings.name, link.address)
     peers = DirectPeers(me, incarnation, gateway, reactor, rng, link, Members(store))
     callers = CallerFactory(reactor, _Front(gateway), int(settings.memory_mb * MIB * BODIES_SHARE))
-    pages = CallerFactory(reactor, GatewayPages(gateway), MIB)
+
+    def transport() -> dict[str, int]:
+        return {
+            "callers_connected": len(callers.connections),
+            "callers_refused_unread_total": sum(callers.refused.values()),
+            "callers_body_bytes": callers.held_bytes,
+            "connections_opened_total": client.opened,
+            "store_calls_total": store.calls,
+            "link_frames_in_total": link.counters.frames_in,
+            "link_frames_out_total": link.counters.frames_out,
+        }
+
+    pages = CallerFactory(reactor, GatewayPages(gateway, transport), MIB)
     ports = {
         "callers": _adopt(reactor, callers_socket, callers),
         "readiness": _listen(reactor, settings.listen.readiness, pages),
--- a/umberhitch/tasks/direct/exchange.py
+++ b/umberhitch/tasks/direct/exchange.py
@@ -105,11 +105,6 @@
         """Endpoint that was asked last."""
         return self._endpoint
 
-    @property
-    def is_streaming(self) -> bool:
-        """Whether the head of a stream has gone to the caller."""
-        return self._is_streaming
-
     def _next(self) -> None:
         """Send the request to the next endpoint, or give up."""
         if self._is_over:
