--- a/umberhitch/tasks/direct/tests/test_fuzz.py
+++ b/umberhitch/tasks/direct/tests/test_fuzz.py
@@ -145,6 +145,15 @@
         self.number += 1
         self.publish()
 
+    @rule(router=st.sampled_from(ROUTERS), key=st.sampled_from(("k1", "k2")))
+    def use_late(self, router: str, key: str) -> None:
+        """Take a key away behind the back of a router, and use it there after the bound."""
+        self.cut_store(router, True)
+        self.revoke(key)
+        self.world.run(REVOKE_S + 0.1)
+        self.send(router, "look", key)
+        self.world.run(0.3)
+
     @rule(router=st.sampled_from(ROUTERS), is_down=st.booleans())
     def cut_store(self, router: str, is_down: bool) -> None:
         """Cut a router off from the store, or mend that."""
