Callers wait while a router starts; signals are taken before it says so; listen before imports

Ruled out: time of the store's answers (4 ms each).

The handlers are installed before it says so; the new test fails without that.

--- a/umberhitch/cli/daemon.py
+++ b/umberhitch/cli/daemon.py
@@ -10,15 +10,14 @@
 import sys
 from logging import getLogger
 from pathlib import Path
-from socket import AF_INET, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, socket
 from typing import Any
 
 from absl import flags
 from msgspec import structs
 
 from umberhitch import __version__
-from umberhitch.addresses import split_address
 from umberhitch.cli._lean import keep_out_tls
+from umberhitch.cli.early import SETTINGS_VARIABLE, take_early_socket
 from umberhitch.errors import SettingsError
 from umberhitch.gateway_settings import GatewayFile, load_gateway_file
 
@@ -29,9 +28,6 @@
 EXIT_OK = 0
 EXIT_NOT_DRAINED = 1
 EXIT_BAD_SETTINGS = 2
-SETTINGS_VARIABLE = "UMBERHITCH_NODE_FILE"
-BACKLOG = 1024
-"""Connections that wait to be taken; a full queue costs callers seconds."""
 STOP_MARGIN_S = 0.6
 """A shutdown that has to be cut short is cut so long before its time is up."""
 
@@ -97,30 +93,21 @@
             node = make_router_node(settings, reactor, context)
         case AgentFile():
             node = make_agent_node(settings, reactor, context)
+    shutdown = _Shutdown(reactor, node, settings.drain_s)
+    shutdown.install()
     started = {"role": settings.role, "version": __version__, "addresses": node.addresses()}
     log.info("started", extra=started)
-    shutdown = _Shutdown(reactor, node, settings.drain_s)
-    reactor.callWhenRunning(shutdown.install)
     reactor.run(installSignalHandlers=False)
     return shutdown.exit_code
 
 
-def listen_early(address: str) -> socket:
-    """Return a socket that listens at ``IP:PORT``."""
-    listening = socket(AF_INET, SOCK_STREAM)
-    listening.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
-    listening.bind(split_address(address))
-    listening.listen(BACKLOG)
-    return listening
-
-
 def serve_gateway(settings: GatewayFile, path: str) -> int:
     """Run a router of the direct path.
 
     Imports only what it needs, as it has to start fast, and listens for callers before that: they
     wait for the rest of a second instead of being turned away.
     """
-    callers_socket = listen_early(settings.listen.callers)
+    callers_socket = take_early_socket(settings.listen.callers)
     from time import time_ns
 
     from twisted.internet import reactor as default_reactor
@@ -132,10 +119,10 @@
     reactor: Any = default_reactor
     configure_logs(settings.log_level, settings.name)
     node = make_gateway_node(settings, reactor, make_context(), time_ns(), callers_socket)
-    log.info("started", extra={"role": settings.role, "addresses": node.addresses()})
     shutdown = _Shutdown(reactor, node, settings.drain_s - STOP_MARGIN_S)
-    reactor.callWhenRunning(shutdown.install)
-    reactor.callWhenRunning(_Reload(reactor, path, settings).install)
+    shutdown.install()
+    _Reload(reactor, path, settings).install()
+    log.info("started", extra={"role": settings.role, "addresses": node.addresses()})
     reactor.run(installSignalHandlers=False)
     return shutdown.exit_code
 
--- a/umberhitch/cli/tests/test_daemon.py
+++ b/umberhitch/cli/tests/test_daemon.py
@@ -1,5 +1,6 @@
 """The daemon as a process: its settings, its exit codes, its shutdown."""
 
+import os
 import signal
 import subprocess
 import sys
@@ -8,7 +9,7 @@
 
 from msgspec import json
 
-from umberhitch.cli.daemon import listen_early
+from umberhitch.cli.early import SETTINGS_VARIABLE, listen_early
 
 LIMIT_S = 60.0
 AGENT = {
@@ -83,6 +84,25 @@
         process.stderr.close()
 
 
+def test_a_signal_drains_a_process_as_soon_as_it_says_that_it_started(tmp_path: Path) -> None:
+    """It died of the signal until the reactor ran (CI beside load: exit -15)."""
+    code = (
+        "import os, signal, sys; sys.argv = ['d', sys.argv[1]]\n"
+        "from umberhitch.cli import daemon\n"
+        "told = daemon.log.info\n"
+        "def tell(message, **kwargs):\n"
+        "    told(message, **kwargs)\n"
+        "    if message == 'started':\n"
+        "        os.kill(os.getpid(), signal.SIGTERM)\n"
+        "daemon.log.info = tell\n"
+        "daemon.run()\n"
+    )
+    for settings in (AGENT, GATEWAY):
+        command = [sys.executable, "-c", code, write(tmp_path, settings)]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=LIMIT_S)
+        assert (done.returncode, '"draining"' in done.stderr) == (0, True), done.stderr
+
+
 GATEWAY = {
     "role": "gateway",
     "name": "r1",
@@ -159,3 +179,34 @@
         create_connection(listening.getsockname(), LIMIT_S) as caller,
     ):
         caller.sendall(b"GET")
+
+
+def test_callers_are_taken_before_the_libraries_are_imported(tmp_path: Path) -> None:
+    """Imports were half of the time in which callers found no one (Cedarline, scale-1)."""
+    path = tmp_path / "settings.json"
+    path.write_bytes(json.encode(GATEWAY))
+    code = (
+        "import sys; sys.argv = ['d']\n"
+        "from umberhitch.cli import early\n"
+        "took = early.listen_early\n"
+        "def listen(address):\n"
+        "    print(*sorted({'absl', 'msgspec', 'twisted'} & set(sys.modules)), flush=True)\n"
+        "    print(took(address).getsockname()[1] > 0, flush=True)\n"
+        "    sys.exit(0)\n"
+        "early.listen_early = listen\n"
+        "early.run()\n"
+    )
+    command = [sys.executable, "-c", code]
+    env = {**os.environ, SETTINGS_VARIABLE: str(path)}
+    done = subprocess.run(command, capture_output=True, text=True, timeout=LIMIT_S, env=env)
+    assert (done.returncode, done.stdout) == (0, "\nTrue\n")
+
+
+def test_the_early_entry_leaves_bad_settings_to_the_daemon(tmp_path: Path) -> None:
+    path = tmp_path / "settings.json"
+    path.write_bytes(json.encode({"role": "gateway", "listen": 3}))
+    command = [sys.executable, "-m", "umberhitch.cli.early"]
+    env = {**os.environ, SETTINGS_VARIABLE: str(path)}
+    done = subprocess.run(command, capture_output=True, text=True, timeout=LIMIT_S, env=env)
+    assert done.returncode == 2
+    assert "listen" in done.stderr
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -26,6 +26,7 @@
 )
 from umberhitch.ports.direct import Member
 from umberhitch.tasks.direct.gateway import Gateway, GatewaySettings
+from umberhitch.tasks.direct.opening import open_when_loaded
 from umberhitch.tasks.direct.peers import DirectPeers
 from umberhitch.tasks.direct.trials import Trials
 
@@ -51,22 +52,29 @@
     link: ZmqLink
     client: EndpointClient
     callers: CallerFactory
+    callers_address: str
     _ports: dict[str, Any]
 
     def addresses(self) -> dict[str, str]:
         """Return where the router listens."""
-        found = {"link": self.link.address}
+        found = {"link": self.link.address, "callers": self.callers_address}
         for name, port in self._ports.items():
             at = port.getHost()
             found[name] = f"{at.host}:{at.port}"
         return found
 
+    def take_callers(self, port: Any) -> None:
+        """Take callers at a port from now on."""
+        self._ports["callers"] = port
+
     def drain(self) -> Deferred[None]:
         """Answer what has been read, then close what is idle."""
         drained: Deferred[None] = Deferred()
 
         def close() -> None:
-            self._ports.pop("callers").stopListening()
+            port = self._ports.pop("callers", None)
+            if port is not None:
+                port.stopListening()
             self.callers.close_idle()
             drained.callback(None)
 
@@ -97,7 +105,7 @@
     incarnation : int
         Grows from one start of the process to the next.
     callers_socket : socket
-        Listens for callers already; it is closed here.
+        Listens for callers already; it is closed once they are taken.
     """
     rng = Random(SystemRandom().getrandbits(64))
     wire = PlatformWire()
@@ -139,14 +147,20 @@
 
     pages = CallerFactory(reactor, GatewayPages(gateway, transport), MIB)
     ports = {
-        "callers": _adopt(reactor, callers_socket, callers),
         "readiness": _listen(reactor, settings.listen.readiness, pages),
         "pages": _listen(reactor, settings.listen.pages, pages),
     }
     gateway.start()
     trials.start()
     peers.start()
-    return GatewayNode(gateway, trials, peers, link, client, callers, ports)
+    host, number = callers_socket.getsockname()
+    node = GatewayNode(gateway, trials, peers, link, client, callers, f"{host}:{number}", ports)
+    open_when_loaded(
+        reactor,
+        lambda: gateway.view.is_loaded,
+        lambda: node.take_callers(_adopt(reactor, callers_socket, callers)),
+    )
+    return node
 
 
 def _listen(reactor: Any, address: str, factory: CallerFactory) -> Any:
