Evidence on versions: median gaps, slow answers of those that can be told, breaks apart

The pace was a mean over 8 gaps, and one long prompt of another caller makes a few gaps many times longer; the usual pace was a plain mean of a long-tailed quantity; answers too short to tell counted as fast; a crash counted once an answer.

--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -4,7 +4,7 @@
 from umberhitch.core.direct._cascade import Cascade, CascadeLimits
 from umberhitch.core.direct._directory import Directory, Endpoint
 from umberhitch.core.direct._events import EventCutter
-from umberhitch.core.direct._pace import Paces, PacesLimits
+from umberhitch.core.direct._pace import EventPace, Paces, PacesLimits
 from umberhitch.core.direct._placement import Placed, Placement, PlacementLimits
 from umberhitch.core.direct._routes import RouteTable
 from umberhitch.core.direct._trial import AnswerVerdict, Counts, EvidenceBar, Trial, TrialLimits
@@ -39,6 +39,7 @@
     "EndpointEntry",
     "EndpointState",
     "EventCutter",
+    "EventPace",
     "EvidenceBar",
     "IntakeLimits",
     "Paces",
--- a/umberhitch/core/direct/_pace.py
+++ b/umberhitch/core/direct/_pace.py
@@ -1,8 +1,43 @@
 """How fast answers usually come, so that slow ones can be told."""
 
 from dataclasses import dataclass
+from math import exp, log
+from statistics import median
 
-__all__ = ["Paces", "PacesLimits"]
+__all__ = ["EventPace", "Paces", "PacesLimits"]
+
+PACED_GAPS = 8
+LEAST_PACED_GAPS = 2
+"""Gaps between events by which the pace of a stream is judged; fewer where it has no more."""
+LEAST_PACE_S = 0.0001
+"""Shorter gaps come of events that were read together."""
+
+
+class EventPace:
+    """Measures the pace of one stream: the median gap between its events.
+
+    The mean would not do: an engine reads the prompts of others between the events, and one long
+    prompt makes a few gaps many times longer, whereas a slow version makes all of them longer.
+    """
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._at_s: float | None = None
+        self._gaps: list[float] = []
+
+    def seen(self, count: int, now_s: float) -> None:
+        """Note that ``count`` events have come by now; those that came together share the gap."""
+        new = count - self._count
+        if new <= 0:
+            return
+        if self._at_s is not None:
+            self._gaps += [(now_s - self._at_s) / new] * min(new, PACED_GAPS)
+        self._count, self._at_s = count, now_s
+
+    def pace_s(self, is_end: bool) -> float | None:
+        """Return the pace in seconds an event, or None where it cannot be told (yet)."""
+        least = LEAST_PACED_GAPS if is_end else PACED_GAPS
+        return median(self._gaps) if len(self._gaps) >= least else None
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,29 +54,32 @@
         Of the newest pace in the running mean.
     """
 
-    factor: float = 3.0
+    factor: float = 2.0
     least_s: float = 0.01
     weight: float = 0.05
 
 
 class Paces:
-    """Running means by what is paced: the events of a model, the replies of a route."""
+    """The usual pace of what is paced: the events of a model, the replies of a route.
+
+    It is the geometric mean of late ones: paces spread over a factor of ten, and a few very slow
+    ones would carry a plain mean up to where no slow version is told.
+    """
 
     def __init__(self, limits: PacesLimits | None = None) -> None:
         self._limits = limits or PacesLimits()
-        self._usual_s: dict[tuple[str, str], float] = {}
+        self._usual_log: dict[tuple[str, str], float] = {}
 
-    def is_slow(self, service: str, what: str, pace_s: float) -> bool:
-        """Whether a pace is slow; never where none is known."""
-        usual_s = self._usual_s.get((service, what))
-        if usual_s is None:
-            return False
+    def is_slow(self, service: str, what: str, pace_s: float) -> bool | None:
+        """Whether a pace is slow, or None where no usual one is known."""
+        usual_log = self._usual_log.get((service, what))
+        if usual_log is None:
+            return None
+        usual_s = exp(usual_log)
         return pace_s > self._limits.factor * usual_s and pace_s > usual_s + self._limits.least_s
 
     def learn(self, service: str, what: str, pace_s: float) -> None:
         """Take a pace into the running mean."""
-        usual_s = self._usual_s.get((service, what))
-        if usual_s is None:
-            self._usual_s[(service, what)] = pace_s
-            return
-        self._usual_s[(service, what)] = usual_s + self._limits.weight * (pace_s - usual_s)
+        pace_log = log(max(pace_s, LEAST_PACE_S))
+        usual_log = self._usual_log.setdefault((service, what), pace_log)
+        self._usual_log[(service, what)] = usual_log + self._limits.weight * (pace_log - usual_log)
--- a/umberhitch/tasks/direct/exchange.py
+++ b/umberhitch/tasks/direct/exchange.py
@@ -11,6 +11,7 @@
     AnswerVerdict,
     Endpoint,
     EventCutter,
+    EventPace,
     Placed,
     ReplyHead,
     RouteKind,
@@ -25,9 +26,6 @@
 """A plain reply up to this size is passed on only when it is whole."""
 MAX_DIALS = 6
 """Endpoints that could not be reached, for one request."""
-PACED_EVENTS = 8
-LEAST_PACED_EVENTS = 2
-"""Events after the first by which the pace of a stream is judged; fewer where it has no more."""
 LEAST_LEFT_S = 0.02
 """With less time left no call is begun."""
 
@@ -59,7 +57,7 @@
         self._call: RunningCall | None = None
         self._head: ReplyHead | None = None
         self._sent_s = 0.0
-        self._paced_from: tuple[int, float] | None = None
+        self._pace = EventPace()
         self._is_noted = False
         self._held = bytearray()
         self._is_streaming = False
@@ -127,7 +125,7 @@
     def _begin_call(self, endpoint: Endpoint, wait_s: float) -> None:
         self._endpoint = endpoint
         self._sent_s = self._clock.seconds()
-        self._paced_from = None
+        self._pace = EventPace()
         self._is_noted = False
         self._head = None
         self._held.clear()
@@ -326,25 +324,24 @@
         if not self._is_streaming:
             self._judge(now_s - self._sent_s)
             return
-        if self._paced_from is None:
-            self._paced_from = (self._cutter.count, now_s)
-        events = self._cutter.count - self._paced_from[0]
-        if events >= PACED_EVENTS or (is_end and events >= LEAST_PACED_EVENTS):
-            self._judge((now_s - self._paced_from[1]) / events)
+        if not is_end:
+            self._pace.seen(self._cutter.count, now_s)
+        pace_s = self._pace.pace_s(is_end)
+        if pace_s is not None:
+            self._judge(pace_s)
         elif is_end:
-            self._note(AnswerVerdict.GOOD)
+            self._note(AnswerVerdict.UNPACED)
 
     def _judge(self, pace_s: float) -> None:
         if self._is_noted:
             return
         assert self._endpoint is not None
-        is_slow = self._svc.paced(self.permit, self._endpoint, self._model, pace_s)
-        self._note(AnswerVerdict.SLOW if is_slow else AnswerVerdict.GOOD)
+        self._note(self._svc.paced(self.permit, self._endpoint, self._model, pace_s))
 
     def _note(self, verdict: AnswerVerdict) -> None:
         """Note how the endpoint answered: once a call, and once more if it fails after that."""
         assert self._endpoint is not None
-        if not self._is_noted or verdict is AnswerVerdict.FAILED:
+        if not self._is_noted or verdict in (AnswerVerdict.FAILED, AnswerVerdict.BROKEN):
             self._svc.noted(self.permit, self._endpoint, verdict)
         self._is_noted = True
 
@@ -415,7 +412,7 @@
         self._may_have_run = True
         if self._head is None:
             self._svc.unreachable(self._endpoint)
-        self._note(AnswerVerdict.FAILED)
+        self._note(AnswerVerdict.BROKEN)
         self._end_call(True)
         self._cutter.drop()
         if self._is_streaming:
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -369,13 +369,21 @@
         """Take one repeat from the shared budget, if there is one."""
         return self.budget.take(service, self.clock.seconds())
 
-    def paced(self, permit: Permit, endpoint: Endpoint, model: str | None, pace_s: float) -> bool:
-        """Take note of a pace, and return whether it is slow."""
+    def paced(
+        self, permit: Permit, endpoint: Endpoint, model: str | None, pace_s: float
+    ) -> AnswerVerdict:
+        """Take note of a pace, and return what it says of the answer."""
         what = permit.route.name if model is None else model
         is_slow = self._paces.is_slow(permit.service, what, pace_s)
         if not self.trials.is_target(permit.service, endpoint):
             self._paces.learn(permit.service, what, pace_s)
-        return is_slow
+        match is_slow:
+            case None:
+                return AnswerVerdict.UNPACED
+            case True:
+                return AnswerVerdict.SLOW
+            case _:
+                return AnswerVerdict.GOOD
 
     def noted(self, permit: Permit, endpoint: Endpoint, verdict: AnswerVerdict) -> None:
         """Take note of how an endpoint answered."""
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -80,8 +80,10 @@
         """Return the model to begin with."""
         ...
 
-    def paced(self, permit: Permit, endpoint: Endpoint, model: str | None, pace_s: float) -> bool:
-        """Take note of a pace, and return whether it is slow."""
+    def paced(
+        self, permit: Permit, endpoint: Endpoint, model: str | None, pace_s: float
+    ) -> AnswerVerdict:
+        """Take note of a pace, and return what it says of the answer."""
         ...
 
     def noted(self, permit: Permit, endpoint: Endpoint, verdict: AnswerVerdict) -> None:
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -335,7 +335,10 @@
     failed: int
     slow: int
     endpoints: list[str]
-    """On which failed or slow answers came."""
+    """On which failed, broken or slow answers came."""
+    broken: int = 0
+    paced: int = 0
+    """Answers of which the pace is known."""
 
 
 class TrialReport(Struct, frozen=True, array_like=True):
