One router reads the store for up to 32; paces are judged by the load that a version bears

Now the first by name of each 32 reads, the others ask it over the link; it holds an ask until something changes and says how old its reads are, and the one who asked counts from the time at which it asked, so that no delay or freeze in between makes a view newer than it is. What is not answered in 0.65 s, or is over 1.0 s old (1.5 s for the configuration), is asked of the store. Weighed: telling changes one way with the reports (cannot prove any time), handing whole configurations over (0.1 MB to each of 28 peers over 5 Mbit/s).

--- a/umberhitch/core/direct/_pace.py
+++ b/umberhitch/core/direct/_pace.py
@@ -48,13 +48,17 @@
     ----------
     factor : float
         So many times the usual, and
+    loaded_factor : float
+        so many where an endpoint has just got the whole load, with no prompt in its cache: there
+        good answers were up to 3 times slower than usual, those of a slow version 4 to 12 times;
     least_s : float
-        so many seconds over it.
+        and so many seconds over it.
     weight : float
         Of the newest pace in the running mean.
     """
 
     factor: float = 2.0
+    loaded_factor: float = 4.0
     least_s: float = 0.01
     weight: float = 0.05
 
@@ -70,13 +74,16 @@
         self._limits = limits or PacesLimits()
         self._usual_log: dict[tuple[str, str], float] = {}
 
-    def is_slow(self, service: str, what: str, pace_s: float) -> bool | None:
+    def is_slow(
+        self, service: str, what: str, pace_s: float, is_loaded: bool = False
+    ) -> bool | None:
         """Whether a pace is slow, or None where no usual one is known."""
         usual_log = self._usual_log.get((service, what))
         if usual_log is None:
             return None
-        usual_s = exp(usual_log)
-        return pace_s > self._limits.factor * usual_s and pace_s > usual_s + self._limits.least_s
+        usual_s, limits = exp(usual_log), self._limits
+        factor = limits.loaded_factor if is_loaded else limits.factor
+        return pace_s > factor * usual_s and pace_s > usual_s + limits.least_s
 
     def learn(self, service: str, what: str, pace_s: float) -> None:
         """Take a pace into the running mean."""
--- a/umberhitch/core/direct/tests/test_pace.py
+++ b/umberhitch/core/direct/tests/test_pace.py
@@ -44,3 +44,14 @@
     assert paces.is_slow("svc", "m", 3 * GAP_S) is True
     assert paces.is_slow("svc", "m", GAP_S) is False
     assert paces.is_slow("svc", "other", GAP_S) is None
+
+
+def test_an_endpoint_that_has_just_got_the_whole_load_may_be_slower():
+    """6 of the first 18 answers after the switch were over twice the usual, and a good version was
+    turned back (Cedarline, quiet-1)."""
+    paces = Paces()
+    for _ in range(50):
+        paces.learn("svc", "m", GAP_S)
+    assert paces.is_slow("svc", "m", 3 * GAP_S) is True
+    assert paces.is_slow("svc", "m", 3 * GAP_S, is_loaded=True) is False
+    assert paces.is_slow("svc", "m", 6 * GAP_S, is_loaded=True) is True
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -28,6 +28,7 @@
 from umberhitch.tasks.direct.gateway import Gateway, GatewaySettings
 from umberhitch.tasks.direct.opening import open_when_loaded
 from umberhitch.tasks.direct.peers import DirectPeers
+from umberhitch.tasks.direct.sharing import Sharing, StreamName
 from umberhitch.tasks.direct.trials import Trials
 
 __all__ = ["GatewayNode", "make_gateway_node"]
@@ -113,6 +114,10 @@
     store = StoreClient(client, reactor, settings.store)
     trials = Trials(reactor, rng, Statuses(store), TrialLimits(session_s=settings.bounds.session_s))
     bounds = settings.bounds
+    link = ZmqLink(settings.name, reactor, context, settings.listen.link)
+    sharing = Sharing(settings.name, incarnation, reactor, rng, link.send)
+    operator_view = sharing.share(StreamName.OPERATOR, make_operator_feed(store))
+    registry_view = sharing.share(StreamName.REGISTRY, make_endpoint_feed(store))
     gateway = Gateway(
         GatewaySettings(
             name=settings.name,
@@ -125,13 +130,14 @@
         rng,
         wire,
         client,
-        make_operator_feed(store),
-        make_endpoint_feed(store),
+        operator_view,
+        registry_view,
         trials,
     )
-    link = ZmqLink(settings.name, reactor, context, settings.listen.link)
+    operator_view.follow(gateway.view.operator_feed)
+    registry_view.follow(gateway.view.registry_feed)
     me = Member(settings.name, link.address)
-    peers = DirectPeers(me, incarnation, gateway, reactor, rng, link, Members(store))
+    peers = DirectPeers(me, incarnation, gateway, reactor, rng, link, Members(store), sharing)
     callers = CallerFactory(reactor, _Front(gateway), int(settings.memory_mb * MIB * BODIES_SHARE))
 
     def transport() -> dict[str, int]:
--- a/umberhitch/ports/direct.py
+++ b/umberhitch/ports/direct.py
@@ -208,10 +208,23 @@
 
 @dataclass(frozen=True, slots=True)
 class FeedBatch(Generic[Value]):
-    """Records, and the offset after the last of them."""
+    """Records, and the offset after the last of them.
+
+    Attributes
+    ----------
+    proved_s : float or None
+        What was acknowledged before then is in it, or was before it; the time of the call if None.
+    pause_s : float or None
+        How long the next call is put off, if not as long as usual.
+    was_away : bool
+        Whether the store had been away when a peer read this.
+    """
 
     records: tuple[FeedRecord[Value], ...]
     end: int
+    proved_s: float | None = None
+    pause_s: float | None = None
+    was_away: bool = False
 
 
 class FeedPort(Protocol[Value]):
--- a/umberhitch/tasks/direct/feeds.py
+++ b/umberhitch/tasks/direct/feeds.py
@@ -1,8 +1,8 @@
 """Follows the keyed streams of the platform's store: configuration, roll-outs, endpoints.
 
 Each feed is a loop of one call at a time. Its proof of freshness is the time at which the last
-answered call was sent: what was not there then was acknowledged later. Where the store held the
-call for the whole wait and had nothing, it is the end of that wait.
+answered call was sent: what was not there then was acknowledged later. Where the call was held for
+the whole wait and there was nothing, it is the end of that wait (`tasks/direct/sharing`).
 """
 
 from collections.abc import Callable
@@ -22,9 +22,6 @@
 
 Value = TypeVar("Value")
 
-HOLD_MARGIN_S = 0.1
-"""The store may hold a call a little shorter than it was asked to; its timers are its own."""
-
 
 class FeedPace:
     """Times of a feed, in seconds.
@@ -78,6 +75,9 @@
         What was acknowledged before then has been taken.
     offset : int
         Offset up to which records have been taken.
+    on_taken : callable
+        Called after each batch with it, whether it was that of all keys, and whether the store had
+        been away.
     """
 
     def __init__(
@@ -99,6 +99,7 @@
         self._pace = pace
         self._on_all = on_all
         self._on_records = on_records
+        self.on_taken: Callable[[FeedBatch[Value], bool, bool], None] = _tell_nobody
         self._is_stopped = False
         self._failed_since_s: float | None = None
         self._back_s = float("-inf")
@@ -122,22 +123,14 @@
         failures = 0
         while not self._is_stopped:
             called_s = self._clock.seconds()
-            wait_s = 0.0
             patience_s = self._pace.patience_s[failures % len(self._pace.patience_s)]
             try:
                 if is_whole:
                     # After an outage, know at once what stands; else let the store hold the call.
                     wait_s = self._pace.wait_s if self._failed_since_s is None else 0.0
                     batch = await self._port.since(self.offset, wait_s, patience_s)
-                    self._note_back()
-                    if not self._is_stopped:
-                        self._on_records(batch, self._was_away())
                 else:
                     batch = await self._port.newest(patience_s)
-                    self._note_back()
-                    if not self._is_stopped:
-                        self._on_all(batch)
-                    is_whole = True
             except LogTrimmedError as exc:
                 log.info("history gone", extra={"feed": self.name, "first": exc.first_offset})
                 is_whole = False
@@ -148,11 +141,23 @@
                 await self._sleep(self._pace.retry_s * (0.5 + self._rng.random()))
                 continue
             failures = 0
-            self.offset = batch.end
-            self.proved_s = called_s
-            if wait_s and not batch.records and self._clock.seconds() - called_s >= wait_s:
-                self.proved_s = called_s + wait_s - HOLD_MARGIN_S
-            await self._sleep(self._pace.pause_s)
+            self._note_back()
+            self._take(batch, is_whole, called_s)
+            is_whole = True
+            await self._sleep(self._pace.pause_s if batch.pause_s is None else batch.pause_s)
+
+    def _take(self, batch: FeedBatch[Value], is_further: bool, called_s: float) -> None:
+        if self._is_stopped:
+            return
+        was_away = batch.was_away or self._was_away()
+        if is_further:
+            self._on_records(batch, was_away)
+        else:
+            self._on_all(batch)
+        self.offset = batch.end
+        proved_s = called_s if batch.proved_s is None else batch.proved_s
+        self.proved_s = proved_s if self.proved_s is None else max(self.proved_s, proved_s)
+        self.on_taken(batch, not is_further, was_away)
 
     def _was_away(self) -> bool:
         return self._clock.seconds() - self._back_s < self.AWAY_S
@@ -173,3 +178,7 @@
         done: Deferred[None] = Deferred()
         self._clock.callLater(max(0.0, delay_s), done.callback, None)
         return done
+
+
+def _tell_nobody(batch: FeedBatch[Any], is_whole: bool, was_away: bool) -> None:
+    """Do nothing: no one follows."""
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -374,7 +374,8 @@
     ) -> AnswerVerdict:
         """Take note of a pace, and return what it says of the answer."""
         what = permit.route.name if model is None else model
-        is_slow = self._paces.is_slow(permit.service, what, pace_s)
+        is_loaded = self.trials.bears_load(permit.service, endpoint)
+        is_slow = self._paces.is_slow(permit.service, what, pace_s, is_loaded)
         if not self.trials.is_target(permit.service, endpoint):
             self._paces.learn(permit.service, what, pace_s)
         match is_slow:
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -15,7 +15,8 @@
 from umberhitch.ports.direct import Member, MembersPort
 from umberhitch.ports.link import LinkPort
 from umberhitch.tasks.direct.gateway import Gateway
-from umberhitch.wire import EndpointUse, Message, PeerReport
+from umberhitch.tasks.direct.sharing import Sharing
+from umberhitch.wire import EndpointUse, Message, PeerReport, ViewAsk, ViewReply
 
 __all__ = ["DirectPeers", "DirectPeersLimits"]
 
@@ -62,6 +63,7 @@
     rng : Random
     link : LinkPort
     members : MembersPort
+    sharing : Sharing
     limits : DirectPeersLimits
     """
 
@@ -74,6 +76,7 @@
         rng: Random,
         link: LinkPort,
         members: MembersPort,
+        sharing: Sharing,
         limits: DirectPeersLimits | None = None,
     ) -> None:
         self._me = me
@@ -83,6 +86,7 @@
         self._rng = rng
         self._link = link
         self._port = members
+        self._sharing = sharing
         self._limits = limits or DirectPeersLimits()
         self._heard: dict[str, _Heard] = {}
         self._known: dict[str, str] = {}
@@ -91,6 +95,7 @@
         self._is_stopped = False
         gateway.trials.rank = self.rank
         gateway.trials.old_running = self.old_running
+        sharing.peers = self.names
 
     def start(self) -> None:
         """Join, and begin to report."""
@@ -155,6 +160,10 @@
             del self._heard[name]
         return [heard.report for heard in self._heard.values()]
 
+    def names(self) -> list[str]:
+        """Return the names of the peers that were heard lately, and can be sent to."""
+        return [each.router for each in self.live() if each.router in self._known]
+
     def rank(self) -> int:
         """Return this router's place among the live ones, 0 first."""
         return sum(report.router < self._me.name for report in self.live())
@@ -191,6 +200,8 @@
             match message:
                 case PeerReport():
                     self._on_report(message)
+                case ViewAsk() | ViewReply():
+                    self._sharing.receive(sender, message)
                 case _:
                     log.warning("unexpected message", extra={"kind": type(message).__name__})
 
--- /dev/null
+++ b/umberhitch/tasks/direct/sharing.py
@@ -0,0 +1,366 @@
+"""One router reads the platform's store for several: the others ask it instead.
+
+Each call to the store costs, and most would bring every router the same. Routers are put in order
+by name; the first of each `READER_GROUP` reads, and the others ask it what has changed. It holds an
+ask until something has, as the store does. What it tells rests on its own reads, and it says how
+old they are: so an answer proves to the one who asked that its view was the newest at a time that
+it can tell by its own clock, whatever was frozen or late in between. An ask that is not answered in
+time, or from a view that is too old, is put to the store at once, so that a reader that fails costs
+one short wait.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from enum import StrEnum
+from itertools import starmap
+from logging import getLogger
+from random import Random
+from typing import Any, Generic, TypeVar
+
+from twisted.internet.defer import Deferred
+
+from umberhitch.errors import LogError
+from umberhitch.ports.clock import Clock, Timer
+from umberhitch.ports.direct import FeedBatch, FeedPort, FeedRecord
+from umberhitch.tasks.direct.feeds import Feed
+from umberhitch.wire import Message, ViewAsk, ViewReply
+
+__all__ = ["READER_GROUP", "SharedView", "Sharing", "SharingLimits", "StreamName"]
+
+log = getLogger(__name__)
+
+Value = TypeVar("Value")
+
+READER_GROUP = 32
+"""Routers for which one reads. It answers some 4 asks a second for each, at some 0.1 ms."""
+HOLD_MARGIN_S = 0.1
+"""The store may hold a call a little shorter than it was asked to; its timers are its own."""
+
+
+class StreamName(StrEnum):
+    """The streams that are read for others."""
+
+    OPERATOR = "operator"
+    REGISTRY = "registry"
+
+
+@dataclass(frozen=True, slots=True)
+class SharingLimits:
+    """How one stream is shared; times in seconds.
+
+    Attributes
+    ----------
+    tells_records : bool
+        Whether the changes themselves are told, or only that there are some. Configurations may be
+        large, change seldom, and are read from the store by each router.
+    hold_s : float
+        How long a router holds an ask while nothing changes.
+    quick_hold_s : float
+        The same where the one who asks cannot reach the store, and looks for one who can.
+    patience_s : float
+        An ask has failed that takes so much longer.
+    stale_s : float
+        A view that is older is no use: the store is asked.
+    read_wait_s, read_pause_s : float
+        How long a router that others ask lets the store hold its calls, and how long it pauses
+        between them, at most.
+    asked_s : float
+        A router that was asked within this reads for others.
+    shun_s : float
+        A router that could not tell what the store could is not asked for so long.
+    kept_changes : int
+        Changes kept to be told.
+    """
+
+    tells_records: bool
+    hold_s: float = 0.5
+    quick_hold_s: float = 0.1
+    patience_s: float = 0.15
+    stale_s: float = 1.0
+    read_wait_s: float = 0.0
+    read_pause_s: float = 0.4
+    asked_s: float = 2.0
+    shun_s: float = 2.0
+    kept_changes: int = 5000
+
+
+LIMITS = {
+    StreamName.OPERATOR: SharingLimits(False, stale_s=1.5, read_wait_s=0.8, read_pause_s=0.05),
+    # An endpoint that leaves has to be known within 2 s: of these a view may be 1.0 s old, a hold
+    # and its patience take 0.65 s, and a call to the store some ms.
+    StreamName.REGISTRY: SharingLimits(True),
+}
+
+
+@dataclass(slots=True)
+class _HeldAsk:
+    """An ask that waits for a change."""
+
+    sender: str
+    ask: ViewAsk
+    received_s: float
+    timer: Timer
+
+
+@dataclass(slots=True)
+class _Change(Generic[Value]):
+    end: int
+    """Offset after the batch that brought it."""
+    record: FeedRecord[Value]
+    was_away: bool
+
+
+@dataclass(slots=True)
+class _Asked:
+    done: "Deferred[ViewReply | None]"
+    timer: Timer
+
+
+@dataclass(slots=True)
+class Sharing:
+    """The link's side: sends asks and replies, and knows whom to ask.
+
+    Attributes
+    ----------
+    name : str
+        This router's.
+    incarnation : int
+        Replies to asks of an earlier one are not taken.
+    send : callable
+        Sends a message to a peer.
+    peers : callable
+        Returns the names of the peers that were heard lately.
+    """
+
+    name: str
+    incarnation: int
+    clock: Clock
+    rng: Random
+    send: Callable[[str, Message], None]
+    peers: Callable[[], list[str]] = list
+    views: dict[str, "SharedView[Any]"] = field(default_factory=dict)
+    _asked: dict[int, _Asked] = field(default_factory=dict)
+    _last_ask: int = 0
+
+    def share(self, stream: StreamName, port: FeedPort[Value]) -> "SharedView[Value]":
+        """Return a port that asks peers first, and remembers what it has to tell them."""
+        view = SharedView(self, stream, port, LIMITS[stream])
+        self.views[stream] = view
+        return view
+
+    def reader(self, shunned: set[str]) -> str | None:
+        """Return who reads for this router, or None if it reads itself."""
+        names = sorted({self.name, *self.peers()} - shunned | {self.name})
+        place = names.index(self.name)
+        first = names[place - place % READER_GROUP]
+        return None if first == self.name else first
+
+    def any_peer(self) -> str | None:
+        """Return a peer by chance, or None."""
+        names = self.peers()
+        return self.rng.choice(sorted(names)) if names else None
+
+    def ask(
+        self, peer: str, stream: str, offset: int, hold_s: float, patience_s: float
+    ) -> "Deferred[ViewReply | None]":
+        """Ask a peer what has changed; the result is None where no answer comes in time."""
+        self._last_ask += 1
+        number = self._last_ask
+        done: Deferred[ViewReply | None] = Deferred()
+        timer = self.clock.callLater(hold_s + patience_s, self._give_up, number)
+        self._asked[number] = _Asked(done, timer)
+        self.send(peer, ViewAsk(number, self.incarnation, stream, offset, hold_s))
+        return done
+
+    def _give_up(self, number: int) -> None:
+        self._asked.pop(number).done.callback(None)
+
+    def receive(self, sender: str, message: ViewAsk | ViewReply) -> None:
+        """Handle what a peer sent."""
+        match message:
+            case ViewAsk():
+                view = self.views.get(message.stream)
+                if view is not None:
+                    view.on_ask(sender, message)
+            case ViewReply() if message.incarnation == self.incarnation:
+                asked = self._asked.pop(message.ask, None)
+                if asked is not None:
+                    asked.timer.cancel()
+                    asked.done.callback(message)
+
+
+class SharedView(Generic[Value]):
+    """One stream, read from a peer or from the store; a `FeedPort`.
+
+    Parameters
+    ----------
+    sharing : Sharing
+    stream : StreamName
+    port : FeedPort
+        The store's.
+    limits : SharingLimits
+    """
+
+    def __init__(
+        self, sharing: Sharing, stream: StreamName, port: FeedPort[Value], limits: SharingLimits
+    ) -> None:
+        self._sharing = sharing
+        self._clock = sharing.clock
+        self._stream = stream
+        self._port = port
+        self._limits = limits
+        self._feed: Feed[Value] | None = None
+        self._changes: deque[_Change[Value]] = deque()
+        self._newest: dict[str, Value] = {}
+        self._floor = -1
+        """Changes after this offset are known."""
+        self._held: list[_HeldAsk] = []
+        self._asked_s = float("-inf")
+        self._shunned: dict[str, float] = {}
+        self._is_failing = False
+
+    # For this router
+
+    def follow(self, feed: Feed[Value]) -> None:
+        """Tell others what a feed takes."""
+        self._feed = feed
+        feed.on_taken = self._note
+
+    async def newest(self, patience_s: float) -> FeedBatch[Value]:
+        """Return the newest record of every key, from the store."""
+        called_s = self._clock.seconds()
+        batch = await self._port.newest(patience_s)
+        return replace(batch, proved_s=called_s)
+
+    async def since(self, offset: int, wait_s: float, patience_s: float) -> FeedBatch[Value]:
+        """Return what has changed, from a peer if one can tell, else from the store."""
+        peer = self._pick_peer()
+        has_news = False
+        if peer is not None:
+            batch, has_news = await self._since_by_peer(peer, offset)
+            if batch is not None:
+                return batch
+        batch = await self._since_by_store(offset, 0.0 if has_news else wait_s, patience_s)
+        if peer is not None and not has_news:
+            # The store could tell what the peer could not.
+            self._shunned[peer] = self._clock.seconds() + self._limits.shun_s
+        return batch
+
+    def _pick_peer(self) -> str | None:
+        if self._is_failing:
+            return self._sharing.any_peer()
+        now_s = self._clock.seconds()
+        self._shunned = {name: end for name, end in self._shunned.items() if end > now_s}
+        return self._sharing.reader(set(self._shunned))
+
+    async def _since_by_peer(self, peer: str, offset: int) -> tuple[FeedBatch[Value] | None, bool]:
+        """Return a peer's answer if it is of use, and whether the store has something new."""
+        limits = self._limits
+        hold_s = limits.quick_hold_s if self._is_failing else limits.hold_s
+        called_s = self._clock.seconds()
+        reply = await self._sharing.ask(peer, self._stream, offset, hold_s, limits.patience_s)
+        if reply is None or not reply.is_known:
+            return None, False
+        # The peer looked at its view after it had got the ask, and after it had held it.
+        proved_s = called_s + reply.held_s - reply.age_s
+        if self._clock.seconds() - proved_s > limits.stale_s:
+            return None, False
+        if reply.end > offset and not limits.tells_records:
+            return None, True
+        records: tuple[FeedRecord[Any], ...] = tuple(starmap(FeedRecord, reply.records))
+        end = max(offset, reply.end)
+        return FeedBatch(records, end, proved_s, 0.0, reply.was_away), False
+
+    async def _since_by_store(
+        self, offset: int, wait_s: float, patience_s: float
+    ) -> FeedBatch[Value]:
+        pause_s = None
+        if self._is_asked():
+            wait_s = min(wait_s, self._limits.read_wait_s)
+            pause_s = self._limits.read_pause_s
+        called_s = self._clock.seconds()
+        try:
+            batch = await self._port.since(offset, wait_s, patience_s)
+        except LogError:
+            self._is_failing = True
+            raise
+        self._is_failing = False
+        proved_s = called_s
+        if wait_s and not batch.records and self._clock.seconds() - called_s >= wait_s:
+            proved_s = called_s + wait_s - HOLD_MARGIN_S
+        return replace(batch, proved_s=proved_s, pause_s=pause_s)
+
+    def _is_asked(self) -> bool:
+        return self._clock.seconds() - self._asked_s < self._limits.asked_s
+
+    # For others
+
+    def _note(self, batch: FeedBatch[Value], is_whole: bool, was_away: bool) -> None:
+        """Remember what the feed has taken, and tell it to those who wait for it."""
+        if is_whole:
+            self._changes.clear()
+            self._newest.clear()
+            self._floor = batch.end
+        if self._limits.tells_records:
+            self._note_changes(batch, is_whole, was_away)
+        while len(self._changes) > self._limits.kept_changes:
+            self._floor = self._changes.popleft().end
+        for held in [each for each in self._held if self._has_news(each.ask)]:
+            held.timer.cancel()
+            self._answer(held)
+
+    def _note_changes(self, batch: FeedBatch[Value], is_whole: bool, was_away: bool) -> None:
+        """Remember the records that change anything; heartbeats do not."""
+        for record in batch.records:
+            if self._newest.get(record.key) == record.value:
+                continue
+            if record.value is None:
+                del self._newest[record.key]
+            else:
+                self._newest[record.key] = record.value
+            if not is_whole:
+                self._changes.append(_Change(batch.end, record, was_away))
+
+    def _has_news(self, ask: ViewAsk) -> bool:
+        if self._feed is None or self._floor < 0 or ask.offset < self._floor:
+            return True  # it cannot be told, which is to be known at once
+        if not self._limits.tells_records:
+            return self._feed.offset > ask.offset
+        return bool(self._changes) and self._changes[-1].end > ask.offset
+
+    def on_ask(self, sender: str, ask: ViewAsk) -> None:
+        """Answer what a peer asks, at once or when something has changed."""
+        now_s = self._clock.seconds()
+        self._asked_s = now_s
+        timer = self._clock.callLater(ask.hold_s, self._on_held, sender, ask.ask)
+        held = _HeldAsk(sender, ask, now_s, timer)
+        self._held.append(held)
+        if self._has_news(ask):
+            timer.cancel()
+            self._answer(held)
+
+    def _on_held(self, sender: str, number: int) -> None:
+        for held in [e for e in self._held if (e.sender, e.ask.ask) == (sender, number)]:
+            self._answer(held)
+
+    def _answer(self, held: _HeldAsk) -> None:
+        self._held.remove(held)
+        ask, feed, now_s = held.ask, self._feed, self._clock.seconds()
+        number, incarnation = ask.ask, ask.incarnation
+        if feed is None or feed.proved_s is None or not 0 <= self._floor <= ask.offset:
+            self._sharing.send(held.sender, ViewReply(number, incarnation, False))
+            return
+        news = [each for each in self._changes if each.end > ask.offset]
+        records: list[Any] = [(each.record.key, each.record.value) for each in news]
+        reply = ViewReply(
+            number,
+            incarnation,
+            True,
+            feed.offset,
+            round(now_s - feed.proved_s, 4),
+            round(now_s - held.received_s, 4),
+            any(each.was_away for each in news),
+            records,
+        )
+        self._sharing.send(held.sender, reply)
--- /dev/null
+++ b/umberhitch/tasks/direct/tests/test_sharing.py
@@ -0,0 +1,163 @@
+"""One router reads the store for the others, and what becomes of that when things fail."""
+
+from umberhitch.core.direct import EndpointState
+from umberhitch.testing import (
+    DirectRouter,
+    DirectWorld,
+    make_direct_document,
+    make_endpoint_entry,
+    make_route,
+)
+from umberhitch.wire import ViewAsk, ViewReply
+
+NEW = (make_route("look"), make_route("new"))
+
+
+def _world(routers: int = 4) -> tuple[DirectWorld, list[DirectRouter]]:
+    world = DirectWorld()
+    world.operator.put("config", make_direct_document(1))
+    for name in ("e1", "e2"):
+        world.add_endpoint(name)
+    found = [world.add_router(f"r{number}") for number in range(routers)]
+    world.run(5.0)
+    return world, found
+
+
+def _calls(routers: list[DirectRouter]) -> int:
+    return sum(router.operator.calls + router.registry.calls for router in routers)
+
+
+def _drain(world: DirectWorld, name: str) -> None:
+    world.registry.put(name, make_endpoint_entry(name, state=EndpointState.DRAINING))
+
+
+def _ask(world: DirectWorld, router: DirectRouter, path: str) -> int | None:
+    found = world.ask(router, path)
+    world.run(0.05)
+    return found.status
+
+
+def test_calls_to_the_store_do_not_grow_with_the_routers():
+    """29 routers made 100 calls a second, a tenth of what their users' answers are worth
+    (Cedarline grown, trouble-2)."""
+    made = []
+    for count in (1, 4, 12):
+        world, routers = _world(count)
+        before = _calls(routers)
+        world.run(20.0)
+        made.append((_calls(routers) - before) / 20.0)
+    assert made[0] < 2.0
+    assert made[1] < 4.0
+    assert made[2] < 1.2 * made[1]
+
+
+def test_a_change_is_in_force_at_once_at_those_who_do_not_read():
+    world, routers = _world()
+    world.operator.put("config", make_direct_document(2, routes=NEW))
+    world.run(0.1)
+    assert [_ask(world, router, "/new/x") for router in routers] == [200] * 4
+
+
+def test_an_endpoint_that_leaves_is_known_in_time_to_those_who_do_not_read():
+    world, routers = _world()
+    _drain(world, "e1")
+    world.run(0.6)
+    before = len(world.endpoints.by_address["@e1"].calls)
+    for router in routers:
+        assert _ask(world, router, "/look/x") == 200
+    assert len(world.endpoints.by_address["@e1"].calls) == before
+
+
+def test_a_reader_that_freezes_holds_up_no_drain_and_no_configuration():
+    world, routers = _world()
+    routers[0].clock.is_paused = True
+    _drain(world, "e1")
+    world.operator.put("config", make_direct_document(2, routes=NEW))
+    world.run(1.9)
+    before = len(world.endpoints.by_address["@e1"].calls)
+    assert [_ask(world, router, "/new/x") for router in routers[1:]] == [200] * 3
+    assert len(world.endpoints.by_address["@e1"].calls) == before
+
+
+def test_a_reader_that_is_cut_off_from_the_others_is_not_waited_for():
+    world, routers = _world()
+    for number in (1, 2, 3):
+        world.network.cut("r0", f"r{number}")
+    _drain(world, "e1")
+    world.run(1.9)
+    before = len(world.endpoints.by_address["@e1"].calls)
+    for router in routers:
+        assert _ask(world, router, "/look/x") == 200
+    assert len(world.endpoints.by_address["@e1"].calls) == before
+
+
+def test_a_router_that_the_store_turns_away_goes_on_by_what_others_read():
+    """The store served three of four; the first, which reads for all, was turned away."""
+    world, routers = _world()
+    routers[0].faults.is_down = True
+    world.run(8.0)
+    assert [_ask(world, router, "/look/x") for router in routers] == [200] * 4
+
+
+def test_without_the_store_nobody_proves_anything_to_anyone():
+    """Every router asks others, which ask others; no answer makes a view any newer than it is."""
+    world, routers = _world()
+    for router in routers:
+        router.faults.is_down = True
+    world.operator.put("config", make_direct_document(2, keys=()))
+    world.run(5.2)
+    assert [_ask(world, router, "/look/x") for router in routers] == [503] * 4
+    for router in routers:
+        router.faults.is_down = False
+    world.run(1.5)
+    assert [_ask(world, router, "/look/x") for router in routers] == [401] * 4
+
+
+def test_a_late_answer_proves_nothing_about_the_time_since():
+    """All that the reader says is held up for 3 s; meanwhile a key is taken away."""
+    world, routers = _world(2)
+    late = routers[1]
+    late.faults.is_down = True
+    world.network.hold_where(lambda sender, receiver, message: sender == "r0")
+    world.operator.put("config", make_direct_document(2, keys=()))
+    world.run(4.0)
+    world.network.release()
+    world.run(0.2)
+    age_s = late.gateway.view.proof_age_s(world.clock.seconds())
+    assert age_s > 4.0 or late.gateway.table.document.number == 2
+
+
+def test_a_router_that_starts_again_takes_no_answer_to_its_earlier_life():
+    _, routers = _world(2)
+    sharing = routers[1].peers._sharing
+    found = []
+    sharing.ask("nobody", "operator", 0, 1.0, 0.1).addCallback(found.append)
+    number = sharing._last_ask
+    sharing.receive("r0", ViewReply(number, 0, True, 9))
+    assert found == []
+    sharing.receive("r0", ViewReply(number, 1, True, 9))
+    assert [reply.end for reply in found] == [9]
+
+
+def test_who_asks_for_more_than_is_kept_is_told_so_at_once():
+    world, routers = _world(1)
+    view = routers[0].peers._sharing.views["registry"]
+    sent = []
+    view._sharing.send = lambda peer, message: sent.append((peer, message))
+    view.on_ask("r9", ViewAsk(1, 1, "registry", 0, 0.5))
+    assert sent == [("r9", ViewReply(1, 1, False))]
+    view.on_ask("r9", ViewAsk(2, 1, "registry", 99, 0.5))
+    world.run(0.6)
+    assert sent[1][1].is_known
+    assert sent[1][1].held_s >= 0.5
+
+
+def test_a_reader_that_cannot_tell_is_not_asked_again_for_a_while():
+    world, routers = _world(3)
+    routers[0].faults.is_down = True
+    world.run(4.0)
+    first = _calls(routers[2:])
+    world.run(10.0)
+    # The second reads now; the third asks it, and makes a call of its own only now and then.
+    assert _calls(routers[2:]) - first < 2 * 10.0
+    assert routers[2].gateway.view.proof_age_s(world.clock.seconds()) < 2.0
--- a/umberhitch/tasks/direct/trials.py
+++ b/umberhitch/tasks/direct/trials.py
@@ -262,10 +262,8 @@
         """Count an answer."""
         trial = self._trials.get(service)
         if trial is not None:
-            is_target, now_s = self.is_target(service, endpoint), self._clock.seconds()
-            is_paced = verdict in (AnswerVerdict.SLOW, AnswerVerdict.GOOD)
-            if is_paced and is_target and trial.is_under_proof(now_s):
-                verdict = AnswerVerdict.UNPACED  # its pace is that of the load of the proof
+            is_target = self.is_target(service, endpoint)
+            now_s = self._clock.seconds()
             trial.note(is_target, route, endpoint.entry.incarnation, verdict, now_s)
 
     def is_target(self, service: str, endpoint: Endpoint) -> bool:
@@ -273,6 +271,13 @@
         trial = self._trials.get(service)
         return trial is not None and endpoint.entry.version == trial.order.target
 
+    def bears_load(self, service: str, endpoint: Endpoint) -> bool:
+        """Whether an endpoint is of a new version that gets all new work since lately."""
+        trial = self._trials.get(service)
+        if trial is None or not self.is_target(service, endpoint):
+            return False
+        return not trial.is_first_half(self._clock.seconds())
+
     # Peers
 
     def reports(self) -> list[TrialReport]:
--- a/umberhitch/testing/_direct.py
+++ b/umberhitch/testing/_direct.py
@@ -34,6 +34,7 @@
 from umberhitch.ports.direct import Member, OperatorValue, RawRequest
 from umberhitch.tasks.direct.gateway import Gateway, GatewaySettings
 from umberhitch.tasks.direct.peers import DirectPeers
+from umberhitch.tasks.direct.sharing import Sharing, StreamName
 from umberhitch.tasks.direct.trials import Trials
 
 __all__ = [
@@ -130,20 +131,25 @@
         operator = FakeFeed(self.operator, clock, faults)
         registry = FakeFeed(self.registry, clock, faults)
         trials = Trials(clock, Random(name), FakeStatuses(self.statuses, status_faults or faults))
+        link = self.network.link(name)
+        sharing = Sharing(name, 1, clock, Random(name), link.send)
+        operator_view = sharing.share(StreamName.OPERATOR, operator)
+        registry_view = sharing.share(StreamName.REGISTRY, registry)
         gateway = Gateway(
             GatewaySettings(name=name, zone="a", budget=BudgetLimits(0.9, slack, 10.0)),
             clock,
             Random(name),
             FakeWire(),
             self.endpoints,
-            operator,
-            registry,
+            operator_view,
+            registry_view,
             trials,
         )
+        operator_view.follow(gateway.view.operator_feed)
+        registry_view.follow(gateway.view.registry_feed)
         me = Member(name, f"@{name}")
         members = FakeMembers(self.members, faults)
-        link = self.network.link(name)
-        peers = DirectPeers(me, 1, gateway, clock, Random(name), link, members)
+        peers = DirectPeers(me, 1, gateway, clock, Random(name), link, members, sharing)
         gateway.start()
         trials.start()
         peers.start()
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -9,6 +9,8 @@
 
 from msgspec import Struct
 
+from umberhitch.core.direct import EndpointEntry
+
 __all__ = [
     "URGENT_PRIORITY",
     "AttemptId",
@@ -44,6 +46,8 @@
     "TrialReport",
     "Usage",
     "UsageRecord",
+    "ViewAsk",
+    "ViewReply",
     "Withdrawal",
 ]
 
@@ -363,6 +367,35 @@
     """Prompts that are not read yet, in seconds of the endpoint's time."""
 
 
+class ViewAsk(Struct, frozen=True, array_like=True, tag="view?"):
+    """What has changed in a stream of the platform's store? Held while nothing has."""
+
+    ask: int
+    incarnation: int
+    """Of the router that asks."""
+    stream: str
+    offset: int
+    hold_s: float
+
+
+class ViewReply(Struct, frozen=True, array_like=True, tag="view"):
+    """What a router knows of a stream, as its own reads told it."""
+
+    ask: int
+    incarnation: int
+    is_known: bool
+    """Whether it can tell what came after the offset."""
+    end: int = -1
+    age_s: float = 0.0
+    """How old its view is."""
+    held_s: float = 0.0
+    """How long it held the ask, before it looked at its view."""
+    was_away: bool = False
+    """Whether the store had been away when it told this."""
+    records: list[tuple[str, EndpointEntry | None]] = []
+    """Changed entries of endpoints; None where one is gone. Of other streams none are told."""
+
+
 class PeerReport(Struct, frozen=True, array_like=True, tag="peer"):
     """What a router of the direct path tells the others, several times a second."""
 
@@ -397,4 +430,6 @@
     | Order
     | OrderReply
     | PeerReport
+    | ViewAsk
+    | ViewReply
 )
