While the store is away, routers ask the one that calls it instead of calling it themselves

Cause: with the store gone, every router went on calling it for itself: 12 made 32 calls a second on the virtual clock. Now two asks of three that find the reader's view too old end there; the reader calls on, and answers the held asks when the store is back.

--- a/umberhitch/tasks/direct/sharing.py
+++ b/umberhitch/tasks/direct/sharing.py
@@ -12,7 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
-from enum import StrEnum
+from enum import Enum, StrEnum
 from itertools import starmap
 from logging import getLogger
 from random import Random
@@ -20,7 +20,7 @@
 
 from twisted.internet.defer import Deferred
 
-from umberhitch.errors import LogError
+from umberhitch.errors import LogError, LogUnavailableError
 from umberhitch.ports.clock import Clock, Timer
 from umberhitch.ports.direct import FeedBatch, FeedPort, FeedRecord
 from umberhitch.tasks.direct.feeds import Feed
@@ -69,6 +69,9 @@
         A router that was asked within this reads for others.
     shun_s : float
         A router that could not tell what the store could is not asked for so long.
+    asks_a_call : int
+        While neither the store nor the reader can tell, so many asks are made for one call: the
+        reader calls all the time, and tells the others as soon as the store is back.
     kept_changes : int
         Changes kept to be told.
     """
@@ -82,6 +85,7 @@
     read_pause_s: float = 0.4
     asked_s: float = 2.0
     shun_s: float = 2.0
+    asks_a_call: int = 3
     kept_changes: int = 5000
 
 
@@ -111,6 +115,14 @@
     was_away: bool
 
 
+class _Word(Enum):
+    """What a peer's answer is worth that brings nothing by itself."""
+
+    NOTHING = "it did not answer, or cannot tell"
+    STALE = "its view is too old"
+    NEWS = "there is something new in the store"
+
+
 @dataclass(slots=True)
 class _Asked:
     done: "Deferred[ViewReply | None]"
@@ -219,6 +231,7 @@
         self._asked_s = float("-inf")
         self._shunned: dict[str, float] = {}
         self._is_failing = False
+        self._vain_asks = 0
 
     # For this router
 
@@ -235,42 +248,47 @@
 
     async def since(self, offset: int, wait_s: float, patience_s: float) -> FeedBatch[Value]:
         """Return what has changed, from a peer if one can tell, else from the store."""
-        peer = self._pick_peer()
-        has_news = False
-        if peer is not None:
-            batch, has_news = await self._since_by_peer(peer, offset)
-            if batch is not None:
+        reader = self._reader()
+        peer = self._sharing.any_peer() if reader is None and self._is_failing else reader
+        if peer is None:
+            return await self._since_by_store(offset, wait_s, patience_s)
+        hold_s = self._limits.quick_hold_s if reader is None else self._limits.hold_s
+        called_s = self._clock.seconds()
+        reply = await self._sharing.ask(peer, self._stream, offset, hold_s, self._limits.patience_s)
+        match self._judge(reply, called_s, offset):
+            case FeedBatch() as batch:
+                self._is_failing = False
                 return batch
-        batch = await self._since_by_store(offset, 0.0 if has_news else wait_s, patience_s)
-        if peer is not None and not has_news:
-            # The store could tell what the peer could not.
-            self._shunned[peer] = self._clock.seconds() + self._limits.shun_s
+            case _Word.NEWS:
+                return await self._since_by_store(offset, 0.0, patience_s)
+            case _Word.STALE if self._is_failing and reader is not None:
+                self._vain_asks += 1
+                if self._vain_asks % self._limits.asks_a_call:
+                    raise LogUnavailableError("neither the store nor the reader can tell")
+        batch = await self._since_by_store(offset, wait_s, patience_s)
+        # The store could tell what the peer could not.
+        self._shunned[peer] = self._clock.seconds() + self._limits.shun_s
         return batch
 
-    def _pick_peer(self) -> str | None:
-        if self._is_failing:
-            return self._sharing.any_peer()
+    def _reader(self) -> str | None:
         now_s = self._clock.seconds()
         self._shunned = {name: end for name, end in self._shunned.items() if end > now_s}
         return self._sharing.reader(set(self._shunned))
 
-    async def _since_by_peer(self, peer: str, offset: int) -> tuple[FeedBatch[Value] | None, bool]:
-        """Return a peer's answer if it is of use, and whether the store has something new."""
-        limits = self._limits
-        hold_s = limits.quick_hold_s if self._is_failing else limits.hold_s
-        called_s = self._clock.seconds()
-        reply = await self._sharing.ask(peer, self._stream, offset, hold_s, limits.patience_s)
+    def _judge(
+        self, reply: ViewReply | None, called_s: float, offset: int
+    ) -> "FeedBatch[Value] | _Word":
+        """Return what a peer's answer brings, or why it is of no use."""
         if reply is None or not reply.is_known:
-            return None, False
+            return _Word.NOTHING
         # The peer looked at its view after it had got the ask, and after it had held it.
         proved_s = called_s + reply.held_s - reply.age_s
-        if self._clock.seconds() - proved_s > limits.stale_s:
-            return None, False
-        if reply.end > offset and not limits.tells_records:
-            return None, True
+        if self._clock.seconds() - proved_s > self._limits.stale_s:
+            return _Word.STALE
+        if reply.end > offset and not self._limits.tells_records:
+            return _Word.NEWS
         records: tuple[FeedRecord[Any], ...] = tuple(starmap(FeedRecord, reply.records))
-        end = max(offset, reply.end)
-        return FeedBatch(records, end, proved_s, 0.0, reply.was_away), False
+        return FeedBatch(records, max(offset, reply.end), proved_s, 0.0, reply.was_away)
 
     async def _since_by_store(
         self, offset: int, wait_s: float, patience_s: float
--- a/umberhitch/tasks/direct/tests/test_sharing.py
+++ b/umberhitch/tasks/direct/tests/test_sharing.py
@@ -161,3 +161,18 @@
     # The second reads now; the third asks it, and makes a call of its own only now and then.
     assert _calls(routers[2:]) - first < 2 * 10.0
     assert routers[2].gateway.view.proof_age_s(world.clock.seconds()) < 2.0
+
+
+def test_an_outage_of_the_store_does_not_multiply_the_calls():
+    """29 routers called it 350 times a second while it was away (Cedarline grown, trouble-2)."""
+    world, routers = _world(12)
+    for router in routers:
+        router.faults.is_down = True
+    world.run(2.0)
+    before = _calls(routers[1:])
+    world.run(6.0)
+    assert (_calls(routers[1:]) - before) / 6.0 < 12 * 1.5
+    for router in routers:
+        router.faults.is_down = False
+    world.run(0.5)
+    assert [_ask(world, router, "/look/x") for router in routers] == [200] * 12
