Burn report at routers of the direct path; the demo plays both deployments and says which

The report's task no longer knows the router (one of the six files that named each other): it gets names, link and objectives. Latencies are left out at gateways, as the histograms take some 16 KB a customer, class and minute, and their library 30 ms of a start.

--- a/umberhitch/adapters/burn_page.py
+++ b/umberhitch/adapters/burn_page.py
@@ -62,7 +62,7 @@
     numbers = [row.requests, row.bad, row.p50_ms, row.p99_ms]
     bars = [_bar(row.rates[window_s], row.severity) for window_s in WINDOWS_S]
     cells = [f"<td>{text}</td>" for text in texts]
-    cells += [f'<td class="n">{number}</td>' for number in numbers]
+    cells += [f'<td class="n">{"-" if n is None else n}</td>' for n in numbers]
     cells += [f"<td>{bar}</td>" for bar in bars]
     cells.append(f"<td>{row.severity.value}</td>")
     return f"<tr>{''.join(cells)}</tr>"
--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -1,15 +1,22 @@
 """Pages of a router of the direct path: readiness for the balancer, metrics, status."""
 
 from collections.abc import Callable
+from logging import getLogger
 
 from msgspec import json
+from twisted.internet.defer import ensureDeferred
 
+from umberhitch.adapters.burn_page import burn_row, render_burn
 from umberhitch.core.direct import IntakeLimits
 from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest
+from umberhitch.tasks.burn import BurnReport
 from umberhitch.tasks.direct.gateway import Gateway
 
 __all__ = ["GatewayPages"]
 
+log = getLogger(__name__)
+
+HTML = b"text/html; charset=utf-8"
 TEXT = b"text/plain; charset=utf-8"
 JSON = b"application/json"
 READINESS_ENDING = b"/readyz"
@@ -31,8 +38,10 @@
         self._transport = transport
 
     def handle(self, raw: RawRequest, reply: CallerReply) -> Callable[[], None]:
-        """Answer at once."""
+        """Answer; the burn report once the peers have answered, all else at once."""
         path = raw.target.partition(b"?")[0]
+        if path in (b"/burn", b"/burn.json"):
+            return self._answer_burn(reply, path.endswith(b".json"))
         if path.endswith(READINESS_ENDING):
             is_ready = self._gateway.is_ready
             _send(reply, 200 if is_ready else 503, TEXT, b"ready\n" if is_ready else b"not ready\n")
@@ -44,6 +53,28 @@
             _send(reply, 404, TEXT, b"no such page\n")
         return _nothing
 
+    def _answer_burn(self, reply: CallerReply, is_json: bool) -> Callable[[], None]:
+        burn = self._gateway.burn
+        if burn is None:
+            _send(reply, 404, TEXT, b"no burn report here\n")
+            return _nothing
+        wanted = [True]
+
+        def send(report: BurnReport) -> None:
+            if not wanted:
+                return
+            if is_json:
+                rows = [burn_row(row) for row in report.rows]
+                body = {"rows": rows, "routers": report.routers, "missing": report.missing}
+                _send(reply, 200, JSON, json.encode(body))
+            else:
+                _send(reply, 200, HTML, render_burn(report).encode())
+
+        gathered = ensureDeferred(burn.report())
+        gathered.addCallback(send)
+        gathered.addErrback(lambda failure: log.error("no report", extra={"e": str(failure)}))
+        return wanted.clear
+
     def intake(self) -> IntakeLimits:
         """Return the limits that are in force."""
         return IntakeLimits(body_bytes=0)
--- a/umberhitch/core/burn.py
+++ b/umberhitch/core/burn.py
@@ -8,13 +8,15 @@
 
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
-
-from hdrh.histogram import HdrHistogram
+from typing import TYPE_CHECKING
 
 from umberhitch.wire import BurnSlice
 
+if TYPE_CHECKING:
+    from hdrh.histogram import HdrHistogram
+
 __all__ = [
     "WINDOWS_S",
     "Alert",
@@ -61,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BurnRow:
-    """The burn of one customer and class."""
+    """The burn of one customer and class; its latencies are None where they are not kept."""
 
     customer: str
     klass: str
@@ -69,21 +71,35 @@
     latency_s: float
     requests: int
     bad: int
-    p50_ms: int
-    p99_ms: int
+    p50_ms: int | None
+    p99_ms: int | None
     rates: dict[int, float]
     severity: Severity
 
 
-def _make_histogram() -> HdrHistogram:
+def _make_histogram() -> "HdrHistogram":
+    # Imported only where latencies are kept: not by routers of the direct path, which start fast.
+    from hdrh.histogram import HdrHistogram
+
     return HdrHistogram(LOWEST_MS, HIGHEST_MS, DIGITS)
 
 
-@dataclass
+@dataclass(slots=True)
 class _Cell:
     good: int = 0
     bad: int = 0
-    histogram: HdrHistogram = field(default_factory=_make_histogram)
+    histogram: "HdrHistogram | None" = None
+
+    def note_latency(self, latency_s: float) -> None:
+        if self.histogram is None:
+            self.histogram = _make_histogram()
+        self.histogram.record_value(max(LOWEST_MS, min(HIGHEST_MS, round(latency_s * 1000))))
+
+    def add_latencies(self, encoded: bytes) -> None:
+        if encoded:
+            if self.histogram is None:
+                self.histogram = _make_histogram()
+            self.histogram.decode_and_add(encoded)
 
 
 class BurnBook:
@@ -93,9 +109,13 @@
     ----------
     keep_s : int
         How far back the book goes.
+    has_latencies : bool
+        Whether latencies are kept besides the counts; they take some 16 KB for each customer, class
+        and minute.
     """
 
-    def __init__(self, keep_s: int = max(WINDOWS_S)) -> None:
+    def __init__(self, keep_s: int = max(WINDOWS_S), has_latencies: bool = True) -> None:
+        self._has_latencies = has_latencies
         self._slices: deque[tuple[int, dict[tuple[str, str], _Cell]]] = deque(
             maxlen=keep_s // SLICE_S + 1
         )
@@ -112,17 +132,22 @@
             cell.good += 1
         else:
             cell.bad += 1
-        cell.histogram.record_value(max(LOWEST_MS, min(HIGHEST_MS, round(latency_s * 1000))))
+        if self._has_latencies:
+            cell.note_latency(latency_s)
 
     def slices(self) -> list[BurnSlice]:
         """Return everything in the book, in a form that can be merged exactly."""
         return [
-            BurnSlice(slot, customer, klass, cell.good, cell.bad, cell.histogram.encode())
+            BurnSlice(slot, customer, klass, cell.good, cell.bad, _encode(cell.histogram))
             for slot, cells in self._slices
             for (customer, klass), cell in cells.items()
         ]
 
 
+def _encode(histogram: "HdrHistogram | None") -> bytes:
+    return b"" if histogram is None else histogram.encode()
+
+
 def merge_slices(slices: Iterable[BurnSlice]) -> dict[tuple[str, str], dict[int, _Cell]]:
     """Merge the slices of several routers; counts and histograms add up exactly."""
     merged: dict[tuple[str, str], dict[int, _Cell]] = {}
@@ -131,7 +156,7 @@
         cell = cells.setdefault(part.slot, _Cell())
         cell.good += part.good
         cell.bad += part.bad
-        cell.histogram.decode_and_add(part.histogram)
+        cell.add_latencies(part.histogram)
     return merged
 
 
@@ -165,9 +190,11 @@
     now_s: float,
 ) -> BurnRow:
     rates = {window_s: _rate(cells, window_s, now_s, objective) for window_s in WINDOWS_S}
-    histogram = _make_histogram()
-    for cell in cells.values():
-        histogram.add(cell.histogram)
+    histograms = [cell.histogram for cell in cells.values() if cell.histogram is not None]
+    total = _make_histogram() if histograms else None
+    if total is not None:
+        for histogram in histograms:
+            total.add(histogram)
     severity = Severity.NONE
     for alert in ALERTS:
         if rates[alert.long_s] >= alert.rate and rates[alert.short_s] >= alert.rate:
@@ -181,8 +208,8 @@
         latency_s,
         bad + sum(cell.good for cell in cells.values()),
         bad,
-        histogram.get_value_at_percentile(50),
-        histogram.get_value_at_percentile(99),
+        None if total is None else total.get_value_at_percentile(50),
+        None if total is None else total.get_value_at_percentile(99),
         rates,
         severity,
     )
--- a/umberhitch/demo/__main__.py
+++ b/umberhitch/demo/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m umberhitch.demo``: the main job on stand-ins, in one process on loopback."""
+"""``python -m umberhitch.demo``: the main job on stand-ins, in both deployments, on loopback."""
 
 import sys
 from collections import Counter
@@ -16,8 +16,9 @@
 
 from umberhitch.adapters.logs import configure_logs
 from umberhitch.config.documents import parse_document
-from umberhitch.demo._checks import check_promises, fold_bills
+from umberhitch.demo._checks import Check, check_promises, fold_bills
 from umberhitch.demo._client import Answer, DemoCaller
+from umberhitch.demo._direct import run_direct
 from umberhitch.embedded import EmbeddedDeployment, EndpointSpec, start_deployment
 from umberhitch.fakes import EnginePace
 from umberhitch.standins._serve import pause
@@ -201,10 +202,7 @@
             self.withdrawn_at_s,
             WITHDRAWAL_SETTLE_S,
         )
-        print("\nPromises")
-        for check in checks:
-            print(f"  {'held  ' if check.holds else 'BROKEN'} {check.promise} {check.detail}")
-        return all(check.holds for check in checks)
+        return _print_checks(checks)
 
     def _outcome_rows(self) -> list[dict[str, Any]]:
         counts = Counter(
@@ -230,9 +228,25 @@
         return rows
 
 
+def _print_checks(checks: list[Check]) -> bool:
+    print("\nPromises")
+    for check in checks:
+        print(f"  {'held  ' if check.holds else 'BROKEN'} {check.promise} {check.detail}")
+    return all(check.holds for check in checks)
+
+
 def main(argv: list[str]) -> int:
     """Run the demo and return its exit code."""
     configure_logs("ERROR", "demo")
+    print("1. Deployment with agents beside the endpoints (roles router and agent)")
+    holds = _run_with_agents()
+    if _SERVE.value:
+        return 0 if holds else 1
+    print("\n2. Deployment on the users' platform (role gateway, as in deploy/system.toml)")
+    return 0 if _print_checks(run_direct()) and holds else 1
+
+
+def _run_with_agents() -> bool:
     with open(_EXAMPLE.value, "rb") as file:
         document = json.decode(file.read())
     demo = Demo(default_reactor, document)
@@ -254,7 +268,7 @@
 
     default_reactor.callWhenRunning(begin)
     default_reactor.run()
-    return 0 if result["ok"] else 1
+    return result["ok"]
 
 
 def _print_addresses(demo: Demo) -> None:
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -5,6 +5,7 @@
 from logging import getLogger
 from random import Random, SystemRandom
 from socket import AF_INET, socket
+from time import time
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -25,6 +26,7 @@
     make_operator_feed,
 )
 from umberhitch.ports.direct import Member
+from umberhitch.tasks.burn import BurnHost, BurnTask
 from umberhitch.tasks.direct.gateway import Gateway, GatewaySettings
 from umberhitch.tasks.direct.opening import open_when_loaded
 from umberhitch.tasks.direct.peers import DirectPeers
@@ -124,6 +126,7 @@
             zone=settings.zone,
             proof_age_s=PROOF_MARGIN * bounds.revocation_s,
             drain_notice_s=settings.drain_notice_s,
+            good_share=settings.good_share,
             budget=BudgetLimits(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s),
         ),
         reactor,
@@ -137,6 +140,8 @@
     operator_view.follow(gateway.view.operator_feed)
     registry_view.follow(gateway.view.registry_feed)
     me = Member(settings.name, link.address)
+    burn_host = BurnHost(settings.name, sharing.names, link.send, gateway.objectives)
+    gateway.burn = BurnTask(burn_host, reactor, time, has_latencies=False)
     peers = DirectPeers(me, incarnation, gateway, reactor, rng, link, Members(store), sharing)
     callers = CallerFactory(reactor, _Front(gateway), int(settings.memory_mb * MIB * BODIES_SHARE))
 
--- a/umberhitch/gateway_settings.py
+++ b/umberhitch/gateway_settings.py
@@ -63,6 +63,8 @@
     memory_mb: Annotated[float, Meta(ge=32)] = 128
     """What the process may use."""
     bounds: Bounds = Bounds()
+    good_share: Annotated[float, Meta(gt=0, lt=1)] = 0.99
+    """Share of a route's requests to be done within its objective; for the burn report."""
 
 
 def parse_gateway_file(data: bytes) -> GatewayFile:
--- a/umberhitch/platform/standins/client.py
+++ b/umberhitch/platform/standins/client.py
@@ -11,7 +11,32 @@
 
 from msgspec import json
 
-__all__ = ["Answer", "LocalPlatform", "RouterProcess", "eventually"]
+__all__ = ["EVENTS", "KEY", "Answer", "LocalPlatform", "RouterProcess", "eventually"]
+
+KEY = "k1"
+ROUTE = {
+    "host": "models.example",
+    "service": "svc",
+    "timeoutMs": 8000,
+    "targetLatencyMs": 1000,
+    "priority": 0,
+    "public": False,
+}
+ROUTES = [
+    {**ROUTE, "name": "look", "pathPrefix": "/look/", "kind": "idempotent", "maxAttempts": 2},
+    {**ROUTE, "name": "order", "pathPrefix": "/order/", "kind": "non_idempotent"},
+    {
+        **ROUTE,
+        "name": "draft",
+        "pathPrefix": "/draft/",
+        "kind": "streaming",
+        "maxAttempts": 3,
+        "resumable": True,
+        "targetGapMs": 1000,
+        "sizes": ["small", "large"],
+    },
+]
+EVENTS = b"".join(b"id: %d\ndata: e%d\n\n" % (each, each) for each in range(1, 5))
 
 LIMIT_S = 40.0
 """Longest wait for anything; far more than it takes, so that a busy machine changes no verdict."""
@@ -80,7 +105,15 @@
 
     def status(self) -> dict[str, Any]:
         """Return the router's status page."""
-        return json.decode(call(self.addresses["pages"], "GET", "/status").body)
+        return json.decode(self.page("/status"))
+
+    def burn(self) -> dict[str, Any]:
+        """Return the burn report."""
+        return json.decode(self.page("/burn.json"))
+
+    def page(self, path: str) -> bytes:
+        """Return one of the router's pages."""
+        return call(self.addresses["pages"], "GET", path).body
 
     def ask(self, path: str, call_id: str, key: str, model: str | None = None) -> Answer:
         """Send a caller's request."""
@@ -135,6 +168,32 @@
         assert answer.status == 200, answer
         return json.decode(answer.body)
 
+    def publish(self, number: int, keys: tuple[str, ...] = (KEY,)) -> None:
+        """Publish a configuration with three routes, one of each kind, and one customer's keys."""
+        config = {
+            "version": number,
+            "routes": ROUTES,
+            "services": [{"name": "svc", "engine": {"slots": 8, "kvCapacityTokens": 10000}}],
+            "tenants": [{"name": "acme", "apiKeys": list(keys)}],
+        }
+        self.control("POST", "/operator/config", config)
+
+    def add_endpoint(self, name: str, version: str = "v1") -> None:
+        """Start an endpoint and register it."""
+        self.control("POST", f"/endpoints/{name}", {"service": "svc", "version": version})
+
+    def drain_endpoint(self, name: str) -> None:
+        """Let an endpoint say that it is leaving."""
+        self.control("POST", f"/endpoints/{name}/state/draining")
+
+    def break_streams(self, name: str, after_events: int) -> None:
+        """Let an endpoint break streams off after so many events."""
+        self.control("POST", f"/endpoints/{name}/faults", {"break_after": after_events})
+
+    def take_store_away(self, is_away: bool) -> None:
+        """Let the store refuse every call, or serve again."""
+        self.control("POST", "/store/faults", {"is_down": is_away})
+
     def runs(self, endpoint: str) -> list[dict[str, str]]:
         """Return what has run on an endpoint."""
         return self.control("GET", f"/endpoints/{endpoint}/runs")
--- a/umberhitch/platform/tests/test_processes.py
+++ b/umberhitch/platform/tests/test_processes.py
@@ -6,60 +6,27 @@
 
 import pytest
 
-from umberhitch.platform.standins.client import LocalPlatform, RouterProcess, eventually
-
-KEY = "k1"
-ROUTE = {
-    "host": "models.example",
-    "service": "svc",
-    "timeoutMs": 8000,
-    "targetLatencyMs": 1000,
-    "priority": 0,
-    "public": False,
-}
-ROUTES = [
-    {**ROUTE, "name": "look", "pathPrefix": "/look/", "kind": "idempotent", "maxAttempts": 2},
-    {**ROUTE, "name": "order", "pathPrefix": "/order/", "kind": "non_idempotent"},
-    {
-        **ROUTE,
-        "name": "draft",
-        "pathPrefix": "/draft/",
-        "kind": "streaming",
-        "maxAttempts": 3,
-        "resumable": True,
-        "targetGapMs": 1000,
-        "sizes": ["small", "large"],
-    },
-]
-EVENTS = b"".join(b"id: %d\ndata: e%d\n\n" % (each, each) for each in range(1, 5))
-
-
-def publish(platform: LocalPlatform, number: int, keys: tuple[str, ...] = (KEY,)) -> None:
-    config = {
-        "version": number,
-        "routes": ROUTES,
-        "services": [{"name": "svc", "engine": {"slots": 8, "kvCapacityTokens": 10000}}],
-        "tenants": [{"name": "acme", "apiKeys": list(keys)}],
-    }
-    platform.control("POST", "/operator/config", config)
+from umberhitch.platform.standins.client import (
+    EVENTS,
+    KEY,
+    LocalPlatform,
+    RouterProcess,
+    eventually,
+)
 
 
 @pytest.fixture
 def platform(tmp_path: Path) -> Iterator[LocalPlatform]:
     found = LocalPlatform(tmp_path)
     try:
-        publish(found, 1)
+        found.publish(1)
         for name in ("e1", "e2"):
-            add(found, name, "v1")
+            found.add_endpoint(name, "v1")
         yield found
     finally:
         found.close()
 
 
-def add(platform: LocalPlatform, name: str, version: str) -> None:
-    platform.control("POST", f"/endpoints/{name}", {"service": "svc", "version": version})
-
-
 def ran(platform: LocalPlatform, call_id: str, *names: str) -> int:
     runs = [run for name in names or ("e1", "e2") for run in platform.runs(name)]
     return sum(run["call_id"] == call_id for run in runs)
@@ -83,6 +50,23 @@
     assert router.ask("/look/x", "a5", "stolen").status == 401
 
 
+def test_operators_read_the_burn_of_all_routers_from_any(platform):
+    routers = [platform.start_router(f"r{number}") for number in range(2)]
+    eventually(lambda: all(router.status()["routers"] == 2 for router in routers))
+    for number, router in enumerate(routers):
+        settle(router, 2)
+        assert router.ask("/look/x", f"k{number}", KEY).status == 200
+    report = eventually(lambda: _whole_burn(routers[0]))
+    (row,) = report["rows"]
+    assert (row["customer"], row["class"], row["requests"], row["bad"]) == ("acme", "look", 2, 0)
+    assert b"<h1>Service-level burn</h1>" in routers[1].page("/burn")
+
+
+def _whole_burn(router: RouterProcess) -> dict | None:
+    report = router.burn()
+    return report if report["routers"] == ["r0", "r1"] else None
+
+
 def test_a_broken_stream_goes_on_elsewhere_and_a_doubtful_answer_is_dropped(platform):
     router = platform.start_router("r1")
     settle(router, 2)
@@ -107,7 +91,7 @@
 def test_a_key_that_is_taken_away_and_an_endpoint_that_drains(platform):
     router = platform.start_router("r1")
     settle(router, 2)
-    publish(platform, 2, keys=("k2",))
+    platform.publish(2, keys=("k2",))
     eventually(lambda: router.status()["configuration"] == 2)
     assert router.ask("/look/x", "c1", KEY).status == 401
     assert ran(platform, "c1") == 0
@@ -136,7 +120,7 @@
 def test_a_roll_out_of_a_bad_version_survives_the_loss_of_a_router(platform):
     routers = [platform.start_router(f"r{number}") for number in range(2)]
     eventually(lambda: all(router.status()["routers"] == 2 for router in routers))
-    add(platform, "n1", "v2")
+    platform.add_endpoint("n1", "v2")
     platform.control("POST", "/endpoints/n1/faults", {"status": 500})
     for router in routers:
         settle(router, 3)
@@ -161,7 +145,7 @@
 def test_all_routers_killed_and_started_again_go_on_from_the_store(platform):
     for number in range(2):
         platform.start_router(f"r{number}")
-    publish(platform, 5, keys=("k5",))
+    platform.publish(5, keys=("k5",))
     for router in platform.routers:
         router.kill()
     platform.routers.clear()
--- a/umberhitch/tasks/burn.py
+++ b/umberhitch/tasks/burn.py
@@ -1,19 +1,16 @@
 """Service-level burn at a router: counted here, gathered from the peers when someone asks."""
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred
 
 from umberhitch.core.burn import BurnBook, BurnRow, burn_rows
 from umberhitch.core.outcome import Done, NotRun, Outcome, Reason
 from umberhitch.ports import Clock
-from umberhitch.wire import BurnAsk, BurnReply, BurnSlice
+from umberhitch.wire import BurnAsk, BurnReply, BurnSlice, Message
 
-if TYPE_CHECKING:
-    from umberhitch.tasks.router import Router
-
-__all__ = ["BurnReport", "BurnTask"]
+__all__ = ["BurnHost", "BurnReport", "BurnTask"]
 
 GATHER_S = 1.0
 """How long peers are waited for."""
@@ -49,21 +46,50 @@
         self.missing = missing
 
 
+@dataclass(frozen=True, slots=True)
+class BurnHost:
+    """What the report needs of its router.
+
+    Attributes
+    ----------
+    name : str
+    peers : callable
+        Returns the names of the routers that were heard lately.
+    send : callable
+        Sends a message to one of them.
+    objectives : callable
+        Returns by class the share of requests that are to be good, and their latency in seconds.
+    """
+
+    name: str
+    peers: Callable[[], list[str]]
+    send: Callable[[str, Message], None]
+    objectives: Callable[[], dict[str, tuple[float, float]]]
+
+
 class BurnTask:
     """Owns one router's book.
 
     Parameters
     ----------
-    router : Router
+    host : BurnHost
     clock : Clock
     wall_s : callable
+    has_latencies : bool
+        Whether latencies are kept besides the counts.
     """
 
-    def __init__(self, router: "Router", clock: Clock, wall_s: Callable[[], float]) -> None:
-        self._router = router
+    def __init__(
+        self,
+        host: BurnHost,
+        clock: Clock,
+        wall_s: Callable[[], float],
+        has_latencies: bool = True,
+    ) -> None:
+        self._host = host
         self._clock = clock
         self._wall_s = wall_s
-        self._book = BurnBook()
+        self._book = BurnBook(has_latencies=has_latencies)
         self._asks = 0
         self._replies: dict[int, dict[str, list[BurnSlice]]] = {}
 
@@ -71,39 +97,37 @@
         """Count a request that has ended."""
         if isinstance(outcome, NotRun) and outcome.reason in CALLERS_FAULT:
             return
-        known = self._router.feed.config.classes.get(klass)
-        if known is None or not known.objective:
-            return
-        is_good = isinstance(outcome, Done) and latency_s <= known.objective_latency_s
-        self._book.count(self._wall_s(), customer, klass, is_good, latency_s)
+        self.count(customer, klass, isinstance(outcome, Done), latency_s)
+
+    def count(self, customer: str, klass: str, is_done: bool, latency_s: float) -> None:
+        """Count a request that has ended; a class without an objective is not counted."""
+        known = self._host.objectives().get(klass)
+        if known is not None:
+            is_good = is_done and latency_s <= known[1]
+            self._book.count(self._wall_s(), customer, klass, is_good, latency_s)
 
     async def report(self) -> BurnReport:
         """Gather the counts of all live routers and return the burn."""
         self._asks += 1
         ask = self._asks
         self._replies[ask] = {}
-        peers = self._router.live_peers()
+        peers = self._host.peers()
         for peer in peers:
-            self._router.send(peer, BurnAsk(ask))
+            self._host.send(peer, BurnAsk(ask))
         if peers:
             done: Deferred[None] = Deferred()
             self._clock.callLater(GATHER_S, done.callback, None)
             await done
         replies = self._replies.pop(ask)
-        own = self._router.settings.name
+        own = self._host.name
         slices = self._book.slices() + [part for parts in replies.values() for part in parts]
-        objectives = {
-            klass.name: (klass.objective, klass.objective_latency_s)
-            for klass in self._router.feed.config.classes.values()
-            if klass.objective
-        }
-        rows = burn_rows(slices, objectives, self._wall_s())
+        rows = burn_rows(slices, self._host.objectives(), self._wall_s())
         missing = sorted(set(peers) - set(replies))
         return BurnReport(rows, sorted([own, *replies]), missing)
 
     def answer(self, sender: str, ask: BurnAsk) -> None:
         """Send the book to a router that asks for it."""
-        self._router.send(sender, BurnReply(ask.ask, self._book.slices()))
+        self._host.send(sender, BurnReply(ask.ask, self._book.slices()))
 
     def take(self, sender: str, reply: BurnReply) -> None:
         """Take a peer's book."""
--- a/umberhitch/tasks/direct/exchange.py
+++ b/umberhitch/tasks/direct/exchange.py
@@ -20,12 +20,14 @@
 from umberhitch.ports.direct import CallerReply, CallFailure, RunningCall
 from umberhitch.tasks.direct.services import Permit, Services
 
-__all__ = ["Exchange"]
+__all__ = ["REFUSED_BY_ENDPOINT", "Exchange"]
 
 MAX_PLAIN_BYTES = 1_048_576
 """A plain reply up to this size is passed on only when it is whole."""
 MAX_DIALS = 6
 """Endpoints that could not be reached, for one request."""
+REFUSED_BY_ENDPOINT = "refused by the endpoint"
+"""Outcome of a request that the endpoint found wanting: the caller's fault."""
 LEAST_LEFT_S = 0.02
 """With less time left no call is begun."""
 
@@ -65,6 +67,8 @@
         self._cutter = EventCutter(ask.last_event)
         self._is_paused = False
         self._is_over = False
+        self.answered_s: float | None = None
+        """When the first event of a stream was passed on."""
         self._deadline: Timer | None = None
         self._stall: Timer | None = None
 
@@ -314,6 +318,8 @@
             self._broken(str(exc))
             return
         if whole:
+            if self.answered_s is None:
+                self.answered_s = self._clock.seconds()
             self._reply.data(whole)
             self._note_pace(is_end=False)
 
@@ -383,7 +389,10 @@
         if body:
             self._reply.data(body)
         self._reply.end()
-        self._finish("done" if head.is_success else "failed by the endpoint")
+        if head.is_success:
+            self._finish("done")
+        else:
+            self._finish("failed by the endpoint" if head.status >= 500 else REFUSED_BY_ENDPOINT)
 
     def on_failure(self, failure: CallFailure, detail: str) -> None:
         """Take the end of a call without a whole reply."""
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -41,8 +41,9 @@
     RunningCall,
     WirePort,
 )
+from umberhitch.tasks.burn import BurnTask
 from umberhitch.tasks.direct.decisions import DecisionLog
-from umberhitch.tasks.direct.exchange import Exchange
+from umberhitch.tasks.direct.exchange import REFUSED_BY_ENDPOINT, Exchange
 from umberhitch.tasks.direct.feeds import FeedPace
 from umberhitch.tasks.direct.services import ExchangeLimits, Permit
 from umberhitch.tasks.direct.store_view import StoreView
@@ -56,6 +57,8 @@
 """A call that reads less may be sent where many others are: it delays their tokens little."""
 LEAST_RETRY_S = 0.1
 """Soonest time to come back that a refusal names."""
+SPENDS_NO_BUDGET = ("caller left", REFUSED_BY_ENDPOINT)
+"""Outcomes that are the caller's own; the burn report leaves them out."""
 STARTING_RETRY_S = 0.5
 """Time to come back that is named while there is no configuration."""
 
@@ -71,12 +74,16 @@
         Requests with keys are refused where the proof that the keys are the newest is older.
     drain_notice_s : float
         At a shutdown, connections are taken for so long: the balancer notices only then.
+    good_share : float
+        Share of a route's requests that are to be done within its objective; the burn report
+        measures against it.
     """
 
     name: str
     zone: str
     proof_age_s: float = 4.5
     drain_notice_s: float = 2.6
+    good_share: float = 0.99
     operator_pace: FeedPace = field(default_factory=lambda: FeedPace(wait_s=1.6, pause_s=0.05))
     endpoint_pace: FeedPace = field(
         default_factory=lambda: FeedPace(wait_s=0.0, pause_s=0.95, patience_s=(0.5, 0.35, 1.0))
@@ -133,6 +140,8 @@
         self.trials = trials
         self.decisions = DecisionLog(clock)
         self.running: set[Exchange] = set()
+        self.burn: BurnTask | None = None
+        """Where requests that have ended are counted against their routes' objectives."""
         self._cascade = Cascade(settings.cascade)
         self._paces = Paces()
         self._rng = rng
@@ -442,9 +451,27 @@
         self.counters.outcomes[outcome] = self.counters.outcomes.get(outcome, 0) + 1
         elapsed_s = round(self.clock.seconds() - exchange.permit.received_s, 4)
         is_failure = outcome != "done"
+        self._count_burn(exchange, outcome)
         self.decided(exchange, "request ended", is_failure, outcome=outcome, elapsed_s=elapsed_s)
         self._look_idle()
 
+    def _count_burn(self, exchange: Exchange, outcome: str) -> None:
+        permit = exchange.permit
+        if self.burn is None or outcome in SPENDS_NO_BUDGET:
+            return
+        customer = "" if permit.customer is None else permit.customer.name
+        answered_s = exchange.answered_s
+        ended_s = self.clock.seconds() if answered_s is None else answered_s
+        latency_s = ended_s - permit.received_s
+        self.burn.count(customer, permit.route.name, outcome == "done", latency_s)
+
+    def objectives(self) -> dict[str, tuple[float, float]]:
+        """Return by route the share of requests that are to be good, and their latency."""
+        if self.table is None:
+            return {}
+        share = self.settings.good_share
+        return {route.name: (share, route.objective_s) for route in self.table.document.routes}
+
     def decided(self, exchange: Exchange, what: str, is_failure: bool, **facts: object) -> None:
         """Write a decision to the log, with what it rests on."""
         endpoint = exchange.endpoint
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -16,7 +16,15 @@
 from umberhitch.ports.link import LinkPort
 from umberhitch.tasks.direct.gateway import Gateway
 from umberhitch.tasks.direct.sharing import Sharing
-from umberhitch.wire import EndpointUse, Message, PeerReport, ViewAsk, ViewReply
+from umberhitch.wire import (
+    BurnAsk,
+    BurnReply,
+    EndpointUse,
+    Message,
+    PeerReport,
+    ViewAsk,
+    ViewReply,
+)
 
 __all__ = ["DirectPeers", "DirectPeersLimits"]
 
@@ -200,6 +208,10 @@
             match message:
                 case PeerReport():
                     self._on_report(message)
+                case BurnAsk() if self._gateway.burn is not None:
+                    self._gateway.burn.answer(sender, message)
+                case BurnReply() if self._gateway.burn is not None:
+                    self._gateway.burn.take(sender, message)
                 case ViewAsk() | ViewReply():
                     self._sharing.receive(sender, message)
                 case _:
--- a/umberhitch/tasks/direct/sharing.py
+++ b/umberhitch/tasks/direct/sharing.py
@@ -161,6 +161,10 @@
         self.views[stream] = view
         return view
 
+    def names(self) -> list[str]:
+        """Return the names of the peers that were heard lately."""
+        return self.peers()
+
     def reader(self, shunned: set[str]) -> str | None:
         """Return who reads for this router, or None if it reads itself."""
         names = sorted({self.name, *self.peers()} - shunned | {self.name})
--- a/umberhitch/tasks/router.py
+++ b/umberhitch/tasks/router.py
@@ -18,7 +18,7 @@
 from umberhitch.tasks.appender import AppenderLimits
 from umberhitch.tasks.attempts import AttemptPace, Attempts
 from umberhitch.tasks.bills import BillWriter
-from umberhitch.tasks.burn import BurnTask
+from umberhitch.tasks.burn import BurnHost, BurnTask
 from umberhitch.tasks.claims import Claims
 from umberhitch.tasks.config_feed import ConfigFeed
 from umberhitch.tasks.evidence import EvidenceTask
@@ -162,7 +162,8 @@
         )
         self.rollouts = RolloutDriver(self, self.lease, clock, wall_s)
         self.requests = Requests(self, clock, wall_s, rng)
-        self.burn = BurnTask(self, clock, wall_s)
+        burn_host = BurnHost(settings.name, self.live_peers, self.send, self._objectives)
+        self.burn = BurnTask(burn_host, clock, wall_s)
         self.resume = Resume(self.attempts, self.fleet)
 
     # Life cycle
@@ -332,6 +333,13 @@
         if update is not None:
             self._link.send(peer, update)
 
+    def _objectives(self) -> dict[str, tuple[float, float]]:
+        return {
+            klass.name: (klass.objective, klass.objective_latency_s)
+            for klass in self.feed.config.classes.values()
+            if klass.objective
+        }
+
     def live_peers(self) -> list[str]:
         """Return the names of the routers that were heard lately."""
         return [digest.router for digest in self.peers.live()]
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -301,7 +301,7 @@
     good: int
     bad: int
     histogram: bytes
-    """Latencies in ms, as an encoded HDR histogram."""
+    """Latencies in ms, as an encoded HDR histogram; empty where they are not kept."""
 
 
 class BurnAsk(Struct, frozen=True, array_like=True, tag="burn?"):
