--- a/umberhitch/core/direct/_trial.py
+++ b/umberhitch/core/direct/_trial.py
@@ -18,6 +18,8 @@
 __all__ = ["AnswerVerdict", "Counts", "EvidenceBar", "Trial", "TrialLimits"]
 
 MAX_SESSIONS = 20_000
+PROOF_ECHO = 0.08
+"""Part of the time in which what began under the proof's load comes to its end."""
 BREAK_ECHO_S = 1.0
 """An endpoint that is lost breaks off all its answers within such a time."""
 
@@ -291,6 +293,11 @@
         """Return the routes on which there are answers."""
         return {name for source in (self.own, *self._others.values()) for _, name in source}
 
+    def is_under_proof(self, now_s: float) -> bool:
+        """Whether answers may still be slow from the load of the proof."""
+        part = self.part(now_s)
+        return self.limits.half <= part < self.limits.proved + PROOF_ECHO
+
     def is_bad(self) -> bool:
         """Whether the evidence is against the new version, over all or on one route."""
         if self._is_worse(None):
--- a/umberhitch/tasks/direct/tests/test_trials.py
+++ b/umberhitch/tasks/direct/tests/test_trials.py
@@ -216,6 +216,23 @@
     assert not trial.is_bad()
 
 
+def test_the_load_of_the_proof_turns_no_version_back():
+    """13 of 41 answers of the endpoint that was loaded took over four times as long as usual, and
+    a good version was turned back in 3 of 4 plays (registry, quiet-1)."""
+    world = _world()
+    for name in ("e1", "e2", "e3"):
+        world.endpoints.by_address[f"@{name}"].reply = Reply(delay_s=0.02)
+    _begin(world, Reply(delay_s=0.02))
+    _traffic(world, 0.51 * DURATION_S)
+    for name in ("n1", "n2"):
+        world.endpoints.by_address[f"@{name}"].reply = Reply(delay_s=0.15)
+    _traffic(world, 0.11 * DURATION_S)
+    for name in ("n1", "n2"):
+        world.endpoints.by_address[f"@{name}"].reply = Reply(delay_s=0.02)
+    _traffic(world, 0.3 * DURATION_S)
+    assert world.statuses[-1] == ("svc", "v2", RolloutState.COMPLETED)
+
+
 def test_a_version_of_a_plain_service_is_judged_by_its_good_answers_too():
     world = _world()
     _begin(world, Reply())
--- a/umberhitch/tasks/direct/trials.py
+++ b/umberhitch/tasks/direct/trials.py
@@ -262,8 +262,10 @@
         """Count an answer."""
         trial = self._trials.get(service)
         if trial is not None:
-            is_target = self.is_target(service, endpoint)
-            now_s = self._clock.seconds()
+            is_target, now_s = self.is_target(service, endpoint), self._clock.seconds()
+            is_paced = verdict in (AnswerVerdict.SLOW, AnswerVerdict.GOOD)
+            if is_paced and is_target and trial.is_under_proof(now_s):
+                verdict = AnswerVerdict.UNPACED  # its pace is that of the load of the proof
             trial.note(is_target, route, endpoint.entry.incarnation, verdict, now_s)
 
     def is_target(self, service: str, endpoint: Endpoint) -> bool:
