--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -8,7 +8,7 @@
 
 from umberhitch.adapters.burn_page import burn_row, render_burn
 from umberhitch.core.direct import IntakeLimits
-from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest
+from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest, do_nothing
 from umberhitch.tasks.burn import BurnReport
 from umberhitch.tasks.direct.gateway import Gateway
 
@@ -51,13 +51,13 @@
             _send(reply, 200, JSON, json.encode(self._status()))
         else:
             _send(reply, 404, TEXT, b"no such page\n")
-        return _nothing
+        return do_nothing
 
     def _answer_burn(self, reply: CallerReply, is_json: bool) -> Callable[[], None]:
         burn = self._gateway.burn
         if burn is None:
             _send(reply, 404, TEXT, b"no burn report here\n")
-            return _nothing
+            return do_nothing
         wanted = [True]
 
         def send(report: BurnReport) -> None:
@@ -128,7 +128,3 @@
     reply.head(status, [(b"Content-Type", kind), (b"Content-Length", str(len(body)).encode())])
     reply.data(body)
     reply.end()
-
-
-def _nothing() -> None:
-    """Do nothing: the answer is complete already."""
--- a/umberhitch/cli/daemon.py
+++ b/umberhitch/cli/daemon.py
@@ -17,7 +17,7 @@
 
 from umberhitch import __version__
 from umberhitch.cli._lean import keep_out_tls
-from umberhitch.cli.early import SETTINGS_VARIABLE, take_early_socket
+from umberhitch.cli._listening import SETTINGS_VARIABLE, take_early_socket
 from umberhitch.errors import SettingsError
 from umberhitch.gateway_settings import GatewayFile, load_gateway_file
 
--- a/umberhitch/cli/early.py
+++ b/umberhitch/cli/early.py
@@ -9,36 +9,11 @@
 import os
 import sys
 from json import load
-from socket import AF_INET, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, socket
 from typing import Any
 
-__all__ = ["SETTINGS_VARIABLE", "listen_early", "run", "take_early_socket"]
+from umberhitch.cli._listening import SETTINGS_VARIABLE, keep_early_socket
 
-SETTINGS_VARIABLE = "UMBERHITCH_NODE_FILE"
-BACKLOG = 1024
-"""Connections that wait to be taken; a full queue costs callers seconds."""
-
-_early: dict[str, socket] = {}
-"""By address, until the daemon takes it."""
-
-
-def listen_early(address: str) -> socket:
-    """Return a socket that listens at ``IP:PORT``; raises ``OSError`` or ``ValueError``."""
-    host, _, port = address.rpartition(":")
-    listening = socket(AF_INET, SOCK_STREAM)
-    try:
-        listening.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
-        listening.bind((host, int(port)))
-        listening.listen(BACKLOG)
-    except (OSError, ValueError):
-        listening.close()
-        raise
-    return listening
-
-
-def take_early_socket(address: str) -> socket:
-    """Return the socket that listens at an address already, else a new one."""
-    return _early.pop(address, None) or listen_early(address)
+__all__ = ["run"]
 
 
 def _callers_address(path: str) -> str | None:
@@ -56,7 +31,7 @@
     address = _callers_address(os.environ.get(SETTINGS_VARIABLE, ""))
     if address is not None and len(sys.argv) == 1:
         try:
-            _early[address] = listen_early(address)
+            keep_early_socket(address)
         except (OSError, ValueError):
             pass  # the daemon tries again, and reports it
     from umberhitch.cli.daemon import run as run_daemon
@@ -65,7 +40,4 @@
 
 
 if __name__ == "__main__":
-    # The daemon imports this module by its name, so its state must not be that of __main__.
-    from umberhitch.cli.early import run as run_early
-
-    run_early()
+    run()
--- a/umberhitch/demo/__main__.py
+++ b/umberhitch/demo/__main__.py
@@ -21,7 +21,7 @@
 from umberhitch.demo._direct import run_direct
 from umberhitch.embedded import EmbeddedDeployment, EndpointSpec, start_deployment
 from umberhitch.fakes import EnginePace
-from umberhitch.standins._serve import pause
+from umberhitch.ports.clock import pause
 
 default_reactor: Any = _reactor
 EXAMPLE = Path(__file__).parents[2] / "examples" / "registry" / "config.json"
--- a/umberhitch/fakes/_direct_store.py
+++ b/umberhitch/fakes/_direct_store.py
@@ -7,7 +7,7 @@
 
 from umberhitch.core.direct import RolloutState
 from umberhitch.errors import LogAnswerLostError, LogTrimmedError, LogUnavailableError
-from umberhitch.ports.clock import Clock
+from umberhitch.ports.clock import Clock, pause
 from umberhitch.ports.direct import FeedBatch, FeedRecord, Member, StoredStatus
 
 __all__ = ["FakeFeed", "FakeMembers", "FakeStatuses", "KeyedMemory", "StoreFaults"]
@@ -104,9 +104,7 @@
         raise LogUnavailableError("down")
     if not faults.delay_s:
         return succeed(None)
-    done: Deferred[None] = Deferred()
-    clock.callLater(faults.delay_s, done.callback, None)
-    return done
+    return pause(clock, faults.delay_s)
 
 
 class FakeStatuses:
--- a/umberhitch/fakes/_log.py
+++ b/umberhitch/fakes/_log.py
@@ -7,6 +7,7 @@
 
 from umberhitch.errors import LogAnswerLostError, LogTrimmedError, LogUnavailableError
 from umberhitch.ports import Clock, LogBatch
+from umberhitch.ports.clock import pause
 
 __all__ = ["FakeLog", "LogFaults", "MemoryLog"]
 
@@ -132,6 +133,4 @@
     def _pause(self, delay_s: float) -> Deferred[None]:
         if delay_s <= 0:
             return succeed(None)
-        done: Deferred[None] = Deferred()
-        self._clock.callLater(delay_s, done.callback, None)
-        return done
+        return pause(self._clock, delay_s)
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -1,6 +1,5 @@
 """A whole router of the direct path: settings in, running process out."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from logging import getLogger
 from random import Random, SystemRandom
@@ -143,7 +142,7 @@
     burn_host = BurnHost(settings.name, sharing.names, link.send, gateway.objectives)
     gateway.burn = BurnTask(burn_host, reactor, time, has_latencies=False)
     peers = DirectPeers(me, incarnation, gateway, reactor, rng, link, Members(store), sharing)
-    callers = CallerFactory(reactor, _Front(gateway), int(settings.memory_mb * MIB * BODIES_SHARE))
+    callers = CallerFactory(reactor, gateway, int(settings.memory_mb * MIB * BODIES_SHARE))
 
     def transport() -> dict[str, int]:
         return {
@@ -183,14 +182,3 @@
     with listening:
         listening.setblocking(False)
         return reactor.adoptStreamPort(listening.fileno(), AF_INET, factory)
-
-
-class _Front:
-    """The callers' side of a gateway; a `RequestHandler`."""
-
-    def __init__(self, gateway: Gateway) -> None:
-        self._gateway = gateway
-        self.handle: Callable[..., Callable[[], None]] = gateway.handle
-        self.intake = gateway.intake
-        self.keeps_connections = gateway.keeps_connections
-        self.refuse_unread = gateway.refuse_unread
--- a/umberhitch/ports/clock.py
+++ b/umberhitch/ports/clock.py
@@ -6,7 +6,9 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-__all__ = ["Clock", "Timer"]
+from twisted.internet.defer import Deferred
+
+__all__ = ["Clock", "Timer", "pause"]
 
 
 class Timer(Protocol):
@@ -31,3 +33,10 @@
     def callLater(self, delay: float, callable: Callable[..., Any], *args: Any, **kw: Any) -> Timer:
         """Call after ``delay`` seconds."""
         ...
+
+
+def pause(clock: Clock, delay_s: float) -> Deferred[None]:
+    """Return a Deferred that fires after a delay."""
+    done: Deferred[None] = Deferred()
+    clock.callLater(max(0.0, delay_s), done.callback, None)
+    return done
--- a/umberhitch/ports/direct.py
+++ b/umberhitch/ports/direct.py
@@ -32,6 +32,7 @@
     "StatusPort",
     "StoredStatus",
     "WirePort",
+    "do_nothing",
 ]
 
 HeaderList = list[tuple[bytes, bytes]]
@@ -55,6 +56,10 @@
     received_s: float
 
 
+def do_nothing() -> None:
+    """Do nothing: a caller that leaves after its answer was complete stops nothing."""
+
+
 class CallerReply(Protocol):
     """The way back to one caller; nothing may follow `end` or `abort`."""
 
--- a/umberhitch/standins/log.py
+++ b/umberhitch/standins/log.py
@@ -9,7 +9,8 @@
 from umberhitch.adapters.http_server import send_json
 from umberhitch.errors import LogTrimmedError
 from umberhitch.fakes import LogFaults, MemoryLog
-from umberhitch.standins._serve import add_faults, pause, run_standin
+from umberhitch.ports.clock import pause
+from umberhitch.standins._serve import add_faults, run_standin
 
 __all__ = ["LogStandin"]
 
--- a/umberhitch/standins/service.py
+++ b/umberhitch/standins/service.py
@@ -6,7 +6,8 @@
 from klein import Klein
 
 from umberhitch.adapters.http_server import send_json
-from umberhitch.standins._serve import add_faults, pause, run_standin
+from umberhitch.ports.clock import pause
+from umberhitch.standins._serve import add_faults, run_standin
 
 __all__ = ["ServiceStandin"]
 
--- a/umberhitch/tasks/burn.py
+++ b/umberhitch/tasks/burn.py
@@ -3,11 +3,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from twisted.internet.defer import Deferred
-
 from umberhitch.core.burn import BurnBook, BurnRow, burn_rows
 from umberhitch.core.outcome import Done, NotRun, Outcome, Reason
-from umberhitch.ports import Clock
+from umberhitch.ports.clock import Clock, pause
 from umberhitch.wire import BurnAsk, BurnReply, BurnSlice, Message
 
 __all__ = ["BurnHost", "BurnReport", "BurnTask"]
@@ -115,9 +113,7 @@
         for peer in peers:
             self._host.send(peer, BurnAsk(ask))
         if peers:
-            done: Deferred[None] = Deferred()
-            self._clock.callLater(GATHER_S, done.callback, None)
-            await done
+            await pause(self._clock, GATHER_S)
         replies = self._replies.pop(ask)
         own = self._host.name
         slices = self._book.slices() + [part for parts in replies.values() for part in parts]
--- a/umberhitch/tasks/direct/feeds.py
+++ b/umberhitch/tasks/direct/feeds.py
@@ -10,10 +10,10 @@
 from random import Random
 from typing import Any, Generic, TypeVar
 
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import ensureDeferred
 
 from umberhitch.errors import LogError, LogTrimmedError
-from umberhitch.ports.clock import Clock
+from umberhitch.ports.clock import Clock, pause
 from umberhitch.ports.direct import FeedBatch, FeedPort
 
 __all__ = ["Feed", "FeedPace"]
@@ -138,13 +138,13 @@
             except LogError as exc:
                 failures += 1
                 self._note_failure(exc)
-                await self._sleep(self._pace.retry_s * (0.5 + self._rng.random()))
+                await pause(self._clock, self._pace.retry_s * (0.5 + self._rng.random()))
                 continue
             failures = 0
             self._note_back()
             self._take(batch, is_whole, called_s)
             is_whole = True
-            await self._sleep(self._pace.pause_s if batch.pause_s is None else batch.pause_s)
+            await pause(self._clock, self._pace.pause_s if batch.pause_s is None else batch.pause_s)
 
     def _take(self, batch: FeedBatch[Value], is_further: bool, called_s: float) -> None:
         if self._is_stopped:
@@ -174,11 +174,6 @@
             self._failed_since_s = None
             log.info("store regained", extra={"feed": self.name, "away_s": round(away_s, 3)})
 
-    def _sleep(self, delay_s: float) -> Deferred[None]:
-        done: Deferred[None] = Deferred()
-        self._clock.callLater(max(0.0, delay_s), done.callback, None)
-        return done
-
 
 def _tell_nobody(batch: FeedBatch[Any], is_whole: bool, was_away: bool) -> None:
     """Do nothing: no one follows."""
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -40,12 +40,13 @@
     RawRequest,
     RunningCall,
     WirePort,
+    do_nothing,
 )
 from umberhitch.tasks.burn import BurnTask
 from umberhitch.tasks.direct.decisions import DecisionLog
 from umberhitch.tasks.direct.exchange import REFUSED_BY_ENDPOINT, Exchange
 from umberhitch.tasks.direct.feeds import FeedPace
-from umberhitch.tasks.direct.services import ExchangeLimits, Permit
+from umberhitch.tasks.direct.services import ExchangeLimits, Permit, RequestState
 from umberhitch.tasks.direct.store_view import StoreView
 from umberhitch.tasks.direct.trials import Trials
 
@@ -139,7 +140,7 @@
         self.budget = RetryBudget(settings.budget)
         self.trials = trials
         self.decisions = DecisionLog(clock)
-        self.running: set[Exchange] = set()
+        self.running: set[RequestState] = set()
         self.burn: BurnTask | None = None
         """Where requests that have ended are counted against their routes' objectives."""
         self._cascade = Cascade(settings.cascade)
@@ -249,7 +250,7 @@
             ask = self._wire.read_ask(raw)
         except BadAskError as exc:
             self._answer(reply, None, exc.status, str(exc), None)
-            return _nothing
+            return do_nothing
         permit = self._admit(ask, raw.received_s)
         if not isinstance(permit, Permit):
             status, reason = permit
@@ -258,7 +259,7 @@
                 # At another router there is nothing to wait for.
                 retry_s = LEAST_RETRY_S if self._is_leaving else STARTING_RETRY_S
             self._answer(reply, ask.call_id, status, reason, retry_s)
-            return _nothing
+            return do_nothing
         self.budget.request(permit.service, raw.received_s)
         exchange = Exchange(self, permit, reply)
         self.running.add(exchange)
@@ -343,7 +344,7 @@
         return self.placement.choose(fresh, permit.ask, model or "", models, now_s, home)
 
     def send(
-        self, permit: Permit, endpoint: Endpoint, model: str | None, call: Exchange
+        self, permit: Permit, endpoint: Endpoint, model: str | None, call: RequestState
     ) -> tuple[RunningCall, Placed]:
         """Send the request to an endpoint."""
         self.counters.calls += 1
@@ -445,7 +446,7 @@
         reply.data(body)
         reply.end()
 
-    def finished(self, exchange: Exchange, outcome: str) -> None:
+    def finished(self, exchange: RequestState, outcome: str) -> None:
         """Take note that a request has its final answer."""
         self.running.discard(exchange)
         self.counters.outcomes[outcome] = self.counters.outcomes.get(outcome, 0) + 1
@@ -455,7 +456,7 @@
         self.decided(exchange, "request ended", is_failure, outcome=outcome, elapsed_s=elapsed_s)
         self._look_idle()
 
-    def _count_burn(self, exchange: Exchange, outcome: str) -> None:
+    def _count_burn(self, exchange: RequestState, outcome: str) -> None:
         permit = exchange.permit
         if self.burn is None or outcome in SPENDS_NO_BUDGET:
             return
@@ -472,7 +473,7 @@
         share = self.settings.good_share
         return {route.name: (share, route.objective_s) for route in self.table.document.routes}
 
-    def decided(self, exchange: Exchange, what: str, is_failure: bool, **facts: object) -> None:
+    def decided(self, exchange: RequestState, what: str, is_failure: bool, **facts: object) -> None:
         """Write a decision to the log, with what it rests on."""
         endpoint = exchange.endpoint
         assert self.table is not None
@@ -488,7 +489,3 @@
             registry_age_s=self.view.registry_age_s(),
             **facts,
         )
-
-
-def _nothing() -> None:
-    """Do nothing: the answer is complete already."""
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -8,10 +8,10 @@
 from logging import getLogger
 from random import Random
 
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import ensureDeferred
 
 from umberhitch.errors import LogError
-from umberhitch.ports.clock import Clock
+from umberhitch.ports.clock import Clock, pause
 from umberhitch.ports.direct import Member, MembersPort
 from umberhitch.ports.link import LinkPort
 from umberhitch.tasks.direct.gateway import Gateway
@@ -128,12 +128,7 @@
                     self._generation = generation
             except LogError as exc:
                 log.info("not joined", extra={"error": str(exc)})
-            await self._sleep(self._limits.ttl_s / 3 * (0.8 + 0.4 * self._rng.random()))
-
-    def _sleep(self, delay_s: float) -> Deferred[None]:
-        done: Deferred[None] = Deferred()
-        self._clock.callLater(delay_s, done.callback, None)
-        return done
+            await pause(self._clock, self._limits.ttl_s / 3 * (0.8 + 0.4 * self._rng.random()))
 
     def _take_members(self, members: list[Member]) -> None:
         found = {each.name: each.address for each in members if each.name != self._me.name}
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -1,16 +1,13 @@
 """What a request on the direct path needs of its router, and what the router says of it."""
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from umberhitch.core.direct import AnswerVerdict, Ask, Customer, Endpoint, Placed, ReplyHead, Route
 from umberhitch.ports.clock import Clock
-from umberhitch.ports.direct import CallerReply, RunningCall
+from umberhitch.ports.direct import CallerReply, CallEvents, RunningCall
 
-if TYPE_CHECKING:
-    from umberhitch.tasks.direct.exchange import Exchange
-
-__all__ = ["ExchangeLimits", "Permit", "Services"]
+__all__ = ["ExchangeLimits", "Permit", "RequestState", "Services"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +45,42 @@
     """Whether it goes to the new version of a roll-out; None without one."""
 
 
+class RequestState(CallEvents, Protocol):
+    """One request under way, as its router sees it."""
+
+    permit: Permit
+    answered_s: float | None
+
+    @property
+    def last_event(self) -> bytes | None:
+        """Id of the last event that the caller has."""
+        ...
+
+    @property
+    def left_s(self) -> float:
+        """Time until the final answer is due."""
+        ...
+
+    @property
+    def sends(self) -> int:
+        """Calls so far that reached an endpoint, or may have."""
+        ...
+
+    @property
+    def model(self) -> str | None:
+        """Model that was asked last."""
+        ...
+
+    @property
+    def endpoint(self) -> Endpoint | None:
+        """Endpoint that was asked last."""
+        ...
+
+    def cut(self) -> None:
+        """Break off: the process stops."""
+        ...
+
+
 class Services(Protocol):
     """What a request needs of its router."""
 
@@ -61,7 +94,7 @@
         ...
 
     def send(
-        self, permit: Permit, endpoint: Endpoint, model: str | None, call: "Exchange"
+        self, permit: Permit, endpoint: Endpoint, model: str | None, call: RequestState
     ) -> tuple[RunningCall, Placed]:
         """Send the request to an endpoint."""
         ...
@@ -110,10 +143,10 @@
         """Send an answer of the router's own."""
         ...
 
-    def finished(self, exchange: "Exchange", outcome: str) -> None:
+    def finished(self, exchange: RequestState, outcome: str) -> None:
         """Take note that a request has its final answer."""
         ...
 
-    def decided(self, exchange: "Exchange", what: str, is_failure: bool, **facts: object) -> None:
+    def decided(self, exchange: RequestState, what: str, is_failure: bool, **facts: object) -> None:
         """Write a decision to the log."""
         ...
--- a/umberhitch/tasks/evidence.py
+++ b/umberhitch/tasks/evidence.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from logging import getLogger
 from random import Random
-from typing import TYPE_CHECKING
 
 from twisted.internet.defer import ensureDeferred
 from xxhash import xxh3_64_intdigest
@@ -13,11 +12,9 @@
 from umberhitch.core.outcome import Done, Outcome, Reason, Unknown
 from umberhitch.ports import Clock
 from umberhitch.ports.rating import RatingPort
+from umberhitch.tasks.parts import RouterParts
 from umberhitch.wire import EngineWork, Evidence, ServiceWork
 
-if TYPE_CHECKING:
-    from umberhitch.tasks.router import Router
-
 __all__ = ["EvidenceTask", "judges_of"]
 
 log = getLogger(__name__)
@@ -46,7 +43,7 @@
 
     Parameters
     ----------
-    router : Router
+    router : RouterParts
     clock : Clock
     rng : Random
     ratings : RatingPort or None
@@ -57,7 +54,7 @@
 
     def __init__(
         self,
-        router: "Router",
+        router: RouterParts,
         clock: Clock,
         rng: Random,
         ratings: RatingPort | None,
--- a/umberhitch/tasks/keyed.py
+++ b/umberhitch/tasks/keyed.py
@@ -4,19 +4,15 @@
 """
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from umberhitch.core.claims import Claim, ClaimState, Release, Settle
 from umberhitch.core.outcome import Done, NotRun, Outcome, Reason, Unknown
 from umberhitch.ports import Clock
 from umberhitch.tasks.asks import Ask, Placement, Progress, record_answer, replay
 from umberhitch.tasks.attempts import OpenAttempt
+from umberhitch.tasks.parts import RouterParts, RunsAttempts
 from umberhitch.wire import AttemptId
 
-if TYPE_CHECKING:
-    from umberhitch.tasks.requests import Requests
-    from umberhitch.tasks.router import Router
-
 __all__ = ["KeyedRequests"]
 
 CLAIM_WAIT_S = 2.0
@@ -33,8 +29,8 @@
 
     Parameters
     ----------
-    router : Router
-    requests : Requests
+    router : RouterParts
+    requests : RunsAttempts
         Places and runs the attempts.
     clock : Clock
     wall_s : callable
@@ -42,8 +38,8 @@
 
     def __init__(
         self,
-        router: "Router",
-        requests: "Requests",
+        router: RouterParts,
+        requests: RunsAttempts,
         clock: Clock,
         wall_s: Callable[[], float],
     ) -> None:
--- a/umberhitch/tasks/requests.py
+++ b/umberhitch/tasks/requests.py
@@ -5,7 +5,6 @@
 from hmac import compare_digest
 from logging import getLogger
 from random import Random
-from typing import TYPE_CHECKING
 
 from umberhitch.config import Config, Customer
 from umberhitch.core.admission import Admission
@@ -15,13 +14,13 @@
 from umberhitch.ports import Clock
 from umberhitch.tasks.asks import Ask, AttemptTrace, Placement, Progress, RequestTrace, describe
 from umberhitch.tasks.attempts import TextSink
+from umberhitch.tasks.burn import BurnTask
+from umberhitch.tasks.evidence import EvidenceTask
 from umberhitch.tasks.keyed import KeyedRequests
+from umberhitch.tasks.parts import RouterParts
 from umberhitch.tasks.resume import Locator, format_locator
 from umberhitch.wire import URGENT_PRIORITY, Start, UsageRecord
 
-if TYPE_CHECKING:
-    from umberhitch.tasks.router import Router
-
 __all__ = ["Requests"]
 
 log = getLogger(__name__)
@@ -58,16 +57,26 @@
 
     Parameters
     ----------
-    router : Router
+    router : RouterParts
+    evidence : EvidenceTask
+    burn : BurnTask
     clock : Clock
     wall_s : callable
     rng : Random
     """
 
     def __init__(
-        self, router: "Router", clock: Clock, wall_s: Callable[[], float], rng: Random
+        self,
+        router: RouterParts,
+        evidence: EvidenceTask,
+        burn: BurnTask,
+        clock: Clock,
+        wall_s: Callable[[], float],
+        rng: Random,
     ) -> None:
         self._router = router
+        self._evidence = evidence
+        self._burn = burn
         self._clock = clock
         self._rng = rng
         self._keyed = KeyedRequests(router, self, clock, wall_s)
@@ -175,7 +184,7 @@
                 trace.outcome, trace.reason = "unknown", reason.value
         self._count(outcome)
         elapsed_s = self._clock.seconds() - (progress.due_s - progress.ask.deadline_s)
-        self._router.burn.ended(trace.customer, trace.klass, outcome, elapsed_s)
+        self._burn.ended(trace.customer, trace.klass, outcome, elapsed_s)
         log.info(
             "request ended",
             extra={
@@ -267,7 +276,7 @@
         )
         outcome = await self._router.attempts.outcome_of(watch)
         trace.outcome = describe(outcome)
-        self._router.evidence.ended(
+        self._evidence.ended(
             placement.target,
             ask.klass.name,
             outcome,
--- a/umberhitch/tasks/rollouts.py
+++ b/umberhitch/tasks/rollouts.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from logging import getLogger
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from automat import NoTransition
 from msgspec import to_builtins
@@ -31,12 +31,11 @@
 )
 from umberhitch.errors import UmberhitchError
 from umberhitch.ports import Clock
+from umberhitch.tasks.evidence import EvidenceTask
 from umberhitch.tasks.leases import LeaseKeeper
+from umberhitch.tasks.parts import RouterParts
 from umberhitch.wire import Order, OrderReply
 
-if TYPE_CHECKING:
-    from umberhitch.tasks.router import Router
-
 __all__ = ["ROLLOUT_LEASE", "RolloutDriver", "RolloutError"]
 
 log = getLogger(__name__)
@@ -54,16 +53,23 @@
 
     Parameters
     ----------
-    router : Router
+    router : RouterParts
+    evidence : EvidenceTask
     lease : LeaseKeeper
     clock : Clock
     wall_s : callable
     """
 
     def __init__(
-        self, router: "Router", lease: LeaseKeeper, clock: Clock, wall_s: Callable[[], float]
+        self,
+        router: RouterParts,
+        evidence: EvidenceTask,
+        lease: LeaseKeeper,
+        clock: Clock,
+        wall_s: Callable[[], float],
     ) -> None:
         self._router = router
+        self._evidence = evidence
         self._lease = lease
         self._clock = clock
         self._wall_s = wall_s
@@ -161,7 +167,7 @@
 
     def _drive(self, plan: Rollout, token: int) -> None:
         if plan.state is RolloutState.PLANNED:
-            self._router.evidence.judge.compare_with(plan.version, plan.previous)
+            self._evidence.judge.compare_with(plan.version, plan.previous)
         match next_step(plan, self._view(plan)):
             case LoadEndpoint(endpoint=endpoint, target=target):
                 self._order(endpoint, target, token)
@@ -169,7 +175,7 @@
                 self._update(plan, update)
 
     def _view(self, plan: Rollout) -> RolloutView:
-        fleet, judge = self._router.fleet, self._router.evidence.judge
+        fleet, judge = self._router.fleet, self._evidence.judge
         rows = tuple(
             EndpointView(
                 endpoint.name,
@@ -186,7 +192,7 @@
             self._router.feed.config.versions,
             judge.counts.get(plan.version, 0),
             judge.rated.get(plan.version, 0),
-            self._router.evidence.has_ratings,
+            self._evidence.has_ratings,
             self._wall_s(),
             self._driving_since_s,
         )
@@ -203,7 +209,7 @@
         if self._pending == change_id:
             return
         self._pending = change_id
-        judge = self._router.evidence.judge
+        judge = self._evidence.judge
         judge.counts.pop(plan.version, None)
         judge.rated.pop(plan.version, None)
         log.info(
--- a/umberhitch/tasks/router.py
+++ b/umberhitch/tasks/router.py
@@ -160,10 +160,10 @@
             lambda: [settings.name, *self.live_peers()],
             settings.follow,
         )
-        self.rollouts = RolloutDriver(self, self.lease, clock, wall_s)
-        self.requests = Requests(self, clock, wall_s, rng)
+        self.rollouts = RolloutDriver(self, self.evidence, self.lease, clock, wall_s)
         burn_host = BurnHost(settings.name, self.live_peers, self.send, self._objectives)
         self.burn = BurnTask(burn_host, clock, wall_s)
+        self.requests = Requests(self, self.evidence, self.burn, clock, wall_s, rng)
         self.resume = Resume(self.attempts, self.fleet)
 
     # Life cycle
--- a/umberhitch/testing/__init__.py
+++ b/umberhitch/testing/__init__.py
@@ -18,8 +18,9 @@
     make_endpoint_entry,
     make_route,
 )
-from umberhitch.testing._oracle import Violation, check_world
+from umberhitch.testing._oracle import check_world
 from umberhitch.testing._transports import FakeTransport, dial
+from umberhitch.testing._violation import Violation
 from umberhitch.testing._world import AskOptions, CallerRecord, World, WorldSettings
 
 __all__ = [
--- a/umberhitch/testing/_world.py
+++ b/umberhitch/testing/_world.py
@@ -36,7 +36,7 @@
 from umberhitch.tasks.bills import BILLING_STREAM
 from umberhitch.tasks.config_feed import CONFIG_STREAM
 from umberhitch.tasks.router import Router, RouterSettings
-from umberhitch.testing._oracle import Violation
+from umberhitch.testing._violation import Violation
 from umberhitch.wire import EngineWork, ServiceWork
 
 __all__ = ["AskOptions", "CallerRecord", "World", "WorldSettings"]
