Benchmark of the fleet of routers by their number; who reads goes by the store's list

Cause of the change: above some 60 routers each hears of the others less than every 2 s, so that who reads would have changed all the time; names come from the store's list now.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -14,6 +14,7 @@
     "subsets",
     "appends",
     "recovery",
+    "fleet",
     "exposure",
     "overload",
     "slopes",
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -164,8 +164,11 @@
         return [heard.report for heard in self._heard.values()]
 
     def names(self) -> list[str]:
-        """Return the names of the peers that were heard lately, and can be sent to."""
-        return [each.router for each in self.live() if each.router in self._known]
+        """Return the names of the peers that the store lists.
+
+        With many routers each is heard too seldom to go by that.
+        """
+        return list(self._known)
 
     def rank(self) -> int:
         """Return this router's place among the live ones, 0 first."""
--- a/umberhitch/tasks/direct/sharing.py
+++ b/umberhitch/tasks/direct/sharing.py
@@ -142,7 +142,7 @@
     send : callable
         Sends a message to a peer.
     peers : callable
-        Returns the names of the peers that were heard lately.
+        Returns the names of the peers that the store lists.
     """
 
     name: str
@@ -162,7 +162,7 @@
         return view
 
     def names(self) -> list[str]:
-        """Return the names of the peers that were heard lately."""
+        """Return the names of the peers that the store lists."""
         return self.peers()
 
     def reader(self, shunned: set[str]) -> str | None:
