--- /dev/null
+++ b/umberhitch/tasks/direct/admission.py
@@ -0,0 +1,88 @@
+"""What the configuration in force says of a request: its permit, or why it is refused."""
+
+from dataclasses import dataclass
+from random import Random
+
+from umberhitch.core.direct import Ask, Customer, Route, RouteKind
+from umberhitch.ports.clock import Clock
+from umberhitch.tasks.direct.services import Permit
+from umberhitch.tasks.direct.store_view import StoreView
+from umberhitch.tasks.direct.trials import Trials
+
+__all__ = ["Admission", "Refusal"]
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """An answer of the router's own to a request that is not passed on."""
+
+    status: int
+    reason: str
+
+
+STALE = Refusal(503, "configuration is old")
+"""Nothing proves that the configuration at hand is still the newest."""
+
+
+class Admission:
+    """Admits requests by what the store told.
+
+    Parameters
+    ----------
+    view : StoreView
+    trials : Trials
+    clock : Clock
+    rng : Random
+    proof_age_s : float
+        Requests with keys are refused where the proof that the keys are the newest was older when
+        they came.
+    """
+
+    def __init__(
+        self, view: StoreView, trials: Trials, clock: Clock, rng: Random, proof_age_s: float
+    ) -> None:
+        self._view = view
+        self._trials = trials
+        self._clock = clock
+        self._rng = rng
+        self._proof_age_s = proof_age_s
+
+    def admit(self, ask: Ask, received_s: float, takes_streams: bool) -> Permit | Refusal:
+        """Return the permit, or the refusal.
+
+        Parameters
+        ----------
+        ask : Ask
+        received_s : float
+            When its first byte was read.
+        takes_streams : bool
+            False where a stream would not end in time, since the router is leaving.
+        """
+        table = self._view.table
+        if table is None or not self._view.is_loaded:
+            return Refusal(503, "starting")
+        is_stale = self._view.proof_age_s(received_s) > self._proof_age_s
+        route = table.find(ask.host, ask.path)
+        if route is None:
+            return STALE if is_stale else Refusal(404, "no such route")
+        if route.kind is RouteKind.STREAM and not takes_streams:
+            return Refusal(503, "leaving")
+        customer: Customer | None = None
+        if not route.is_public:
+            if is_stale:
+                return STALE
+            customer = table.customer(ask.key)
+            if customer is None:
+                return Refusal(401, "unknown key")
+        service = self._pick_service(route)
+        now_s = self._clock.seconds()
+        ready = self._view.directory.ready(service, now_s, self._rng)
+        wants = self._trials.wants_target(service, ask.session, now_s, ready)
+        return Permit(ask, route, service, customer, received_s, wants)
+
+    def _pick_service(self, route: Route) -> str:
+        if len(route.services) == 1:
+            return route.services[0][0]
+        names = [name for name, _ in route.services]
+        weights = [weight for _, weight in route.services]
+        return self._rng.choices(names, weights)[0]
--- /dev/null
+++ b/umberhitch/tasks/direct/choosing.py
@@ -0,0 +1,93 @@
+"""Chooses model and endpoint for each call of a request."""
+
+from random import Random
+
+from umberhitch.core.direct import Cascade, Endpoint, Placement, RetryBudget, Service
+from umberhitch.ports.clock import Clock
+from umberhitch.tasks.direct.services import Permit
+from umberhitch.tasks.direct.store_view import StoreView
+from umberhitch.tasks.direct.trials import Trials
+
+__all__ = ["Choosing"]
+
+LIGHT_TOKENS = 4000
+"""A call that reads less may be sent where many others are: it delays their tokens little."""
+
+
+class Choosing:
+    """Brings together what the store told, what is under way, and the decisions of the core.
+
+    Parameters
+    ----------
+    view : StoreView
+    trials : Trials
+    placement : Placement
+    budget : RetryBudget
+    cascade : Cascade
+    clock : Clock
+    rng : Random
+    """
+
+    def __init__(
+        self,
+        view: StoreView,
+        trials: Trials,
+        placement: Placement,
+        budget: RetryBudget,
+        cascade: Cascade,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        self._view = view
+        self._trials = trials
+        self._placement = placement
+        self._budget = budget
+        self._cascade = cascade
+        self._clock = clock
+        self._rng = rng
+
+    def first_model(self, permit: Permit) -> str | None:
+        """Return the model to begin with."""
+        return self._cascade.first(permit.route, permit.ask)
+
+    def larger_model(
+        self, permit: Permit, model: str, confidence: int | None, waited_s: float
+    ) -> str | None:
+        """Return the model to ask instead, or None to keep the answer."""
+        if not permit.ask.picks_model:
+            return None
+        if self._budget.left(permit.service, self._clock.seconds()) < 1.0:
+            return None
+        chosen = self.endpoint(permit, permit.route.models[-1], set())
+        if chosen is None:
+            return None
+        service = self.service(permit)
+        prices = service.prices if service is not None else {}
+        return self._cascade.next_model(
+            permit.route, permit.ask, model, confidence, prices, waited_s, chosen[1]
+        )
+
+    def service(self, permit: Permit) -> Service | None:
+        """Return what the configuration says of a request's service."""
+        assert self._view.table is not None
+        return self._view.table.document.services.get(permit.service)
+
+    def endpoint(
+        self, permit: Permit, model: str | None, tried: set[str]
+    ) -> tuple[Endpoint, float] | None:
+        """Return an endpoint and the wait there, or None where none takes work."""
+        now_s = self._clock.seconds()
+        directory = self._view.directory
+        ready = directory.ready(permit.service, now_s, self._rng)
+        home = None
+        if len(permit.ask.prompt) > 1:
+            home = directory.home(permit.service, permit.ask.prompt[-2].part_id)
+            if home is not None and home.takes_work(now_s) and home not in ready:
+                ready.append(home)
+        fresh = [each for each in ready if each.entry.incarnation not in tried]
+        is_light = permit.ask.prompt_tokens < LIGHT_TOKENS
+        fresh = self._trials.allowed(permit.service, permit.wants_target, fresh, is_light)
+        if not fresh:
+            return None
+        models = permit.route.models
+        return self._placement.choose(fresh, permit.ask, model or "", models, now_s, home)
--- a/umberhitch/tasks/direct/exchange.py
+++ b/umberhitch/tasks/direct/exchange.py
@@ -8,16 +8,15 @@
 from collections.abc import Callable
 
 from umberhitch.core.direct import (
-    AnswerVerdict,
     Endpoint,
     EventCutter,
-    EventPace,
     Placed,
     ReplyHead,
     RouteKind,
 )
 from umberhitch.ports.clock import Timer
 from umberhitch.ports.direct import CallerReply, CallFailure, RunningCall
+from umberhitch.tasks.direct.judging import AnswerJudge
 from umberhitch.tasks.direct.services import Permit, Services
 
 __all__ = ["REFUSED_BY_ENDPOINT", "Exchange"]
@@ -58,9 +57,7 @@
         self._placed: Placed | None = None
         self._call: RunningCall | None = None
         self._head: ReplyHead | None = None
-        self._sent_s = 0.0
-        self._pace = EventPace()
-        self._is_noted = False
+        self._judge = AnswerJudge(services, permit)
         self._held = bytearray()
         self._is_streaming = False
         self._is_relaying = False
@@ -78,7 +75,7 @@
         """Begin; returns what is to be called if the caller leaves."""
         left_s = self._deadline_s - self._clock.seconds()
         self._deadline = self._clock.callLater(max(0.0, left_s), self._on_deadline)
-        self._model = self._svc.first_model(self.permit)
+        self._model = self._svc.choosing.first_model(self.permit)
         self._next()
         return self._on_caller_left
 
@@ -117,7 +114,7 @@
         if self._sends >= self.permit.route.max_attempts:
             self._give_up("attempts")
             return
-        chosen = self._svc.choose(self.permit, self._model, self._tried)
+        chosen = self._choose()
         if chosen is None:
             self._give_up("no endpoint")
             return
@@ -126,11 +123,13 @@
             return
         self._begin_call(*chosen)
 
+    def _choose(self) -> tuple[Endpoint, float] | None:
+        """Return an endpoint that has not been tried and the wait there, or None."""
+        return self._svc.choosing.endpoint(self.permit, self._model, self._tried)
+
     def _begin_call(self, endpoint: Endpoint, wait_s: float) -> None:
         self._endpoint = endpoint
-        self._sent_s = self._clock.seconds()
-        self._pace = EventPace()
-        self._is_noted = False
+        self._judge.call_sent(endpoint, self._model)
         self._head = None
         self._held.clear()
         self._sends += 1
@@ -181,7 +180,7 @@
         if self._is_paused or self._call is None:
             return
         can_repeat = self._sends < self.permit.route.max_attempts
-        if not can_repeat or self._svc.choose(self.permit, self._model, self._tried) is None:
+        if not can_repeat or self._choose() is None:
             return
         self._call.cancel()
         self._broken("silent")
@@ -240,8 +239,8 @@
         larger = None
         if self._model is not None and self._sends < self.permit.route.max_attempts:
             waited_s = self._clock.seconds() - self.permit.received_s
-            larger = self._svc.larger_model(
-                self.permit, self._model, head.confidence, waited_s, self._tried
+            larger = self._svc.choosing.larger_model(
+                self.permit, self._model, head.confidence, waited_s
             )
         if larger is not None and self._svc.may_repeat(self.permit.service):
             self._escalate(larger)
@@ -263,7 +262,7 @@
         previous = self._model
         self._model = larger
         self._tried.clear()
-        chosen = self._svc.choose(self.permit, self._model, self._tried)
+        chosen = self._choose()
         if chosen is None:
             self._model = previous
             self._next()
@@ -278,7 +277,7 @@
         is_server_side = head.status >= 500
         self._svc.decided(self, "endpoint failed", True, status=head.status)
         if is_server_side:
-            self._note(AnswerVerdict.FAILED)
+            self._judge.failed()
         if self._is_streaming:
             self._call.detach()
             self._end_call(is_server_side)
@@ -295,7 +294,7 @@
             route.is_repeatable
             and self._sends < route.max_attempts
             and self.left_s > LEAST_LEFT_S
-            and self._svc.choose(self.permit, self._model, self._tried) is not None
+            and self._choose() is not None
         )
 
     def on_data(self, data: bytes) -> None:
@@ -321,35 +320,7 @@
             if self.answered_s is None:
                 self.answered_s = self._clock.seconds()
             self._reply.data(whole)
-            self._note_pace(is_end=False)
-
-    def _note_pace(self, is_end: bool) -> None:
-        """Judge the answer by its pace: soon if it is slow, else at its end."""
-        assert self._endpoint is not None
-        now_s = self._clock.seconds()
-        if not self._is_streaming:
-            self._judge(now_s - self._sent_s)
-            return
-        if not is_end:
-            self._pace.seen(self._cutter.count, now_s)
-        pace_s = self._pace.pace_s(is_end)
-        if pace_s is not None:
-            self._judge(pace_s)
-        elif is_end:
-            self._note(AnswerVerdict.UNPACED)
-
-    def _judge(self, pace_s: float) -> None:
-        if self._is_noted:
-            return
-        assert self._endpoint is not None
-        self._note(self._svc.paced(self.permit, self._endpoint, self._model, pace_s))
-
-    def _note(self, verdict: AnswerVerdict) -> None:
-        """Note how the endpoint answered: once a call, and once more if it fails after that."""
-        assert self._endpoint is not None
-        if not self._is_noted or verdict in (AnswerVerdict.FAILED, AnswerVerdict.BROKEN):
-            self._svc.noted(self.permit, self._endpoint, verdict)
-        self._is_noted = True
+            self._judge.events_seen(self._cutter.count)
 
     def _relay(self) -> None:
         """Pass a long plain reply on as it comes."""
@@ -373,7 +344,10 @@
             return
         is_failure = self._head.status >= 500
         if not is_failure:
-            self._note_pace(is_end=True)
+            if self._is_streaming:
+                self._judge.stream_ended()
+            else:
+                self._judge.reply_ended()
         self._end_call(is_failure)
         if not self._is_streaming and not self._is_relaying:
             self._reply_whole(self._head, bytes(self._held))
@@ -421,7 +395,7 @@
         self._may_have_run = True
         if self._head is None:
             self._svc.unreachable(self._endpoint)
-        self._note(AnswerVerdict.BROKEN)
+        self._judge.broken()
         self._end_call(True)
         self._cutter.drop()
         if self._is_streaming:
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -7,11 +7,9 @@
 
 from umberhitch.core.direct import (
     AnswerVerdict,
-    Ask,
     BudgetLimits,
     Cascade,
     CascadeLimits,
-    Customer,
     Directory,
     Endpoint,
     EndpointEntry,
@@ -22,10 +20,8 @@
     PlacementLimits,
     ReplyHead,
     RetryBudget,
-    Route,
     RouteKind,
     RouteTable,
-    Service,
 )
 from umberhitch.errors import BadAskError
 from umberhitch.ports.clock import Clock
@@ -43,6 +39,8 @@
     do_nothing,
 )
 from umberhitch.tasks.burn import BurnTask
+from umberhitch.tasks.direct.admission import Admission, Refusal
+from umberhitch.tasks.direct.choosing import Choosing
 from umberhitch.tasks.direct.decisions import DecisionLog
 from umberhitch.tasks.direct.exchange import REFUSED_BY_ENDPOINT, Exchange
 from umberhitch.tasks.direct.feeds import FeedPace
@@ -54,8 +52,6 @@
 
 log = getLogger(__name__)
 
-LIGHT_TOKENS = 4000
-"""A call that reads less may be sent where many others are: it delays their tokens little."""
 LEAST_RETRY_S = 0.1
 """Soonest time to come back that a refusal names."""
 SPENDS_NO_BUDGET = ("caller left", REFUSED_BY_ENDPOINT)
@@ -143,7 +139,6 @@
         self.running: set[RequestState] = set()
         self.burn: BurnTask | None = None
         """Where requests that have ended are counted against their routes' objectives."""
-        self._cascade = Cascade(settings.cascade)
         self._paces = Paces()
         self._rng = rng
         self._wire = wire
@@ -162,6 +157,10 @@
             trials,
             self._on_endpoints,
         )
+        self.choosing = Choosing(
+            self.view, trials, self.placement, self.budget, Cascade(settings.cascade), clock, rng
+        )
+        self._admission = Admission(self.view, trials, clock, rng, settings.proof_age_s)
 
     # Life
 
@@ -251,105 +250,28 @@
         except BadAskError as exc:
             self._answer(reply, None, exc.status, str(exc), None)
             return do_nothing
-        permit = self._admit(ask, raw.received_s)
-        if not isinstance(permit, Permit):
-            status, reason = permit
+        permit = self._admission.admit(ask, raw.received_s, not self._is_noticed)
+        if isinstance(permit, Refusal):
             retry_s = None
-            if status == 503:
+            if permit.status == 503:
                 # At another router there is nothing to wait for.
                 retry_s = LEAST_RETRY_S if self._is_leaving else STARTING_RETRY_S
-            self._answer(reply, ask.call_id, status, reason, retry_s)
+            self._answer(reply, ask.call_id, permit.status, permit.reason, retry_s)
             return do_nothing
         self.budget.request(permit.service, raw.received_s)
         exchange = Exchange(self, permit, reply)
         self.running.add(exchange)
         return exchange.start()
 
-    def _admit(self, ask: Ask, received_s: float) -> Permit | tuple[int, str]:
-        """Return the permit, or the status and reason of a refusal."""
-        table = self.table
-        if table is None or not self.view.is_loaded:
-            return 503, "starting"
-        is_stale = self.view.proof_age_s(received_s) > self.settings.proof_age_s
-        route = table.find(ask.host, ask.path)
-        if route is None:
-            return (503, "configuration is old") if is_stale else (404, "no such route")
-        if self._is_noticed and route.kind is RouteKind.STREAM:
-            return 503, "leaving"
-        customer: Customer | None = None
-        if not route.is_public:
-            if is_stale:
-                return 503, "configuration is old"
-            customer = table.customer(ask.key)
-            if customer is None:
-                return 401, "unknown key"
-        service = self._pick_service(route)
-        now_s = self.clock.seconds()
-        ready = self.directory.ready(service, now_s, self._rng)
-        wants = self.trials.wants_target(service, ask.session, now_s, ready)
-        return Permit(ask, route, service, customer, received_s, wants)
-
-    def _pick_service(self, route: Route) -> str:
-        if len(route.services) == 1:
-            return route.services[0][0]
-        names = [name for name, _ in route.services]
-        weights = [weight for _, weight in route.services]
-        return self._rng.choices(names, weights)[0]
-
     # Services of an exchange
 
-    def first_model(self, permit: Permit) -> str | None:
-        """Return the model to begin with."""
-        return self._cascade.first(permit.route, permit.ask)
-
-    def larger_model(
-        self, permit: Permit, model: str, confidence: int | None, waited_s: float, tried: set[str]
-    ) -> str | None:
-        """Return the model to ask instead, or None to keep the answer."""
-        if not permit.ask.picks_model:
-            return None
-        if self.budget.left(permit.service, self.clock.seconds()) < 1.0:
-            return None
-        largest = permit.route.models[-1]
-        chosen = self.choose(permit, largest, set())
-        if chosen is None:
-            return None
-        service = self._service(permit)
-        prices = service.prices if service is not None else {}
-        return self._cascade.next_model(
-            permit.route, permit.ask, model, confidence, prices, waited_s, chosen[1]
-        )
-
-    def _service(self, permit: Permit) -> Service | None:
-        assert self.table is not None
-        return self.table.document.services.get(permit.service)
-
-    def choose(
-        self, permit: Permit, model: str | None, tried: set[str]
-    ) -> tuple[Endpoint, float] | None:
-        """Return an endpoint and the wait there, or None where none takes work."""
-        now_s = self.clock.seconds()
-        ready = self.directory.ready(permit.service, now_s, self._rng)
-        home = None
-        if len(permit.ask.prompt) > 1:
-            home = self.directory.home(permit.service, permit.ask.prompt[-2].part_id)
-            if home is not None and home.takes_work(now_s) and home not in ready:
-                ready.append(home)
-        fresh = [each for each in ready if each.entry.incarnation not in tried]
-        is_light = permit.ask.prompt_tokens < LIGHT_TOKENS
-        fresh = self.trials.allowed(permit.service, permit.wants_target, fresh, is_light)
-        if not fresh:
-            return None
-        models = permit.route.models
-        return self.placement.choose(fresh, permit.ask, model or "", models, now_s, home)
-
     def send(
         self, permit: Permit, endpoint: Endpoint, model: str | None, call: RequestState
     ) -> tuple[RunningCall, Placed]:
         """Send the request to an endpoint."""
         self.counters.calls += 1
         ask, route = permit.ask, permit.route
-        service = self._service(permit)
+        service = self.choosing.service(permit)
         now_s = self.clock.seconds()
         self.directory.tried(endpoint, now_s)
         placed = self.placement.place(endpoint, ask, model or "", route.models, service, now_s)
--- /dev/null
+++ b/umberhitch/tasks/direct/judging.py
@@ -0,0 +1,67 @@
+"""Tells a request's router how each endpoint answered it: well, slowly, with a failure, or not."""
+
+from umberhitch.core.direct import AnswerVerdict, Endpoint, EventPace
+from umberhitch.tasks.direct.services import Permit, Services
+
+__all__ = ["AnswerJudge"]
+
+
+class AnswerJudge:
+    """Judges the calls of one request, one after the other.
+
+    Parameters
+    ----------
+    services : Services
+    permit : Permit
+    """
+
+    def __init__(self, services: Services, permit: Permit) -> None:
+        self._svc = services
+        self._permit = permit
+        self._endpoint: Endpoint | None = None
+        self._model: str | None = None
+        self._sent_s = 0.0
+        self._pace = EventPace()
+        self._is_noted = False
+
+    def call_sent(self, endpoint: Endpoint, model: str | None) -> None:
+        """Begin with a new call."""
+        self._endpoint, self._model = endpoint, model
+        self._sent_s = self._svc.clock.seconds()
+        self._pace = EventPace()
+        self._is_noted = False
+
+    def events_seen(self, count: int) -> None:
+        """Note that ``count`` events have come; judge the stream once its pace is known."""
+        self._pace.seen(count, self._svc.clock.seconds())
+        self._judge(self._pace.pace_s(is_end=False))
+
+    def stream_ended(self) -> None:
+        """Judge a whole stream."""
+        self._judge(self._pace.pace_s(is_end=True))
+        self._note(AnswerVerdict.UNPACED)
+
+    def reply_ended(self) -> None:
+        """Judge a whole plain reply by its time."""
+        self._judge(self._svc.clock.seconds() - self._sent_s)
+
+    def failed(self) -> None:
+        """Note a failure by the endpoint's own word."""
+        self._note(AnswerVerdict.FAILED)
+
+    def broken(self) -> None:
+        """Note that the call ended without a whole reply."""
+        self._note(AnswerVerdict.BROKEN)
+
+    def _judge(self, pace_s: float | None) -> None:
+        if pace_s is None or self._is_noted:
+            return
+        assert self._endpoint is not None
+        self._note(self._svc.paced(self._permit, self._endpoint, self._model, pace_s))
+
+    def _note(self, verdict: AnswerVerdict) -> None:
+        """Note how the endpoint answered: once a call, and once more if it fails after that."""
+        assert self._endpoint is not None
+        if not self._is_noted or verdict in (AnswerVerdict.FAILED, AnswerVerdict.BROKEN):
+            self._svc.noted(self._permit, self._endpoint, verdict)
+        self._is_noted = True
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -7,7 +7,7 @@
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import CallerReply, CallEvents, RunningCall
 
-__all__ = ["ExchangeLimits", "Permit", "RequestState", "Services"]
+__all__ = ["ChoosingPort", "ExchangeLimits", "Permit", "RequestState", "Services"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,16 +81,35 @@
         ...
 
 
+class ChoosingPort(Protocol):
+    """Chooses model and endpoint for each call of a request."""
+
+    def first_model(self, permit: Permit) -> str | None:
+        """Return the model to begin with."""
+        ...
+
+    def larger_model(
+        self, permit: Permit, model: str, confidence: int | None, waited_s: float
+    ) -> str | None:
+        """Return the model to ask instead, or None to keep the answer."""
+        ...
+
+    def endpoint(
+        self, permit: Permit, model: str | None, tried: set[str]
+    ) -> tuple[Endpoint, float] | None:
+        """Return an endpoint and the wait there, or None where none takes work."""
+        ...
+
+
 class Services(Protocol):
     """What a request needs of its router."""
 
     clock: Clock
     limits: ExchangeLimits
 
-    def choose(
-        self, permit: Permit, model: str | None, tried: set[str]
-    ) -> tuple[Endpoint, float] | None:
-        """Return an endpoint and the wait there, or None where none takes work."""
+    @property
+    def choosing(self) -> ChoosingPort:
+        """Chooses model and endpoint."""
         ...
 
     def send(
@@ -103,16 +122,6 @@
         """Take one repeat from the shared budget, if there is one."""
         ...
 
-    def larger_model(
-        self, permit: Permit, model: str, confidence: int | None, waited_s: float, tried: set[str]
-    ) -> str | None:
-        """Return the model to ask instead, or None to keep the answer."""
-        ...
-
-    def first_model(self, permit: Permit) -> str | None:
-        """Return the model to begin with."""
-        ...
-
     def paced(
         self, permit: Permit, endpoint: Endpoint, model: str | None, pace_s: float
     ) -> AnswerVerdict:
