Timers go by the steady clock: Twisted's go by the time of day

Cause: twisted.python.runtime takes time.time on POSIX, so that every deadline, stall and proof of freshness of every role jumped with the time of day. Ruled out: the storm of manifests and SIGHUP, which passed at 3 to 9 s without a refusal.

--- a/umberhitch/cli/daemon.py
+++ b/umberhitch/cli/daemon.py
@@ -81,10 +81,12 @@
     from twisted.internet import reactor as default_reactor
 
     from umberhitch.adapters.logs import configure_logs
+    from umberhitch.adapters.steady import make_steady
     from umberhitch.adapters.zmq_link import make_context
     from umberhitch.nodes import curve_keys, make_agent_node, make_router_node
 
     reactor: Any = default_reactor
+    make_steady(reactor)
     configure_logs(settings.log_level, settings.name)
     context = make_context(curve_keys(settings.link_keys))
     node: Any
@@ -113,10 +115,12 @@
     from twisted.internet import reactor as default_reactor
 
     from umberhitch.adapters.logs import configure_logs
+    from umberhitch.adapters.steady import make_steady
     from umberhitch.adapters.zmq_link import make_context
     from umberhitch.gateway_node import make_gateway_node
 
     reactor: Any = default_reactor
+    make_steady(reactor)
     configure_logs(settings.log_level, settings.name)
     node = make_gateway_node(settings, reactor, make_context(), time_ns(), callers_socket)
     shutdown = _Shutdown(reactor, node, settings.drain_s - STOP_MARGIN_S)
--- a/umberhitch/cli/tests/test_daemon.py
+++ b/umberhitch/cli/tests/test_daemon.py
@@ -103,6 +103,20 @@
         assert (done.returncode, '"draining"' in done.stderr) == (0, True), done.stderr
 
 
+def test_every_role_goes_by_the_steady_clock(tmp_path: Path) -> None:
+    code = (
+        "import sys, time; sys.argv = ['d', sys.argv[1]]\n"
+        "from twisted.internet import reactor\n"
+        "from umberhitch.cli import daemon\n"
+        "reactor.run = lambda **kwargs: print(reactor.seconds() <= time.monotonic())\n"
+        "daemon.run()\n"
+    )
+    for settings in (AGENT, GATEWAY):
+        command = [sys.executable, "-c", code, write(tmp_path, settings)]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=LIMIT_S)
+        assert done.stdout == "True\n", done.stderr
+
+
 GATEWAY = {
     "role": "gateway",
     "name": "r1",
