--- a/umberhitch/tasks/direct/admission.py
+++ b/umberhitch/tasks/direct/admission.py
@@ -9,7 +9,7 @@
 from umberhitch.tasks.direct.store_view import StoreView
 from umberhitch.tasks.direct.trials import Trials
 
-__all__ = ["Admission", "Refusal"]
+__all__ = ["STALE", "Admission", "Refusal"]
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberhitch/tasks/direct/feeds.py
+++ b/umberhitch/tasks/direct/feeds.py
@@ -22,6 +22,11 @@
 
 Value = TypeVar("Value")
 
+FRESH_S = 0.5
+"""A view that is so much older than a call may be held is not fresh: the process stood still."""
+FROZEN_S = 0.3
+"""A call that took so much longer than it may was not late: the process stood still meanwhile."""
+
 
 class FeedPace:
     """Times of a feed, in seconds.
@@ -126,8 +131,8 @@
             patience_s = self._pace.patience_s[failures % len(self._pace.patience_s)]
             try:
                 if is_whole:
-                    # After an outage, know at once what stands; else let the store hold the call.
-                    wait_s = self._pace.wait_s if self._failed_since_s is None else 0.0
+                    # With a fresh view let the store hold the call, else know at once what stands.
+                    wait_s = self._pace.wait_s if self._is_fresh() else 0.0
                     batch = await self._port.since(self.offset, wait_s, patience_s)
                 else:
                     batch = await self._port.newest(patience_s)
@@ -136,6 +141,8 @@
                 is_whole = False
                 continue
             except LogError as exc:
+                if self._stood_still(called_s, patience_s):
+                    continue
                 failures += 1
                 self._note_failure(exc)
                 await pause(self._clock, self._pace.retry_s * (0.5 + self._rng.random()))
@@ -144,7 +151,9 @@
             self._note_back()
             self._take(batch, is_whole, called_s)
             is_whole = True
-            await pause(self._clock, self._pace.pause_s if batch.pause_s is None else batch.pause_s)
+            if self._is_fresh():
+                pause_s = self._pace.pause_s if batch.pause_s is None else batch.pause_s
+                await pause(self._clock, pause_s)
 
     def _take(self, batch: FeedBatch[Value], is_further: bool, called_s: float) -> None:
         if self._is_stopped:
@@ -159,6 +168,20 @@
         self.proved_s = proved_s if self.proved_s is None else max(self.proved_s, proved_s)
         self.on_taken(batch, not is_further, was_away)
 
+    def _stood_still(self, called_s: float, patience_s: float) -> bool:
+        longest_s = self._pace.wait_s + patience_s + FROZEN_S
+        return self._clock.seconds() - called_s > longest_s
+
+    def _is_fresh(self) -> bool:
+        if self._failed_since_s is not None or self.proved_s is None:
+            return False
+        return self._clock.seconds() - self.proved_s <= self._pace.wait_s + FRESH_S
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last call failed."""
+        return self._failed_since_s is not None
+
     def _was_away(self) -> bool:
         return self._clock.seconds() - self._back_s < self.AWAY_S
 
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -7,6 +7,7 @@
 
 from umberhitch.core.direct import (
     AnswerVerdict,
+    Ask,
     BudgetLimits,
     Cascade,
     CascadeLimits,
@@ -39,7 +40,7 @@
     do_nothing,
 )
 from umberhitch.tasks.burn import BurnTask
-from umberhitch.tasks.direct.admission import Admission, Refusal
+from umberhitch.tasks.direct.admission import STALE, Admission, Refusal
 from umberhitch.tasks.direct.choosing import Choosing
 from umberhitch.tasks.direct.decisions import DecisionLog
 from umberhitch.tasks.direct.exchange import REFUSED_BY_ENDPOINT, Exchange
@@ -56,6 +57,9 @@
 """Soonest time to come back that a refusal names."""
 SPENDS_NO_BUDGET = ("caller left", REFUSED_BY_ENDPOINT)
 """Outcomes that are the caller's own; the burn report leaves them out."""
+PROOF_WAIT_S = 0.025
+"""A router that stood still waits so long for the store's word before it refuses requests with
+keys: the store answers in some ms, and it is under a quarter of the shortest objective seen."""
 STARTING_RETRY_S = 0.5
 """Time to come back that is named while there is no configuration."""
 
@@ -251,6 +255,33 @@
             self._answer(reply, None, exc.status, str(exc), None)
             return do_nothing
         permit = self._admission.admit(ask, raw.received_s, not self._is_noticed)
+        if permit is STALE and not self.view.operator_feed.is_failing:
+            return self._wait_for_proof(ask, raw.received_s, reply)
+        return self._begin(ask, permit, reply)
+
+    def _wait_for_proof(
+        self, ask: Ask, received_s: float, reply: CallerReply
+    ) -> Callable[[], None]:
+        """Wait a moment for the store's answer: the process stood still, and wakes."""
+        leave = do_nothing
+
+        def go_on() -> None:
+            nonlocal leave
+            permit = self._admission.admit(ask, received_s, not self._is_noticed)
+            leave = self._begin(ask, permit, reply)
+
+        timer = self.clock.callLater(PROOF_WAIT_S, go_on)
+
+        def on_left() -> None:
+            if timer.active():
+                timer.cancel()
+            else:
+                leave()
+
+        return on_left
+
+    def _begin(self, ask: Ask, permit: Permit | Refusal, reply: CallerReply) -> Callable[[], None]:
+        """Pass a request on, or refuse it."""
         if isinstance(permit, Refusal):
             retry_s = None
             if permit.status == 503:
@@ -258,7 +289,7 @@
                 retry_s = LEAST_RETRY_S if self._is_leaving else STARTING_RETRY_S
             self._answer(reply, ask.call_id, permit.status, permit.reason, retry_s)
             return do_nothing
-        self.budget.request(permit.service, raw.received_s)
+        self.budget.request(permit.service, permit.received_s)
         exchange = Exchange(self, permit, reply)
         self.running.add(exchange)
         return exchange.start()
--- a/umberhitch/tasks/direct/sharing.py
+++ b/umberhitch/tasks/direct/sharing.py
@@ -257,6 +257,8 @@
         if peer is None:
             return await self._since_by_store(offset, wait_s, patience_s)
         hold_s = self._limits.quick_hold_s if reader is None else self._limits.hold_s
+        if self._is_stale() and not self._is_failing:
+            hold_s = 0.0  # the process stood still: what has changed meanwhile is to be known now
         called_s = self._clock.seconds()
         reply = await self._sharing.ask(peer, self._stream, offset, hold_s, self._limits.patience_s)
         match self._judge(reply, called_s, offset):
@@ -269,11 +271,15 @@
                 self._vain_asks += 1
                 if self._vain_asks % self._limits.asks_a_call:
                     raise LogUnavailableError("neither the store nor the reader can tell")
-        batch = await self._since_by_store(offset, wait_s, patience_s)
+        batch = await self._since_by_store(offset, 0.0, patience_s)
         # The store could tell what the peer could not.
         self._shunned[peer] = self._clock.seconds() + self._limits.shun_s
         return batch
 
+    def _is_stale(self) -> bool:
+        proved_s = None if self._feed is None else self._feed.proved_s
+        return proved_s is None or self._clock.seconds() - proved_s > self._limits.stale_s
+
     def _reader(self) -> str | None:
         now_s = self._clock.seconds()
         self._shunned = {name: end for name, end in self._shunned.items() if end > now_s}
