--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -26,7 +26,8 @@
 )
 from umberhitch.ports.direct import Member
 from umberhitch.tasks.burn import BurnHost, BurnTask
-from umberhitch.tasks.direct.gateway import Gateway, GatewaySettings
+from umberhitch.tasks.direct.gateway import Gateway
+from umberhitch.tasks.direct.gateway_limits import GatewaySettings
 from umberhitch.tasks.direct.opening import open_when_loaded
 from umberhitch.tasks.direct.peers import DirectPeers
 from umberhitch.tasks.direct.sharing import Sharing, StreamName
--- a/umberhitch/tasks/direct/exchange.py
+++ b/umberhitch/tasks/direct/exchange.py
@@ -7,22 +7,15 @@
 
 from collections.abc import Callable
 
-from umberhitch.core.direct import (
-    Endpoint,
-    EventCutter,
-    Placed,
-    ReplyHead,
-    RouteKind,
-)
+from umberhitch.core.direct import Endpoint, Placed, ReplyHead, RouteKind
 from umberhitch.ports.clock import Timer
 from umberhitch.ports.direct import CallerReply, CallFailure, RunningCall
 from umberhitch.tasks.direct.judging import AnswerJudge
+from umberhitch.tasks.direct.relay import Relay
 from umberhitch.tasks.direct.services import Permit, Services
 
 __all__ = ["REFUSED_BY_ENDPOINT", "Exchange"]
 
-MAX_PLAIN_BYTES = 1_048_576
-"""A plain reply up to this size is passed on only when it is whole."""
 MAX_DIALS = 6
 """Endpoints that could not be reached, for one request."""
 REFUSED_BY_ENDPOINT = "refused by the endpoint"
@@ -58,10 +51,7 @@
         self._call: RunningCall | None = None
         self._head: ReplyHead | None = None
         self._judge = AnswerJudge(services, permit)
-        self._held = bytearray()
-        self._is_streaming = False
-        self._is_relaying = False
-        self._cutter = EventCutter(ask.last_event)
+        self._relay = Relay(reply, ask.last_event, self._pause, self._resume)
         self._is_paused = False
         self._is_over = False
         self.answered_s: float | None = None
@@ -82,7 +72,7 @@
     @property
     def last_event(self) -> bytes | None:
         """Id of the last event that the caller has."""
-        return self._cutter.last_id
+        return self._relay.last_event
 
     @property
     def left_s(self) -> float:
@@ -131,7 +121,7 @@
         self._endpoint = endpoint
         self._judge.call_sent(endpoint, self._model)
         self._head = None
-        self._held.clear()
+        self._relay.call_sent()
         self._sends += 1
         self._tried.add(endpoint.entry.incarnation)
         self._call, self._placed = self._svc.send(self.permit, endpoint, self._model, self)
@@ -146,14 +136,9 @@
         )
         if self._is_paused:
             self._call.pause()
-        route, limits = self.permit.route, self._svc.limits
-        match route.kind:
-            case RouteKind.STREAM if route.is_repeatable:
-                self._watch(
-                    max(limits.least_try_s, limits.first_event_objectives * route.objective_s)
-                )
-            case RouteKind.IDEMPOTENT:
-                self._watch(max(limits.least_try_s, limits.try_objectives * route.objective_s))
+        try_s = self._svc.limits.try_s(self.permit.route)
+        if try_s is not None:
+            self._watch(try_s)
 
     def _end_call(self, is_failure: bool | None) -> None:
         """Count the present call no more."""
@@ -217,13 +202,17 @@
             self._on_error(head)
 
     def _on_not_run(self, head: ReplyHead) -> None:
-        assert self._call is not None
         assert self._endpoint is not None
         if head.is_elsewhere:
             self._svc.moved(self._endpoint)
         self._svc.decided(self, "call not run", True, status=head.status)
+        self._go_on(None)
+
+    def _go_on(self, is_failure: bool | None) -> None:
+        """Leave a call whose reply is of no use, and try elsewhere."""
+        assert self._call is not None
         self._call.detach()
-        self._end_call(None)
+        self._end_call(is_failure)
         self._next()
 
     def _on_success(self, head: ReplyHead) -> None:
@@ -233,7 +222,7 @@
             self._broken("no signature")
             return
         self._may_have_run = True
-        if self._is_streaming:
+        if self._relay.is_streaming:
             self._watch_gap()
             return
         larger = None
@@ -246,9 +235,7 @@
             self._escalate(larger)
             return
         if self.permit.route.kind is RouteKind.STREAM:
-            self._is_streaming = True
-            self._reply.on_pressure(self._pause, self._resume)
-            self._reply.head(head.status, head.headers)
+            self._relay.begin_stream(head)
             self._watch_gap()
 
     def _escalate(self, larger: str) -> None:
@@ -271,22 +258,13 @@
 
     def _on_error(self, head: ReplyHead) -> None:
         """Handle a failure that the endpoint itself reports; it ran."""
-        assert self._call is not None
-        assert self._endpoint is not None
         self._may_have_run = True
         is_server_side = head.status >= 500
         self._svc.decided(self, "endpoint failed", True, status=head.status)
         if is_server_side:
             self._judge.failed()
-        if self._is_streaming:
-            self._call.detach()
-            self._end_call(is_server_side)
-            self._next()
-            return
-        if is_server_side and self._can_repeat():
-            self._call.detach()
-            self._end_call(True)
-            self._next()
+        if self._relay.is_streaming or (is_server_side and self._can_repeat()):
+            self._go_on(is_server_side)
 
     def _can_repeat(self) -> bool:
         route = self.permit.route
@@ -300,36 +278,21 @@
     def on_data(self, data: bytes) -> None:
         """Take more of the body."""
         assert self._head is not None
-        if self._is_relaying:
-            self._reply.data(data)
-            return
-        if not self._is_streaming:
-            self._held += data
-            if len(self._held) > MAX_PLAIN_BYTES:
-                self._relay()
+        if not self._relay.is_streaming:
+            self._relay.plain_data(self._head, data)
             return
         self._watch_gap()
         try:
-            whole = self._cutter.feed(data)
+            has_events = self._relay.stream_data(data)
         except ValueError as exc:
             assert self._call is not None
             self._call.cancel()
             self._broken(str(exc))
             return
-        if whole:
+        if has_events:
             if self.answered_s is None:
                 self.answered_s = self._clock.seconds()
-            self._reply.data(whole)
-            self._judge.events_seen(self._cutter.count)
-
-    def _relay(self) -> None:
-        """Pass a long plain reply on as it comes."""
-        assert self._head is not None
-        self._is_relaying = True
-        self._reply.on_pressure(self._pause, self._resume)
-        self._reply.head(self._head.status, self._head.headers)
-        self._reply.data(bytes(self._held))
-        self._held.clear()
+            self._judge.events_seen(self._relay.events)
 
     def _watch_gap(self) -> None:
         if self.permit.route.is_repeatable:
@@ -339,34 +302,21 @@
         """Take the end of the reply."""
         assert self._head is not None
         assert self._endpoint is not None
-        if self._is_streaming and not self._cutter.is_clean:
+        if not self._relay.is_whole:
             self._broken("ended within an event")
             return
         is_failure = self._head.status >= 500
         if not is_failure:
-            if self._is_streaming:
+            if self._relay.is_streaming:
                 self._judge.stream_ended()
             else:
                 self._judge.reply_ended()
         self._end_call(is_failure)
-        if not self._is_streaming and not self._is_relaying:
-            self._reply_whole(self._head, bytes(self._held))
-            return
-        self._reply.end()
-        self._finish("done")
-
-    def _reply_whole(self, head: ReplyHead, body: bytes) -> None:
-        headers = [item for item in head.headers if item[0].lower() != b"content-length"]
-        if head.status not in (204, 304):
-            headers.append((b"Content-Length", str(len(body)).encode()))
-        self._reply.head(head.status, headers)
-        if body:
-            self._reply.data(body)
-        self._reply.end()
-        if head.is_success:
+        self._relay.end(self._head)
+        if self._head.is_success:
             self._finish("done")
         else:
-            self._finish("failed by the endpoint" if head.status >= 500 else REFUSED_BY_ENDPOINT)
+            self._finish("failed by the endpoint" if is_failure else REFUSED_BY_ENDPOINT)
 
     def on_failure(self, failure: CallFailure, detail: str) -> None:
         """Take the end of a call without a whole reply."""
@@ -397,11 +347,12 @@
             self._svc.unreachable(self._endpoint)
         self._judge.broken()
         self._end_call(True)
-        self._cutter.drop()
-        if self._is_streaming:
+        self._relay.call_broken()
+        if self._relay.is_streaming:
             # Part of the answer is out: an endpoint that broke off before may go on with it.
             self._tried = {self._endpoint.entry.incarnation}
-        if self._is_relaying or not self.permit.route.is_repeatable:
+        is_passing = self._relay.has_begun and not self._relay.is_streaming
+        if is_passing or not self.permit.route.is_repeatable:
             self._give_up("unknown outcome")
             return
         self._next()
@@ -412,8 +363,8 @@
         """Send the final answer."""
         if self._is_over:
             return
-        if self._is_streaming or self._is_relaying:
-            self._reply.abort()
+        if self._relay.has_begun:
+            self._relay.abort()
             self._finish(f"broken off: {reason}")
             return
         if not self._may_have_run:
@@ -452,3 +403,5 @@
         self._is_paused = False
         if self._call is not None:
             self._call.resume()
+            if self._stall is None and self._relay.is_streaming:
+                self._watch_gap()  # it ran out meanwhile
--- a/umberhitch/tasks/direct/feeds.py
+++ b/umberhitch/tasks/direct/feeds.py
@@ -22,7 +22,7 @@
 
 Value = TypeVar("Value")
 
-FRESH_S = 0.5
+FRESH_S = 1.0
 """A view that is so much older than a call may be held is not fresh: the process stood still."""
 FROZEN_S = 0.3
 """A call that took so much longer than it may was not late: the process stood still meanwhile."""
--- /dev/null
+++ b/umberhitch/tasks/direct/gateway_limits.py
@@ -0,0 +1,52 @@
+"""What a router of the direct path is told, and what it counts."""
+
+from dataclasses import dataclass, field
+
+from umberhitch.core.direct import BudgetLimits, CascadeLimits, PlacementLimits
+from umberhitch.tasks.direct.feeds import FeedPace
+from umberhitch.tasks.direct.services import ExchangeLimits
+
+__all__ = ["GatewayCounters", "GatewaySettings"]
+
+
+@dataclass(frozen=True, kw_only=True)
+class GatewaySettings:
+    """What a router of the direct path is told.
+
+    Attributes
+    ----------
+    name, zone : str
+    proof_age_s : float
+        Requests with keys are refused where the proof that the keys are the newest is older.
+    drain_notice_s : float
+        At a shutdown, connections are taken for so long: the balancer notices only then.
+    good_share : float
+        Share of a route's requests that are to be done within its objective; the burn report
+        measures against it.
+    """
+
+    name: str
+    zone: str
+    proof_age_s: float = 4.5
+    drain_notice_s: float = 2.6
+    good_share: float = 0.99
+    operator_pace: FeedPace = field(default_factory=lambda: FeedPace(wait_s=1.6, pause_s=0.05))
+    endpoint_pace: FeedPace = field(
+        default_factory=lambda: FeedPace(wait_s=0.0, pause_s=0.95, patience_s=(0.5, 0.35, 1.0))
+    )
+    """Heartbeats come all the time, so calls are not held; one that is lost must not cost more than
+    what is left of the 2 s in which an endpoint that leaves has to be known."""
+    budget: BudgetLimits = BudgetLimits()
+    cascade: CascadeLimits = CascadeLimits()
+    placement: PlacementLimits = PlacementLimits()
+    exchange: ExchangeLimits = ExchangeLimits()
+
+
+@dataclass(slots=True)
+class GatewayCounters:
+    """Counts since the start."""
+
+    requests: int = 0
+    calls: int = 0
+    outcomes: dict[str, int] = field(default_factory=dict)
+    refused: dict[str, int] = field(default_factory=dict)
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -3,7 +3,16 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from umberhitch.core.direct import AnswerVerdict, Ask, Customer, Endpoint, Placed, ReplyHead, Route
+from umberhitch.core.direct import (
+    AnswerVerdict,
+    Ask,
+    Customer,
+    Endpoint,
+    Placed,
+    ReplyHead,
+    Route,
+    RouteKind,
+)
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import CallerReply, CallEvents, RunningCall
 
@@ -31,6 +40,15 @@
     gap_factor: float = 2.5
     least_try_s: float = 0.25
 
+    def try_s(self, route: Route) -> float | None:
+        """Return how long a call may be silent before it is tried elsewhere, if it may be."""
+        match route.kind:
+            case RouteKind.STREAM if route.is_repeatable:
+                return max(self.least_try_s, self.first_event_objectives * route.objective_s)
+            case RouteKind.IDEMPOTENT:
+                return max(self.least_try_s, self.try_objectives * route.objective_s)
+        return None
+
 
 @dataclass(slots=True)
 class Permit:
--- a/umberhitch/tasks/direct/tests/test_exchange.py
+++ b/umberhitch/tasks/direct/tests/test_exchange.py
@@ -227,6 +227,27 @@
     assert calls <= 50 + 0.9 * 50 + 4.0
 
 
+def test_a_stream_that_went_silent_while_its_caller_read_slowly_goes_on_elsewhere():
+    """The watch ran out while the caller was waited for, and was not set again."""
+    world = DirectWorld()
+    for name in ("e1", "e2"):
+        endpoint = world.add_endpoint(name)
+        endpoint.reply = Reply(events=3)
+    route = make_route("draft", RouteKind.STREAM, timeout_s=20.0)
+    router = world.ready_router(make_direct_document(routes=(route,)))
+    for name in ("e1", "e2"):
+        world.endpoints.by_address[f"@{name}"].replies = [Reply(events=3, gap_s=60.0)]
+    ask = world.ask(router, "/draft/x")
+    world.run(0.2)
+    for name in ("e1", "e2"):
+        world.endpoints.by_address[f"@{name}"].replies = []
+    ask.reply.pause()
+    world.run(3.0)
+    ask.reply.resume()
+    world.run(3.0)
+    assert ask.reply.is_complete
+
+
 def test_a_slow_caller_holds_up_only_its_own_call():
     world = DirectWorld()
     world.add_endpoint("e1").reply = Reply(events=50)
--- a/umberhitch/testing/_direct.py
+++ b/umberhitch/testing/_direct.py
@@ -32,7 +32,8 @@
     StoreFaults,
 )
 from umberhitch.ports.direct import Member, OperatorValue, RawRequest
-from umberhitch.tasks.direct.gateway import Gateway, GatewaySettings
+from umberhitch.tasks.direct.gateway import Gateway
+from umberhitch.tasks.direct.gateway_limits import GatewaySettings
 from umberhitch.tasks.direct.peers import DirectPeers
 from umberhitch.tasks.direct.sharing import Sharing, StreamName
 from umberhitch.tasks.direct.trials import Trials
