--- a/umberhitch/tasks/direct/tests/test_fuzz.py
+++ b/umberhitch/tasks/direct/tests/test_fuzz.py
@@ -118,6 +118,7 @@
     @rule(route=st.sampled_from(("look", "order", "draft")))
     def calm_down(self, route: str) -> None:
         """Mend store and processes, wait until all is known, and send to each router."""
+        self.hold_link(False)
         for router in ROUTERS:
             self.cut_store(router, False)
             self.freeze(router, False)
@@ -170,6 +171,25 @@
         clock.is_paused = is_paused
         self.draining_s = dict.fromkeys(self.draining_s, self.now_s)
 
+    @rule(is_held=st.booleans())
+    def hold_link(self, is_held: bool) -> None:
+        """Hold up what routers say to each other, or deliver it all."""
+        if is_held:
+            self.world.network.hold_where(lambda sender, receiver, message: True)
+        else:
+            self.world.network.release()
+
+    @rule(key=st.sampled_from(("k1", "k2")))
+    def use_late_everywhere(self, key: str) -> None:
+        """Take a key away while no router reaches the store, and use it after the bound."""
+        for router in ROUTERS:
+            self.cut_store(router, True)
+        self.revoke(key)
+        self.world.run(REVOKE_S + 0.1)
+        for router in ROUTERS:
+            self.send(router, "look", key)
+        self.world.run(0.3)
+
     @rule(index=st.integers(0, 5))
     def leave(self, index: int) -> None:
         """Let a caller leave."""
--- a/umberhitch/tasks/direct/tests/test_mutations.py
+++ b/umberhitch/tasks/direct/tests/test_mutations.py
@@ -5,13 +5,16 @@
 import pytest
 from hypothesis import Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
+from msgspec.structs import replace
 
 from umberhitch.core.direct import Endpoint, EventCutter, ReplyHead, Route
 from umberhitch.core.direct._directory import _Members
 from umberhitch.tasks.direct.exchange import Exchange
 from umberhitch.tasks.direct.gateway import Gateway
+from umberhitch.tasks.direct.sharing import SharedView
 from umberhitch.tasks.direct.store_view import StoreView
 from umberhitch.tasks.direct.tests.test_fuzz import DirectMachine
+from umberhitch.wire import ViewReply
 
 SETTINGS = settings(
     max_examples=300, stateful_step_count=40, phases=(Phase.generate,), report_multiple_bugs=False
@@ -35,6 +38,23 @@
     patch.setattr(StoreView, "proof_age_s", lambda self, at_s: 0.0)
 
 
+def believe_every_peer(patch: pytest.MonkeyPatch) -> None:
+    judge = SharedView._judge
+
+    def as_if_fresh(
+        self: SharedView, reply: ViewReply | None, called_s: float, offset: int
+    ) -> object:
+        if reply is not None:
+            reply = replace(reply, age_s=0.0)
+        return judge(self, reply, called_s, offset)
+
+    patch.setattr(SharedView, "_judge", as_if_fresh)
+
+
+def keep_drains_to_oneself(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(SharedView, "_note_changes", lambda self, batch, is_whole, was_away: None)
+
+
 def pass_on_pieces_of_events(patch: pytest.MonkeyPatch) -> None:
     feed = EventCutter.feed
 
@@ -72,6 +92,8 @@
     repeat_everything,
     refuse_as_not_run,
     trust_old_proof,
+    believe_every_peer,
+    keep_drains_to_oneself,
     pass_on_pieces_of_events,
     send_to_draining_endpoints,
     never_give_up,
