--- a/umberhitch/fakes/_network.py
+++ b/umberhitch/fakes/_network.py
@@ -33,6 +33,11 @@
     rng : Random
     delay_s : float
         Time of one hop.
+
+    Attributes
+    ----------
+    links : dict of str to FakeLink
+        By process.
     """
 
     def __init__(self, clock: Clock, rng: Random, delay_s: float = 0.001) -> None:
@@ -42,7 +47,7 @@
         self._clock = clock
         self._rng = rng
         self._delay_s = delay_s
-        self._links: dict[str, FakeLink] = {}
+        self.links: dict[str, FakeLink] = {}
         self._cuts: set[frozenset[str]] = set()
         self._filters: list[MessageTest] = []
         self._holds: list[MessageTest] = []
@@ -51,12 +56,12 @@
     def link(self, name: str) -> "FakeLink":
         """Return a new link for a process; it replaces the one of that name."""
         link = FakeLink(name, self)
-        self._links[name] = link
+        self.links[name] = link
         return link
 
     def unplug(self, name: str) -> None:
         """Remove a process from the network."""
-        self._links.pop(name, None)
+        self.links.pop(name, None)
 
     def cut(self, one: str, other: str) -> None:
         """Let nothing pass between two processes."""
@@ -91,7 +96,7 @@
     def carry(self, sender: "FakeLink", receiver: str, message: Message) -> None:
         """Take a message on its way, subject to the faults."""
         self.messages += 1
-        if self._links.get(sender.name) is not sender:
+        if self.links.get(sender.name) is not sender:
             return
         if frozenset((sender.name, receiver)) in self._cuts:
             return
@@ -113,7 +118,7 @@
             self._clock.callLater(delay_s, self._deliver, receiver, frame)
 
     def _deliver(self, receiver: str, data: bytes) -> None:
-        link = self._links.get(receiver)
+        link = self.links.get(receiver)
         if link is None or link.receiver is None:
             return
         frame = decode_frame(data)
--- a/umberhitch/tasks/direct/tests/test_fuzz.py
+++ b/umberhitch/tasks/direct/tests/test_fuzz.py
@@ -164,11 +164,12 @@
 
     @rule(router=st.sampled_from(ROUTERS), is_paused=st.booleans())
     def freeze(self, router: str, is_paused: bool) -> None:
-        """Freeze a router's process, or wake it."""
-        clock = self.world.routers[router].clock
+        """Freeze a router's process, or wake it: what is due comes first, then what was sent."""
+        clock, link = self.world.routers[router].clock, self.world.network.links[router]
         if clock.is_paused and not is_paused:
             clock.resume()
-        clock.is_paused = is_paused
+            link.resume()
+        clock.is_paused = link.is_paused = is_paused
         self.draining_s = dict.fromkeys(self.draining_s, self.now_s)
 
     @rule(is_held=st.booleans())
