Last known keys are served while the store is away, where revocation is not strict

Cause: the product read revokeMs and never strictRevocation. Change: bounds.strict_revocation; where false, keys and routes that are known are served on, unknown ones get 503 with a time to come back (not 401 or 404, which would not be true). Missing is strict.

--- a/umberhitch/cli/tests/test_daemon.py
+++ b/umberhitch/cli/tests/test_daemon.py
@@ -163,13 +163,15 @@
         "surplus": 1,
         "store": "nowhere",
         "listen": {**GATEWAY["listen"], "link": "127.0.0.1:99999"},
-        "bounds": {"retry_ratio": -1},
+        "bounds": {"retry_ratio": -1, "strict_revocation": "no"},
     }
     del bad["name"]
     done = run(write(tmp_path, bad), "--check")
     assert done.returncode == 2
     lines = done.stderr.splitlines()
-    for place in ("name", "zone", "surplus", "store", "listen.link", "bounds.retry_ratio"):
+    places = ["name", "zone", "surplus", "store", "listen.link"]
+    places += ["bounds.retry_ratio", "bounds.strict_revocation"]
+    for place in places:
         assert any(f": {place}: " in line for line in lines), place
 
 
--- a/umberhitch/gateway_settings.py
+++ b/umberhitch/gateway_settings.py
@@ -35,7 +35,11 @@
     """What the platform bounds; it hands these over with the settings."""
 
     revocation_s: Seconds = 5.0
-    """A key that was taken away has no effect after this."""
+    """A key that was taken away has no effect after this, and"""
+    strict_revocation: bool | None = None
+    """whether that holds also while the store is away: then requests with keys are refused once
+    nothing proves that their keys still stand. Where false, the last keys known go on being served.
+    Strict where it is not said."""
     retry_ratio: Annotated[float, Meta(ge=0, le=10)] = 0.5
     """Calls beyond the first, for each request."""
     retry_slack: Annotated[float, Meta(ge=0)] = 20.0
--- a/umberhitch/tasks/direct/admission.py
+++ b/umberhitch/tasks/direct/admission.py
@@ -34,18 +34,28 @@
     clock : Clock
     rng : Random
     proof_age_s : float
-        Requests with keys are refused where the proof that the keys are the newest was older when
-        they came.
+        The proof that the keys are the newest is stale where it was older when a request came.
+    is_strict : bool
+        Whether requests with keys are refused then. Where not, the last keys known are served on
+        (static stability), which is 4 s of all requests when the store is away for 9 s; only those
+        whose key or route is not known are told to come back.
     """
 
     def __init__(
-        self, view: StoreView, trials: Trials, clock: Clock, rng: Random, proof_age_s: float
+        self,
+        view: StoreView,
+        trials: Trials,
+        clock: Clock,
+        rng: Random,
+        proof_age_s: float,
+        is_strict: bool,
     ) -> None:
         self._view = view
         self._trials = trials
         self._clock = clock
         self._rng = rng
         self._proof_age_s = proof_age_s
+        self._is_strict = is_strict
 
     def admit(self, ask: Ask, received_s: float, takes_streams: bool) -> Permit | Refusal:
         """Return the permit, or the refusal.
@@ -69,11 +79,11 @@
             return Refusal(503, "leaving")
         customer: Customer | None = None
         if not route.is_public:
-            if is_stale:
+            if is_stale and self._is_strict:
                 return STALE
             customer = table.customer(ask.key)
             if customer is None:
-                return Refusal(401, "unknown key")
+                return STALE if is_stale else Refusal(401, "unknown key")
         service = self._pick_service(route)
         now_s = self._clock.seconds()
         ready = self._view.directory.ready(service, now_s, self._rng)
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -117,7 +117,9 @@
         self.choosing = Choosing(
             self.view, trials, self.placement, self.budget, Cascade(settings.cascade), clock, rng
         )
-        self._admission = Admission(self.view, trials, clock, rng, settings.proof_age_s)
+        self._admission = Admission(
+            self.view, trials, clock, rng, settings.proof_age_s, settings.is_strict
+        )
 
     # Life
 
--- a/umberhitch/tasks/direct/tests/test_store.py
+++ b/umberhitch/tasks/direct/tests/test_store.py
@@ -52,6 +52,35 @@
     assert again.status == 200
 
 
+def test_where_keys_need_not_be_proved_the_last_known_serve_while_the_store_is_away():
+    """Four seconds of all requests were refused while the store was away for 8 s."""
+    world = DirectWorld()
+    world.add_endpoint("e1")
+    world.operator.put("config", make_direct_document())
+    router = world.add_router(is_strict=False)
+    world.run(0.1)
+    router.faults.is_down = True
+    world.run(30.0)
+    known = world.ask(router, "/look/x")
+    unknown_key = world.ask(router, "/look/x", key="key-2")
+    unknown_route = world.ask(router, "/new/x")
+    world.run(0.1)
+    assert known.status == 200
+    # Key and route may have come meanwhile: a refusal that is final would not be true.
+    assert (unknown_key.status, unknown_route.status) == (503, 503)
+
+
+def test_where_keys_need_not_be_proved_one_that_was_taken_away_has_no_effect_soon():
+    world = DirectWorld()
+    world.add_endpoint("e1")
+    world.operator.put("config", make_direct_document(1, keys=("key-1", "key-2")))
+    router = world.add_router(is_strict=False)
+    world.run(0.1)
+    world.operator.put("config", make_direct_document(2, keys=("key-2",)))
+    world.run(0.1)
+    assert world.ask(router, "/look/x", key="key-1").status == 401
+
+
 def test_a_frozen_router_that_wakes_does_not_trust_its_old_proof():
     """The request came while the process stood still, and is read when it wakes."""
     world = DirectWorld()
--- a/umberhitch/testing/_direct.py
+++ b/umberhitch/testing/_direct.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
+from typing import Any
 
 from twisted.internet.task import Clock
 
@@ -124,9 +125,13 @@
         return endpoint
 
     def add_router(
-        self, name: str = "r1", slack: float = 100.0, status_faults: StoreFaults | None = None
+        self,
+        name: str = "r1",
+        slack: float = 100.0,
+        status_faults: StoreFaults | None = None,
+        **settings: Any,
     ) -> DirectRouter:
-        """Start a router."""
+        """Start a router; ``settings`` are those of `GatewaySettings`."""
         clock = ProcessClock(self.clock)
         faults = StoreFaults()
         operator = FakeFeed(self.operator, clock, faults)
@@ -137,7 +142,7 @@
         operator_view = sharing.share(StreamName.OPERATOR, operator)
         registry_view = sharing.share(StreamName.REGISTRY, registry)
         gateway = Gateway(
-            GatewaySettings(name=name, zone="a", budget=BudgetLimits(0.9, slack, 10.0)),
+            GatewaySettings(name=name, zone="a", budget=BudgetLimits(0.9, slack, 10.0), **settings),
             clock,
             Random(name),
             FakeWire(),
