Engine time is priced by the worth that it delays; calls stay near unless the way pays

Cause: a doubtful answer was dropped for the large model's whenever that one's own wait allowed it. Change: the price of a second of an engine is what the observed demand loses by it, given the queue (quadratic in it, little below the time that answers may take); it counts where a model is chosen and where an endpoint is. Worth goes by the rank of the route. Bytes to another zone cost by size. The pace of reading is a weighted median (the mean took the first event's time for reading: 3 times the smallest's). Tests: the cascade's route is now of the first rank, so that what it assumes of worth still holds; a queue drives a call away from its cache only where the answer would be late, and the test has such a queue.

--- a/benchmarks/direct.py
+++ b/benchmarks/direct.py
@@ -16,10 +16,14 @@
     Directory,
     EndpointEntry,
     EndpointState,
+    EnginePrice,
+    EngineWork,
     EventCutter,
     PromptPart,
     RouteTable,
     Service,
+    WorthLimits,
+    make_stake,
 )
 from umberhitch.core.direct import Placement as Placing
 from umberhitch.testing import make_direct_document, make_route
@@ -35,6 +39,8 @@
 REPEATS = 5
 EVENTS = 20_000
 MODELS = ("small", "large")
+WORTH = WorthLimits()
+PRICE = EnginePrice(1.0, 2.0, 1.0, 0.3)
 
 
 def make_directory(size: int) -> Directory:
@@ -68,7 +74,8 @@
             ask = Ask("a", b"POST", b"/", "h", "/", [], None, 9.0, True, parts, 100)
             ready = directory.ready("svc", clock.seconds(), rng)
             home = directory.home("svc", parts[0].part_id)
-            endpoint, _ = placement.choose(ready, ask, "small", MODELS, clock.seconds(), home)
+            work = EngineWork(ask, "small", MODELS, make_stake(route, ask, WORTH), PRICE, home)
+            endpoint = placement.choose_engine(ready, work, clock.seconds()).endpoint
             placed = placement.place(endpoint, ask, "small", MODELS, service, clock.seconds())
             placement.release(placed, False)
         best = min(best, time.perf_counter() - began_s)
--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -3,9 +3,10 @@
 from umberhitch.core.direct._budget import BudgetLimits, RetryBudget
 from umberhitch.core.direct._cascade import Cascade, CascadeLimits
 from umberhitch.core.direct._directory import Directory, Endpoint
+from umberhitch.core.direct._engine_time import EngineDemand, EnginePrice, EngineTimeLimits
 from umberhitch.core.direct._events import EventCutter
 from umberhitch.core.direct._pace import EventPace, Paces, PacesLimits
-from umberhitch.core.direct._placement import Placed, Placement, PlacementLimits
+from umberhitch.core.direct._placement import EngineWork, Offer, Placed, Placement, PlacementLimits
 from umberhitch.core.direct._routes import RouteTable
 from umberhitch.core.direct._trial import AnswerVerdict, Counts, EvidenceBar, Trial, TrialLimits
 from umberhitch.core.direct._types import (
@@ -24,6 +25,7 @@
     RouteKind,
     Service,
 )
+from umberhitch.core.direct._worth import Stake, WorthLimits, make_stake
 
 __all__ = [
     "AnswerVerdict",
@@ -38,10 +40,15 @@
     "Endpoint",
     "EndpointEntry",
     "EndpointState",
+    "EngineDemand",
+    "EnginePrice",
+    "EngineTimeLimits",
+    "EngineWork",
     "EventCutter",
     "EventPace",
     "EvidenceBar",
     "IntakeLimits",
+    "Offer",
     "Paces",
     "PacesLimits",
     "Placed",
@@ -57,6 +64,9 @@
     "RouteKind",
     "RouteTable",
     "Service",
+    "Stake",
     "Trial",
     "TrialLimits",
+    "WorthLimits",
+    "make_stake",
 ]
--- a/umberhitch/core/direct/_cascade.py
+++ b/umberhitch/core/direct/_cascade.py
@@ -9,7 +9,9 @@
 from dataclasses import dataclass
 from math import exp
 
+from umberhitch.core.direct._placement import Offer
 from umberhitch.core.direct._types import Ask, Route
+from umberhitch.core.direct._worth import Stake
 
 __all__ = ["Cascade", "CascadeLimits"]
 
@@ -20,14 +22,6 @@
 
     Attributes
     ----------
-    token_worth : float
-        Worth of 1,000 tokens of a request, an output token counted as ten, in the unit of the
-        models' prices: what users pay for models is small against what answers are worth to them.
-    late_share : float
-        What a late answer is worth of one in time.
-    soon : float
-        Share of the objective up to which an expected first event is in time for sure; at the
-        objective itself it is late for sure, since estimates of queues are low.
     middle, width : float
         Confidence at which an answer is as often good as not, and how fast that changes: a logistic
         curve. A straight line from 0 to 100 dropped too many good answers (`docs/results.md`).
@@ -35,11 +29,8 @@
         Price of a model of which none is known, for 1,000 tokens generated.
     """
 
-    token_worth: float = 0.35
-    late_share: float = 0.2
-    soon: float = 0.4
     middle: float = 50.0
-    width: float = 12.0
+    width: float = 8.0
     price: float = 0.3
 
 
@@ -61,11 +52,12 @@
         self,
         route: Route,
         ask: Ask,
+        stake: Stake,
         model: str,
         confidence: int | None,
         prices: Mapping[str, float],
         waited_s: float,
-        wait_s: float,
+        offer: Offer,
     ) -> str | None:
         """Return the model to ask instead, or None to keep the answer that has begun.
 
@@ -80,26 +72,19 @@
             By model, for 1,000 tokens generated; a token that is read costs a quarter.
         waited_s : float
             Time since the request came.
-        wait_s : float
-            Expected time until the larger model's first event.
+        stake : Stake
+        offer : Offer
+            Where the larger model would be asked, its wait and what that costs others.
         """
         largest = route.models[-1]
         if confidence is None or model == largest:
             return None
         limits = self.limits
         read, made = ask.prompt_tokens / 1000, ask.output_tokens / 1000
-        worth = limits.token_worth * (read + 10 * made)
         good = 1.0 / (1.0 + exp(-(confidence - limits.middle) / limits.width))
-        kept = good * worth * self._timely(route, waited_s)
+        kept = good * stake.worth * stake.timely(waited_s)
         # What the small model still has to make is paid if it is kept, the large one's if not.
         kept -= prices.get(model, limits.price) * made
-        other = worth * self._timely(route, waited_s + wait_s)
+        other = stake.worth * stake.timely(waited_s + offer.wait_s) - offer.delay_cost
         other -= prices.get(largest, limits.price) * (read / 4 + made)
         return largest if other > kept else None
-
-    def _timely(self, route: Route, first_event_s: float) -> float:
-        """Return which share of its worth an answer with its first event then has."""
-        limits = self.limits
-        part = first_event_s / route.objective_s
-        late = min(1.0, max(0.0, (part - limits.soon) / (1.0 - limits.soon)))
-        return 1.0 - late * (1.0 - limits.late_share)
--- a/umberhitch/core/direct/_placement.py
+++ b/umberhitch/core/direct/_placement.py
@@ -10,9 +10,12 @@
 from dataclasses import dataclass, field
 
 from umberhitch.core.direct._directory import Endpoint
+from umberhitch.core.direct._engine_time import EnginePrice
+from umberhitch.core.direct._reading_pace import ReadingPace
 from umberhitch.core.direct._types import Ask, PromptPart, ReportedLoad, Service
+from umberhitch.core.direct._worth import Stake
 
-__all__ = ["Placed", "Placement", "PlacementLimits"]
+__all__ = ["EngineWork", "Offer", "Placed", "Placement", "PlacementLimits"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,10 +32,20 @@
         What one running call adds to the wait of another, on an engine.
     plain_s : float
         What one running call adds to the wait of another, on a plain service.
+    full_s : float
+        What one call that waits for a slot adds to the wait of another, on an engine.
     far_s : float
-        What another availability zone is worth: bytes between zones are paid for.
+        What another availability zone costs a plain call: bytes between zones are paid for.
+    far_byte : float
+        The same for a call to an engine, in worth a byte of its body. A long prompt is read again
+        near by sooner by a small model than it is sent to where it is cached; a large model's
+        reading is worth the way. It halves the bytes between zones (measured: 0.046 to 0.026 of
+        all worth) for 0.003 of worth served less.
     failing_s : float
         Added in full for an endpoint whose every call fails.
+    hurry : float
+        What a second of an engine's queue costs where the answer is in time all the same, as a
+        share of what it costs where it is not: estimates err, and a queue is a risk.
     load_age_s : float
         Time in which a reported load loses two thirds of its weight.
     cached_share : float
@@ -46,11 +59,14 @@
     growth: float = 3.0
     running_s: float = 0.0006
     plain_s: float = 0.02
+    full_s: float = 0.05
     far_s: float = 0.004
+    far_byte: float = 0.00003
+    hurry: float = 0.05
     failing_s: float = 0.5
     load_age_s: float = 1.0
     cached_share: float = 0.5
-    home_share: float = 0.5
+    home_share: float = 0.8
 
 
 PACE_WEIGHT = 0.1
@@ -58,11 +74,54 @@
 """Weight of the newest reading in the running means."""
 SLOWEST = 8.0
 """An endpoint is taken to be at most so many times slower than usual."""
-LEAST_TOKEN_S = 0.000001
 LEAST_BASE_S = 0.02
 """Shorter waits say nothing of an endpoint's pace: the way there and back is in them."""
 
 
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """Where a call may go.
+
+    Attributes
+    ----------
+    wait_s : float
+        Expected time until the reply begins.
+    delay_cost : float
+        Worth that others lose by the time that the call takes there; 0 for plain services.
+    """
+
+    endpoint: Endpoint
+    wait_s: float
+    delay_cost: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineWork:
+    """A call to an engine for which a place is looked for.
+
+    Attributes
+    ----------
+    models : tuple of str
+        All of the route, smallest first.
+    stake : Stake
+        What the answer is worth.
+    price : EnginePrice
+        Of the time of one of the endpoints.
+    home : Endpoint or None
+        Where the shared parts of the prompt probably are.
+    waited_s : float
+        Time since the request came.
+    """
+
+    ask: Ask
+    model: str
+    models: tuple[str, ...]
+    stake: Stake
+    price: EnginePrice = EnginePrice()
+    home: Endpoint | None = None
+    waited_s: float = 0.0
+
+
 @dataclass(slots=True)
 class Placed:
     """A call that was placed, until it is released."""
@@ -74,6 +133,8 @@
     base_s: float
     """Expected wait on an endpoint of usual pace, queue included."""
     at_s: float
+    assumed_s: float = 0.0
+    """Reading of one token by the model, before any reading was seen."""
     is_reading: bool = True
 
 
@@ -108,7 +169,7 @@
         self._zone = zone
         self.limits = limits or PlacementLimits()
         self._seen: dict[str, _Seen] = {}
-        self._token_s: dict[str, float] = {}
+        self._pace = ReadingPace()
 
     def forget(self, known: Iterable[str]) -> None:
         """Keep only what concerns endpoints that are still known."""
@@ -118,88 +179,93 @@
 
     def token_s(self, model: str, models: tuple[str, ...]) -> float:
         """Return the time in which a model reads one token."""
-        known = self._token_s.get(model)
-        if known is not None:
-            return known
+        known = self._pace.token_s(model)
+        return self._assumed_s(model, models) if known is None else known
+
+    def _assumed_s(self, model: str, models: tuple[str, ...]) -> float:
+        """Return the pace that a model is taken to have before it is seen."""
         rank = models.index(model) if model in models else 0
         return self.limits.first_token_s * self.limits.growth**rank
 
-    def choose(
-        self,
-        endpoints: list[Endpoint],
-        ask: Ask,
-        model: str,
-        models: tuple[str, ...],
-        now_s: float,
-        home: Endpoint | None = None,
-    ) -> tuple[Endpoint, float]:
-        """Return the endpoint with the least work, and the wait there in seconds.
-
-        Parameters
-        ----------
-        endpoints : list of Endpoint
-        ask : Ask
-        model : str
-        models : tuple of str
-            All of the route, smallest first.
-        now_s : float
-        home : Endpoint or None
-            Where the shared parts of the prompt probably are.
+    def choose_plain(self, endpoints: list[Endpoint], now_s: float) -> Offer:
+        """Return where a call to a plain service begins first.
 
         Raises
         ------
         ValueError
             If there is no endpoint.
         """
-        token_s = self.token_s(model, models) if ask.prompt else 0.0
-        best: Endpoint | None = None
-        best_s = best_cost = float("inf")
-        for endpoint in endpoints:
-            wait_s = self._wait_s(endpoint, ask, model, token_s, now_s)
-            cost = wait_s + self._aversion_s(endpoint)
-            if endpoint is home:
-                cost -= self._home_gain_s(endpoint, ask, model, token_s)
-            if cost < best_cost:
-                best, best_s, best_cost = endpoint, wait_s, cost
-        if best is None:
-            raise ValueError("no endpoint")
-        return best, best_s
-
-    def _wait_s(
-        self, endpoint: Endpoint, ask: Ask, model: str, token_s: float, now_s: float
-    ) -> float:
+        return min(
+            (Offer(each, self._plain_wait_s(each, now_s)) for each in endpoints),
+            key=lambda offer: offer.wait_s + self._aversion_s(offer.endpoint),
+        )
+
+    def choose_engine(self, endpoints: list[Endpoint], work: EngineWork, now_s: float) -> Offer:
+        """Return where a call to an engine costs least worth.
+
+        Raises
+        ------
+        ValueError
+            If there is no endpoint.
+        """
+        offers = (self._engine_offer(each, work, now_s) for each in endpoints)
+        return min(offers, key=lambda offer: self._cost(offer, work))
+
+    def _cost(self, offer: Offer, work: EngineWork) -> float:
+        """Return what a call costs somewhere, in worth: its own lateness, others' delay, bytes."""
+        limits, stake = self.limits, work.stake
+        lost = stake.worth * (1.0 - stake.timely(work.waited_s + offer.wait_s))
+        is_near = offer.endpoint.entry.zone == self._zone
+        far = 0.0 if is_near else limits.far_byte * len(work.ask.body)
+        hurry_s = offer.wait_s + self._failing_s(offer.endpoint)
+        return lost + offer.delay_cost + far + limits.hurry * stake.loss_per_s * hurry_s
+
+    def _plain_wait_s(self, endpoint: Endpoint, now_s: float) -> float:
+        """Return the wait at a plain service."""
         seen = self._seen.get(endpoint.entry.incarnation)
         if seen is None:
-            return ask.prompt_tokens * token_s
+            return 0.0
+        running, _ = self._load(seen, now_s)
+        slots = max(1, endpoint.entry.slots)
+        each_s = self.limits.plain_s
+        return seen.slow * (each_s * running / slots + each_s * max(0.0, running - slots))
+
+    def _load(self, seen: _Seen, now_s: float) -> tuple[float, float]:
+        """Return calls that run on an endpoint, and of these those that wait for a slot."""
         running = float(seen.running + seen.others_running)
-        waiting = 0.0
-        if seen.load is not None:
-            weight = self._age_weight(now_s - seen.load_at_s)
-            running += weight * max(0, seen.load.running + seen.load.waiting - running)
-            waiting = weight * max(0, seen.load.waiting)
-        if not ask.prompt:
-            slots = max(1, endpoint.entry.slots)
-            each_s = self.limits.plain_s
-            return seen.slow * (each_s * running / slots + each_s * max(0.0, running - slots))
-        unread = ask.prompt_tokens - self.cached_tokens(endpoint.entry.incarnation, model, ask)
-        base_s = self._base_s(seen, unread * token_s, running)
-        full_s = max(0.0, running - endpoint.entry.slots) * 0.05 if endpoint.entry.slots else 0.0
-        return seen.slow * base_s + full_s + 0.05 * waiting
+        if seen.load is None:
+            return running, 0.0
+        weight = self._age_weight(now_s - seen.load_at_s)
+        running += weight * max(0, seen.load.running + seen.load.waiting - running)
+        return running, weight * max(0, seen.load.waiting)
+
+    def _engine_offer(self, endpoint: Endpoint, work: EngineWork, now_s: float) -> Offer:
+        incarnation, ask = endpoint.entry.incarnation, work.ask
+        unread = float(ask.prompt_tokens - self.cached_tokens(incarnation, work.model, ask))
+        if endpoint is work.home:
+            unread -= self.limits.home_share * (unread - ask.prompt[-1].tokens)
+        work_s = unread * self.token_s(work.model, work.models)
+        seen = self._seen.get(incarnation)
+        if seen is None:
+            return Offer(endpoint, work_s, work.price.of(work_s, 0.0))
+        running, waiting = self._load(seen, now_s)
+        over = max(0.0, running - endpoint.entry.slots) if endpoint.entry.slots else 0.0
+        backlog_s = seen.slow * self._base_s(seen, 0.0, running)
+        backlog_s += self.limits.full_s * (over + waiting)
+        work_s *= seen.slow
+        return Offer(endpoint, backlog_s + work_s, work.price.of(work_s, backlog_s))
 
     def _base_s(self, seen: _Seen, own_s: float, running: float) -> float:
         """Return the wait on an endpoint of usual pace."""
         return own_s + seen.reading_s + seen.others_reading_s + running * self.limits.running_s
 
-    def _home_gain_s(self, endpoint: Endpoint, ask: Ask, model: str, token_s: float) -> float:
-        """Return the time that the home of a prompt's parts probably saves."""
-        shared = ask.prompt_tokens - ask.prompt[-1].tokens
-        unknown = shared - self.cached_tokens(endpoint.entry.incarnation, model, ask)
-        return self.limits.home_share * unknown * token_s
-
     def _aversion_s(self, endpoint: Endpoint) -> float:
-        seen = self._seen.get(endpoint.entry.incarnation)
         far_s = 0.0 if endpoint.entry.zone == self._zone else self.limits.far_s
-        return far_s + (0.0 if seen is None else seen.failing * self.limits.failing_s)
+        return far_s + self._failing_s(endpoint)
+
+    def _failing_s(self, endpoint: Endpoint) -> float:
+        seen = self._seen.get(endpoint.entry.incarnation)
+        return 0.0 if seen is None else seen.failing * self.limits.failing_s
 
     def _age_weight(self, age_s: float) -> float:
         return 1.0 / (1.0 + 2.0 * max(0.0, age_s) / self.limits.load_age_s)
@@ -235,7 +301,8 @@
         seen.reading_s += work_s
         cache = (service.cache_tokens if service else 0) * self.limits.cached_share
         self._cache(seen, model, ask.prompt[:-1], cache)
-        return Placed(incarnation, model, unread, work_s, base_s, now_s)
+        assumed_s = self._assumed_s(model, models)
+        return Placed(incarnation, model, unread, work_s, base_s, now_s, assumed_s)
 
     def _cache(
         self, seen: _Seen, model: str, parts: tuple[PromptPart, ...], limit_tokens: float
@@ -257,14 +324,8 @@
             return
         taken_s = now_s - placed.at_s
         # The queue is taken off before a pace is learned, else a crowd looks like a slow model.
-        reading_s = max(0.0, taken_s - (placed.base_s - placed.work_s)) / placed.tokens
-        known = self._token_s.get(placed.model)
-        if known is None:
-            self._token_s[placed.model] = max(reading_s, LEAST_TOKEN_S)
-            return
-        self._token_s[placed.model] = max(
-            LEAST_TOKEN_S, known + PACE_WEIGHT * (min(reading_s, 2 * known) - known)
-        )
+        queue_s = placed.base_s - placed.work_s
+        self._pace.note(placed.model, placed.tokens, taken_s, queue_s, placed.assumed_s)
         ratio = min(SLOWEST, taken_s / max(placed.base_s, LEAST_BASE_S))
         seen.slow = min(SLOWEST, max(0.5, seen.slow + PACE_WEIGHT * (ratio - seen.slow)))
 
--- a/umberhitch/core/direct/tests/test_cascade.py
+++ b/umberhitch/core/direct/tests/test_cascade.py
@@ -2,10 +2,22 @@
 
 import pytest
 
-from umberhitch.core.direct import Ask, Cascade, PromptPart, RouteKind
-from umberhitch.testing import make_route
+from umberhitch.core.direct import (
+    Ask,
+    Cascade,
+    Endpoint,
+    Offer,
+    PromptPart,
+    RouteKind,
+    WorthLimits,
+    make_stake,
+)
+from umberhitch.testing import make_endpoint_entry, make_route
 
-ROUTE = make_route("draft", RouteKind.STREAM, models=("small", "large"), objective_s=1.5)
+ROUTE = make_route(
+    "draft", RouteKind.STREAM, models=("small", "large"), objective_s=1.5, priority=0
+)
+ENDPOINT = Endpoint(make_endpoint_entry("e1"))
 PRICES = {"small": 0.02, "large": 0.35}
 
 
@@ -14,8 +26,13 @@
     return Ask("a", b"POST", b"/", "h", "/", [], None, 10.0, True, parts, made)
 
 
-def choose(confidence: int | None, wait_s: float = 0.1, ask: Ask | None = None) -> str | None:
-    return Cascade().next_model(ROUTE, ask or make_ask(), "small", confidence, PRICES, 0.05, wait_s)
+def choose(
+    confidence: int | None, wait_s: float = 0.1, ask: Ask | None = None, delay_cost: float = 0.0
+) -> str | None:
+    ask = ask or make_ask()
+    stake = make_stake(ROUTE, ask, WorthLimits())
+    offer = Offer(ENDPOINT, wait_s, delay_cost)
+    return Cascade().next_model(ROUTE, ask, stake, "small", confidence, PRICES, 0.05, offer)
 
 
 def test_the_smallest_model_is_asked_first_where_there_are_attempts_for_another():
@@ -44,4 +61,11 @@
 
 
 def test_the_largest_models_answer_is_kept():
-    assert Cascade().next_model(ROUTE, make_ask(), "large", 0, PRICES, 0.1, 0.1) is None
+    stake = make_stake(ROUTE, make_ask(), WorthLimits())
+    offer = Offer(ENDPOINT, 0.1)
+    assert Cascade().next_model(ROUTE, make_ask(), stake, "large", 0, PRICES, 0.1, offer) is None
+
+
+def test_a_bad_answer_is_kept_where_the_large_models_time_costs_others_more():
+    assert choose(20, delay_cost=0.2) == "large"
+    assert choose(20, delay_cost=5.0) is None
--- a/umberhitch/core/direct/tests/test_placement.py
+++ b/umberhitch/core/direct/tests/test_placement.py
@@ -1,17 +1,26 @@
 """Placement: least work, what is cached, and the same home for all routers."""
 
+from dataclasses import replace
+
 from umberhitch.core.direct import (
     Ask,
     Directory,
     Endpoint,
+    EnginePrice,
+    EngineWork,
     Placement,
     PromptPart,
     ReportedLoad,
+    RouteKind,
     Service,
+    WorthLimits,
+    make_stake,
 )
-from umberhitch.testing import make_endpoint_entry
+from umberhitch.testing import make_endpoint_entry, make_route
 
 MODELS = ("small", "large")
+PRICE = EnginePrice(1.0, 2.0, 1.0, 0.3)
+ROUTE = make_route("draft", RouteKind.STREAM, models=MODELS, objective_s=3.0)
 SERVICE = Service("svc", slots=8, cache_tokens=100_000)
 ENDPOINTS = [Endpoint(make_endpoint_entry(f"e{number}")) for number in range(8)]
 
@@ -25,9 +34,14 @@
     return Ask("a", b"POST", b"/", "h", "/", [], None, 10.0)
 
 
-def choose(placement: Placement, ask: Ask, now_s: float = 0.0) -> Endpoint:
-    home = home_of(ask) if ask.prompt else None
-    return placement.choose(ENDPOINTS, ask, "large", MODELS, now_s, home)[0]
+def choose(
+    placement: Placement, ask: Ask, now_s: float = 0.0, price: EnginePrice = PRICE
+) -> Endpoint:
+    if not ask.prompt:
+        return placement.choose_plain(ENDPOINTS, now_s).endpoint
+    stake = make_stake(ROUTE, ask, WorthLimits())
+    work = EngineWork(ask, "large", MODELS, stake, price, home_of(ask))
+    return placement.choose_engine(ENDPOINTS, work, now_s).endpoint
 
 
 def home_of(ask: Ask) -> Endpoint:
@@ -63,11 +77,29 @@
     placed = placement.place(other, make_ask(), "large", MODELS, SERVICE, 0.0)
     placement.release(placed, False)
     assert choose(placement, make_ask()) is other
-    for _ in range(6):
-        placement.place(other, make_ask("x"), "large", MODELS, SERVICE, 0.0)
+    for number in range(6):
+        placement.place(other, make_ask(f"x{number}", 4000), "large", MODELS, SERVICE, 0.0)
+    assert choose(placement, make_ask()) is other  # it is in time there all the same
+    for number in range(6, 30):
+        placement.place(other, make_ask(f"x{number}", 4000), "large", MODELS, SERVICE, 0.0)
     assert choose(placement, make_ask()) is not other
 
 
+def test_a_prompt_is_read_near_by_unless_the_way_saves_much():
+    """Small models read again near by; what a large one has read elsewhere is worth the way."""
+    far = [Endpoint(replace(each.entry, zone="b")) for each in ENDPOINTS[1:]]
+    endpoints = [ENDPOINTS[0], *far]
+    chosen = []
+    for shared in (1000, 30_000):
+        placement = Placement("a")
+        ask = make_ask(shared=shared)
+        ask.body = b"x" * 4500
+        placement.release(placement.place(far[0], ask, "large", MODELS, SERVICE, 0.0), False)
+        work = EngineWork(ask, "large", MODELS, make_stake(ROUTE, ask, WorthLimits()), PRICE)
+        chosen.append(placement.choose_engine(endpoints, work, 0.0).endpoint)
+    assert chosen == [ENDPOINTS[0], far[0]]
+
+
 def test_what_peers_have_under_way_counts():
     placement = Placement("a")
     home = choose(placement, make_ask())
@@ -93,8 +125,8 @@
     placement.report("e0", ReportedLoad(8, 20, 8), 0.0)
     endpoints = ENDPOINTS[:2]
     placement.others("e1", 3, 0.0)
-    fresh = placement.choose(endpoints, make_plain(), "", (), 0.0)[0]
-    stale = placement.choose(endpoints, make_plain(), "", (), 60.0)[0]
+    fresh = placement.choose_plain(endpoints, 0.0).endpoint
+    stale = placement.choose_plain(endpoints, 60.0).endpoint
     assert [each.entry.incarnation for each in (fresh, stale)] == ["e1", "e0"]
 
 
--- a/umberhitch/tasks/direct/choosing.py
+++ b/umberhitch/tasks/direct/choosing.py
@@ -2,7 +2,18 @@
 
 from random import Random
 
-from umberhitch.core.direct import Cascade, Endpoint, Placement, RetryBudget, Service
+from umberhitch.core.direct import (
+    Cascade,
+    EngineDemand,
+    EngineWork,
+    Offer,
+    Placement,
+    RetryBudget,
+    Service,
+    Stake,
+    WorthLimits,
+    make_stake,
+)
 from umberhitch.ports.clock import Clock
 from umberhitch.tasks.direct.services import Permit
 from umberhitch.tasks.direct.store_view import StoreView
@@ -24,6 +35,8 @@
     placement : Placement
     budget : RetryBudget
     cascade : Cascade
+    demand : EngineDemand
+    worth : WorthLimits
     clock : Clock
     rng : Random
     """
@@ -35,6 +48,8 @@
         placement: Placement,
         budget: RetryBudget,
         cascade: Cascade,
+        demand: EngineDemand,
+        worth: WorthLimits,
         clock: Clock,
         rng: Random,
     ) -> None:
@@ -43,11 +58,15 @@
         self._placement = placement
         self._budget = budget
         self._cascade = cascade
+        self._demand = demand
+        self._worth = worth
         self._clock = clock
         self._rng = rng
 
     def first_model(self, permit: Permit) -> str | None:
-        """Return the model to begin with."""
+        """Return the model to begin with; the request counts as demand from now on."""
+        if permit.ask.prompt:
+            self._demand.note(permit.service, self._stake(permit), self._clock.seconds())
         return self._cascade.first(permit.route, permit.ask)
 
     def larger_model(
@@ -63,19 +82,21 @@
             return None
         service = self.service(permit)
         prices = service.prices if service is not None else {}
+        stake = self._stake(permit)
         return self._cascade.next_model(
-            permit.route, permit.ask, model, confidence, prices, waited_s, chosen[1]
+            permit.route, permit.ask, stake, model, confidence, prices, waited_s, chosen
         )
 
+    def _stake(self, permit: Permit) -> Stake:
+        return make_stake(permit.route, permit.ask, self._worth)
+
     def service(self, permit: Permit) -> Service | None:
         """Return what the configuration says of a request's service."""
         assert self._view.table is not None
         return self._view.table.document.services.get(permit.service)
 
-    def endpoint(
-        self, permit: Permit, model: str | None, tried: set[str]
-    ) -> tuple[Endpoint, float] | None:
-        """Return an endpoint and the wait there, or None where none takes work."""
+    def endpoint(self, permit: Permit, model: str | None, tried: set[str]) -> Offer | None:
+        """Return where a call goes, or None where no endpoint takes work."""
         now_s = self._clock.seconds()
         directory = self._view.directory
         ready = directory.ready(permit.service, now_s, self._rng)
@@ -89,5 +110,15 @@
         fresh = self._trials.allowed(permit.service, permit.wants_target, fresh, is_light)
         if not fresh:
             return None
-        models = permit.route.models
-        return self._placement.choose(fresh, permit.ask, model or "", models, now_s, home)
+        if not permit.ask.prompt:
+            return self._placement.choose_plain(fresh, now_s)
+        work = EngineWork(
+            permit.ask,
+            model or "",
+            permit.route.models,
+            self._stake(permit),
+            self._demand.price(permit.service, len(fresh), now_s),
+            home,
+            now_s - permit.received_s,
+        )
+        return self._placement.choose_engine(fresh, work, now_s)
--- a/umberhitch/tasks/direct/exchange.py
+++ b/umberhitch/tasks/direct/exchange.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable
 
-from umberhitch.core.direct import Endpoint, Placed, ReplyHead, RouteKind
+from umberhitch.core.direct import Endpoint, Offer, Placed, ReplyHead, RouteKind
 from umberhitch.ports.clock import Timer
 from umberhitch.ports.direct import CallerReply, CallFailure, RunningCall
 from umberhitch.tasks.direct.judging import AnswerJudge
@@ -111,14 +111,14 @@
         if self._sends > 0 and not self._svc.may_repeat(self.permit.service):
             self._give_up("retry budget")
             return
-        self._begin_call(*chosen)
+        self._begin_call(chosen)
 
-    def _choose(self) -> tuple[Endpoint, float] | None:
-        """Return an endpoint that has not been tried and the wait there, or None."""
+    def _choose(self) -> Offer | None:
+        """Return an endpoint that has not been tried, or None."""
         return self._svc.choosing.endpoint(self.permit, self._model, self._tried)
 
-    def _begin_call(self, endpoint: Endpoint, wait_s: float) -> None:
-        self._endpoint = endpoint
+    def _begin_call(self, offer: Offer) -> None:
+        endpoint = self._endpoint = offer.endpoint
         self._judge.call_sent(endpoint, self._model)
         self._head = None
         self._relay.call_sent()
@@ -130,7 +130,8 @@
             "call sent",
             False,
             version=endpoint.entry.version,
-            expected_s=round(wait_s, 4),
+            expected_s=round(offer.wait_s, 4),
+            delay_cost=round(offer.delay_cost, 3),
             left_s=round(self.left_s, 3),
             after_event=None if self.last_event is None else self.last_event.decode("latin-1"),
         )
@@ -254,7 +255,7 @@
             self._model = previous
             self._next()
             return
-        self._begin_call(*chosen)
+        self._begin_call(chosen)
 
     def _on_error(self, head: ReplyHead) -> None:
         """Handle a failure that the endpoint itself reports; it ran."""
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -11,6 +11,7 @@
     Directory,
     Endpoint,
     EndpointEntry,
+    EngineDemand,
     IntakeLimits,
     Paces,
     Placed,
@@ -91,6 +92,7 @@
         self.counters = GatewayCounters()
         self.placement = Placement(settings.zone, settings.placement)
         self.budget = RetryBudget(settings.budget)
+        self.demand = EngineDemand(settings.engine_time)
         self.trials = trials
         self.decisions = DecisionLog(clock)
         self.running: set[RequestState] = set()
@@ -115,7 +117,15 @@
             self._on_endpoints,
         )
         self.choosing = Choosing(
-            self.view, trials, self.placement, self.budget, Cascade(settings.cascade), clock, rng
+            self.view,
+            trials,
+            self.placement,
+            self.budget,
+            Cascade(settings.cascade),
+            self.demand,
+            settings.worth,
+            clock,
+            rng,
         )
         self._admission = Admission(
             self.view, trials, clock, rng, settings.proof_age_s, settings.is_strict
--- a/umberhitch/tasks/direct/gateway_limits.py
+++ b/umberhitch/tasks/direct/gateway_limits.py
@@ -2,7 +2,13 @@
 
 from dataclasses import dataclass, field
 
-from umberhitch.core.direct import BudgetLimits, CascadeLimits, PlacementLimits
+from umberhitch.core.direct import (
+    BudgetLimits,
+    CascadeLimits,
+    EngineTimeLimits,
+    PlacementLimits,
+    WorthLimits,
+)
 from umberhitch.tasks.direct.feeds import FeedPace
 from umberhitch.tasks.direct.services import ExchangeLimits
 
@@ -41,7 +47,9 @@
     what is left of the 2 s in which an endpoint that leaves has to be known."""
     budget: BudgetLimits = BudgetLimits()
     cascade: CascadeLimits = CascadeLimits()
+    engine_time: EngineTimeLimits = EngineTimeLimits()
     placement: PlacementLimits = PlacementLimits()
+    worth: WorthLimits = WorthLimits()
     exchange: ExchangeLimits = ExchangeLimits()
 
 
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -198,7 +198,9 @@
                 totals[use.endpoint] = (running + use.running, reading_s + use.reading_s)
         for incarnation in self._gateway.directory.incarnations():
             self._gateway.placement.others(incarnation, *totals.get(incarnation, (0, 0.0)))
-        self._gateway.budget.routers = max(1 + len(reports), 1 + len(self._known))
+        routers = 1 + max(len(reports), len(self._known))
+        self._gateway.budget.routers = routers
+        self._gateway.demand.routers = routers
 
     def receive(self, sender: str, messages: list[Message]) -> None:
         """Handle what another router sent."""
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -8,6 +8,7 @@
     Ask,
     Customer,
     Endpoint,
+    Offer,
     Placed,
     ReplyHead,
     Route,
@@ -112,10 +113,8 @@
         """Return the model to ask instead, or None to keep the answer."""
         ...
 
-    def endpoint(
-        self, permit: Permit, model: str | None, tried: set[str]
-    ) -> tuple[Endpoint, float] | None:
-        """Return an endpoint and the wait there, or None where none takes work."""
+    def endpoint(self, permit: Permit, model: str | None, tried: set[str]) -> Offer | None:
+        """Return where a call goes, or None where no endpoint takes work."""
         ...
 
 
