Paces are judged by what the engine reads beside; model prices count by rank as well

Cause: engines read prompts in pieces between the tokens of their other streams. Change: routers tell each other the largest model that reads a long prompt on each endpoint; a pace is compared with the usual one beside a reading of the same rank. Times to the first event against the expected: tell nothing (2 to 5 % of either version over 4 times).

--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -7,6 +7,7 @@
 from umberhitch.core.direct._events import EventCutter
 from umberhitch.core.direct._pace import EventPace, Paces, PacesLimits
 from umberhitch.core.direct._placement import EngineWork, Offer, Placed, Placement, PlacementLimits
+from umberhitch.core.direct._readings import NO_READING, Readings
 from umberhitch.core.direct._routes import RouteTable
 from umberhitch.core.direct._trial import AnswerVerdict, Counts, EvidenceBar, Trial, TrialLimits
 from umberhitch.core.direct._types import (
@@ -28,6 +29,7 @@
 from umberhitch.core.direct._worth import Stake, WorthLimits, make_stake
 
 __all__ = [
+    "NO_READING",
     "AnswerVerdict",
     "Ask",
     "BudgetLimits",
@@ -55,6 +57,7 @@
     "Placement",
     "PlacementLimits",
     "PromptPart",
+    "Readings",
     "ReplyHead",
     "ReportedLoad",
     "RetryBudget",
--- a/umberhitch/core/direct/_cascade.py
+++ b/umberhitch/core/direct/_cascade.py
@@ -84,7 +84,7 @@
         good = 1.0 / (1.0 + exp(-(confidence - limits.middle) / limits.width))
         kept = good * stake.worth * stake.timely(waited_s)
         # What the small model still has to make is paid if it is kept, the large one's if not.
-        kept -= prices.get(model, limits.price) * made
+        kept -= stake.rank_share * prices.get(model, limits.price) * made
         other = stake.worth * stake.timely(waited_s + offer.wait_s) - offer.delay_cost
-        other -= prices.get(largest, limits.price) * (read / 4 + made)
+        other -= stake.rank_share * prices.get(largest, limits.price) * (read / 4 + made)
         return largest if other > kept else None
--- a/umberhitch/core/direct/_pace.py
+++ b/umberhitch/core/direct/_pace.py
@@ -23,6 +23,8 @@
     def __init__(self) -> None:
         self._count = 0
         self._at_s: float | None = None
+        self.since_s = 0.0
+        """When the first of the events came."""
         self._gaps: list[float] = []
 
     def seen(self, count: int, now_s: float) -> None:
@@ -32,6 +34,8 @@
             return
         if self._at_s is not None:
             self._gaps += [(now_s - self._at_s) / new] * min(new, PACED_GAPS)
+        else:
+            self.since_s = now_s
         self._count, self._at_s = count, now_s
 
     def pace_s(self, is_end: bool) -> float | None:
--- a/umberhitch/core/direct/_placement.py
+++ b/umberhitch/core/direct/_placement.py
@@ -12,6 +12,7 @@
 from umberhitch.core.direct._directory import Endpoint
 from umberhitch.core.direct._engine_time import EnginePrice
 from umberhitch.core.direct._reading_pace import ReadingPace
+from umberhitch.core.direct._readings import LONG_READING_S, NO_READING, Readings
 from umberhitch.core.direct._types import Ask, PromptPart, ReportedLoad, Service
 from umberhitch.core.direct._worth import Stake
 
@@ -135,6 +136,8 @@
     at_s: float
     assumed_s: float = 0.0
     """Reading of one token by the model, before any reading was seen."""
+    rank: int = 0
+    """Of the model on its route, smallest 0."""
     is_reading: bool = True
 
 
@@ -150,7 +153,7 @@
     load_at_s: float = 0.0
     others_running: int = 0
     others_reading_s: float = 0.0
-    others_at_s: float = 0.0
+    readings: Readings = field(default_factory=Readings)
     cached: OrderedDict[tuple[str, str], int] = field(default_factory=OrderedDict)
     cached_tokens: int = 0
 
@@ -302,7 +305,9 @@
         cache = (service.cache_tokens if service else 0) * self.limits.cached_share
         self._cache(seen, model, ask.prompt[:-1], cache)
         assumed_s = self._assumed_s(model, models)
-        return Placed(incarnation, model, unread, work_s, base_s, now_s, assumed_s)
+        rank = models.index(model) if model in models else 0
+        seen.readings.began(rank, work_s)
+        return Placed(incarnation, model, unread, work_s, base_s, now_s, assumed_s, rank)
 
     def _cache(
         self, seen: _Seen, model: str, parts: tuple[PromptPart, ...], limit_tokens: float
@@ -320,8 +325,10 @@
     def began(self, placed: Placed, now_s: float) -> None:
         """Note that a call's reply has begun: its prompt is read, and its pace is known."""
         seen = self._finish_reading(placed)
-        if seen is None or placed.tokens < 300:
+        if seen is None:
             return
+        if placed.work_s > LONG_READING_S:
+            seen.readings.seen(placed.rank, now_s)
         taken_s = now_s - placed.at_s
         # The queue is taken off before a pace is learned, else a crowd looks like a slow model.
         queue_s = placed.base_s - placed.work_s
@@ -335,6 +342,7 @@
             placed.is_reading = False
             if seen is not None:
                 seen.reading_s = max(0.0, seen.reading_s - placed.work_s)
+                seen.readings.ended(placed.rank, placed.work_s)
         return seen
 
     def release(self, placed: Placed, is_failure: bool | None) -> None:
@@ -352,20 +360,31 @@
         seen.load = load
         seen.load_at_s = now_s
 
-    def others(self, incarnation: str, running: int, reading_s: float) -> None:
+    def others(
+        self, incarnation: str, running: int, reading_s: float, rank: int, now_s: float
+    ) -> None:
         """Take what the other routers have placed on an endpoint, all together."""
         seen = self._seen.setdefault(incarnation, _Seen())
+        seen.readings.seen(rank, now_s)
         seen.others_running = running
         seen.others_reading_s = reading_s
 
-    def own(self) -> dict[str, tuple[int, float]]:
-        """Return running calls and unread work in seconds, by endpoint."""
+    def own(self) -> dict[str, tuple[int, float, int]]:
+        """Return running calls, unread work in seconds and the rank that reads, by endpoint."""
         return {
-            incarnation: (seen.running, seen.reading_s)
+            incarnation: (seen.running, seen.reading_s, seen.readings.under_way())
             for incarnation, seen in self._seen.items()
             if seen.running
         }
 
+    def read_rank(self, incarnation: str, since_s: float) -> int:
+        """Return the largest model that has read a long prompt on an endpoint since a time.
+
+        It is given by its rank on its route, smallest 0; `NO_READING` where none has.
+        """
+        seen = self._seen.get(incarnation)
+        return NO_READING if seen is None else seen.readings.largest(since_s)
+
     def running(self, incarnation: str) -> int:
         """Return this router's running calls on an endpoint."""
         seen = self._seen.get(incarnation)
--- a/umberhitch/core/direct/_worth.py
+++ b/umberhitch/core/direct/_worth.py
@@ -39,13 +39,16 @@
     Attributes
     ----------
     worth : float
-        In time, in the unit of the models' prices.
+        In time, in the unit of the models' prices, times
+    rank_share : float
+        what the rank of the route makes of it.
     late_share : float
     soon_s, objective_s : float
         Expected first events up to ``soon_s`` are in time for sure, from ``objective_s`` late.
     """
 
     worth: float
+    rank_share: float
     late_share: float
     soon_s: float
     objective_s: float
@@ -64,6 +67,6 @@
 def make_stake(route: Route, ask: Ask, limits: WorthLimits) -> Stake:
     """Return what a request's answer is worth."""
     worth = limits.token_worth * (ask.prompt_tokens + 10 * ask.output_tokens) / 1000
-    worth *= limits.rank_share**route.priority
+    rank_share = limits.rank_share**route.priority
     soon_s = limits.soon * route.objective_s
-    return Stake(worth, limits.late_share, soon_s, route.objective_s)
+    return Stake(worth * rank_share, rank_share, limits.late_share, soon_s, route.objective_s)
--- a/umberhitch/core/direct/tests/test_placement.py
+++ b/umberhitch/core/direct/tests/test_placement.py
@@ -103,7 +103,7 @@
 def test_what_peers_have_under_way_counts():
     placement = Placement("a")
     home = choose(placement, make_ask())
-    placement.others(home.entry.incarnation, 20, 3.0)
+    placement.others(home.entry.incarnation, 20, 3.0, -1, 0.0)
     assert choose(placement, make_ask()) is not home
 
 
@@ -124,7 +124,7 @@
     placement = Placement("a")
     placement.report("e0", ReportedLoad(8, 20, 8), 0.0)
     endpoints = ENDPOINTS[:2]
-    placement.others("e1", 3, 0.0)
+    placement.others("e1", 3, 0.0, -1, 0.0)
     fresh = placement.choose_plain(endpoints, 0.0).endpoint
     stale = placement.choose_plain(endpoints, 60.0).endpoint
     assert [each.entry.incarnation for each in (fresh, stale)] == ["e1", "e0"]
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -298,10 +298,20 @@
         return self.budget.take(service, self.clock.seconds())
 
     def paced(
-        self, permit: Permit, endpoint: Endpoint, model: str | None, pace_s: float
+        self,
+        permit: Permit,
+        endpoint: Endpoint,
+        model: str | None,
+        pace_s: float,
+        since_s: float,
     ) -> AnswerVerdict:
-        """Take note of a pace, and return what it says of the answer."""
+        """Take note of a pace measured from a time on, and return what it says of the answer.
+
+        It is judged by what is usual where a model of the same size reads meanwhile.
+        """
         what = permit.route.name if model is None else model
+        if model is not None:
+            what += f" {self.placement.read_rank(endpoint.entry.incarnation, since_s)}"
         is_loaded = self.trials.bears_load(permit.service, endpoint)
         is_slow = self._paces.is_slow(permit.service, what, pace_s, is_loaded)
         if not self.trials.is_target(permit.service, endpoint):
--- a/umberhitch/tasks/direct/judging.py
+++ b/umberhitch/tasks/direct/judging.py
@@ -34,16 +34,16 @@
     def events_seen(self, count: int) -> None:
         """Note that ``count`` events have come; judge the stream once its pace is known."""
         self._pace.seen(count, self._svc.clock.seconds())
-        self._judge(self._pace.pace_s(is_end=False))
+        self._judge(self._pace.pace_s(is_end=False), self._pace.since_s)
 
     def stream_ended(self) -> None:
         """Judge a whole stream."""
-        self._judge(self._pace.pace_s(is_end=True))
+        self._judge(self._pace.pace_s(is_end=True), self._pace.since_s)
         self._note(AnswerVerdict.UNPACED)
 
     def reply_ended(self) -> None:
         """Judge a whole plain reply by its time."""
-        self._judge(self._svc.clock.seconds() - self._sent_s)
+        self._judge(self._svc.clock.seconds() - self._sent_s, self._sent_s)
 
     def failed(self) -> None:
         """Note a failure by the endpoint's own word."""
@@ -53,11 +53,12 @@
         """Note that the call ended without a whole reply."""
         self._note(AnswerVerdict.BROKEN)
 
-    def _judge(self, pace_s: float | None) -> None:
+    def _judge(self, pace_s: float | None, since_s: float) -> None:
         if pace_s is None or self._is_noted:
             return
         assert self._endpoint is not None
-        self._note(self._svc.paced(self._permit, self._endpoint, self._model, pace_s))
+        verdict = self._svc.paced(self._permit, self._endpoint, self._model, pace_s, since_s)
+        self._note(verdict)
 
     def _note(self, verdict: AnswerVerdict) -> None:
         """Note how the endpoint answered: once a call, and once more if it fails after that."""
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -145,8 +145,8 @@
         self._add_up()
         self._seq += 1
         uses = [
-            EndpointUse(endpoint, running, round(reading_s, 4))
-            for endpoint, (running, reading_s) in self._gateway.placement.own().items()
+            EndpointUse(endpoint, running, round(reading_s, 4), rank)
+            for endpoint, (running, reading_s, rank) in self._gateway.placement.own().items()
         ]
         report = PeerReport(
             self._me.name, self._incarnation, self._seq, uses, self._gateway.trials.reports()
@@ -191,13 +191,15 @@
     def _add_up(self) -> None:
         """Hand over what all peers together have under way on each endpoint."""
         reports = self.live()
-        totals: dict[str, tuple[int, float]] = {}
+        totals: dict[str, EndpointUse] = {}
         for report in reports:
             for use in report.uses:
-                running, reading_s = totals.get(use.endpoint, (0, 0.0))
-                totals[use.endpoint] = (running + use.running, reading_s + use.reading_s)
+                known = totals.get(use.endpoint)
+                totals[use.endpoint] = use if known is None else _sum(known, use)
+        now_s = self._clock.seconds()
         for incarnation in self._gateway.directory.incarnations():
-            self._gateway.placement.others(incarnation, *totals.get(incarnation, (0, 0.0)))
+            use = totals.get(incarnation, EndpointUse(incarnation, 0, 0.0))
+            self._gateway.placement.others(incarnation, use.running, use.reading_s, use.rank, now_s)
         routers = 1 + max(len(reports), len(self._known))
         self._gateway.budget.routers = routers
         self._gateway.demand.routers = routers
@@ -224,3 +226,12 @@
             return
         self._heard[report.router] = _Heard(report, self._clock.seconds())
         self._gateway.trials.take(f"{report.router}.{report.incarnation}", report.trials)
+
+
+def _sum(one: EndpointUse, other: EndpointUse) -> EndpointUse:
+    return EndpointUse(
+        one.endpoint,
+        one.running + other.running,
+        one.reading_s + other.reading_s,
+        max(one.rank, other.rank),
+    )
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -140,9 +140,14 @@
         ...
 
     def paced(
-        self, permit: Permit, endpoint: Endpoint, model: str | None, pace_s: float
+        self,
+        permit: Permit,
+        endpoint: Endpoint,
+        model: str | None,
+        pace_s: float,
+        since_s: float,
     ) -> AnswerVerdict:
-        """Take note of a pace, and return what it says of the answer."""
+        """Take note of a pace measured from a time on, and return what it says of the answer."""
         ...
 
     def noted(self, permit: Permit, endpoint: Endpoint, verdict: AnswerVerdict) -> None:
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -365,6 +365,8 @@
     running: int
     reading_s: float
     """Prompts that are not read yet, in seconds of the endpoint's time."""
+    rank: int = -1
+    """Largest model that reads a long prompt there, the smallest of a route 0; -1 for none."""
 
 
 class ViewAsk(Struct, frozen=True, array_like=True, tag="view?"):
