A version that nothing loaded fully stays within the exposure bound until the end is covered

Change: the proof tells whether an endpoint was full. If it was, all work moves as before. Heavy work stays on the old version during the proof.

--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -114,8 +114,13 @@
     wire = PlatformWire()
     client = EndpointClient(reactor, wire.read_reply)
     store = StoreClient(client, reactor, settings.store)
-    trials = Trials(reactor, rng, Statuses(store), TrialLimits(session_s=settings.bounds.session_s))
     bounds = settings.bounds
+    trial_limits = TrialLimits(
+        exposure_share=bounds.exposure_share,
+        exposure_slack=bounds.exposure_slack,
+        session_s=bounds.session_s,
+    )
+    trials = Trials(reactor, rng, Statuses(store), trial_limits)
     link = ZmqLink(settings.name, reactor, context, settings.listen.link)
     sharing = Sharing(settings.name, incarnation, reactor, rng, link.send)
     operator_view = sharing.share(StreamName.OPERATOR, make_operator_feed(store))
--- a/umberhitch/gateway_settings.py
+++ b/umberhitch/gateway_settings.py
@@ -45,6 +45,10 @@
     retry_slack: Annotated[float, Meta(ge=0)] = 20.0
     """Calls beyond the first that are allowed besides, over all routers."""
     retry_window_s: Seconds = 10.0
+    exposure_share: Annotated[float, Meta(gt=0, le=1)] = 0.15
+    """Share of all requests that a bad version may get during its roll-out, and"""
+    exposure_slack: Annotated[float, Meta(ge=0)] = 30.0
+    """so many besides."""
     session_s: Seconds = 5.0
     """Requests of a session that are not further apart belong together."""
 
--- a/umberhitch/tasks/direct/admission.py
+++ b/umberhitch/tasks/direct/admission.py
@@ -9,7 +9,7 @@
 from umberhitch.tasks.direct.store_view import StoreView
 from umberhitch.tasks.direct.trials import Trials
 
-__all__ = ["STALE", "Admission", "Refusal"]
+__all__ = ["LIGHT_TOKENS", "STALE", "Admission", "Refusal"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,6 +20,8 @@
     reason: str
 
 
+LIGHT_TOKENS = 4000
+"""A call that reads less may be sent where many others are: it delays their tokens little."""
 STALE = Refusal(503, "configuration is old")
 """Nothing proves that the configuration at hand is still the newest."""
 
@@ -87,7 +89,8 @@
         service = self._pick_service(route)
         now_s = self._clock.seconds()
         ready = self._view.directory.ready(service, now_s, self._rng)
-        wants = self._trials.wants_target(service, ask.session, now_s, ready)
+        is_light = ask.prompt_tokens < LIGHT_TOKENS
+        wants = self._trials.wants_target(service, ask.session, now_s, ready, is_light)
         return Permit(ask, route, service, customer, received_s, wants)
 
     def _pick_service(self, route: Route) -> str:
--- a/umberhitch/tasks/direct/choosing.py
+++ b/umberhitch/tasks/direct/choosing.py
@@ -15,15 +15,13 @@
     make_stake,
 )
 from umberhitch.ports.clock import Clock
+from umberhitch.tasks.direct.admission import LIGHT_TOKENS
 from umberhitch.tasks.direct.services import Permit
 from umberhitch.tasks.direct.store_view import StoreView
 from umberhitch.tasks.direct.trials import Trials
 
 __all__ = ["Choosing"]
 
-LIGHT_TOKENS = 4000
-"""A call that reads less may be sent where many others are: it delays their tokens little."""
-
 
 class Choosing:
     """Brings together what the store told, what is under way, and the decisions of the core.
--- a/umberhitch/tasks/direct/trials.py
+++ b/umberhitch/tasks/direct/trials.py
@@ -187,7 +187,12 @@
     # Requests
 
     def wants_target(
-        self, service: str, session: str | None, now_s: float, endpoints: list[Endpoint]
+        self,
+        service: str,
+        session: str | None,
+        now_s: float,
+        endpoints: list[Endpoint],
+        is_light: bool = False,
     ) -> bool | None:
         """Return whether a request goes to the new version; None where there is no roll-out.
 
@@ -199,6 +204,8 @@
         now_s : float
         endpoints : list of Endpoint
             Those of the service that take work.
+        is_light : bool
+            Whether the request reads little, so that many of them fit on one endpoint.
         """
         draw = self._rng.random() if session is None else _draw(session)
         trial = self._trials.get(service)
@@ -206,7 +213,8 @@
             has_target = service not in self._unread and any(
                 each.entry.version == trial.order.target for each in endpoints
             )
-            return trial.is_for_target(session, draw, now_s, has_target)
+            has_target = has_target and self._is_within_bound(trial, endpoints, now_s)
+            return trial.is_for_target(session, draw, now_s, has_target, is_light)
         if session is not None:
             recent = self._recent.setdefault(service, OrderedDict())
             recent.pop(session, None)
@@ -215,6 +223,12 @@
                 recent.popitem(last=False)
         return None
 
+    def _is_within_bound(self, trial: Trial, endpoints: list[Endpoint], now_s: float) -> bool:
+        target = trial.order.target
+        new = sum(self.running(e.entry.incarnation) for e in endpoints if e.entry.version == target)
+        both = sum(self.running(each.entry.incarnation) for each in endpoints)
+        return trial.is_within_bound(now_s, new, both - new)
+
     def allowed(
         self,
         service: str,
@@ -251,6 +265,7 @@
             limit = trial.limits.full_load * (loaded.entry.slots or 0)
             if self.running(loaded.entry.incarnation) < limit:
                 return [loaded]
+            trial.is_proved = limit > 0
         return new or old
 
     def note(self, service: str, route: str, endpoint: Endpoint, verdict: AnswerVerdict) -> None:
@@ -273,7 +288,8 @@
         trial = self._trials.get(service)
         if trial is None or not self.is_target(service, endpoint):
             return False
-        return not trial.is_first_half(self._clock.seconds())
+        now_s = self._clock.seconds()
+        return trial.is_proving(now_s) or trial.bears_all(now_s)
 
     # Peers
 
@@ -288,6 +304,7 @@
                 trial.state,
                 [_counts(is_target, route, each) for (is_target, route), each in trial.own.items()],
                 trial.kept_back(now_s)[:MAX_KEPT_BACK],
+                trial.is_proved,
             )
             for service, trial in self._trials.items()
         ]
@@ -311,6 +328,7 @@
                 for each in report.counts
             }
             trial.take(router, counts)
+            trial.is_proved |= report.is_proved
             for session in report.kept_back:
                 trial.seen_before(session, self._clock.seconds(), _draw(session))
             self._unread.discard(report.service)
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -356,6 +356,8 @@
     """Since the start of the roll-out, so that a lost report is made good by the next."""
     kept_back: list[str] = []
     """Sessions that stay on the old version, though their share would send them to the new one."""
+    is_proved: bool = False
+    """Whether an endpoint of the new version was loaded fully."""
 
 
 class EndpointUse(Struct, frozen=True, array_like=True):
