--- a/umberhitch/core/direct/_engine_time.py
+++ b/umberhitch/core/direct/_engine_time.py
@@ -30,7 +30,7 @@
     """
 
     window_s: float = 3.0
-    idle: float = 0.2
+    idle: float = 1.0
     risk: float = 0.3
 
 
--- a/umberhitch/core/direct/_trial.py
+++ b/umberhitch/core/direct/_trial.py
@@ -3,10 +3,11 @@
 During the first half the new version gets a small, fixed share: a session keeps the version on
 which it began. Evidence is pooled over all routers. Then one of its endpoints gets all light work
 for a while, so that it is loaded fully: a version that fails under load shows it before much has
-run on it. If it was, all work moves then. If too little came to load it, the new version gets no more
-than the users' exposure bound allows a bad one, and all work moves near the end: also one that shows
-nothing before it bears all the load has had no more by then. A session moves once and never back. A version that fails more than the old one gets nothing
-any more, at once; one that has shown nothing bad is declared good before its time is over.
+run on it. If it was, all work moves then. If too little came to load it, the new version gets no
+more than the users' exposure bound allows a bad one, and all work moves near the end: one that
+shows nothing before it bears all the load has had no more by then. A session moves once and never
+back. A version that fails more than the old one gets nothing any more, at once; one that has shown
+nothing bad is declared good before its time is over.
 """
 
 from collections import OrderedDict
@@ -87,10 +88,9 @@
     exposure_proof : float
         Share of the bound that is used while one endpoint is loaded.
     exposure_kept : float
-        Share of the bound that is used besides before all work moves, and of the slack that is counted on: answers that were dropped for a larger model's are
-        requests, too, and not counted here.
-    full_load : float
-        Share of that endpoint's slots that is filled for the proof.
+        Share of the bound that is used besides before all work moves, and of the slack that is
+        counted on: answers that were dropped for a larger model's are requests, too, and not
+        counted here.
     done_part, last_part : float
         Part of the time after which a good version that bore full load is declared so once nothing
         runs on the old one any more, and after which it is whatever runs there.
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -30,6 +30,10 @@
 
 log = getLogger(__name__)
 
+FAR_EVERY = 4
+"""Of many peers, those in other availability zones get each fourth report only, but during a
+roll-out: calls mostly stay in their zone, and reports cross it."""
+
 
 @dataclass(frozen=True, slots=True)
 class DirectPeersLimits:
@@ -158,16 +162,32 @@
             uses,
             self._gateway.trials.reports(),
             round(self._gateway.returns_s(), 2),
+            self._gateway.settings.zone,
         )
+        is_for_all = self._gateway.trials.is_any_open() or self._seq % self._far_every() == 0
         for name in self._known:
-            self._link.send(name, report)
+            if is_for_all or not self._is_far(name):
+                self._link.send(name, report)
         crowd = max(1.0, len(self._known) / self._limits.full_pace_peers)
         self._clock.callLater(self._limits.report_s * crowd, self._report)
 
+    def _far_every(self) -> int:
+        """Return which report goes to peers in other zones: each one where there are few peers."""
+        return FAR_EVERY if len(self._known) > self._limits.full_pace_peers else 1
+
+    def _is_far(self, name: str) -> bool:
+        """Whether a peer has said that it is in another availability zone."""
+        heard = self._heard.get(name)
+        return heard is not None and heard.report.zone != self._gateway.settings.zone
+
+    def _is_silent(self, heard: _Heard) -> bool:
+        is_far = heard.report.zone != self._gateway.settings.zone
+        silence_s = self._limits.silence_s * (self._far_every() if is_far else 1)
+        return heard.at_s < self._clock.seconds() - silence_s
+
     def live(self) -> list[PeerReport]:
         """Return the newest reports of the peers that were heard lately."""
-        oldest_s = self._clock.seconds() - self._limits.silence_s
-        for name in [n for n, heard in self._heard.items() if heard.at_s < oldest_s]:
+        for name in [n for n, heard in self._heard.items() if self._is_silent(heard)]:
             heard = self._heard.pop(name)
             if heard.report.returns_s:
                 self._left[name] = heard
--- a/umberhitch/tasks/direct/trials.py
+++ b/umberhitch/tasks/direct/trials.py
@@ -124,6 +124,11 @@
         for service in [each for each in self._trials if each not in stands]:
             self.drop(service)
 
+    def is_any_open(self) -> bool:
+        """Whether a roll-out is in progress, so that evidence has to be told soon."""
+        states = [trial.state for trial in self._trials.values()]
+        return RolloutState.IN_PROGRESS in states
+
     def _drive(self, service: str, trial: Trial, now_s: float) -> None:
         running = self.old_running(service, trial.order.target)
         verdict = trial.verdict(now_s, running)
--- a/umberhitch/testing/_direct.py
+++ b/umberhitch/testing/_direct.py
@@ -129,6 +129,7 @@
         name: str = "r1",
         slack: float = 100.0,
         status_faults: StoreFaults | None = None,
+        zone: str = "a",
         **settings: Any,
     ) -> DirectRouter:
         """Start a router; ``settings`` are those of `GatewaySettings`."""
@@ -142,7 +143,12 @@
         operator_view = sharing.share(StreamName.OPERATOR, operator)
         registry_view = sharing.share(StreamName.REGISTRY, registry)
         gateway = Gateway(
-            GatewaySettings(name=name, zone="a", budget=BudgetLimits(0.9, slack, 10.0), **settings),
+            GatewaySettings(
+                name=name,
+                zone=zone,
+                budget=BudgetLimits(0.9, slack, 10.0),
+                **settings,
+            ),
             clock,
             Random(name),
             FakeWire(),
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -412,6 +412,7 @@
     trials: list[TrialReport]
     returns_s: float = 0.0
     """Time until the router takes streams again; 0 where it does now."""
+    zone: str = ""
 
 
 Message = (
