Presence and evidence in modules of their own; no error after idle hours or without an objective

Found on reading the change: the demand of engines decays to 0 after some 37 minutes without a request, and the next price would have divided by it; so would a route without an objective and a prompt without tokens. A peer that said when it would be back and never was counted as there. Each has a test.

--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -5,11 +5,12 @@
 from umberhitch.core.direct._directory import Directory, Endpoint
 from umberhitch.core.direct._engine_time import EngineDemand, EnginePrice, EngineTimeLimits
 from umberhitch.core.direct._events import EventCutter
+from umberhitch.core.direct._evidence import AnswerVerdict, Counts, EvidenceBar
 from umberhitch.core.direct._pace import EventPace, Paces, PacesLimits
 from umberhitch.core.direct._placement import EngineWork, Offer, Placed, Placement, PlacementLimits
 from umberhitch.core.direct._readings import NO_READING, Readings
 from umberhitch.core.direct._routes import RouteTable
-from umberhitch.core.direct._trial import AnswerVerdict, Counts, EvidenceBar, Trial, TrialLimits
+from umberhitch.core.direct._trial import Trial, TrialLimits
 from umberhitch.core.direct._types import (
     Ask,
     Customer,
--- a/umberhitch/core/direct/_engine_time.py
+++ b/umberhitch/core/direct/_engine_time.py
@@ -95,9 +95,10 @@
         """Return the price of the time of one of a service's engines."""
         limits = self.limits
         seen = self._seen.get(service)
-        if seen is None:
+        if seen is not None:
+            seen.decay(now_s, limits.window_s)
+        if seen is None or not seen.loss:
             return EnginePrice(limits.idle)
-        seen.decay(now_s, limits.window_s)
         pressure = seen.loss / limits.window_s * self.routers / max(1, engines)
         return EnginePrice(limits.idle, pressure, seen.soon / seen.loss, limits.risk)
 
--- a/umberhitch/core/direct/_worth.py
+++ b/umberhitch/core/direct/_worth.py
@@ -6,6 +6,9 @@
 
 __all__ = ["Stake", "WorthLimits", "make_stake"]
 
+LEAST_SLOPE_S = 0.001
+"""Least time between in time and late, where a route names no objective; seconds."""
+
 
 @dataclass(frozen=True, slots=True)
 class WorthLimits:
@@ -55,13 +58,17 @@
 
     def timely(self, first_event_s: float) -> float:
         """Return which share of its worth an answer with its first event then has."""
-        late = (first_event_s - self.soon_s) / (self.objective_s - self.soon_s)
+        late = (first_event_s - self.soon_s) / self._slope_s
         return 1.0 - min(1.0, max(0.0, late)) * (1.0 - self.late_share)
 
     @property
     def loss_per_s(self) -> float:
         """Worth that a second of delay costs, between in time and late."""
-        return self.worth * (1.0 - self.late_share) / (self.objective_s - self.soon_s)
+        return self.worth * (1.0 - self.late_share) / self._slope_s
+
+    @property
+    def _slope_s(self) -> float:
+        return max(LEAST_SLOPE_S, self.objective_s - self.soon_s)
 
 
 def make_stake(route: Route, ask: Ask, limits: WorthLimits) -> Stake:
--- a/umberhitch/core/direct/tests/test_engine_time.py
+++ b/umberhitch/core/direct/tests/test_engine_time.py
@@ -67,3 +67,19 @@
 def test_half_of_the_work_costs_less_than_half():
     price = EnginePrice(0.0, 1.0, 1.0, 0.1)
     assert price.of(1.0, 0.8) < price.of(2.0, 0.8) / 2
+
+
+def test_a_long_idle_time_leaves_no_demand_and_no_error():
+    demand = make_demand(1.0)
+    assert demand.price("svc", 4, 1e6).pressure == 0.0
+
+
+def test_prompts_without_tokens_and_routes_without_an_objective_are_priced_too():
+    parts = (PromptPart("p", 0),)
+    ask = Ask("a", b"POST", b"/", "h", "/", [], None, 10.0, True, parts, 0)
+    demand = EngineDemand()
+    for route in (ROUTE, make_route("now", RouteKind.STREAM, objective_s=0.0)):
+        stake = make_stake(route, ask, WorthLimits())
+        demand.note("svc", stake, 0.0)
+        assert 0.0 <= stake.timely(0.1) <= 1.0
+    assert demand.price("svc", 4, 0.0).pressure == 0.0
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -42,6 +42,7 @@
 from umberhitch.tasks.direct.decisions import DecisionLog
 from umberhitch.tasks.direct.exchange import REFUSED_BY_ENDPOINT, Exchange
 from umberhitch.tasks.direct.gateway_limits import GatewayCounters, GatewaySettings
+from umberhitch.tasks.direct.presence import LEAST_RETRY_S, Presence
 from umberhitch.tasks.direct.services import Permit, RequestState
 from umberhitch.tasks.direct.store_view import StoreView
 from umberhitch.tasks.direct.trials import Trials
@@ -50,17 +51,11 @@
 
 log = getLogger(__name__)
 
-LEAST_RETRY_S = 0.1
-"""Soonest time to come back that a refusal names."""
 SPENDS_NO_BUDGET = ("caller left", REFUSED_BY_ENDPOINT)
 """Outcomes that are the caller's own; the burn report leaves them out."""
 PROOF_WAIT_S = 0.025
 """A router that stood still waits so long for the store's word before it refuses requests with
 keys: the store answers in some ms, and it is under a quarter of the shortest objective seen."""
-RESTART_S = 0.7
-"""From the end of a process to where the next one takes requests; measured 0.5 to 0.7 s."""
-NOTICED_S = 1.2
-"""Time in which the balancer notices that a router is ready: it looks once a second."""
 STARTING_RETRY_S = 0.5
 """Time to come back that is named while there is no configuration."""
 
@@ -106,13 +101,6 @@
         self._rng = rng
         self._wire = wire
         self._endpoints = endpoints
-        self._is_leaving = False
-        self._is_noticed = False
-        self._leave_by_s = 0.0
-        self._ready_since_s: float | None = None
-        self.others_return_s: Callable[[], float] = lambda: 0.0
-        """Returns the time until a peer takes streams, 0 where one does or none is known."""
-        self._on_idle: Callable[[], None] | None = None
         trials.running = self.placement.all_running
         self.view = StoreView(
             clock,
@@ -124,6 +112,13 @@
             trials,
             self._on_endpoints,
         )
+        self.presence = Presence(
+            clock,
+            settings.drain_s,
+            settings.drain_notice_s,
+            lambda: self.view.is_loaded,
+            lambda: bool(self.running),
+        )
         self.choosing = Choosing(
             self.view,
             trials,
@@ -162,20 +157,7 @@
         on_idle : callable
             Called when after that every request that was read has its answer.
         """
-        self._is_leaving = True
-        self._leave_by_s = self.clock.seconds() + self.settings.drain_s
-        self._on_idle = on_idle
-        self.clock.callLater(self.settings.drain_notice_s, self._note_noticed, on_noticed)
-
-    def _note_noticed(self, on_noticed: Callable[[], None]) -> None:
-        self._is_noticed = True
-        on_noticed()
-        self._look_idle()
-
-    def _look_idle(self) -> None:
-        if self._on_idle is not None and self._is_noticed and not self.running:
-            on_idle, self._on_idle = self._on_idle, None
-            on_idle()
+        self.presence.leave(on_noticed, on_idle)
 
     def _on_endpoints(self, gone: list[str]) -> None:
         for address in gone:
@@ -195,21 +177,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send callers here."""
-        return self.view.is_loaded and not self._is_leaving
-
-    def returns_s(self) -> float:
-        """Return the time until callers reach this router and it takes streams; 0 where they do."""
-        if not self._is_leaving:
-            return max(0.0, self._ready_s() + NOTICED_S - self.clock.seconds())
-        return max(0.0, self._leave_by_s - self.clock.seconds()) + RESTART_S
-
-    def _ready_s(self) -> float:
-        """Return since when the readiness page has said so, or now while it does not."""
-        if self._ready_since_s is None:
-            if not self.is_ready:
-                return self.clock.seconds()
-            self._ready_since_s = self.clock.seconds()
-        return self._ready_since_s
+        return self.presence.is_ready
 
     # Requests
 
@@ -219,7 +187,7 @@
 
     def keeps_connections(self) -> bool:
         """Whether connections are kept after an answer."""
-        return not self._is_leaving
+        return not self.presence.is_leaving
 
     def refuse_unread(self, status: int, problem: str) -> tuple[HeaderList, bytes]:
         """Return headers and body of an answer to a request that was not taken."""
@@ -242,7 +210,7 @@
         except BadAskError as exc:
             self._answer(reply, None, exc.status, str(exc), None)
             return do_nothing
-        permit = self._admission.admit(ask, raw.received_s, not self._is_noticed)
+        permit = self._admission.admit(ask, raw.received_s, not self.presence.is_noticed)
         if permit is STALE and not self.view.operator_feed.is_failing:
             return self._wait_for_proof(ask, raw.received_s, reply)
         return self._begin(ask, permit, reply)
@@ -255,7 +223,7 @@
 
         def go_on() -> None:
             nonlocal leave
-            permit = self._admission.admit(ask, received_s, not self._is_noticed)
+            permit = self._admission.admit(ask, received_s, not self.presence.is_noticed)
             leave = self._begin(ask, permit, reply)
 
         timer = self.clock.callLater(PROOF_WAIT_S, go_on)
@@ -273,7 +241,7 @@
         if isinstance(permit, Refusal):
             retry_s = None
             if permit.status == 503:
-                retry_s = self._leaving_retry_s() if self._is_leaving else STARTING_RETRY_S
+                retry_s = self.presence.retry_s() if self.presence.is_leaving else STARTING_RETRY_S
             self._answer(reply, ask.call_id, permit.status, permit.reason, retry_s)
             return do_nothing
         self.budget.request(permit.service, permit.received_s)
@@ -281,14 +249,6 @@
         self.running.add(exchange)
         return exchange.start()
 
-    def _leaving_retry_s(self) -> float:
-        """Return when to come back: at once where a peer takes streams, else when the first does.
-
-        While all routers are restarted in turn, those that came back at once were refused twice: 24
-        of 900 requests of a day with three routers 2 s apart.
-        """
-        return max(LEAST_RETRY_S, min(self.returns_s(), self.others_return_s()))
-
     # Services of an exchange
 
     def send(
@@ -412,7 +372,7 @@
         is_failure = outcome != "done"
         self._count_burn(exchange, outcome)
         self.decided(exchange, "request ended", is_failure, outcome=outcome, elapsed_s=elapsed_s)
-        self._look_idle()
+        self.presence.look_idle()
 
     def _count_burn(self, exchange: RequestState, outcome: str) -> None:
         permit = exchange.permit
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -109,7 +109,7 @@
         self._is_stopped = False
         gateway.trials.rank = self.rank
         gateway.trials.old_running = self.old_running
-        gateway.others_return_s = self.return_s
+        gateway.presence.others_return_s = self.return_s
         sharing.peers = self.names
 
     def start(self) -> None:
@@ -161,7 +161,7 @@
             self._seq,
             uses,
             self._gateway.trials.reports(),
-            round(self._gateway.returns_s(), 2),
+            round(self._gateway.presence.returns_s(), 2),
             self._gateway.settings.zone,
         )
         is_for_all = self._gateway.trials.is_any_open() or self._seq % self._far_every() == 0
@@ -205,13 +205,15 @@
         return sum(report.router < self._me.name for report in self.live())
 
     def return_s(self) -> float:
-        """Return the time until a peer takes streams, 0 where one does or none is known.
+        """Return the time until a peer takes streams: 0 where one does, or none was heard.
 
-        A peer that said when it will be back is believed, also while it is silent.
+        A peer that said when it will be back is believed until then, also while it is silent.
         """
         now_s = self._clock.seconds()
-        known = [*self._heard.values(), *self._left.values()]
-        waits = [max(0.0, each.at_s + each.report.returns_s - now_s) for each in known]
+        back_s = {n: each.at_s + each.report.returns_s for n, each in self._left.items()}
+        self._left = {n: each for n, each in self._left.items() if back_s[n] > now_s}
+        heard = [each.at_s + each.report.returns_s for each in self._heard.values()]
+        waits = [max(0.0, each - now_s) for each in (*heard, *(back_s[n] for n in self._left))]
         return min(waits, default=0.0)
 
     def old_running(self, service: str, version: str) -> int:
--- a/umberhitch/tasks/direct/tests/test_store.py
+++ b/umberhitch/tasks/direct/tests/test_store.py
@@ -272,8 +272,29 @@
     world.add_endpoint("e1")
     world.operator.put("config", make_direct_document())
     router = world.add_router("r1")
-    assert router.gateway.returns_s() > 1.0
+    assert router.gateway.presence.returns_s() > 1.0
     world.run(0.5)
-    assert 0.3 < router.gateway.returns_s() <= 1.2
+    assert 0.3 < router.gateway.presence.returns_s() <= 1.2
     world.run(1.5)
-    assert router.gateway.returns_s() == 0.0
+    assert router.gateway.presence.returns_s() == 0.0
+
+
+def test_a_peer_that_did_not_come_back_when_it_said_is_not_waited_for():
+    world = DirectWorld()
+    world.add_endpoint("e1")
+    world.operator.put("config", make_direct_document())
+    for name in ("r1", "r2"):
+        world.add_router(name)
+    world.run(3.0)
+    alone = world.routers["r2"].peers
+    _leave(world, "r1")
+    world.run(1.0)
+    lost = world.routers["r1"]
+    lost.peers.stop()
+    lost.gateway.stop()
+    world.network.unplug("r1")
+    world.run(3.0)
+    assert 3.0 < alone.return_s() < 6.0
+    world.run(6.0)
+    assert alone.return_s() == 0.0
+    assert alone._left == {}
--- a/umberhitch/tasks/direct/trials.py
+++ b/umberhitch/tasks/direct/trials.py
@@ -74,6 +74,8 @@
         self._status = status
         self._limits = limits or TrialLimits()
         self._trials: dict[str, Trial] = {}
+        self._within: dict[str, tuple[float, bool]] = {}
+        """By service: when the exposure bound was looked at, and whether it was kept."""
         self._settling: set[str] = set()
         self._unread: set[str] = set()
         """Services of whose roll-out it is not known yet whether it was decided before."""
@@ -110,6 +112,7 @@
             trial.seen_before(session, at_s, draw)
         self._trials[order.service] = trial
         self._written.pop(order.service, None)
+        self._within.pop(order.service, None)
         self._unread.add(order.service)
         log.info("roll-out begins", extra={"service": order.service, "target": order.target})
         self._settle(order.service, trial, RolloutState.IN_PROGRESS)
@@ -231,10 +234,15 @@
         return None
 
     def _is_within_bound(self, trial: Trial, endpoints: list[Endpoint], now_s: float) -> bool:
+        at_s, is_within = self._within.get(trial.order.service, (float("-inf"), False))
+        if now_s - at_s < TICK_S:
+            return is_within
         target = trial.order.target
         new = sum(self.running(e.entry.incarnation) for e in endpoints if e.entry.version == target)
         both = sum(self.running(each.entry.incarnation) for each in endpoints)
-        return trial.is_within_bound(now_s, new, both - new)
+        is_within = trial.is_within_bound(now_s, new, both - new)
+        self._within[trial.order.service] = (now_s, is_within)
+        return is_within
 
     def allowed(
         self,
