--- a/umberhitch/platform/tests/test_large_documents.py
+++ b/umberhitch/platform/tests/test_large_documents.py
@@ -9,7 +9,14 @@
 import pytest
 from msgspec import json
 
-from umberhitch.platform.tests.thin_links import BOUND_S, FAST_LINK, LARGE, SLOW_LINK, ThinWorld
+from umberhitch.platform.tests.thin_links import (
+    BOUND_S,
+    FAST_LINK,
+    LARGE,
+    LARGER,
+    SLOW_LINK,
+    ThinWorld,
+)
 
 
 @pytest.mark.parametrize("is_start", [False, True])
@@ -66,3 +73,33 @@
     world.publish(3, 2000)
     world.store.put("keyed.op", "rollout/other", b"")
     assert world.in_force_s(3) < BOUND_S
+
+
+@pytest.mark.parametrize("is_any_fast", [False, True])
+@pytest.mark.parametrize("phase_s", [0.0, 0.1, 0.4, 1.0])
+def test_a_reader_on_a_slow_link_does_not_hold_up_the_others(is_any_fast, phase_s):
+    """The first by name read for all, and told the others when it had the whole: two transfers."""
+    world = ThinWorld()
+    world.publish(1, 10)
+    for name in ("r0", "r1", "r2"):
+        world.add_thin_router(name, SLOW_LINK)
+    if is_any_fast:
+        world.add_thin_router("r3", FAST_LINK)
+    world.run(5.0 + phase_s)
+    world.publish(2, LARGER)
+    assert world.in_force_s(2) < BOUND_S
+
+
+@pytest.mark.parametrize("path", ["/p00001/x", "/n2/x"])
+def test_a_configuration_that_is_known_to_be_replaced_does_not_serve_past_the_bound(path):
+    """Requests were served, or told that there is no such route, by one known to be old."""
+    world = ThinWorld()
+    world.publish(1, 10)
+    world.add_thin_router("r0", FAST_LINK)
+    slow = world.add_thin_router("r1", SLOW_LINK / 10, proof_age_s=30.0)
+    world.run(5.0)
+    world.publish(2, LARGE)
+    world.run(BOUND_S)
+    asked = world.ask(slow, path)
+    world.run(0.1)
+    assert asked.status == 503
--- a/umberhitch/platform/tests/thin_links.py
+++ b/umberhitch/platform/tests/thin_links.py
@@ -6,13 +6,15 @@
 from umberhitch.platform.standins import StoreStandin, ThinLink
 from umberhitch.testing import DirectRouter, DirectWorld
 
-__all__ = ["BOUND_S", "FAST_LINK", "LARGE", "SLOW_LINK", "ThinWorld"]
+__all__ = ["BOUND_S", "FAST_LINK", "LARGE", "LARGER", "SLOW_LINK", "ThinWorld"]
 
 SLOW_LINK = 5e6 / 8
 """Bytes a second of the slowest links seen, 5 Mbit/s."""
 FAST_LINK = 100e6 / 8
 LARGE = 4250
 """Routes of the largest configuration seen, 0.8 MB."""
+LARGER = 5250
+"""Routes of a configuration that is larger than any seen, 1.0 MB."""
 TOPIC = "keyed.op"
 STEP_S = 0.01
 BOUND_S = 3.0
