A router that knows of a newer configuration past the bound refuses requests

Class: a bound that nothing enforces. Change: from the first word of a newer configuration on, after 0.93 of the bound (a setting, filled in from the platform's), requests are refused as not run until it is read; not while the store is away, when nothing is confirmed.

--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -40,6 +40,9 @@
 PROOF_MARGIN = 0.97
 """Share of the revocation bound after which requests with keys are refused. Proof and request are
 timed by the same steady clock, and a request was sent before its first byte is read."""
+BEHIND_MARGIN = 0.93
+"""Share of the bound on configurations after which a router that knows of a newer one refuses
+requests. It hears of one some 0.01 s after the store has it, 0.2 s where its reader is slow."""
 BODIES_SHARE = 0.25
 """Share of the process's memory that callers' bodies may take."""
 MIB = 1024 * 1024
@@ -131,6 +134,7 @@
             zone=settings.zone,
             link_mbps=settings.link_mbps,
             proof_age_s=PROOF_MARGIN * bounds.revocation_s,
+            behind_s=BEHIND_MARGIN * bounds.configuration_s,
             is_strict=bounds.strict_revocation is not False,
             drain_s=settings.drain_s,
             drain_notice_s=settings.drain_notice_s,
--- a/umberhitch/gateway_settings.py
+++ b/umberhitch/gateway_settings.py
@@ -34,6 +34,9 @@
 class Bounds(Struct, frozen=True, forbid_unknown_fields=True):
     """What the platform bounds; it hands these over with the settings."""
 
+    configuration_s: Seconds = 3.0
+    """A configuration that was confirmed is in force after this; a router that knows of one and has
+    not been able to read it refuses requests."""
     revocation_s: Seconds = 5.0
     """A key that was taken away has no effect after this, and"""
     strict_revocation: bool | None = None
--- a/umberhitch/tasks/direct/admission.py
+++ b/umberhitch/tasks/direct/admission.py
@@ -37,10 +37,14 @@
     rng : Random
     proof_age_s : float
         The proof that the keys are the newest is stale where it was older when a request came.
+    behind_s : float
+        Where a newer configuration has been known for so long and is not in force here, requests
+        are refused: they might be handled as only the old one allows. It is the last resort of a
+        router whose link is too slow for the configuration.
     is_strict : bool
-        Whether requests with keys are refused then. Where not, the last keys known are served on
-        (static stability), which is 4 s of all requests when the store is away for 9 s; only those
-        whose key or route is not known are told to come back.
+        Whether requests with keys are refused where the proof is stale. Where not, the last keys
+        known are served on (static stability), which is 4 s of all requests when the store is away
+        for 9 s; only those whose key or route is not known are told to come back.
     """
 
     def __init__(
@@ -50,6 +54,7 @@
         clock: Clock,
         rng: Random,
         proof_age_s: float,
+        behind_s: float,
         is_strict: bool,
     ) -> None:
         self._view = view
@@ -57,6 +62,7 @@
         self._clock = clock
         self._rng = rng
         self._proof_age_s = proof_age_s
+        self._behind_s = behind_s
         self._is_strict = is_strict
 
     def admit(self, ask: Ask, received_s: float, takes_streams: bool) -> Permit | Refusal:
@@ -73,6 +79,8 @@
         table = self._view.table
         if table is None or not self._view.is_loaded:
             return Refusal(503, "starting")
+        if self._view.behind_s() > self._behind_s:
+            return STALE
         is_stale = self._view.proof_age_s(received_s) > self._proof_age_s
         route = table.find(ask.host, ask.path)
         if route is None:
--- a/umberhitch/tasks/direct/feeds.py
+++ b/umberhitch/tasks/direct/feeds.py
@@ -81,6 +81,8 @@
         What was acknowledged before then has been taken.
     offset : int
         Offset up to which records have been taken.
+    behind_since_s : float or None
+        Since when it is known that there is something newer than what has been taken.
     on_taken : callable
         Called after each batch with it, whether it was that of all keys, and whether the store had
         been away.
@@ -98,6 +100,7 @@
     ) -> None:
         self.name = name
         self.proved_s: float | None = None
+        self.behind_since_s: float | None = None
         self.offset = -1
         self._port = port
         self._clock = clock
@@ -121,6 +124,11 @@
         """Follow no more."""
         self._is_stopped = True
 
+    def note_news(self) -> None:
+        """Take note that there is something newer than what has been taken."""
+        if self.behind_since_s is None:
+            self.behind_since_s = self._clock.seconds()
+
     def _report(self, failure: Any) -> None:
         log.error("feed ended", extra={"feed": self.name, "error": failure.getTraceback()})
 
@@ -169,6 +177,7 @@
         else:
             self._on_all(batch)
         self.offset = batch.end
+        self.behind_since_s = None
         proved_s = called_s if batch.proved_s is None else batch.proved_s
         self.proved_s = proved_s if self.proved_s is None else max(self.proved_s, proved_s)
         self.on_taken(batch, not is_further, was_away)
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -131,7 +131,13 @@
             rng,
         )
         self._admission = Admission(
-            self.view, trials, clock, rng, settings.proof_age_s, settings.is_strict
+            self.view,
+            trials,
+            clock,
+            rng,
+            settings.proof_age_s,
+            settings.behind_s,
+            settings.is_strict,
         )
 
     # Life
--- a/umberhitch/tasks/direct/gateway_limits.py
+++ b/umberhitch/tasks/direct/gateway_limits.py
@@ -26,6 +26,9 @@
         Bandwidth of the host's link; 0 where it is not known.
     proof_age_s : float
         Where the proof that the keys are the newest is older, it is stale.
+    behind_s : float
+        Where a newer configuration has been known for so long and is not in force, requests are
+        refused.
     is_strict : bool
         Whether requests with keys are refused then; else the last keys known are served.
     drain_s : float
@@ -41,6 +44,7 @@
     zone: str
     link_mbps: float = 0.0
     proof_age_s: float = 4.5
+    behind_s: float = 2.8
     is_strict: bool = True
     drain_s: float = 8.0
     drain_notice_s: float = 2.6
--- a/umberhitch/tasks/direct/sharing.py
+++ b/umberhitch/tasks/direct/sharing.py
@@ -297,6 +297,7 @@
                 self._is_failing = False
                 return batch
             case _Word.NEWS:
+                self._note_news()
                 return await self._since_by_store(offset, 0.0, patience_s)
             case _Word.STALE if self._is_failing and reader is not None:
                 self._vain_asks += 1
@@ -356,9 +357,14 @@
 
     def _on_begun(self) -> None:
         """Take note that something new is on its way here."""
+        self._note_news()
         if self._early is None:
             self._early = self._clock.callLater(EARLY_S, self._tell_early)
 
+    def _note_news(self) -> None:
+        if self._feed is not None:
+            self._feed.note_news()
+
     def _tell_early(self) -> None:
         self._is_reading = True
         self._tell_held()
--- a/umberhitch/tasks/direct/store_view.py
+++ b/umberhitch/tasks/direct/store_view.py
@@ -97,6 +97,16 @@
         proved_s = self.operator_feed.proved_s
         return float("inf") if proved_s is None else at_s - proved_s
 
+    def behind_s(self) -> float:
+        """Return how long a newer configuration has been known that is not in force here.
+
+        0 while the store is away: what it has cannot be had, and nothing new is confirmed.
+        """
+        since_s = self.operator_feed.behind_since_s
+        if since_s is None or self.operator_feed.is_failing:
+            return 0.0
+        return self.clock.seconds() - since_s
+
     def registry_age_s(self) -> float | None:
         """Return how old the directory is, or None while there is none."""
         proved_s = self.registry_feed.proved_s
