--- a/umberhitch/platform/tests/test_large_documents.py
+++ b/umberhitch/platform/tests/test_large_documents.py
@@ -103,3 +103,21 @@
     asked = world.ask(slow, path)
     world.run(0.1)
     assert asked.status == 503
+
+
+def test_a_change_costs_the_others_what_changed():
+    """Each read the whole from the store again: 0.8 MB, and 1.3 s of its callers' link."""
+    world = ThinWorld()
+    world.publish(1, LARGE)
+    world.add_thin_router("r0", FAST_LINK)
+    world.add_thin_router("r1", SLOW_LINK)
+    world.run(5.0)
+    read_bytes = world.links["r1"].received_bytes
+    told_bytes = world.network.bytes
+    world.publish(2, LARGE)
+    assert world.in_force_s(2) < 0.5
+    assert world.links["r1"].received_bytes - read_bytes < 1000
+    assert world.network.bytes - told_bytes < 10_000
+    asked = [world.ask(world.routers["r1"], path) for path in ("/n2/x", "/p00007/x", "/n1/x")]
+    world.run(0.1)
+    assert [each.status for each in asked] == [200, 200, 404]
