A feed of the store that ends by an error begins anew

Class: an owner of state that dies silently. Change: it is logged, and after 1.0 s the feed begins anew with the newest of every key.

--- a/umberhitch/tasks/direct/feeds.py
+++ b/umberhitch/tasks/direct/feeds.py
@@ -26,6 +26,8 @@
 """A view that is so much older than a call may be held is not fresh: the process stood still."""
 FROZEN_S = 0.3
 """A call that took so much longer than it may was not late: the process stood still meanwhile."""
+RESTART_S = 1.0
+"""Pause before a feed that ended by an error begins anew, so that the error does not fill the log."""
 
 
 class FeedPace:
@@ -130,7 +132,10 @@
             self.behind_since_s = self._clock.seconds()
 
     def _report(self, failure: Any) -> None:
+        """Begin anew: a router whose feed has ended would serve by an old state for ever."""
         log.error("feed ended", extra={"feed": self.name, "error": failure.getTraceback()})
+        if not self._is_stopped:
+            self._clock.callLater(RESTART_S, self.start)
 
     async def _run(self) -> None:
         is_whole = False
--- a/umberhitch/tasks/direct/tests/test_store.py
+++ b/umberhitch/tasks/direct/tests/test_store.py
@@ -298,3 +298,22 @@
     world.run(6.0)
     assert alone.return_s() == 0.0
     assert alone._left == {}
+
+
+def test_a_feed_that_ends_by_an_error_begins_anew():
+    """A router whose feed had ended served by the configuration that it had, for ever."""
+    world = DirectWorld()
+    router = world.ready_router()
+    view = router.gateway.view
+    taken = view.operator_feed.on_taken
+
+    def fail_once(*args: object) -> None:
+        view.operator_feed.on_taken = taken
+        raise ValueError("a bug")
+
+    view.operator_feed.on_taken = fail_once
+    world.operator.put("config", make_direct_document(2))
+    world.run(0.1)
+    world.operator.put("config", make_direct_document(3))
+    world.run(1.5)
+    assert view.table.document.number == 3
