--- a/umberhitch/tasks/direct/feeds.py
+++ b/umberhitch/tasks/direct/feeds.py
@@ -27,7 +27,7 @@
 FROZEN_S = 0.3
 """A call that took so much longer than it may was not late: the process stood still meanwhile."""
 RESTART_S = 1.0
-"""Pause before a feed that ended by an error begins anew, so that the error does not fill the log."""
+"""Pause before a feed that ended by an error begins anew: the error does not fill the log."""
 
 
 class FeedPace:
