--- /dev/null
+++ b/umberhitch/platform/tests/test_large_documents_causes.py
@@ -0,0 +1,77 @@
+"""Each cause for which large configurations were late is worth its repair: without it a test fails."""
+
+from collections.abc import Callable
+
+import pytest
+
+from umberhitch import platform
+from umberhitch.adapters.h11_fetch import _Fetch
+from umberhitch.platform.tests import test_large_documents as seen
+from umberhitch.tasks.direct import sharing
+from umberhitch.tasks.direct.sharing import Sharing
+from umberhitch.tasks.direct.store_view import StoreView
+from umberhitch.tasks.direct.telling import ChangeTeller
+
+
+def give_up_by_the_whole_duration(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(_Fetch, "on_head", lambda self, head: setattr(self, "_head", head))
+
+
+def read_every_version(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(platform, "CONFIGURATIONS", None)
+
+
+def tell_only_what_is_read_whole_and_read_by_name(patch: pytest.MonkeyPatch) -> None:
+    """Either repair by itself keeps the bound."""
+    reader = Sharing.reader
+
+    def as_if_all_alike(self: Sharing, shunned: set[str]) -> str | None:
+        link_mbps, self.link_mbps = self.link_mbps, lambda name: 0.0
+        found = reader(self, shunned)
+        self.link_mbps = link_mbps
+        return found
+
+    patch.setattr(Sharing, "reader", as_if_all_alike)
+    patch.setattr(sharing, "EARLY_S", 100.0)
+
+
+def serve_on(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(StoreView, "behind_s", lambda self: 0.0)
+
+
+def tell_no_changes(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(ChangeTeller, "tell", lambda self, key, known, value, most_bytes: None)
+
+
+Cause = Callable[[pytest.MonkeyPatch], None]
+CAUSES: list[tuple[Cause, Callable[..., None], tuple[object, ...]]] = [
+    (
+        give_up_by_the_whole_duration,
+        seen.test_a_configuration_that_takes_longer_to_read_than_the_store_to_answer_is_read,
+        (True,),
+    ),
+    (
+        read_every_version,
+        seen.test_of_configurations_in_quick_succession_only_the_newest_is_read,
+        (),
+    ),
+    (
+        tell_only_what_is_read_whole_and_read_by_name,
+        seen.test_a_reader_on_a_slow_link_does_not_hold_up_the_others,
+        (True, 0.1),
+    ),
+    (
+        serve_on,
+        seen.test_a_configuration_that_is_known_to_be_replaced_does_not_serve_past_the_bound,
+        ("/n2/x", True),
+    ),
+    (tell_no_changes, seen.test_a_change_costs_the_others_what_changed, ()),
+]
+
+
+@pytest.mark.parametrize(("cause", "test", "args"), CAUSES)
+def test_a_cause_by_itself_keeps_its_test_red(cause, test, args, monkeypatch):
+    test(*args)
+    cause(monkeypatch)
+    with pytest.raises(AssertionError):
+        test(*args)
