--- a/umberhitch/platform/tests/test_large_documents_causes.py
+++ b/umberhitch/platform/tests/test_large_documents_causes.py
@@ -1,4 +1,4 @@
-"""Each cause for which large configurations were late is worth its repair: without it a test fails."""
+"""Each cause for which large configurations were late: with it back, its own test is red."""
 
 from collections.abc import Callable
 
