Bodies of the platform's answers are given up where they stop coming

The same cause looked for elsewhere found its mirror: treq's time-out ends with the head, and the bodies of answers of the log service, host list, ratings and engines were waited for without end; a connection that went silent left a feed of configuration waiting for ever. Class: no limit on progress.

--- a/umberhitch/adapters/http_backend.py
+++ b/umberhitch/adapters/http_backend.py
@@ -6,7 +6,6 @@
 from logging import getLogger
 from typing import Any
 
-import treq
 from msgspec import DecodeError, json
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.error import ConnectionDone
@@ -160,7 +159,7 @@
         body = {"action": "load", "target": target, "fencing_token": token}
         try:
             response = await self._http.request("POST", f"{self._url}/orders", json=body)
-            await treq.content(response)
+            await self._http.content(response)
         except Exception as exc:  # the engine is asked again while it does not serve the version
             log.warning("order failed", extra={"target": target, "error": repr(exc)})
             return False
@@ -183,10 +182,10 @@
             sink(BackendRefused(str(exc)))
             return
         if response.code in REFUSING_STATUSES:
-            await treq.content(response)
+            await self._http.content(response)
             sink(BackendRefused(f"status {response.code}"))
         elif response.code != 200:
-            await treq.content(response)
+            await self._http.content(response)
             sink(BackendFailed(f"status {response.code}"))
         else:
             response.deliverBody(_EventStream(sink))
@@ -195,7 +194,7 @@
         done: Deferred = ensureDeferred(
             self._http.request("DELETE", f"{self._url}/v1/calls/{call_id}")
         )
-        done.addCallback(treq.content)
+        done.addCallback(lambda response: ensureDeferred(self._http.content(response)))
         done.addErrback(lambda failure: log.warning("cancel failed", extra={"call": call_id}))
 
     async def _run_service(self, call: BackendCall, work: ServiceWork, sink: EventSink) -> None:
@@ -211,7 +210,7 @@
         except NotSentError as exc:
             sink(BackendRefused(str(exc)))
             return
-        body = await treq.content(response)
+        body = await self._http.content(response, call.timeout_s)
         if len(body) > MAX_SERVICE_ANSWER_BYTES:
             sink(BackendFailed("answer too large"))
             return
--- a/umberhitch/adapters/http_client.py
+++ b/umberhitch/adapters/http_client.py
@@ -11,7 +11,9 @@
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
-__all__ = ["HttpClient", "NotSentError", "decode_json"]
+from umberhitch.adapters.http_body import STALL_S, read_body
+
+__all__ = ["HttpClient", "NotSentError"]
 
 CONNECT_TIMEOUT_S = 2.0
 
@@ -27,7 +29,7 @@
     ----------
     reactor : IReactorTCP
     timeout_s : float
-        For one whole exchange.
+        Until the head of an answer is there; its body then has to go on.
     connections : int
         Idle connections kept for each server.
     """
@@ -58,6 +60,18 @@
         except ConnectError as exc:
             raise NotSentError(str(exc)) from exc
 
+    async def content(self, response: Any, stall_s: float = STALL_S) -> bytes:
+        """Return a response's body; raises `StalledError` where it does not go on."""
+        return await read_body(response, self._reactor, stall_s)
+
+    async def decode_json(self, response: Any) -> Any:
+        """Return a response's body as JSON; raises ``ValueError`` if it is not."""
+        body = await self.content(response)
+        try:
+            return json.decode(body)
+        except DecodeError as exc:
+            raise ValueError(f"not JSON: {exc}") from exc
+
     async def post_stream(self, url: bytes, headers: Headers, body: bytes) -> Any:
         """Post a body and return the response as soon as its head is there.
 
@@ -99,12 +113,3 @@
 
     def stopProducing(self) -> None:
         pass
-
-
-async def decode_json(response: Any) -> Any:
-    """Return the response's body as JSON; raises ``ValueError`` if it is not."""
-    body = await treq.content(response)
-    try:
-        return json.decode(body)
-    except DecodeError as exc:
-        raise ValueError(f"not JSON: {exc}") from exc
--- a/umberhitch/adapters/http_hosts.py
+++ b/umberhitch/adapters/http_hosts.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from umberhitch.adapters.http_client import HttpClient, decode_json
+from umberhitch.adapters.http_client import HttpClient
 from umberhitch.ports import Host, HostRole, HostState
 
 __all__ = ["HttpHostList"]
@@ -25,7 +25,7 @@
         """Return the list as the platform has it now."""
         try:
             response = await self._http.request("GET", f"{self._url}/hosts")
-            rows = (await decode_json(response))["hosts"]
+            rows = (await self._http.decode_json(response))["hosts"]
             return [_host(row) for row in rows]
         except Exception as exc:  # nothing depends on how the list failed
             raise OSError(f"host list: {type(exc).__name__}: {exc}") from exc
--- a/umberhitch/adapters/http_log.py
+++ b/umberhitch/adapters/http_log.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Any
 
-from umberhitch.adapters.http_client import HttpClient, NotSentError, decode_json
+from umberhitch.adapters.http_client import HttpClient, NotSentError
 from umberhitch.errors import LogAnswerLostError, LogTrimmedError, LogUnavailableError
 from umberhitch.ports import LogBatch
 
@@ -36,7 +36,7 @@
             response = await self._http.request(
                 "POST", f"{self._url}/streams/{stream}/records", json=body
             )
-            reply = await decode_json(response)
+            reply = await self._http.decode_json(response)
         except NotSentError as exc:
             raise LogUnavailableError(str(exc)) from exc
         except Exception as exc:  # any other failure leaves the effect unknown
@@ -57,7 +57,7 @@
                 params=params,
                 timeout=wait_s + READ_GRACE_S,
             )
-            reply = await decode_json(response)
+            reply = await self._http.decode_json(response)
         except Exception as exc:  # a read has no effect, so every failure is alike
             raise LogUnavailableError(f"{type(exc).__name__}: {exc}") from exc
         if response.code == STATUS_GONE:
--- a/umberhitch/adapters/http_ratings.py
+++ b/umberhitch/adapters/http_ratings.py
@@ -1,6 +1,6 @@
 """The platform's rating service over HTTP."""
 
-from umberhitch.adapters.http_client import HttpClient, decode_json
+from umberhitch.adapters.http_client import HttpClient
 
 __all__ = ["HttpRatings"]
 
@@ -29,7 +29,7 @@
             response = await self._http.request(
                 "POST", f"{self._url}/ratings", json=body, timeout=RATING_TIMEOUT_S
             )
-            reply = await decode_json(response)
+            reply = await self._http.decode_json(response)
             if response.code != STATUS_OK:
                 raise OSError(f"status {response.code}")
             rating = reply["rating"]
