Configurations hold digests of customers' keys

What changes is told now, so that the keys must not be in it. The test reads what passes over the link: no key, and the customer is served by it.

--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -7,6 +7,7 @@
 from umberhitch.core.direct._engine_time import EngineDemand, EnginePrice, EngineTimeLimits
 from umberhitch.core.direct._events import EventCutter
 from umberhitch.core.direct._evidence import AnswerVerdict, Counts, EvidenceBar
+from umberhitch.core.direct._keys import key_digest
 from umberhitch.core.direct._pace import EventPace, Paces, PacesLimits
 from umberhitch.core.direct._placement import EngineWork, Offer, Placed, Placement, PlacementLimits
 from umberhitch.core.direct._readings import NO_READING, Readings
@@ -76,5 +77,6 @@
     "WorthLimits",
     "apply_change",
     "change_between",
+    "key_digest",
     "make_stake",
 ]
--- a/umberhitch/core/direct/_change.py
+++ b/umberhitch/core/direct/_change.py
@@ -25,8 +25,9 @@
     services : dict of str to Service, or None
         All of them, where any differs.
     customers : dict of str to Customer
-        By key: new ones, and those that differ.
+        By digest of the key: new ones, and those that differ.
     keys_gone : tuple of str
+        Digests.
     intake : IntakeLimits
     """
 
--- a/umberhitch/core/direct/_routes.py
+++ b/umberhitch/core/direct/_routes.py
@@ -1,5 +1,6 @@
 """Looks up routes and customers in the configuration that is in force."""
 
+from umberhitch.core.direct._keys import key_digest
 from umberhitch.core.direct._types import Customer, Document, Route
 
 __all__ = ["RouteTable"]
@@ -38,4 +39,4 @@
 
     def customer(self, key: str | None) -> Customer | None:
         """Return who holds the key, or None."""
-        return None if key is None else self.document.customers.get(key)
+        return None if key is None else self.document.customers.get(key_digest(key))
--- a/umberhitch/core/direct/_types.py
+++ b/umberhitch/core/direct/_types.py
@@ -100,7 +100,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Customer:
-    """Who pays for a request; the keys stand in the document."""
+    """Who pays for a request; the digests of the keys stand in the document."""
 
     name: str
     priority: int | None = None
@@ -124,7 +124,7 @@
     routes: tuple[Route, ...]
     services: dict[str, Service]
     customers: dict[str, Customer]
-    """By key."""
+    """By the digest of a key, see `key_digest`."""
     intake: IntakeLimits = IntakeLimits()
 
 
--- a/umberhitch/platform/_documents.py
+++ b/umberhitch/platform/_documents.py
@@ -17,6 +17,7 @@
     Route,
     RouteKind,
     Service,
+    key_digest,
 )
 from umberhitch.errors import ConfigError
 
@@ -142,7 +143,7 @@
         tuple(map(_route, raw.routes)),
         {each.name: _service(each) for each in raw.services},
         {
-            key: Customer(tenant.name, tenant.priority)
+            key_digest(key): Customer(tenant.name, tenant.priority)
             for tenant in raw.tenants
             for key in tenant.api_keys
         },
--- a/umberhitch/platform/tests/test_documents.py
+++ b/umberhitch/platform/tests/test_documents.py
@@ -3,7 +3,7 @@
 import pytest
 from msgspec import json
 
-from umberhitch.core.direct import EndpointState, RolloutOrder, RolloutState, RouteKind
+from umberhitch.core.direct import EndpointState, RolloutOrder, RolloutState, RouteKind, RouteTable
 from umberhitch.errors import ConfigError
 from umberhitch.platform._documents import (
     decode_endpoint,
@@ -46,7 +46,7 @@
     assert route.services == (("x", 90.0), ("y", 10.0))
     assert route.models == ("s", "l")
     assert document.services["x"].cache_tokens == 1000
-    assert document.customers["k2"].name == "acme"
+    assert RouteTable(document).customer("k2").name == "acme"
     assert (document.intake.head_bytes, document.intake.idle_timeout_s) == (100, 15.0)
 
 
--- a/umberhitch/tasks/direct/tests/test_telling.py
+++ b/umberhitch/tasks/direct/tests/test_telling.py
@@ -6,6 +6,7 @@
 
 from umberhitch.core.direct import Document, RolloutOrder
 from umberhitch.testing import DirectRouter, DirectWorld, make_direct_document, make_route
+from umberhitch.wire import Message, ViewReply, unpack_value
 
 ROUTERS = 5
 STEPS = 60
@@ -88,3 +89,26 @@
         world.run(0.2)
     assert sum(feed.calls for feed in others) == before
     assert {router.gateway.table.document.number for router in routers} == {11}
+
+
+def test_no_key_of_a_customer_is_told():
+    """The link between routers may be open."""
+    world = DirectWorld()
+    world.operator.put("config", make_direct_document(1))
+    for number in range(ROUTERS):
+        world.add_router(f"r{number}", link_mbps=100.0)
+    told: list[str] = []
+
+    def note(sender: str, peer: str, message: Message) -> bool:
+        if isinstance(message, ViewReply):
+            told.extend(repr(unpack_value(packed)) for _, packed in message.packed)
+        return False
+
+    world.network.drop_where(note)
+    world.run(12.0)
+    world.operator.put("config", make_direct_document(2, keys=("a-secret",)))
+    world.run(0.5)
+    assert any("customers={'" in each for each in told)
+    assert not any("a-secret" in each for each in told)
+    asked = world.ask(world.routers["r3"], "/look/x", key="a-secret")
+    assert asked.status != 401
--- a/umberhitch/testing/_direct.py
+++ b/umberhitch/testing/_direct.py
@@ -18,6 +18,7 @@
     Route,
     RouteKind,
     Service,
+    key_digest,
 )
 from umberhitch.fakes import (
     FakeEndpoint,
@@ -77,7 +78,7 @@
         make_route("draft", RouteKind.STREAM),
     )
     services = {"svc": Service("svc", slots=8, cache_tokens=100_000)}
-    return Document(number, routes, services, {key: Customer("c1") for key in keys})
+    return Document(number, routes, services, {key_digest(key): Customer("c1") for key in keys})
 
 
 def make_endpoint_entry(
