--- a/umberhitch/tasks/direct/tests/test_telling.py
+++ b/umberhitch/tasks/direct/tests/test_telling.py
@@ -112,3 +112,16 @@
     assert not any("a-secret" in each for each in told)
     asked = world.ask(world.routers["r3"], "/look/x", key="a-secret")
     assert asked.status != 401
+
+
+def test_a_reader_that_the_store_turns_away_has_what_is_new_from_the_others():
+    world = DirectWorld()
+    world.operator.put("config", make_direct_document(1))
+    routers = [world.add_router(f"r{number}", link_mbps=100.0) for number in range(ROUTERS)]
+    world.run(12.0)
+    routers[0].faults.is_down = True
+    world.run(3.0)
+    for number in (2, 3):
+        world.operator.put("config", make_direct_document(number))
+        world.run(1.0)
+        assert {router.gateway.table.document.number for router in routers} == {number}
