--- a/umberhitch/platform/__init__.py
+++ b/umberhitch/platform/__init__.py
@@ -1,17 +1,11 @@
 """The adapter to the users' platform: its store, its documents, its headers. It decides nothing."""
 
 from umberhitch.core.direct import EndpointEntry
+from umberhitch.platform._client import StoreClient
 from umberhitch.platform._documents import CONFIG_KEY, decode_endpoint, decode_operator
+from umberhitch.platform._feed import KeyedFeed, LargeRecords
 from umberhitch.platform._headers import PlatformWire
-from umberhitch.platform._store import (
-    ENDPOINT_TOPIC,
-    OPERATOR_TOPIC,
-    KeyedFeed,
-    LargeRecords,
-    Members,
-    Statuses,
-    StoreClient,
-)
+from umberhitch.platform._store import ENDPOINT_TOPIC, OPERATOR_TOPIC, Members, Statuses
 from umberhitch.ports.direct import OperatorValue
 
 __all__ = [
--- /dev/null
+++ b/umberhitch/platform/_client.py
@@ -0,0 +1,112 @@
+"""Calls to the platform's store."""
+
+from typing import Any
+from urllib.parse import urlencode
+
+from msgspec import DecodeError, json
+
+from umberhitch.adapters.h11_endpoints import EndpointClient
+from umberhitch.adapters.h11_fetch import IsWanted, NoReplyError, fetch
+from umberhitch.errors import LogAnswerLostError, LogBrokenOffError, LogUnavailableError
+from umberhitch.ports.clock import Clock
+from umberhitch.ports.direct import EndpointCall
+
+__all__ = ["CALL_S", "StoreClient", "json_of"]
+
+CALL_S = 1.0
+"""A call that takes longer has failed; the store answers within some ms, slow within some 100."""
+
+
+class StoreClient:
+    """Calls the store.
+
+    Parameters
+    ----------
+    http : EndpointClient
+    clock : Clock
+    address : str
+        ``IP:PORT``.
+    """
+
+    def __init__(self, http: EndpointClient, clock: Clock, address: str) -> None:
+        self._http = http
+        self._clock = clock
+        self._address = address
+        self.calls = 0
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any],
+        body: bytes = b"",
+        patience_s: float = CALL_S,
+        is_wanted: IsWanted | None = None,
+    ) -> tuple[int, bytes]:
+        """Return status and body of an answer, which has to begin within ``patience_s``.
+
+        Raises
+        ------
+        LogUnavailableError
+            The store refused the call, or could not be reached; it did nothing.
+        LogAnswerLostError
+            No answer came, or not the whole; the call may take effect, also later.
+        """
+        self.calls += 1
+        target = f"{path}?{urlencode(query)}" if query else path
+        headers = [(b"Host", self._address.encode())]
+        if method == "POST":
+            headers.append((b"Content-Length", str(len(body)).encode()))
+            headers.append((b"Content-Type", b"application/json"))
+        call = EndpointCall("", method.encode(), target.encode(), headers, body, is_once=True)
+        try:
+            head, data = await fetch(
+                self._http, self._clock, self._address, call, patience_s, is_wanted
+            )
+        except NoReplyError as exc:
+            if exc.has_begun:
+                raise LogBrokenOffError(str(exc)) from exc
+            if exc.was_sent:
+                raise LogAnswerLostError(str(exc)) from exc
+            raise LogUnavailableError(str(exc)) from exc
+        if head.status in (429, 503):
+            raise LogUnavailableError(f"the store answered {head.status}")
+        return head.status, data
+
+    async def read(
+        self,
+        path: str,
+        query: dict[str, Any],
+        patience_s: float = CALL_S,
+        is_wanted: IsWanted | None = None,
+    ) -> tuple[int, bytes]:
+        """Return status and body of an answer to a call that changes nothing.
+
+        Raises
+        ------
+        LogUnavailableError
+            No answer came.
+        LogBrokenOffError
+            The answer was not completed.
+        """
+        try:
+            return await self.call("GET", path, query, b"", patience_s, is_wanted)
+        except LogBrokenOffError:
+            raise
+        except LogAnswerLostError as exc:
+            raise LogUnavailableError(str(exc)) from exc
+
+    async def call_json(self, path: str, body: dict[str, Any]) -> Any:
+        """Post JSON and return the answer's; raises as `call`."""
+        status, data = await self.call("POST", path, {}, json.encode(body))
+        return json_of(status, data)
+
+
+def json_of(status: int, data: bytes) -> Any:
+    """Return an answer's JSON; raises `LogUnavailableError` where there is none."""
+    if status != 200:
+        raise LogUnavailableError(f"the store answered {status}")
+    try:
+        return json.decode(data)
+    except DecodeError as exc:
+        raise LogUnavailableError(f"the store's answer is not JSON: {exc}") from exc
--- a/umberhitch/tasks/direct/sharing.py
+++ b/umberhitch/tasks/direct/sharing.py
@@ -9,7 +9,6 @@
 one short wait.
 """
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from enum import Enum, StrEnum
@@ -17,7 +16,6 @@
 from random import Random
 from typing import Any, Generic, TypeVar
 
-from msgspec.structs import replace as replace_struct
 from twisted.internet.defer import Deferred
 
 from umberhitch.errors import (
@@ -27,7 +25,8 @@
     LogUnavailableError,
 )
 from umberhitch.ports.clock import Clock, Timer
-from umberhitch.ports.direct import FeedBatch, FeedPort, FeedRecord, do_nothing
+from umberhitch.ports.direct import FeedBatch, FeedPort, do_nothing
+from umberhitch.tasks.direct.change_log import ChangeLog
 from umberhitch.tasks.direct.feeds import Feed
 from umberhitch.tasks.direct.telling import ChangeTeller, EntryTeller, Teller
 from umberhitch.wire import Message, ViewAsk, ViewReply
@@ -118,16 +117,6 @@
     timer: Timer
 
 
-@dataclass(slots=True)
-class _Change:
-    end: int
-    """Offset after the batch that brought it."""
-    key: str
-    told: Any
-    """What is told of it, None if it is too large."""
-    was_away: bool
-
-
 class _Word(Enum):
     """What a peer's answer is worth that brings nothing by itself."""
 
@@ -260,10 +249,7 @@
         self._limits = limits
         self._teller = teller
         self._feed: Feed[Value] | None = None
-        self._changes: deque[_Change] = deque()
-        self._newest: dict[str, Value] = {}
-        self._floor = -1
-        """Changes after this offset are known."""
+        self._log: ChangeLog[Value] = ChangeLog(teller)
         self._held: list[_HeldAsk] = []
         self._asked_s = float("-inf")
         self._shunned: dict[str, float] = {}
@@ -283,7 +269,7 @@
     async def newest(self, patience_s: float) -> FeedBatch[Value]:
         """Return the newest record of every key, from the store."""
         called_s = self._clock.seconds()
-        if self._floor >= 0:
+        if self._log.floor >= 0:
             self._on_begun()  # what had come is replaced by something newer
         try:
             batch = await self._port.newest(patience_s)
@@ -344,7 +330,7 @@
         is_stale = self._clock.seconds() - proved_s > self._limits.stale_s
         if is_stale and (self._teller.tells_all or reply.end <= offset):
             return _Word.STALE
-        records = self._teller.take(reply, self._newest) if reply.end > offset else ()
+        records = self._teller.take(reply, self._log.newest) if reply.end > offset else ()
         if records is None:
             return _Word.NEWS
         return FeedBatch(records, max(offset, reply.end), proved_s, 0.0, reply.was_away)
@@ -399,41 +385,14 @@
 
     def _note(self, batch: FeedBatch[Value], is_whole: bool, was_away: bool) -> None:
         """Remember what the feed has taken, and tell it to those who wait for it."""
-        if is_whole and (self._teller.tells_all or self._floor < 0):
-            self._changes.clear()
-            self._newest.clear()
-            self._floor = batch.end
+        if is_whole:
+            self._log.begin(batch)
         self._note_changes(batch, is_whole, was_away)
-        while len(self._changes) > self._teller.kept_changes:
-            self._floor = self._changes.popleft().end
         self._tell_held()
 
     def _note_changes(self, batch: FeedBatch[Value], is_whole: bool, was_away: bool) -> None:
-        """Remember the records that change anything; heartbeats do not."""
-        records = batch.records
-        if is_whole:
-            gone = self._newest.keys() - {record.key for record in records}
-            records += tuple(FeedRecord(key, None) for key in gone)
-        is_told = self._floor < batch.end and (self._teller.tells_all or self._is_asked())
-        for record in records:
-            if self._newest.get(record.key) != record.value:
-                self._note_change(record, batch.end, was_away, is_told)
-        if not is_told:
-            self._changes.clear()
-            self._floor = batch.end
-
-    def _note_change(
-        self, record: FeedRecord[Value], end: int, was_away: bool, is_told: bool
-    ) -> None:
-        key, value = record.key, record.value
-        if is_told:
-            most_bytes = self._sharing.tell_bytes()
-            told = self._teller.tell(key, self._newest.get(key), value, most_bytes)
-            self._changes.append(_Change(end, key, told, was_away))
-        if value is None:
-            del self._newest[key]
-        else:
-            self._newest[key] = value
+        most_bytes = self._sharing.tell_bytes()
+        self._log.note(batch, is_whole, was_away, self._is_asked(), most_bytes)
 
     def _tell_held(self) -> None:
         """Answer those for whom there is something new."""
@@ -443,11 +402,11 @@
             self._answer(held)
 
     def _has_news(self, ask: ViewAsk) -> bool:
-        if self._feed is None or self._floor < 0 or ask.offset < self._floor:
+        if self._feed is None or not self._log.covers(ask.offset):
             return True  # it cannot be told, which is to be known at once
         if not self._teller.tells_all:
             return self._end() > ask.offset
-        return bool(self._changes) and self._changes[-1].end > ask.offset
+        return self._log.has_changed(ask.offset)
 
     def _end(self) -> int:
         """Return the offset up to which there are records, taken or on their way."""
@@ -473,7 +432,7 @@
         self._held.remove(held)
         ask, feed, now_s = held.ask, self._feed, self._clock.seconds()
         reply = ViewReply(ask.ask, ask.incarnation, False)
-        is_covered = 0 <= self._floor <= ask.offset
+        is_covered = self._log.covers(ask.offset)
         if feed is not None and feed.proved_s is not None:
             if is_covered or not self._teller.tells_all:
                 reply = ViewReply(
@@ -484,16 +443,7 @@
                     round(now_s - feed.proved_s, 4),
                     round(now_s - held.received_s, 4),
                 )
-            if is_covered:
-                reply = self._add_changes(reply, ask.offset)
+            # Where more is on its way, the store is to be read.
+            if is_covered and self._end() == feed.offset:
+                reply = self._log.add_to(reply, ask.offset)
         self._sharing.send(held.sender, reply)
-
-    def _add_changes(self, reply: ViewReply, offset: int) -> ViewReply:
-        """Tell what has changed since an offset."""
-        if self._is_reading and not self._teller.tells_all:
-            return reply  # more is on its way, and the store is to be read
-        news = [each for each in self._changes if each.end > offset]
-        if not news:
-            return reply
-        reply = self._teller.add(reply, [(each.key, each.told) for each in news])
-        return replace_struct(reply, was_away=any(each.was_away for each in news))
