A session lasts from the end of its last request

Trace: the roll-out began at 13.0 s; the session's time was counted from the beginning of its last request, so that after a stream of several seconds it was taken for a new one. Class: a time measured from the wrong end. Change: the end of a request refreshes its session, before and during a roll-out.

--- a/umberhitch/core/direct/_trial.py
+++ b/umberhitch/core/direct/_trial.py
@@ -11,7 +11,7 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from umberhitch.core.direct._evidence import AnswerVerdict, Counts, EvidenceBar
 from umberhitch.core.direct._types import RolloutOrder, RolloutState
@@ -59,7 +59,7 @@
         An endpoint that is lost breaks off answers though its version is good, and load makes them
         slow, all at once: so those have to be more than failures by the endpoint's own word.
     session_s : float
-        Requests of a session that are not further apart belong together.
+        Requests of a session belong together where one begins so soon after the one before ended.
     """
 
     first_share: float = 0.07
@@ -84,7 +84,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Pin:
-    """The version of a session, and when it was seen last."""
+    """The version of a session, and when a request of it began or ended last."""
 
     is_target: bool
     at_s: float
@@ -223,6 +223,12 @@
             self._sessions.popitem(last=False)
         return chosen
 
+    def ended(self, session: str, now_s: float) -> None:
+        """Note that a request of a session has ended: the session lasts from then."""
+        pin = self._sessions.get(session)
+        if pin is not None:
+            self._sessions[session] = replace(pin, at_s=now_s)
+
     def seen_before(self, session: str, at_s: float, draw: float) -> None:
         """Note a session that is on the old version, here or at another router."""
         known = self._sessions.get(session)
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -373,6 +373,7 @@
     def finished(self, exchange: RequestState, outcome: str) -> None:
         """Take note that a request has its final answer."""
         self.running.discard(exchange)
+        self.trials.ended(exchange.permit.service, exchange.permit.ask.session)
         self.counters.outcomes[outcome] = self.counters.outcomes.get(outcome, 0) + 1
         elapsed_s = round(self.clock.seconds() - exchange.permit.received_s, 4)
         is_failure = outcome != "done"
--- a/umberhitch/tasks/direct/tests/test_trials.py
+++ b/umberhitch/tasks/direct/tests/test_trials.py
@@ -2,6 +2,8 @@
 
 from itertools import pairwise
 
+import pytest
+
 from umberhitch.core.direct import AnswerVerdict, RolloutOrder, RolloutState, Trial, TrialLimits
 from umberhitch.fakes import Reply, StoreFaults
 from umberhitch.testing import DirectWorld, make_direct_document
@@ -381,3 +383,23 @@
 def _version(world: DirectWorld, call_id: str) -> str:
     names = [n for n in ("n1", "n2") if call_id in world.endpoints.by_address[f"@{n}"].ran]
     return "v2" if names else "v1"
+
+
+@pytest.mark.parametrize("is_peer", [False, True])
+def test_a_session_is_counted_from_the_end_of_its_last_request(is_peer):
+    """It was counted from the beginning: after a stream of some seconds it was taken for a new one
+    and went to the new version in the first half."""
+    world = _world(2)
+    for name in ("e1", "e2", "e3"):
+        world.endpoints.by_address[f"@{name}"].reply = Reply(events=120, gap_s=0.05)
+    sessions = [f"s{number}" for number in range(200)]
+    for session in sessions:
+        world.ask(world.routers["r0"], "/draft/x", Session_Name=session)
+    world.run(5.0)
+    _begin(world, Reply(events=1))
+    world.run(2.0)  # it ran for 6 s, and ended 2.2 s ago
+    router = world.routers["r1" if is_peer else "r0"]
+    for session in sessions:
+        world.ask(router, "/draft/x", Session_Name=session)
+    world.run(0.1)
+    assert _exposed(world) == (400, 0)
--- a/umberhitch/tasks/direct/trials.py
+++ b/umberhitch/tasks/direct/trials.py
@@ -239,6 +239,17 @@
                 recent.popitem(last=False)
         return None
 
+    def ended(self, service: str, session: str | None) -> None:
+        """Take note that a request of a session has its answer."""
+        if session is None:
+            return
+        now_s = self._clock.seconds()
+        trial = self._trials.get(service)
+        if trial is not None:
+            trial.ended(session, now_s)
+        elif session in self._recent.get(service, ()):
+            self._recent[service][session] = (now_s, _draw(session))
+
     def _is_within_bound(self, trial: Trial, endpoints: list[Endpoint], now_s: float) -> bool:
         at_s, is_within = self._within.get(trial.order.service, (float("-inf"), False))
         if now_s - at_s < TICK_S:
