--- a/umberhitch/tasks/direct/tests/test_trials.py
+++ b/umberhitch/tasks/direct/tests/test_trials.py
@@ -403,3 +403,18 @@
         world.ask(router, "/draft/x", Session_Name=session)
     world.run(0.1)
     assert _exposed(world) == (400, 0)
+
+
+def test_a_session_stays_where_it_is_when_another_router_gets_it_just_after_the_order():
+    """With 23 peers a report goes out each 0.7 s: until the first one after the order, others do
+    not know which sessions are on the old version."""
+    world = _world(24)
+    sessions = [f"s{number}" for number in range(200)]
+    for session in sessions:
+        world.ask(world.routers["r0"], "/look/x", Session_Name=session)
+    _begin(world, Reply())
+    world.run(0.1)
+    for session in sessions:
+        world.ask(world.routers["r20"], "/look/x", Session_Name=session)
+    world.run(0.1)
+    assert _exposed(world) == (400, 0)
