Sessions that stay on the old version are told to all routers at once

Cause: until its first report after an order (0.7 s with 23 peers, 2.1 s with 67) a router's peers did not know which of its sessions are on the old version; 10 of 200 whose next request came to another router went to the new one. Change: a router tells those sessions when it takes the order and when it keeps one back (message that told moved sessions, a further field that older peers leave unread), and the new version gets nothing for the first 1.0 s.

--- a/umberhitch/core/direct/_trial.py
+++ b/umberhitch/core/direct/_trial.py
@@ -60,6 +60,10 @@
         slow, all at once: so those have to be more than failures by the endpoint's own word.
     session_s : float
         Requests of a session belong together where one begins so soon after the one before ended.
+    settle_s : float
+        Until so long after the order the new version gets nothing: routers take the order within
+        some tenths of a second of each other, and tell each other by then which sessions are on
+        the old version.
     """
 
     first_share: float = 0.07
@@ -80,6 +84,7 @@
     broken: EvidenceBar = EvidenceBar(least=6, rate=0.2, usual_rate=0.02)
     slow: EvidenceBar = EvidenceBar(least=4, rate=0.3, usual_rate=0.1, deviations=6.0)
     session_s: float = 5.0
+    settle_s: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +120,8 @@
         self.just_moved: list[str] = []
         """Sessions that other routers would send to the old version, and that they have not been
         told of yet."""
+        self.just_kept: list[str] = []
+        """The same of sessions on the old version that others would send to the new one."""
         self._bears_all = False
         self._others: dict[str, dict[tuple[bool, str], Counts]] = {}
         self._broken_s: dict[str, float] = {}
@@ -133,6 +140,8 @@
                 return 1.0
         if self.bears_all(now_s) or (is_light and self.is_proving(now_s)):
             return 1.0
+        if now_s - self.started_s < self.limits.settle_s:
+            return 0.0
         return self.limits.first_share
 
     def bears_all(self, now_s: float) -> bool:
@@ -218,6 +227,8 @@
         was_target = known is not None and known.is_target
         if chosen and not was_target and self._is_told(draw, now_s):
             self.just_moved.append(session)
+        if not chosen and self._is_kept(draw, now_s):
+            self.just_kept.append(session)
         self._sessions[session] = _Pin(chosen, now_s, draw, True)
         while len(self._sessions) > MAX_SESSIONS:
             self._sessions.popitem(last=False)
@@ -241,17 +252,22 @@
         They are on the old version and began there before the roll-out, though their draw is within
         the share of the first half.
         """
-        if self.state is not RolloutState.IN_PROGRESS:
-            return []
-        if not self.is_first_half(now_s):
-            return []
         oldest_s = now_s - self.limits.session_s
         return [
             session
             for session, pin in self._sessions.items()
-            if pin.draw < self.limits.first_share and not pin.is_target and pin.at_s >= oldest_s
+            if not pin.is_target and pin.at_s >= oldest_s and self._is_kept(pin.draw, now_s)
         ]
 
+    def _is_kept(self, draw: float, now_s: float) -> bool:
+        """Whether others are told of a session on the old version: by its draw they would move it.
+
+        Only in the first half, in which sessions stay where they are.
+        """
+        if self.state is not RolloutState.IN_PROGRESS or not self.is_first_half(now_s):
+            return False
+        return draw < self.limits.first_share
+
     def moved_sessions(self, now_s: float) -> list[str]:
         """Return the sessions that another router would send to the old version, and must not.
 
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -34,9 +34,10 @@
 FAR_EVERY = 4
 """Of many peers, those in other availability zones get each fourth report only, but during a
 roll-out: calls mostly stay in their zone, and reports cross it."""
-MOVED_S = 0.03
-"""Sessions that moved to a new version are told together after this. With 28 peers a report goes
-out each 0.9 s; sessions whose next request came to another router sooner went back: 4 on a day."""
+SESSIONS_S = 0.03
+"""Sessions that others would send to the other version are told together after this. With 28 peers
+a report goes out each 0.9 s; sessions whose next request came to another router sooner went there:
+4 on a day, and 10 of 200 within 0.1 s of an order."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,10 +113,10 @@
         self._seq = 0
         self._generation = -1
         self._is_stopped = False
-        self._is_moved_due = False
+        self._is_sessions_due = False
         gateway.trials.rank = self.rank
         gateway.trials.old_running = self.old_running
-        gateway.trials.on_moved = self._tell_moved_soon
+        gateway.trials.on_sessions = self._tell_sessions_soon
         gateway.presence.others_return_s = self.return_s
         sharing.peers = self.names
         sharing.link_mbps = self.link_mbps
@@ -181,15 +182,15 @@
         crowd = max(1.0, len(self._known) / self._limits.full_pace_peers)
         self._clock.callLater(self._limits.report_s * crowd, self._report)
 
-    def _tell_moved_soon(self) -> None:
-        if not self._is_moved_due:
-            self._is_moved_due = True
-            self._clock.callLater(MOVED_S, self._tell_moved)
+    def _tell_sessions_soon(self) -> None:
+        if not self._is_sessions_due:
+            self._is_sessions_due = True
+            self._clock.callLater(SESSIONS_S, self._tell_sessions)
 
-    def _tell_moved(self) -> None:
-        """Tell all peers of the sessions that have just moved to a new version."""
-        self._is_moved_due = False
-        for message in self._gateway.trials.take_moved():
+    def _tell_sessions(self) -> None:
+        """Tell all peers of sessions that they would send to the other version."""
+        self._is_sessions_due = False
+        for message in self._gateway.trials.take_sessions():
             for name in self._known:
                 self._link.send(name, message)
 
@@ -283,7 +284,7 @@
                 case BurnReply() if self._gateway.burn is not None:
                     self._gateway.burn.take(sender, message)
                 case SessionsMoved():
-                    self._gateway.trials.note_moved(message)
+                    self._gateway.trials.note_sessions(message)
                 case ViewAsk() | ViewReply():
                     self._sharing.receive(sender, message)
                 case _:
--- a/umberhitch/tasks/direct/tests/test_trials.py
+++ b/umberhitch/tasks/direct/tests/test_trials.py
@@ -418,3 +418,12 @@
         world.ask(world.routers["r20"], "/look/x", Session_Name=session)
     world.run(0.1)
     assert _exposed(world) == (400, 0)
+
+
+def test_a_new_version_gets_nothing_until_all_routers_have_told_their_sessions():
+    world = _world()
+    _begin(world, Reply())
+    _traffic(world, 0.9 * TrialLimits().settle_s)
+    assert _exposed(world)[1] == 0
+    _traffic(world, 0.4 * DURATION_S)
+    assert _exposed(world)[1] > 0
--- a/umberhitch/tasks/direct/trials.py
+++ b/umberhitch/tasks/direct/trials.py
@@ -64,7 +64,7 @@
         Returns how many calls run on an endpoint, those of other routers included.
     old_running : callable
         Returns how many calls run on endpoints of a service that are not of a version.
-    on_moved : callable
+    on_sessions : callable
         Called when there are sessions of which the others are to be told at once.
     """
 
@@ -87,7 +87,7 @@
         self.rank: Callable[[], int] = lambda: 0
         self.old_running: Callable[[str, str], int] = lambda service, version: 0
         self.running: Callable[[str], int] = lambda incarnation: 0
-        self.on_moved: Callable[[], None] = do_nothing
+        self.on_sessions: Callable[[], None] = do_nothing
 
     def start(self) -> None:
         """Begin to drive."""
@@ -113,7 +113,9 @@
         trial = Trial(order, now_s, self._limits)
         for session, (at_s, draw) in self._recent.pop(order.service, {}).items():
             trial.seen_before(session, at_s, draw)
+        trial.just_kept = trial.kept_back(now_s)
         self._trials[order.service] = trial
+        self._tell_sessions(trial)
         self._written.pop(order.service, None)
         self._within.pop(order.service, None)
         self._unread.add(order.service)
@@ -228,8 +230,7 @@
             )
             is_within = self._is_within_bound(trial, endpoints, now_s)
             chosen = trial.is_for_target(session, draw, now_s, has_target, is_light, is_within)
-            if trial.just_moved:
-                self.on_moved()
+            self._tell_sessions(trial)
             return chosen
         if session is not None:
             recent = self._recent.setdefault(service, OrderedDict())
@@ -250,6 +251,10 @@
         elif session in self._recent.get(service, ()):
             self._recent[service][session] = (now_s, _draw(session))
 
+    def _tell_sessions(self, trial: Trial) -> None:
+        if trial.just_moved or trial.just_kept:
+            self.on_sessions()
+
     def _is_within_bound(self, trial: Trial, endpoints: list[Endpoint], now_s: float) -> bool:
         at_s, is_within = self._within.get(trial.order.service, (float("-inf"), False))
         if now_s - at_s < TICK_S:
@@ -342,22 +347,27 @@
             for service, trial in self._trials.items()
         ]
 
-    def take_moved(self) -> list[SessionsMoved]:
+    def take_sessions(self) -> list[SessionsMoved]:
         """Return what others are to be told at once, and that was not."""
         found = []
         for service, trial in self._trials.items():
-            if trial.just_moved:
-                found.append(SessionsMoved(service, trial.order.target, trial.just_moved))
-                trial.just_moved = []
+            if trial.just_moved or trial.just_kept:
+                kept = trial.just_kept[-MAX_KEPT_BACK:]
+                target = trial.order.target
+                found.append(SessionsMoved(service, target, trial.just_moved, kept))
+                trial.just_moved, trial.just_kept = [], []
         return found
 
-    def note_moved(self, message: SessionsMoved) -> None:
-        """Take note of sessions that another router has sent to a new version."""
+    def note_sessions(self, message: SessionsMoved) -> None:
+        """Take note of sessions that another router has sent to one of the versions."""
         trial = self._trials.get(message.service)
         if trial is None or trial.order.target != message.target:
             return
+        now_s = self._clock.seconds()
         for session in message.sessions:
-            trial.moved_before(session, self._clock.seconds(), _draw(session))
+            trial.moved_before(session, now_s, _draw(session))
+        for session in message.kept:
+            trial.seen_before(session, now_s, _draw(session))
 
     def take(self, router: str, reports: list[TrialReport]) -> None:
         """Take what another incarnation of a router tells."""
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -364,11 +364,14 @@
 
 
 class SessionsMoved(Struct, frozen=True, array_like=True, tag="moved"):
-    """Sessions that have just moved to a new version; the reports repeat them."""
+    """Sessions that others would send to the other version; the reports repeat them."""
 
     service: str
     target: str
     sessions: list[str]
+    """Those that have just moved to the new one."""
+    kept: list[str] = []
+    """Those that are on the old one, in the first half."""
 
 
 class EndpointUse(Struct, frozen=True, array_like=True):
