Endpoints that start again under their id, and entries that anyone may have written

Cause: an endpoint's lifetime was its id; bans, load, cached parts, calls told by peers and kept connections of the process before were taken for those of the one after. A record whose key could not be read failed each call of the feed for ever; nesting 5,000 deep, a number over 64 bits or a key with a line break ended the feed or broke a header. Change: Directory, Placement, peers' words and the log name an endpoint by incarnation and born; two values of born are compared for equality only, the registry's order tells which is newer; a late entry of a replaced lifetime is taken only if it stands for 1.5 s. The decoder checks each field; a broken entry takes away the good one under its key, since who starts now sees no other; one log line a second at most.

--- a/benchmarks/direct.py
+++ b/benchmarks/direct.py
@@ -49,7 +49,7 @@
     for index in range(size):
         zone, address = f"z{index % ZONES}", f"10.0.{index // 250}.{index % 250}:80"
         entry = EndpointEntry(f"i{index}", "svc", address, zone, "v1", 64, EndpointState.READY)
-        directory.put(entry)
+        directory.put(entry, 0.0)
     return directory
 
 
--- a/umberhitch/core/direct/_directory.py
+++ b/umberhitch/core/direct/_directory.py
@@ -1,5 +1,17 @@
-"""Which endpoints there are, and which of them take new work."""
+"""Which endpoints there are, and which of them take new work.
 
+An endpoint may start again under its incarnation: then its entry names another time of birth, and a
+new lifetime begins. What is believed of one process dies with its lifetime: that it is banned or
+failing, the load that it or peers told, what its engine has cached and reads, its pace, calls under
+way on it, its idle connections. What does not: the bucket homes, since parts that return to the
+same endpoint are read again once there, and elsewhere not at all; what is known of a version, of
+a model's pace, the budgets and the sessions, since none of them speaks of one process.
+
+Which of two lifetimes is the newer one is told by the order in which the registry confirmed their
+entries, never by comparing the times.
+"""
+
+from collections import OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
@@ -30,16 +42,30 @@
 (Mitzenmacher, 2001)."""
 HOME_BUCKETS = 1024
 """Shared parts fall into so many buckets, each with a home."""
+DOUBT_S = 1.5
+"""An entry of a lifetime that was replaced is a late one, unless it stands for so long: a process
+that lives writes its entry each 1.2 s."""
+MAX_REPLACED = 2000
+"""Incarnations of which replaced lifetimes are remembered: the restarts of a day."""
+KEPT_LIFETIMES = 4
+"""Replaced lifetimes that are remembered of each; late entries come within seconds."""
 
 
 @dataclass(slots=True)
 class Endpoint:
-    """One incarnation of an endpoint, with what this router has seen of it."""
+    """One lifetime of an endpoint, with what this router has seen of it."""
 
     entry: EndpointEntry
     lapses_s: float | None = None
     banned_until_s: float = 0.0
     failures: int = 0
+    lifetime: str = ""
+    """Names it among all lifetimes, at every router."""
+
+    def __post_init__(self) -> None:
+        born = self.entry.born
+        name = self.entry.incarnation
+        self.lifetime = name if born is None else f"{name}@{born}"
 
     def takes_work(self, now_s: float) -> bool:
         """Whether new work may be sent to it."""
@@ -105,31 +131,73 @@
 
     def __init__(self) -> None:
         self._endpoints: dict[str, Endpoint] = {}
+        self._lifetimes: dict[str, Endpoint] = {}
+        self._replaced: OrderedDict[str, deque[int | None]] = OrderedDict()
+        """Lifetimes by incarnation that came to their end when another one began."""
+        self._doubted: dict[str, tuple[EndpointEntry, float]] = {}
+        """Entries of replaced lifetimes, and since when they stand."""
         self._by_service: dict[str, _Members] = {}
         self.is_loaded = False
 
     def __len__(self) -> int:
         return len(self._endpoints)
 
-    def put(self, entry: EndpointEntry) -> None:
-        """Take an entry that is new, or newer than the one known."""
+    def put(self, entry: EndpointEntry, now_s: float) -> Endpoint | None:
+        """Take an entry that is new, or newer than the one known.
+
+        Returns
+        -------
+        Endpoint or None
+            The lifetime that has come to its end by it.
+        """
+        if self._is_late(entry):
+            _, since_s = self._doubted.get(entry.incarnation, (entry, now_s))
+            self._doubted[entry.incarnation] = entry, since_s
+            return None
+        self._doubted.pop(entry.incarnation, None)
+        return self._take(entry)
+
+    def _is_late(self, entry: EndpointEntry) -> bool:
+        """Whether an entry is of a lifetime that another one has replaced."""
+        known = self._endpoints.get(entry.incarnation)
+        if known is not None and known.entry.born == entry.born:
+            return False
+        return entry.born in self._replaced.get(entry.incarnation, ())
+
+    def _take(self, entry: EndpointEntry) -> Endpoint | None:
         known = self._endpoints.get(entry.incarnation)
         if known is not None and known.entry == entry and known.lapses_s is None:
-            return
+            return None
+        ended = None
+        if known is not None and known.entry.born != entry.born:
+            ended, known = known, None
+            self._note_replaced(ended.entry)
+            self.drop(entry.incarnation)
         if known is None:
             known = Endpoint(entry)
             self._endpoints[entry.incarnation] = known
+            self._lifetimes[known.lifetime] = known
         elif known.entry.service != entry.service:
             self._remove(known)
         known.entry = entry
         known.lapses_s = None
         members = self._by_service.setdefault(entry.service, _Members())
         members.put(known)
+        return ended
+
+    def _note_replaced(self, entry: EndpointEntry) -> None:
+        replaced = self._replaced.pop(entry.incarnation, deque(maxlen=KEPT_LIFETIMES))
+        replaced.append(entry.born)
+        self._replaced[entry.incarnation] = replaced
+        while len(self._replaced) > MAX_REPLACED:
+            self._replaced.popitem(last=False)
 
     def drop(self, incarnation: str) -> None:
         """Forget an endpoint whose entry is gone."""
+        self._doubted.pop(incarnation, None)
         known = self._endpoints.pop(incarnation, None)
         if known is not None:
+            del self._lifetimes[known.lifetime]
             self._remove(known)
 
     def _remove(self, known: Endpoint) -> None:
@@ -147,6 +215,7 @@
         there_s : float or None
             When the registry was read last, and the entry was there.
         """
+        self._doubted.pop(incarnation, None)
         known = self._endpoints.get(incarnation)
         if known is None or known.lapses_s is not None:
             return
@@ -155,20 +224,42 @@
             # It went since then, while the registry was read: so it may as well have left.
             known.lapses_s = there_s + GONE_S
 
-    def sweep(self, now_s: float) -> None:
-        """Drop the endpoints whose entries have not come back."""
+    def sweep(self, now_s: float) -> list[Endpoint]:
+        """Drop endpoints whose entries have not come back, and take entries that stand after all.
+
+        Returns
+        -------
+        list of Endpoint
+            The lifetimes that have come to their end.
+        """
+        ended = []
         for incarnation, known in list(self._endpoints.items()):
             if known.lapses_s is not None and now_s >= known.lapses_s:
                 self.drop(incarnation)
+                ended.append(known)
+        for entry, since_s in list(self._doubted.values()):
+            if now_s >= since_s + DOUBT_S:
+                del self._doubted[entry.incarnation]
+                replaced = self._take(entry)
+                ended += [] if replaced is None else [replaced]
+        return ended
 
     def get(self, incarnation: str) -> Endpoint | None:
-        """Return an endpoint."""
+        """Return the endpoint that an incarnation names now."""
         return self._endpoints.get(incarnation)
 
+    def of_lifetime(self, lifetime: str) -> Endpoint | None:
+        """Return an endpoint if it is still in that lifetime."""
+        return self._lifetimes.get(lifetime)
+
     def incarnations(self) -> Iterable[str]:
         """Return every incarnation known."""
         return list(self._endpoints)
 
+    def lifetimes(self) -> Iterable[str]:
+        """Return every lifetime known."""
+        return list(self._lifetimes)
+
     def of_service(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service, those that take no work included."""
         members = self._by_service.get(service)
--- a/umberhitch/core/direct/_placement.py
+++ b/umberhitch/core/direct/_placement.py
@@ -127,7 +127,7 @@
 class Placed:
     """A call that was placed, until it is released."""
 
-    incarnation: str
+    lifetime: str
     model: str
     tokens: int
     work_s: float
@@ -175,10 +175,10 @@
         self._pace = ReadingPace()
 
     def forget(self, known: Iterable[str]) -> None:
-        """Keep only what concerns endpoints that are still known."""
+        """Keep only what concerns lifetimes of endpoints that are still known."""
         keep = set(known)
-        for incarnation in [each for each in self._seen if each not in keep]:
-            del self._seen[incarnation]
+        for lifetime in [each for each in self._seen if each not in keep]:
+            del self._seen[lifetime]
 
     def token_s(self, model: str, models: tuple[str, ...]) -> float:
         """Return the time in which a model reads one token."""
@@ -225,7 +225,7 @@
 
     def _plain_wait_s(self, endpoint: Endpoint, now_s: float) -> float:
         """Return the wait at a plain service."""
-        seen = self._seen.get(endpoint.entry.incarnation)
+        seen = self._seen.get(endpoint.lifetime)
         if seen is None:
             return 0.0
         running, _ = self._load(seen, now_s)
@@ -243,12 +243,12 @@
         return running, weight * max(0, seen.load.waiting)
 
     def _engine_offer(self, endpoint: Endpoint, work: EngineWork, now_s: float) -> Offer:
-        incarnation, ask = endpoint.entry.incarnation, work.ask
-        unread = float(ask.prompt_tokens - self.cached_tokens(incarnation, work.model, ask))
+        lifetime, ask = endpoint.lifetime, work.ask
+        unread = float(ask.prompt_tokens - self.cached_tokens(lifetime, work.model, ask))
         if endpoint is work.home:
             unread -= self.limits.home_share * (unread - ask.prompt[-1].tokens)
         work_s = unread * self.token_s(work.model, work.models)
-        seen = self._seen.get(incarnation)
+        seen = self._seen.get(lifetime)
         if seen is None:
             return Offer(endpoint, work_s, work.price.of(work_s, 0.0))
         running, waiting = self._load(seen, now_s)
@@ -267,15 +267,15 @@
         return far_s + self._failing_s(endpoint)
 
     def _failing_s(self, endpoint: Endpoint) -> float:
-        seen = self._seen.get(endpoint.entry.incarnation)
+        seen = self._seen.get(endpoint.lifetime)
         return 0.0 if seen is None else seen.failing * self.limits.failing_s
 
     def _age_weight(self, age_s: float) -> float:
         return 1.0 / (1.0 + 2.0 * max(0.0, age_s) / self.limits.load_age_s)
 
-    def cached_tokens(self, incarnation: str, model: str, ask: Ask) -> int:
+    def cached_tokens(self, lifetime: str, model: str, ask: Ask) -> int:
         """Return how many tokens of the prompt the endpoint probably holds for a model."""
-        seen = self._seen.get(incarnation)
+        seen = self._seen.get(lifetime)
         if seen is None:
             return 0
         tokens = 0
@@ -295,9 +295,9 @@
         now_s: float,
     ) -> Placed:
         """Count a call on an endpoint until it is released."""
-        incarnation = endpoint.entry.incarnation
-        seen = self._seen.setdefault(incarnation, _Seen())
-        unread = ask.prompt_tokens - self.cached_tokens(incarnation, model, ask)
+        lifetime = endpoint.lifetime
+        seen = self._seen.setdefault(lifetime, _Seen())
+        unread = ask.prompt_tokens - self.cached_tokens(lifetime, model, ask)
         work_s = unread * self.token_s(model, models) if ask.prompt else 0.0
         base_s = self._base_s(seen, work_s, seen.running + seen.others_running)
         seen.running += 1
@@ -307,7 +307,7 @@
         assumed_s = self._assumed_s(model, models)
         rank = models.index(model) if model in models else 0
         seen.readings.began(rank, work_s)
-        return Placed(incarnation, model, unread, work_s, base_s, now_s, assumed_s, rank)
+        return Placed(lifetime, model, unread, work_s, base_s, now_s, assumed_s, rank)
 
     def _cache(
         self, seen: _Seen, model: str, parts: tuple[PromptPart, ...], limit_tokens: float
@@ -337,7 +337,7 @@
         seen.slow = min(SLOWEST, max(0.5, seen.slow + PACE_WEIGHT * (ratio - seen.slow)))
 
     def _finish_reading(self, placed: Placed) -> _Seen | None:
-        seen = self._seen.get(placed.incarnation)
+        seen = self._seen.get(placed.lifetime)
         if placed.is_reading:
             placed.is_reading = False
             if seen is not None:
@@ -354,17 +354,17 @@
         if is_failure is not None:
             seen.failing += FAILURE_WEIGHT * (float(is_failure) - seen.failing)
 
-    def report(self, incarnation: str, load: ReportedLoad, now_s: float) -> None:
+    def report(self, lifetime: str, load: ReportedLoad, now_s: float) -> None:
         """Take the load that an endpoint reported."""
-        seen = self._seen.setdefault(incarnation, _Seen())
+        seen = self._seen.setdefault(lifetime, _Seen())
         seen.load = load
         seen.load_at_s = now_s
 
     def others(
-        self, incarnation: str, running: int, reading_s: float, rank: int, now_s: float
+        self, lifetime: str, running: int, reading_s: float, rank: int, now_s: float
     ) -> None:
         """Take what the other routers have placed on an endpoint, all together."""
-        seen = self._seen.setdefault(incarnation, _Seen())
+        seen = self._seen.setdefault(lifetime, _Seen())
         seen.readings.seen(rank, now_s)
         seen.others_running = running
         seen.others_reading_s = reading_s
@@ -372,25 +372,25 @@
     def own(self) -> dict[str, tuple[int, float, int]]:
         """Return running calls, unread work in seconds and the rank that reads, by endpoint."""
         return {
-            incarnation: (seen.running, seen.reading_s, seen.readings.under_way())
-            for incarnation, seen in self._seen.items()
+            lifetime: (seen.running, seen.reading_s, seen.readings.under_way())
+            for lifetime, seen in self._seen.items()
             if seen.running
         }
 
-    def read_rank(self, incarnation: str, since_s: float) -> int:
+    def read_rank(self, lifetime: str, since_s: float) -> int:
         """Return the largest model that has read a long prompt on an endpoint since a time.
 
         It is given by its rank on its route, smallest 0; `NO_READING` where none has.
         """
-        seen = self._seen.get(incarnation)
+        seen = self._seen.get(lifetime)
         return NO_READING if seen is None else seen.readings.largest(since_s)
 
-    def running(self, incarnation: str) -> int:
+    def running(self, lifetime: str) -> int:
         """Return this router's running calls on an endpoint."""
-        seen = self._seen.get(incarnation)
+        seen = self._seen.get(lifetime)
         return 0 if seen is None else seen.running
 
-    def all_running(self, incarnation: str) -> int:
+    def all_running(self, lifetime: str) -> int:
         """Return the running calls on an endpoint, those that peers told of included."""
-        seen = self._seen.get(incarnation)
+        seen = self._seen.get(lifetime)
         return 0 if seen is None else seen.running + seen.others_running
--- a/umberhitch/core/direct/_types.py
+++ b/umberhitch/core/direct/_types.py
@@ -137,7 +137,16 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointEntry:
-    """One incarnation of an endpoint, as it stands in the registry."""
+    """One incarnation of an endpoint, as it stands in the registry.
+
+    Attributes
+    ----------
+    incarnation : str
+        Its key in the registry. A process may start again under the same one.
+    born : int or None
+        When its process started, in ms of the time of day; None where it does not say. Two values
+        are compared for being equal only: the clock may have stepped back between two starts.
+    """
 
     incarnation: str
     service: str
@@ -146,6 +155,7 @@
     version: str
     slots: int
     state: EndpointState
+    born: int | None = None
 
 
 class RolloutState(StrEnum):
--- /dev/null
+++ b/umberhitch/core/direct/tests/test_lifetimes.py
@@ -0,0 +1,95 @@
+"""The directory where an endpoint starts again under its incarnation."""
+
+import pytest
+
+from umberhitch.core.direct import Directory, EndpointState
+from umberhitch.core.direct._directory import DOUBT_S, RETURN_S
+from umberhitch.testing import make_endpoint_entry
+
+
+def _directory(*born: int | None) -> Directory:
+    directory = Directory()
+    for each in born:
+        directory.put(make_endpoint_entry("e1", born=each), 0.0)
+    return directory
+
+
+def _born(directory: Directory) -> int | None:
+    return directory.get("e1").entry.born
+
+
+def test_a_new_lifetime_knows_nothing_of_the_bans_of_the_one_before():
+    directory = _directory(1000)
+    before = directory.get("e1")
+    directory.failed(before, 0.0)
+    ended = directory.put(make_endpoint_entry("e1", born=2000), 0.1)
+    assert ended is before
+    after = directory.get("e1")
+    assert after.takes_work(0.1)
+    directory.failed(before, 0.2)  # a call to the one before ends late
+    assert after.takes_work(0.2)
+    assert directory.of_lifetime(before.lifetime) is None
+    assert directory.of_lifetime(after.lifetime) is after
+
+
+@pytest.mark.parametrize("born", [500, 2000, None])
+def test_a_lifetime_is_new_whatever_its_clock_said(born):
+    assert _born(_directory(1000, born)) == born
+
+
+def test_the_same_lifetime_keeps_what_is_known_of_it():
+    directory = _directory(1000)
+    known = directory.get("e1")
+    draining = make_endpoint_entry("e1", state=EndpointState.DRAINING, born=1000)
+    assert directory.put(draining, 0.1) is None
+    assert directory.get("e1") is known
+
+
+def test_a_late_entry_of_a_replaced_lifetime_changes_nothing():
+    """A write whose answer was lost may be done some seconds later."""
+    directory = _directory(1000, 2000)
+    directory.put(make_endpoint_entry("e1", "v0", born=1000), 1.0)
+    assert _born(directory) == 2000
+    directory.put(make_endpoint_entry("e1", born=2000), 2.0)  # the next one of who lives
+    directory.sweep(9.0)
+    assert _born(directory) == 2000
+
+
+def test_an_entry_that_stands_is_taken_though_its_lifetime_had_been_replaced():
+    """Another writer named a lifetime that never was; the endpoint itself goes on writing."""
+    directory = _directory(1000, 7)
+    directory.put(make_endpoint_entry("e1", born=1000), 1.0)
+    directory.put(make_endpoint_entry("e1", born=1000), 2.2)
+    assert [each.lifetime for each in directory.sweep(1.0 + DOUBT_S)] == ["e1@7"]
+    assert _born(directory) == 1000
+
+
+def test_a_late_entry_after_the_endpoint_has_left_does_not_bring_it_back_at_once():
+    directory = _directory(1000, 2000)
+    directory.drop("e1")
+    directory.put(make_endpoint_entry("e1", born=1000), 1.0)
+    assert directory.get("e1") is None
+
+
+def test_an_entry_that_lapsed_comes_back_in_the_same_lifetime_or_in_another():
+    directory = _directory(1000)
+    known = directory.get("e1")
+    directory.lapse("e1", 0.0, None)
+    directory.put(make_endpoint_entry("e1", born=1000), 1.0)
+    assert directory.get("e1") is known
+    directory.lapse("e1", 1.0, None)
+    directory.put(make_endpoint_entry("e1", born=2000), 1.5)
+    directory.sweep(1.0 + RETURN_S)
+    assert _born(directory) == 2000
+
+
+def test_parts_keep_their_home_where_it_starts_again():
+    directory = Directory()
+    for number in range(20):
+        directory.put(make_endpoint_entry(f"e{number}", born=1), 0.0)
+    parts = [f"p{number}" for number in range(100)]
+    before = {part: directory.home("svc", part).entry.incarnation for part in parts}
+    directory.put(make_endpoint_entry("e3", born=2), 0.1)
+    homes = {part: directory.home("svc", part) for part in parts}
+    assert {part: home.entry.incarnation for part, home in homes.items()} == before
+    assert all(home is directory.get(home.entry.incarnation) for home in homes.values())
--- a/umberhitch/core/direct/tests/test_placement.py
+++ b/umberhitch/core/direct/tests/test_placement.py
@@ -47,7 +47,7 @@
 def home_of(ask: Ask) -> Endpoint:
     directory = Directory()
     for endpoint in ENDPOINTS:
-        directory.put(endpoint.entry)
+        directory.put(endpoint.entry, 0.0)
     home = directory.home("svc", ask.prompt[-2].part_id)
     return next(each for each in ENDPOINTS if each.entry == home.entry)
 
--- a/umberhitch/fakes/_direct_http.py
+++ b/umberhitch/fakes/_direct_http.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from umberhitch.core.direct import Ask, PromptPart, ReplyHead
+from umberhitch.core.direct import Ask, PromptPart, ReplyHead, ReportedLoad
 from umberhitch.errors import BadAskError
 from umberhitch.ports.clock import Clock, Timer
 from umberhitch.ports.direct import (
@@ -50,6 +50,7 @@
     break_after: int | None = None
     failure: CallFailure | None = None
     is_silent: bool = False
+    load: ReportedLoad | None = None
 
 
 @dataclass
@@ -121,6 +122,7 @@
                 not_run=reply.not_run,
                 is_elsewhere=reply.is_elsewhere,
                 confidence=reply.confidence,
+                load=reply.load,
             )
         )
         if reply.events and reply.status == 200:
@@ -173,6 +175,8 @@
         self._clock = clock
         self.by_address: dict[str, FakeEndpoint] = {}
         self.running: list[_FakeCall] = []
+        self.closed: list[str] = []
+        """Addresses to which the kept connections were closed."""
 
     def send(self, address: str, call: EndpointCall, events: CallEvents) -> _FakeCall:
         """Send a call."""
@@ -181,7 +185,8 @@
         return running
 
     def close_idle(self, address: str) -> None:
-        """Do nothing: no connection is kept."""
+        """Take note; no connection is kept."""
+        self.closed.append(address)
 
 
 class FakeReply:
--- a/umberhitch/platform/__init__.py
+++ b/umberhitch/platform/__init__.py
@@ -30,4 +30,4 @@
 
 def make_endpoint_feed(store: StoreClient) -> KeyedFeed[EndpointEntry]:
     """Return the feed of the endpoints' entries."""
-    return KeyedFeed(store, ENDPOINT_TOPIC, decode_endpoint)
+    return KeyedFeed(store, ENDPOINT_TOPIC, decode_endpoint, broken_is_gone=True)
--- a/umberhitch/platform/_client.py
+++ b/umberhitch/platform/_client.py
@@ -29,8 +29,8 @@
     """
 
     def __init__(self, http: EndpointClient, clock: Clock, address: str) -> None:
+        self.clock = clock
         self._http = http
-        self._clock = clock
         self._address = address
         self.calls = 0
 
@@ -61,7 +61,7 @@
         call = EndpointCall("", method.encode(), target.encode(), headers, body, is_once=True)
         try:
             head, data = await fetch(
-                self._http, self._clock, self._address, call, patience_s, is_wanted
+                self._http, self.clock, self._address, call, patience_s, is_wanted
             )
         except NoReplyError as exc:
             if exc.has_begun:
--- a/umberhitch/platform/_documents.py
+++ b/umberhitch/platform/_documents.py
@@ -1,10 +1,14 @@
 """The documents in the platform's store, and the product's types for them.
 
 Names that mislead: a ``tenant`` is a customer, a ``server`` or replica an endpoint, and an
-endpoint's ``id`` names one incarnation of it (each start has a new one).
+endpoint's ``id`` names one incarnation of it. A replica may start again under its ``id``; its entry
+then has another ``born``, and means another lifetime.
 """
 
-from msgspec import DecodeError, Struct, ValidationError, json
+import re
+from typing import Annotated, Literal
+
+from msgspec import DecodeError, Meta, Struct, ValidationError, json
 
 from umberhitch.core.direct import (
     Customer,
@@ -24,6 +28,12 @@
 __all__ = ["CONFIG_KEY", "decode_endpoint", "decode_operator", "decode_status", "encode_status"]
 
 CONFIG_KEY = "config"
+MAX_SLOTS = 1_000_000
+LATEST_BORN_MS = 2**53
+"""Larger ones are no times: a JSON number is exact up to there, and peers can be told it."""
+ENDPOINT_KEY = re.compile(r"[!-~]{1,255}", re.ASCII)
+"""It is sent in a header."""
+ADDRESS = re.compile(r"\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}", re.ASCII)
 ROLLOUT_PREFIX = "rollout/"
 KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -98,13 +108,17 @@
     duration_s: float
 
 
+_Text = Annotated[str, Meta(max_length=255)]
+
+
 class _Entry(Struct, rename="camel"):
-    service: str
-    address: str
-    zone: str = ""
-    version: str = ""
-    slots: int = 0
-    state: str = "ready"
+    service: _Text
+    address: _Text
+    version: _Text
+    slots: Annotated[int, Meta(ge=0, le=MAX_SLOTS)]
+    state: Literal["ready", "draining"]
+    zone: _Text = ""
+    born: Annotated[int, Meta(ge=0, le=LATEST_BORN_MS)] | None = None
 
 
 class _Status(Struct):
@@ -184,13 +198,29 @@
 
 
 def decode_endpoint(key: str, value: bytes) -> EndpointEntry | None:
-    """Return an endpoint's entry; raises `ConfigError` if it does not validate."""
+    """Return an endpoint's entry; raises `ConfigError` if it does not validate.
+
+    It may be another writer's, so nothing is taken for granted.
+    """
+    if not ENDPOINT_KEY.fullmatch(key):
+        raise ConfigError([f"{key[:80]!r}: not the key of an endpoint"])
     try:
         raw = _entry.decode(value)
-    except (DecodeError, ValidationError) as exc:
+    except (DecodeError, ValidationError, RecursionError) as exc:
         raise ConfigError([f"{key}: {exc}"]) from exc
-    state = EndpointState.READY if raw.state == "ready" else EndpointState.DRAINING
-    return EndpointEntry(key, raw.service, raw.address, raw.zone, raw.version, raw.slots, state)
+    if not _is_address(raw.address):
+        raise ConfigError([f"{key}: not an address - at `$.address`"])
+    state = EndpointState(raw.state)
+    return EndpointEntry(
+        key, raw.service, raw.address, raw.zone, raw.version, raw.slots, state, raw.born
+    )
+
+
+def _is_address(text: str) -> bool:
+    if not ADDRESS.fullmatch(text):
+        return False
+    host, _, port = text.partition(":")
+    return all(int(part) < 256 for part in host.split(".")) and 0 < int(port) < 65536
 
 
 def decode_status(key: str, value: bytes) -> tuple[str, str, RolloutState] | None:
--- a/umberhitch/platform/_feed.py
+++ b/umberhitch/platform/_feed.py
@@ -4,7 +4,6 @@
 from base64 import b64decode
 from collections.abc import Callable
 from dataclasses import dataclass
-from logging import getLogger
 from typing import Any, Generic, TypeVar
 
 from umberhitch.adapters.h11_fetch import NotWantedError
@@ -15,12 +14,11 @@
     LogUnavailableError,
 )
 from umberhitch.platform._client import CALL_S, StoreClient, json_of
+from umberhitch.platform._problems import ProblemLog
 from umberhitch.ports.direct import FeedBatch, FeedRecord, do_nothing
 
 __all__ = ["LENGTH", "KeyedFeed", "LargeRecords", "newest_rows"]
 
-log = getLogger(__name__)
-
 Value = TypeVar("Value")
 
 READ_KB = 1024
@@ -58,6 +56,10 @@
     decode : callable
         Returns a record's value, or None for one that does not concern us; raises `ConfigError`.
     large : LargeRecords or None
+    broken_is_gone : bool
+        Whether a record that does not validate takes away the value that its key had. That is so
+        where only the newest record counts: a reader that begins now sees no other, and all are to
+        see the same. Else the value before it stays.
     """
 
     def __init__(
@@ -66,7 +68,10 @@
         topic: str,
         decode: Callable[[str, bytes], Value | None],
         large: LargeRecords | None = None,
+        broken_is_gone: bool = False,
     ) -> None:
+        self._broken_is_gone = broken_is_gone
+        self._problems = ProblemLog(store.clock, topic)
         self._store = store
         self._topic = topic
         self._decode = decode
@@ -151,7 +156,10 @@
             raise LogTrimmedError(int(json_of(200, data).get("firstOffset", 0)))
         if status != 200:
             raise LogUnavailableError(f"the store answered {status}")
-        return _rows(data, offset)
+        rows, end = _rows(data, offset)
+        if end > offset + len(rows):
+            self._problems.write(f"records without a key from offset {offset} on")
+        return rows, end
 
     def _record(self, key: str, value: bytes) -> FeedRecord[Value] | None:
         if not value:
@@ -159,8 +167,8 @@
         try:
             decoded = self._decode(key, value)
         except ConfigError as exc:
-            log.warning("record not valid", extra={"topic": self._topic, "problem": str(exc)})
-            return None
+            self._problems.write(str(exc))
+            return FeedRecord(key, None) if self._broken_is_gone else None
         return None if decoded is None else FeedRecord(key, decoded)
 
 
@@ -195,10 +203,15 @@
 
 
 def _rows(data: bytes, offset: int) -> tuple[list[tuple[str, bytes]], int]:
-    """Return keys and values of raw records, and the offset after the last one."""
+    """Return keys and values of raw records, and the offset after the last one.
+
+    Those whose key cannot be read are passed over: anyone may have written them, and they come
+    again at each call.
+    """
+    rows = []
+    end = offset
     try:
         OFFSETS.unpack_from(data)
-        rows = []
         at = OFFSETS.size
         while at < len(data):
             (length,) = LENGTH.unpack_from(data, at)
@@ -206,9 +219,22 @@
             record = data[at : at + length]
             if len(record) != length:
                 raise LogUnavailableError("a record was cut off")
-            key_end = 1 + record[0]
-            rows.append((record[1:key_end].decode(), record[key_end:]))
+            end += 1
             at += length
-    except (struct.error, IndexError, UnicodeDecodeError) as exc:
+            row = _keyed(record)
+            if row is not None:
+                rows.append(row)
+    except struct.error as exc:
         raise LogUnavailableError(f"malformed records: {exc}") from exc
-    return rows, offset + len(rows)
+    return rows, end
+
+
+def _keyed(record: bytes) -> tuple[str, bytes] | None:
+    """Return a record's key and value, or None if it has no key that can be read."""
+    if not record or len(record) < 1 + record[0]:
+        return None
+    key_end = 1 + record[0]
+    try:
+        return record[1:key_end].decode(), record[key_end:]
+    except UnicodeDecodeError:
+        return None
--- /dev/null
+++ b/umberhitch/platform/tests/test_entries.py
@@ -0,0 +1,165 @@
+"""Entries of endpoints that any writer may have written."""
+
+import logging
+import struct
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from msgspec import json
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import Clock
+
+from umberhitch.core.direct import EndpointEntry
+from umberhitch.errors import ConfigError, LogUnavailableError
+from umberhitch.platform._documents import decode_endpoint
+from umberhitch.platform._feed import KeyedFeed, _rows
+from umberhitch.platform._problems import ProblemLog
+from umberhitch.ports.direct import FeedBatch
+
+GOOD: dict[str, Any] = {
+    "service": "x",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "sequence": 3,
+    "born": 1_790_000_000_000,
+}
+NEEDED = ("service", "address", "version", "slots", "state")
+BROKEN: list[dict[str, Any]] = [
+    *({key: GOOD[key] for key in GOOD if key != left_out} for left_out in NEEDED),
+    {**GOOD, "state": "asleep"},
+    {**GOOD, "state": 1},
+    {**GOOD, "service": None},
+    {**GOOD, "service": ["x"]},
+    {**GOOD, "slots": "4"},
+    {**GOOD, "slots": -1},
+    {**GOOD, "slots": 2**70},
+    {**GOOD, "address": "10.0.0.1"},
+    {**GOOD, "address": "10.0.0.1:0"},
+    {**GOOD, "address": "10.0.0.256:80"},
+    {**GOOD, "address": "10.0.0.1:80\r\nX: y"},
+    {**GOOD, "address": "host.example:80"},
+    {**GOOD, "version": 7},
+    {**GOOD, "born": 1.5},
+    {**GOOD, "born": "1790000000000"},
+    {**GOOD, "born": -1},
+    {**GOOD, "born": True},
+    {**GOOD, "born": 2**70},
+]
+
+
+def _raw(*records: bytes) -> bytes:
+    body = b"".join(struct.pack(">I", len(each)) + each for each in records)
+    return struct.pack(">QQ", len(records), 0) + body
+
+
+def _record(key: str, entry: Any) -> bytes:
+    return bytes([len(key)]) + key.encode() + json.encode(entry)
+
+
+class _Store:
+    """Answers each read with the next body."""
+
+    def __init__(self, *bodies: bytes) -> None:
+        self.clock = Clock()
+        self.bodies = list(bodies)
+
+    async def read(self, *args: Any) -> tuple[int, bytes]:
+        return 200, self.bodies.pop(0)
+
+
+def _since(store: _Store) -> FeedBatch[EndpointEntry]:
+    feed = KeyedFeed(store, "keyed.servers", decode_endpoint, broken_is_gone=True)  # type: ignore[arg-type]
+    found: list[FeedBatch[EndpointEntry]] = []
+    done: Deferred[FeedBatch[EndpointEntry]] = ensureDeferred(feed.since(0, 0.0, 1.0))
+    done.addCallback(found.append)
+    return found[0]
+
+
+def test_an_entry_says_when_its_process_was_born():
+    assert decode_endpoint("i-1", json.encode(GOOD)).born == GOOD["born"]
+    assert decode_endpoint("i-1", json.encode({**GOOD, "born": None})).born is None
+    del (entry := dict(GOOD))["born"]
+    assert decode_endpoint("i-1", json.encode(entry)).born is None
+
+
+@pytest.mark.parametrize("entry", BROKEN, ids=lambda each: str(sorted(each.items()))[:60])
+def test_an_entry_that_does_not_validate_is_reported_with_its_key(entry):
+    with pytest.raises(ConfigError, match="i-1"):
+        decode_endpoint("i-1", json.encode(entry))
+
+
+@pytest.mark.parametrize("key", ["", "i 1", "i\r\nX: y", "ä", "i" * 256])
+def test_a_key_that_cannot_be_sent_in_a_header_names_no_endpoint(key):
+    with pytest.raises(ConfigError):
+        decode_endpoint(key, json.encode(GOOD))
+
+
+def test_the_others_hold_beside_records_that_cannot_be_read():
+    records = (
+        b"",
+        b"\x09i-1",
+        b"\x03\xff\xfe\xfd{}",
+        _record("i-2", {**GOOD, "born": "x"}),
+        b"\x03i-3" + b"[" * 5000,
+        b"\x03i-4\x80\x81",
+        _record("i-5", GOOD),
+    )
+    batch = _since(_Store(_raw(*records)))
+    assert batch.end == len(records)
+    found = {record.key: record.value for record in batch.records}
+    assert found.pop("i-5").address == "10.0.0.1:80"
+    assert found == {"i-2": None, "i-3": None, "i-4": None}
+
+
+def test_a_broken_entry_in_place_of_a_good_one_takes_it_away():
+    """Who begins to read now sees only the broken one, and all routers are to see the same."""
+    batch = _since(_Store(_raw(_record("i-1", GOOD), _record("i-1", {**GOOD, "state": "?"}))))
+    assert [record.value is None for record in batch.records] == [False, True]
+
+
+def test_lines_on_broken_records_are_few(caplog):
+    clock = Clock()
+    problems = ProblemLog(clock, "keyed.servers")
+    with caplog.at_level(logging.WARNING):
+        for _ in range(1000):
+            problems.write("x" * 1000)
+            clock.advance(0.01)
+    assert len(caplog.records) == 10
+    assert sum(record.passed_over for record in caplog.records) >= 850
+    assert all(len(record.problem) <= 300 for record in caplog.records)
+
+
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=20),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=5,
+)
+
+
+@given(st.dictionaries(st.sampled_from(sorted(GOOD)), VALUES), st.text(max_size=300))
+def test_no_entry_ends_a_reader(changes, key):
+    try:
+        entry = decode_endpoint(key, json.encode({**GOOD, **changes}))
+    except ConfigError:
+        return
+    assert entry.born is None or type(entry.born) is int
+    key.encode("latin-1")
+
+
+@given(st.lists(st.binary(max_size=40), max_size=6))
+def test_no_bytes_end_a_reader(records):
+    batch = _since(_Store(_raw(*records)))
+    assert batch.end == len(records)
+
+
+@given(st.binary(max_size=60))
+def test_an_answer_of_any_bytes_is_read_or_reported(data):
+    try:
+        _rows(data, 0)
+    except LogUnavailableError:
+        pass
--- a/umberhitch/tasks/direct/choosing.py
+++ b/umberhitch/tasks/direct/choosing.py
@@ -103,7 +103,7 @@
             home = directory.home(permit.service, permit.ask.prompt[-2].part_id)
             if home is not None and home.takes_work(now_s) and home not in ready:
                 ready.append(home)
-        fresh = [each for each in ready if each.entry.incarnation not in tried]
+        fresh = [each for each in ready if each.lifetime not in tried]
         is_light = permit.ask.prompt_tokens < LIGHT_TOKENS
         fresh = self._trials.allowed(permit.service, permit.wants_target, fresh, is_light)
         if not fresh:
--- a/umberhitch/tasks/direct/exchange.py
+++ b/umberhitch/tasks/direct/exchange.py
@@ -123,7 +123,7 @@
         self._head = None
         self._relay.call_sent()
         self._sends += 1
-        self._tried.add(endpoint.entry.incarnation)
+        self._tried.add(endpoint.lifetime)
         self._call, self._placed = self._svc.send(self.permit, endpoint, self._model, self)
         self._svc.decided(
             self,
@@ -351,7 +351,7 @@
         self._relay.call_broken()
         if self._relay.is_streaming:
             # Part of the answer is out: an endpoint that broke off before may go on with it.
-            self._tried = {self._endpoint.entry.incarnation}
+            self._tried = {self._endpoint.lifetime}
         is_passing = self._relay.has_begun and not self._relay.is_streaming
         if is_passing or not self.permit.route.is_repeatable:
             self._give_up("unknown outcome")
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -168,7 +168,7 @@
     def _on_endpoints(self, gone: list[str]) -> None:
         for address in gone:
             self._endpoints.close_idle(address)
-        self.placement.forget(self.directory.incarnations())
+        self.placement.forget(self.directory.lifetimes())
 
     @property
     def directory(self) -> Directory:
@@ -307,7 +307,7 @@
         """
         what = permit.route.name if model is None else model
         if model is not None:
-            what += f" {self.placement.read_rank(endpoint.entry.incarnation, since_s)}"
+            what += f" {self.placement.read_rank(endpoint.lifetime, since_s)}"
         is_loaded = self.trials.bears_load(permit.service, endpoint)
         is_slow = self._paces.is_slow(permit.service, what, pace_s, is_loaded)
         if not self.trials.is_target(permit.service, endpoint):
@@ -330,17 +330,18 @@
 
     def moved(self, endpoint: Endpoint) -> None:
         """Take note that another incarnation has the endpoint's address."""
-        log.info("address reused", extra={"endpoint": endpoint.entry.incarnation})
-        self.directory.drop(endpoint.entry.incarnation)
+        log.info("address reused", extra={"endpoint": endpoint.lifetime})
+        if self.directory.of_lifetime(endpoint.lifetime) is not None:
+            self.directory.drop(endpoint.entry.incarnation)
 
     def began(self, placed: Placed, head: ReplyHead) -> None:
         """Take note that a reply has begun."""
         now_s = self.clock.seconds()
-        endpoint = self.directory.get(placed.incarnation)
+        endpoint = self.directory.of_lifetime(placed.lifetime)
         if endpoint is not None and not head.is_elsewhere:
             self.directory.answered(endpoint)
-        if head.load is not None:
-            self.placement.report(placed.incarnation, head.load, now_s)
+        if head.load is not None and endpoint is not None:  # else its lifetime is over
+            self.placement.report(placed.lifetime, head.load, now_s)
         if head.is_success:
             self.placement.began(placed, now_s)
 
@@ -407,7 +408,7 @@
             exchange.permit.ask.call_id,
             is_failure,
             route=exchange.permit.route.name,
-            endpoint=None if endpoint is None else endpoint.entry.incarnation,
+            endpoint=None if endpoint is None else endpoint.lifetime,
             model=exchange.model,
             sends=exchange.sends,
             configuration=self.table.document.number,
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -247,7 +247,7 @@
         """Return how many calls run on a service's endpoints that are not of a version."""
         gateway = self._gateway
         old = {
-            each.entry.incarnation
+            each.lifetime
             for each in gateway.directory.of_service(service)
             if each.entry.version != version
         }
@@ -266,9 +266,9 @@
                 known = totals.get(use.endpoint)
                 totals[use.endpoint] = use if known is None else _sum(known, use)
         now_s = self._clock.seconds()
-        for incarnation in self._gateway.directory.incarnations():
-            use = totals.get(incarnation, EndpointUse(incarnation, 0, 0.0))
-            self._gateway.placement.others(incarnation, use.running, use.reading_s, use.rank, now_s)
+        for lifetime in self._gateway.directory.lifetimes():
+            use = totals.get(lifetime, EndpointUse(lifetime, 0, 0.0))
+            self._gateway.placement.others(lifetime, use.running, use.reading_s, use.rank, now_s)
         routers = 1 + max(len(reports), len(self._known))
         self._gateway.budget.routers = routers
         self._gateway.demand.routers = routers
--- a/umberhitch/tasks/direct/store_view.py
+++ b/umberhitch/tasks/direct/store_view.py
@@ -84,7 +84,9 @@
     def _sweep(self) -> None:
         if self._is_stopped:
             return
-        self.directory.sweep(self.clock.seconds())
+        ended = self.directory.sweep(self.clock.seconds())
+        if ended:
+            self._on_endpoints([each.entry.address for each in ended])
         self.clock.callLater(SWEEP_S, self._sweep)
 
     @property
@@ -144,13 +146,16 @@
 
     def _take_endpoints(self, batch: FeedBatch[EndpointEntry], was_away: bool) -> None:
         gone: list[str] = []
+        now_s = self.clock.seconds()
         for record in batch.records:
             known = self.directory.get(record.key)
             if record.value is not None:
-                self.directory.put(record.value)
+                ended = self.directory.put(record.value, now_s)
+                if ended is not None:
+                    log.info("endpoint started again", extra={"endpoint": ended.lifetime})
+                    gone.append(ended.entry.address)
             elif was_away:
-                proved_s = self.registry_feed.proved_s
-                self.directory.lapse(record.key, self.clock.seconds(), proved_s)
+                self.directory.lapse(record.key, now_s, self.registry_feed.proved_s)
             elif known is not None:
                 gone.append(known.entry.address)
                 self.directory.drop(record.key)
--- a/umberhitch/tasks/direct/trials.py
+++ b/umberhitch/tasks/direct/trials.py
@@ -86,7 +86,7 @@
         self._is_stopped = False
         self.rank: Callable[[], int] = lambda: 0
         self.old_running: Callable[[str, str], int] = lambda service, version: 0
-        self.running: Callable[[str], int] = lambda incarnation: 0
+        self.running: Callable[[str], int] = lambda lifetime: 0
         self.on_sessions: Callable[[], None] = do_nothing
 
     def start(self) -> None:
@@ -260,8 +260,8 @@
         if now_s - at_s < TICK_S:
             return is_within
         target = trial.order.target
-        new = sum(self.running(e.entry.incarnation) for e in endpoints if e.entry.version == target)
-        both = sum(self.running(each.entry.incarnation) for each in endpoints)
+        new = sum(self.running(e.lifetime) for e in endpoints if e.entry.version == target)
+        both = sum(self.running(each.lifetime) for each in endpoints)
         is_within = trial.is_within_bound(now_s, new, both - new)
         self._within[trial.order.service] = (now_s, is_within)
         return is_within
@@ -298,9 +298,9 @@
         if not wants_target:
             return old or new
         if is_light and new and trial.is_proving(self._clock.seconds()):
-            loaded = min(new, key=lambda each: _draw(each.entry.incarnation))
+            loaded = min(new, key=lambda each: _draw(each.lifetime))
             limit = trial.limits.full_load * (loaded.entry.slots or 0)
-            if self.running(loaded.entry.incarnation) < limit:
+            if self.running(loaded.lifetime) < limit:
                 return [loaded]
             trial.is_proved = limit > 0
         return new or old
@@ -313,7 +313,7 @@
             is_paced = verdict in (AnswerVerdict.SLOW, AnswerVerdict.GOOD)
             if is_paced and is_target and trial.is_under_proof(now_s):
                 verdict = AnswerVerdict.UNPACED  # its pace is that of the load of the proof
-            trial.note(is_target, route, endpoint.entry.incarnation, verdict, now_s)
+            trial.note(is_target, route, endpoint.lifetime, verdict, now_s)
 
     def is_target(self, service: str, endpoint: Endpoint) -> bool:
         """Whether an endpoint is of the version that a roll-out brings in."""
--- a/umberhitch/testing/_direct.py
+++ b/umberhitch/testing/_direct.py
@@ -82,10 +82,13 @@
 
 
 def make_endpoint_entry(
-    incarnation: str, version: str = "v1", state: EndpointState = EndpointState.READY
+    incarnation: str,
+    version: str = "v1",
+    state: EndpointState = EndpointState.READY,
+    born: int | None = None,
 ) -> EndpointEntry:
     """Return the entry of an endpoint whose address is ``@`` and its incarnation."""
-    return EndpointEntry(incarnation, "svc", f"@{incarnation}", "a", version, 8, state)
+    return EndpointEntry(incarnation, "svc", f"@{incarnation}", "a", version, 8, state, born)
 
 
 @dataclass
@@ -118,11 +121,13 @@
         self.routers: dict[str, DirectRouter] = {}
         self._asked = 0
 
-    def add_endpoint(self, incarnation: str, version: str = "v1") -> FakeEndpoint:
-        """Start an endpoint and register it."""
+    def add_endpoint(
+        self, incarnation: str, version: str = "v1", born: int | None = None
+    ) -> FakeEndpoint:
+        """Start an endpoint, perhaps again, and register it."""
         endpoint = FakeEndpoint()
         self.endpoints.by_address[f"@{incarnation}"] = endpoint
-        self.registry.put(incarnation, make_endpoint_entry(incarnation, version))
+        self.registry.put(incarnation, make_endpoint_entry(incarnation, version, born=born))
         return endpoint
 
     def add_router(
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -378,6 +378,7 @@
     """What one router has under way on one endpoint."""
 
     endpoint: str
+    """Its lifetime: what is told of one that is over concerns no other."""
     running: int
     reading_s: float
     """Prompts that are not read yet, in seconds of the endpoint's time."""
