--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from umberhitch.core.direct import EndpointState
+from umberhitch.tasks.direct.membership import MembershipLimits
 from umberhitch.testing import (
     DirectRouter,
     DirectWorld,
@@ -50,7 +51,7 @@
     router = world.routers.pop(name)
     router.clock.is_paused = True
     world.network.unplug(name)
-    world.clock.callLater(4.0, world.members.pop, name, None)
+    world.clock.callLater(MembershipLimits().ttl_s, world.members.drop, name)
 
 
 def until(world: DirectWorld, condition: Callable[[DirectRouter], bool]) -> float:
@@ -157,10 +158,10 @@
     """Return what routers cost while nothing happens."""
     world = make_world(size)
     routers = list(world.routers.values())
-    calls = sum(router.operator.calls + router.registry.calls for router in routers)
+    calls = sum(router.store_calls for router in routers)
     messages, sent = world.network.messages, world.network.bytes
     world.run(REST_S)
-    calls = sum(router.operator.calls + router.registry.calls for router in routers) - calls
+    calls = sum(router.store_calls for router in routers) - calls
     return {
         "store_calls_per_s": round(calls / REST_S, 2),
         "messages_per_s_a_router": round((world.network.messages - messages) / REST_S / size, 1),
--- a/umberhitch/fakes/__init__.py
+++ b/umberhitch/fakes/__init__.py
@@ -16,6 +16,7 @@
     FakeMembers,
     FakeStatuses,
     KeyedMemory,
+    MemberRows,
     StoreFaults,
 )
 from umberhitch.fakes._engine import EngineFaults, EnginePace, FakeEngine, expected_answer
@@ -42,6 +43,7 @@
     "FakeWire",
     "KeyedMemory",
     "LogFaults",
+    "MemberRows",
     "MemoryLog",
     "NetworkFaults",
     "ProcessClock",
--- a/umberhitch/fakes/_direct_store.py
+++ b/umberhitch/fakes/_direct_store.py
@@ -11,7 +11,7 @@
 from umberhitch.ports.clock import Clock, pause
 from umberhitch.ports.direct import FeedBatch, FeedRecord, Member, StoredStatus, do_nothing
 
-__all__ = ["FakeFeed", "FakeMembers", "FakeStatuses", "KeyedMemory", "StoreFaults"]
+__all__ = ["FakeFeed", "FakeMembers", "FakeStatuses", "KeyedMemory", "MemberRows", "StoreFaults"]
 
 Value = TypeVar("Value")
 
@@ -119,10 +119,12 @@
 
     def __init__(self, rows: list[tuple[str, str, RolloutState]], faults: StoreFaults) -> None:
         self.rows = rows
+        self.calls = 0
         self._faults = faults
 
     async def read(self) -> StoredStatus:
         """Return all states."""
+        self.calls += 1
         if self._faults.is_down:
             raise LogUnavailableError("down")
         states = {service: (target, state) for service, target, state in self.rows}
@@ -130,6 +132,7 @@
 
     async def write(self, service: str, target: str, state: RolloutState, end: int) -> bool:
         """Write a state unless anything was written since ``end``."""
+        self.calls += 1
         if self._faults.is_down:
             raise LogUnavailableError("down")
         if end != len(self.rows):
@@ -141,24 +144,55 @@
         return True
 
 
+class MemberRows:
+    """The members of a group, which its generation counts the changes of."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Member] = {}
+        self.generation = 0
+
+    def put(self, member: Member) -> None:
+        """Let a member join or stay."""
+        if self.rows.get(member.name) != member:
+            self.rows[member.name] = member
+            self.generation += 1
+
+    def drop(self, name: str) -> None:
+        """Let a member go."""
+        if self.rows.pop(name, None) is not None:
+            self.generation += 1
+
+
 class FakeMembers:
-    """A `MembersPort`; routers share the dictionary."""
+    """A `MembersPort`; routers share the group.
 
-    def __init__(self, rows: dict[str, Member], faults: StoreFaults) -> None:
-        self._rows = rows
+    Attributes
+    ----------
+    joins, lists : int
+        Calls so far.
+    """
+
+    def __init__(self, group: MemberRows, faults: StoreFaults) -> None:
+        self._group = group
         self._faults = faults
+        self.joins = 0
+        self.lists = 0
 
     async def join(self, member: Member, ttl_s: float) -> int:
         """Join or stay."""
+        self.joins += 1
         if self._faults.is_down:
             raise LogUnavailableError("down")
-        self._rows[member.name] = member
-        return len(self._rows)
+        self._group.put(member)
+        return self._group.generation
 
     async def leave(self, member: Member) -> None:
         """Leave."""
-        self._rows.pop(member.name, None)
+        self._group.drop(member.name)
 
     async def members(self) -> list[Member]:
         """Return all members."""
-        return list(self._rows.values())
+        self.lists += 1
+        if self._faults.is_down:
+            raise LogUnavailableError("down")
+        return list(self._group.rows.values())
--- /dev/null
+++ b/umberhitch/tasks/direct/membership.py
@@ -0,0 +1,191 @@
+"""Which routers there are: each keeps its seat in the store's group, and few read the list.
+
+To keep a seat costs the store a tenth of a call, to read the list a whole one, and each router that
+comes or goes changes the list for all. So one router of each reader's group reads it for the others
+(`tasks/direct/sharing`): 68 routers of which one came cost 3 calls instead of 68. A router that
+nobody can tell reads it itself.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from logging import getLogger
+from random import Random
+
+from twisted.internet.defer import ensureDeferred
+
+from umberhitch.errors import LogError
+from umberhitch.ports.clock import Clock, pause
+from umberhitch.ports.direct import Member, MembersPort
+from umberhitch.tasks.direct.sharing import Sharing
+from umberhitch.wire import ViewAsk, ViewReply
+
+__all__ = ["MEMBERS_STREAM", "Membership", "MembershipLimits"]
+
+log = getLogger(__name__)
+
+MEMBERS_STREAM = "members"
+"""Name of the list among the streams that routers ask each other for."""
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipLimits:
+    """Times in seconds.
+
+    Attributes
+    ----------
+    ttl_s : float
+        How long the store keeps a router that does not say that it is alive. A lost one is asked in
+        vain meanwhile, once each `SharingLimits.shun_s`.
+    first_join_s : float
+        Pause after the first join; it doubles up to a third of ``ttl_s``. Routers that start
+        together find each other soon.
+    hold_s : float
+        How long a reader may take to read the list from the store.
+    patience_s : float
+        An ask has failed that takes so much longer.
+    """
+
+    ttl_s: float = 9.0
+    first_join_s: float = 0.4
+    hold_s: float = 0.3
+    patience_s: float = 0.15
+
+
+class Membership:
+    """Keeps this router's seat, and knows the others.
+
+    Parameters
+    ----------
+    me : Member
+    clock : Clock
+    rng : Random
+    port : MembersPort
+    sharing : Sharing
+    on_members : callable
+        Takes the newest list.
+    limits : MembershipLimits
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        clock: Clock,
+        rng: Random,
+        port: MembersPort,
+        sharing: Sharing,
+        on_members: Callable[[list[Member]], None],
+        limits: MembershipLimits | None = None,
+    ) -> None:
+        self._me = me
+        self._clock = clock
+        self._rng = rng
+        self._port = port
+        self._sharing = sharing
+        self._on_members = on_members
+        self._limits = limits or MembershipLimits()
+        self._members: list[Member] = []
+        self._listed = -1
+        """Generation of the group that the list is not older than."""
+        self._waiting: list[tuple[str, ViewAsk]] = []
+        self._is_reading = False
+        self._is_stopped = False
+        sharing.answerers[MEMBERS_STREAM] = self
+
+    def start(self) -> None:
+        """Join, and go on doing so."""
+        ensureDeferred(self._keep_joined()).addErrback(
+            lambda failure: log.error("membership ended", extra={"error": failure.getTraceback()})
+        )
+
+    def stop(self) -> None:
+        """Leave."""
+        self._is_stopped = True
+        leaving = ensureDeferred(self._port.leave(self._me))
+        leaving.addErrback(lambda failure: log.info("not left", extra={"error": str(failure)}))
+
+    async def _keep_joined(self) -> None:
+        longest_s = self._limits.ttl_s / 3
+        pause_s = min(self._limits.first_join_s, longest_s)
+        while not self._is_stopped:
+            try:
+                generation = await self._port.join(self._me, self._limits.ttl_s)
+                if not self._is_stopped:
+                    await self._catch_up(generation)
+            except LogError as exc:
+                log.info("not joined", extra={"error": str(exc)})
+            await pause(self._clock, pause_s * (0.8 + 0.4 * self._rng.random()))
+            pause_s = min(2 * pause_s, longest_s)
+
+    async def _catch_up(self, generation: int) -> None:
+        """Have a list that is not older than a generation."""
+        if generation < self._listed:
+            self._listed = -1  # the store began the group anew
+        if generation <= self._listed:
+            return
+        reader = self._sharing.reader(set())
+        if reader is not None and await self._ask(reader, generation):
+            return
+        await self._read(generation)
+
+    async def _ask(self, reader: str, generation: int) -> bool:
+        """Ask a reader for the list; return whether it had one that is new enough."""
+        limits = self._limits
+        reply = await self._sharing.ask(
+            reader, MEMBERS_STREAM, generation, limits.hold_s, limits.patience_s
+        )
+        if reply is None or not reply.is_known or reply.end < generation:
+            return False
+        self._take([Member(name, address.decode()) for name, address in reply.packed], reply.end)
+        return True
+
+    async def _read(self, generation: int) -> None:
+        """Read the list from the store, which has reached the generation."""
+        members = await self._port.members()
+        self._take(members, generation)
+
+    def _take(self, members: list[Member], generation: int) -> None:
+        if self._is_stopped or generation < self._listed:
+            return
+        self._listed = generation
+        self._members = members
+        self._on_members(members)
+
+    # For others
+
+    def on_ask(self, sender: str, ask: ViewAsk) -> None:
+        """Tell a peer the list, if need be after one call to the store for all that wait."""
+        if ask.offset <= self._listed:
+            self._answer(sender, ask)
+            return
+        self._waiting.append((sender, ask))
+        if not self._is_reading:
+            self._is_reading = True
+            ensureDeferred(self._read_for_others()).addErrback(
+                lambda failure: log.info("list not read", extra={"error": str(failure)})
+            )
+
+    async def _read_for_others(self) -> None:
+        try:
+            while self._waiting:
+                waiting, self._waiting = self._waiting, []
+                newest = max(ask.offset for _, ask in waiting)
+                if newest > self._listed:
+                    await self._read_or_tell(newest)
+                for sender, ask in waiting:
+                    self._answer(sender, ask)
+        finally:
+            self._is_reading = False
+
+    async def _read_or_tell(self, generation: int) -> None:
+        """Read the list; those who wait are told at once if it cannot be had."""
+        try:
+            await self._read(generation)
+        except LogError as exc:
+            log.info("list not read", extra={"error": str(exc)})
+
+    def _answer(self, sender: str, ask: ViewAsk) -> None:
+        reply = ViewReply(ask.ask, ask.incarnation, False)
+        if ask.offset <= self._listed:
+            packed = [(each.name, each.address.encode()) for each in self._members]
+            reply = ViewReply(ask.ask, ask.incarnation, True, self._listed, packed=packed)
+        self._sharing.send(sender, reply)
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -4,17 +4,16 @@
 works, less well, without a peer.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from logging import getLogger
 from random import Random
 
-from twisted.internet.defer import ensureDeferred
-
-from umberhitch.errors import LogError
-from umberhitch.ports.clock import Clock, pause
+from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import Member, MembersPort
 from umberhitch.ports.link import LinkPort
 from umberhitch.tasks.direct.gateway import Gateway
+from umberhitch.tasks.direct.membership import Membership, MembershipLimits
 from umberhitch.tasks.direct.sharing import Sharing
 from umberhitch.wire import (
     BurnAsk,
@@ -22,7 +21,7 @@
     EndpointUse,
     Message,
     PeerReport,
-    SessionsMoved,
+    TrialNews,
     ViewAsk,
     ViewReply,
 )
@@ -34,8 +33,9 @@
 FAR_EVERY = 4
 """Of many peers, those in other availability zones get each fourth report only, but during a
 roll-out: calls mostly stay in their zone, and reports cross it."""
-SESSIONS_S = 0.03
-"""Sessions that others would send to the other version are told together after this. With 28 peers
+NEWS_S = 0.03
+"""Sessions that others would send to the other version, and states that were written to the store,
+are told together after this. With 28 peers
 a report goes out each 0.9 s; sessions whose next request came to another router sooner went there:
 4 on a day, and 10 of 200 within 0.1 s of an order."""
 
@@ -52,14 +52,13 @@
         up to how many of them; with more, proportionally less often.
     silence_s : float
         A peer not heard for so long counts for nothing.
-    ttl_s : float
-        How long the store keeps a router that does not say that it is alive.
+    membership : MembershipLimits
     """
 
     report_s: float = 0.25
     full_pace_peers: int = 8
     silence_s: float = 2.0
-    ttl_s: float = 4.0
+    membership: MembershipLimits = MembershipLimits()
 
 
 @dataclass(slots=True)
@@ -100,23 +99,26 @@
         self._incarnation = incarnation
         self._gateway = gateway
         self._clock = clock
-        self._rng = rng
         self._link = link
-        self._port = members
         self._sharing = sharing
         self._limits = limits or DirectPeersLimits()
+        self._membership = Membership(
+            me, clock, rng, members, sharing, self._take_members, self._limits.membership
+        )
         self._heard: dict[str, _Heard] = {}
         self._left: dict[str, _Heard] = {}
         """Last words of peers that were leaving."""
         self._known: dict[str, str] = {}
         self._link_mbps = {me.name: gateway.settings.link_mbps}
         self._seq = 0
-        self._generation = -1
+        self._rounds = 0
+        self._is_listed = False
+        """Whether the peers are known that the store lists."""
         self._is_stopped = False
-        self._is_sessions_due = False
+        self._is_news_due = False
         gateway.trials.rank = self.rank
         gateway.trials.old_running = self.old_running
-        gateway.trials.on_sessions = self._tell_sessions_soon
+        gateway.trials.on_news = self._tell_news_soon
         gateway.presence.others_return_s = self.return_s
         sharing.peers = self.names
         sharing.link_mbps = self.link_mbps
@@ -124,27 +126,13 @@
     def start(self) -> None:
         """Join, and begin to report."""
         self._link.listen(self.receive)
-        ensureDeferred(self._keep_joined()).addErrback(
-            lambda failure: log.error("membership ended", extra={"error": failure.getTraceback()})
-        )
+        self._membership.start()
         self._report()
 
     def stop(self) -> None:
         """Report no more, and leave."""
         self._is_stopped = True
-        leaving = ensureDeferred(self._port.leave(self._me))
-        leaving.addErrback(lambda failure: log.info("not left", extra={"error": str(failure)}))
-
-    async def _keep_joined(self) -> None:
-        while not self._is_stopped:
-            try:
-                generation = await self._port.join(self._me, self._limits.ttl_s)
-                if generation != self._generation and not self._is_stopped:
-                    self._take_members(await self._port.members())
-                    self._generation = generation
-            except LogError as exc:
-                log.info("not joined", extra={"error": str(exc)})
-            await pause(self._clock, self._limits.ttl_s / 3 * (0.8 + 0.4 * self._rng.random()))
+        self._membership.stop()
 
     def _take_members(self, members: list[Member]) -> None:
         found = {each.name: each.address for each in members if each.name != self._me.name}
@@ -153,19 +141,30 @@
             self._link_mbps.pop(name, None)
         for name, address in found.items():
             self._link.connect(name, address)
+        came = found.keys() - self._known.keys()
         self._known = found
+        if came:
+            self._introduce(came)
+        self._is_listed = True
         log.info("peers", extra={"names": sorted(found)})
 
-    def _report(self) -> None:
-        if self._is_stopped:
-            return
-        self._add_up()
+    def _introduce(self, names: Iterable[str]) -> None:
+        """Report to peers that are new here at once.
+
+        They choose readers by the speeds of links that they were told: until then each takes
+        itself for one, 25 reads a second of 80 routers that started together, else 7.
+        """
+        report = self._make_report()
+        for name in names:
+            self._link.send(name, report)
+
+    def _make_report(self) -> PeerReport:
         self._seq += 1
         uses = [
             EndpointUse(endpoint, running, round(reading_s, 4), rank)
             for endpoint, (running, reading_s, rank) in self._gateway.placement.own().items()
         ]
-        report = PeerReport(
+        return PeerReport(
             self._me.name,
             self._incarnation,
             self._seq,
@@ -175,22 +174,29 @@
             self._gateway.settings.zone,
             self._gateway.settings.link_mbps,
         )
-        is_for_all = self._gateway.trials.is_any_open() or self._seq % self._far_every() == 0
+
+    def _report(self) -> None:
+        if self._is_stopped:
+            return
+        self._add_up()
+        report = self._make_report()
+        self._rounds += 1
+        is_for_all = self._gateway.trials.is_any_open() or self._rounds % self._far_every() == 0
         for name in self._known:
             if is_for_all or not self._is_far(name):
                 self._link.send(name, report)
         crowd = max(1.0, len(self._known) / self._limits.full_pace_peers)
         self._clock.callLater(self._limits.report_s * crowd, self._report)
 
-    def _tell_sessions_soon(self) -> None:
-        if not self._is_sessions_due:
-            self._is_sessions_due = True
-            self._clock.callLater(SESSIONS_S, self._tell_sessions)
+    def _tell_news_soon(self) -> None:
+        if not self._is_news_due:
+            self._is_news_due = True
+            self._clock.callLater(NEWS_S, self._tell_news)
 
-    def _tell_sessions(self) -> None:
-        """Tell all peers of sessions that they would send to the other version."""
-        self._is_sessions_due = False
-        for message in self._gateway.trials.take_sessions():
+    def _tell_news(self) -> None:
+        """Tell all peers what has just become known of roll-outs."""
+        self._is_news_due = False
+        for message in self._gateway.trials.take_news():
             for name in self._known:
                 self._link.send(name, message)
 
@@ -227,9 +233,12 @@
         """Return the bandwidth of a router's link as it last said, 0 where it never did."""
         return self._link_mbps.get(name, 0.0)
 
-    def rank(self) -> int:
-        """Return this router's place among the live ones, 0 first."""
-        return sum(report.router < self._me.name for report in self.live())
+    def rank(self) -> int | None:
+        """Return this router's place among those that the store lists, 0 first.
+
+        None before they are known.
+        """
+        return sum(name < self._me.name for name in self._known) if self._is_listed else None
 
     def return_s(self) -> float:
         """Return the time until a peer takes streams: 0 where one does, or none was heard.
@@ -283,8 +292,8 @@
                     self._gateway.burn.answer(sender, message)
                 case BurnReply() if self._gateway.burn is not None:
                     self._gateway.burn.take(sender, message)
-                case SessionsMoved():
-                    self._gateway.trials.note_sessions(message)
+                case TrialNews():
+                    self._gateway.trials.note_news(message)
                 case ViewAsk() | ViewReply():
                     self._sharing.receive(sender, message)
                 case _:
--- a/umberhitch/tasks/direct/sharing.py
+++ b/umberhitch/tasks/direct/sharing.py
@@ -14,7 +14,7 @@
 from enum import Enum, StrEnum
 from logging import getLogger
 from random import Random
-from typing import Any, Generic, TypeVar
+from typing import Any, Generic, Protocol, TypeVar
 
 from twisted.internet.defer import Deferred
 
@@ -31,7 +31,7 @@
 from umberhitch.tasks.direct.telling import ChangeTeller, EntryTeller, Teller
 from umberhitch.wire import Message, ViewAsk, ViewReply
 
-__all__ = ["READER_GROUP", "SharedView", "Sharing", "SharingLimits", "StreamName"]
+__all__ = ["READER_GROUP", "Answerer", "SharedView", "Sharing", "SharingLimits", "StreamName"]
 
 log = getLogger(__name__)
 
@@ -117,6 +117,14 @@
     timer: Timer
 
 
+class Answerer(Protocol):
+    """Answers what peers ask of one stream."""
+
+    def on_ask(self, sender: str, ask: ViewAsk) -> None:
+        """Answer, at once or later."""
+        ...
+
+
 class _Word(Enum):
     """What a peer's answer is worth that brings nothing by itself."""
 
@@ -156,14 +164,15 @@
     send: Callable[[str, Message], None]
     peers: Callable[[], list[str]] = list
     link_mbps: Callable[[str], float] = lambda name: 0.0
-    views: dict[str, "SharedView[Any]"] = field(default_factory=dict)
+    answerers: dict[str, Answerer] = field(default_factory=dict)
+    """By stream."""
     _asked: dict[int, _Asked] = field(default_factory=dict)
     _last_ask: int = 0
 
     def share(self, stream: StreamName, port: FeedPort[Value]) -> "SharedView[Value]":
         """Return a port that asks peers first, and remembers what it has to tell them."""
         view = SharedView(self, stream, port, LIMITS[stream], TELLERS[stream])
-        self.views[stream] = view
+        self.answerers[stream] = view
         return view
 
     def names(self) -> list[str]:
@@ -211,9 +220,9 @@
         """Handle what a peer sent."""
         match message:
             case ViewAsk():
-                view = self.views.get(message.stream)
-                if view is not None:
-                    view.on_ask(sender, message)
+                answerer = self.answerers.get(message.stream)
+                if answerer is not None:
+                    answerer.on_ask(sender, message)
             case ViewReply() if message.incarnation == self.incarnation:
                 asked = self._asked.pop(message.ask, None)
                 if asked is not None:
--- a/umberhitch/tasks/direct/tests/test_sharing.py
+++ b/umberhitch/tasks/direct/tests/test_sharing.py
@@ -141,7 +141,7 @@
 
 def test_who_asks_for_more_than_is_kept_is_told_so_at_once():
     world, routers = _world(1)
-    view = routers[0].peers._sharing.views["registry"]
+    view = routers[0].peers._sharing.answerers["registry"]
     sent = []
     view._sharing.send = lambda peer, message: sent.append((peer, message))
     view.on_ask("r9", ViewAsk(1, 1, "registry", 0, 0.5))
--- a/umberhitch/tasks/direct/trials.py
+++ b/umberhitch/tasks/direct/trials.py
@@ -26,7 +26,7 @@
 from umberhitch.errors import LogError
 from umberhitch.ports.clock import Clock, pause
 from umberhitch.ports.direct import StatusPort, do_nothing
-from umberhitch.wire import RouteCounts, SessionsMoved, TrialReport
+from umberhitch.wire import RouteCounts, TrialNews, TrialReport
 
 __all__ = ["Trials"]
 
@@ -36,13 +36,17 @@
 RETRY_S = 0.3
 """Pause after a call to the store that failed."""
 RANK_S = 0.4
-"""So much later each next router writes, so that most find the state written already."""
+"""So much later each next router asks the store what stands, and writes: one that did tells the
+others at once, so that one of 68 calls the store where it can be reached, and not each."""
+LISTED_S = 1.0
+"""A router that has no list of the others after this goes on without."""
 MAX_RECENT = 20_000
 MAX_KEPT_BACK = 200
 """Sessions in a report; they are 8 % of those of the last seconds at one router."""
 MAX_MOVED = 400
 """The same of those that moved while one endpoint was loaded, for the time of a session."""
 HASH_RANGE = 1 << 64
+STATES = frozenset(RolloutState)
 FINAL = (RolloutState.COMPLETED, RolloutState.ROLLED_BACK)
 
 
@@ -59,13 +63,14 @@
     Attributes
     ----------
     rank : callable
-        Returns this router's place among the live ones, 0 first.
+        Returns this router's place among those that the store lists, 0 first; None before they are
+        known.
     running : callable
         Returns how many calls run on an endpoint, those of other routers included.
     old_running : callable
         Returns how many calls run on endpoints of a service that are not of a version.
-    on_sessions : callable
-        Called when there are sessions of which the others are to be told at once.
+    on_news : callable
+        Called when there is something that the others are to be told at once.
     """
 
     def __init__(
@@ -82,12 +87,17 @@
         self._unread: set[str] = set()
         """Services of whose roll-out it is not known yet whether it was decided before."""
         self._written: dict[str, RolloutState] = {}
+        """By service: the state that stands in the store, as far as this router knows."""
+        self._proved: dict[str, RolloutState] = {}
+        """The same as this router read or wrote it itself."""
+        self._untold: set[str] = set()
+        """Services of which the others have not been told yet what stands."""
         self._recent: dict[str, OrderedDict[str, tuple[float, float]]] = {}
         self._is_stopped = False
-        self.rank: Callable[[], int] = lambda: 0
+        self.rank: Callable[[], int | None] = lambda: 0
         self.old_running: Callable[[str, str], int] = lambda service, version: 0
         self.running: Callable[[str], int] = lambda lifetime: 0
-        self.on_sessions: Callable[[], None] = do_nothing
+        self.on_news: Callable[[], None] = do_nothing
 
     def start(self) -> None:
         """Begin to drive."""
@@ -115,8 +125,9 @@
             trial.seen_before(session, at_s, draw)
         trial.just_kept = trial.kept_back(now_s)
         self._trials[order.service] = trial
-        self._tell_sessions(trial)
+        self._tell_news(trial)
         self._written.pop(order.service, None)
+        self._proved.pop(order.service, None)
         self._within.pop(order.service, None)
         self._unread.add(order.service)
         log.info("roll-out begins", extra={"service": order.service, "target": order.target})
@@ -174,8 +185,8 @@
 
     async def _write(self, service: str, trial: Trial, state: RolloutState) -> None:
         """Read what stands, and write the state unless a final one stands already."""
-        has_waited = False
-        while not self._is_stopped and self._trials.get(service) is trial:
+        await self._wait_for_turn(service, trial, state)
+        while self._is_wanted(service, trial, state):
             if trial.state in FINAL:
                 state = trial.state
             try:
@@ -183,22 +194,46 @@
                 self._unread.discard(service)
                 target, stands = stored.states.get(service, ("", RolloutState.IN_PROGRESS))
                 if target == trial.order.target and (stands in FINAL or stands is state):
-                    self._written[service] = stands
-                    if stands in FINAL:
-                        self._set_state(trial, stands)
-                    return
-                if not has_waited and self.rank():
-                    has_waited = True
-                    await pause(self._clock, RANK_S * self.rank())
-                    continue
-                if await self._status.write(service, trial.order.target, state, stored.end):
-                    self._written[service] = state
-                    self._set_state(trial, state)
-                    return
+                    self._note_proved(service, trial, stands)
+                elif await self._status.write(service, trial.order.target, state, stored.end):
+                    self._note_proved(service, trial, state)
             except LogError as exc:
                 log.warning("roll-out state not written", extra={"error": str(exc)})
                 await pause(self._clock, RETRY_S)
 
+    async def _wait_for_turn(self, service: str, trial: Trial, state: RolloutState) -> None:
+        """Wait until the routers before this one had time, or one of them tells what stands."""
+        began_s = self._clock.seconds()
+        while self._is_wanted(service, trial, state):
+            rank = self.rank()
+            wait_s = LISTED_S if rank is None else RANK_S * rank
+            left_s = began_s + wait_s - self._clock.seconds()
+            if left_s <= 0.0:
+                return
+            await pause(self._clock, min(TICK_S, left_s))
+
+    def _is_wanted(self, service: str, trial: Trial, state: RolloutState) -> bool:
+        """Whether the store is still to be told a state, or at least one as final."""
+        if self._is_stopped or self._trials.get(service) is not trial:
+            return False
+        stands = self._written.get(service)
+        return stands not in FINAL and stands is not state
+
+    def _note_proved(self, service: str, trial: Trial, stands: RolloutState) -> None:
+        """Take note of what stands in the store, and tell the others."""
+        self._proved[service] = stands
+        self._untold.add(service)
+        self._note_written(service, trial, stands)
+        self.on_news()
+
+    def _note_written(self, service: str, trial: Trial, stands: RolloutState) -> None:
+        self._unread.discard(service)
+        if self._written.get(service) in FINAL:
+            return
+        self._written[service] = stands
+        if stands in FINAL:
+            self._set_state(trial, stands)
+
     # Requests
 
     def wants_target(
@@ -230,7 +265,7 @@
             )
             is_within = self._is_within_bound(trial, endpoints, now_s)
             chosen = trial.is_for_target(session, draw, now_s, has_target, is_light, is_within)
-            self._tell_sessions(trial)
+            self._tell_news(trial)
             return chosen
         if session is not None:
             recent = self._recent.setdefault(service, OrderedDict())
@@ -251,9 +286,9 @@
         elif session in self._recent.get(service, ()):
             self._recent[service][session] = (now_s, _draw(session))
 
-    def _tell_sessions(self, trial: Trial) -> None:
+    def _tell_news(self, trial: Trial) -> None:
         if trial.just_moved or trial.just_kept:
-            self.on_sessions()
+            self.on_news()
 
     def _is_within_bound(self, trial: Trial, endpoints: list[Endpoint], now_s: float) -> bool:
         at_s, is_within = self._within.get(trial.order.service, (float("-inf"), False))
@@ -343,28 +378,34 @@
                 trial.kept_back(now_s)[:MAX_KEPT_BACK],
                 trial.is_proved,
                 trial.moved_sessions(now_s)[-MAX_MOVED:],
+                self._proved.get(service, ""),
             )
             for service, trial in self._trials.items()
         ]
 
-    def take_sessions(self) -> list[SessionsMoved]:
+    def take_news(self) -> list[TrialNews]:
         """Return what others are to be told at once, and that was not."""
         found = []
         for service, trial in self._trials.items():
-            if trial.just_moved or trial.just_kept:
-                kept = trial.just_kept[-MAX_KEPT_BACK:]
-                target = trial.order.target
-                found.append(SessionsMoved(service, target, trial.just_moved, kept))
-                trial.just_moved, trial.just_kept = [], []
+            is_told = service not in self._untold
+            if is_told and not trial.just_moved and not trial.just_kept:
+                continue
+            kept = trial.just_kept[-MAX_KEPT_BACK:]
+            written = self._proved.get(service, "")
+            found.append(TrialNews(service, trial.order.target, trial.just_moved, kept, written))
+            trial.just_moved, trial.just_kept = [], []
+        self._untold.clear()
         return found
 
-    def note_sessions(self, message: SessionsMoved) -> None:
-        """Take note of sessions that another router has sent to one of the versions."""
+    def note_news(self, message: TrialNews) -> None:
+        """Take note of sessions that another router keeps on a version, and of what stands."""
         trial = self._trials.get(message.service)
         if trial is None or trial.order.target != message.target:
             return
         now_s = self._clock.seconds()
-        for session in message.sessions:
+        if message.written in STATES:
+            self._note_written(message.service, trial, RolloutState(message.written))
+        for session in message.moved:
             trial.moved_before(session, now_s, _draw(session))
         for session in message.kept:
             trial.seen_before(session, now_s, _draw(session))
@@ -394,6 +435,8 @@
             for session in report.moved:
                 trial.moved_before(session, self._clock.seconds(), _draw(session))
             self._unread.discard(report.service)
+            if report.written in STATES:
+                self._note_written(report.service, trial, RolloutState(report.written))
             if report.state in FINAL and trial.state is RolloutState.IN_PROGRESS:
                 self._set_state(trial, RolloutState(report.state))
 
--- a/umberhitch/testing/_direct.py
+++ b/umberhitch/testing/_direct.py
@@ -30,6 +30,7 @@
     FakeStatuses,
     FakeWire,
     KeyedMemory,
+    MemberRows,
     ProcessClock,
     StoreFaults,
 )
@@ -102,6 +103,15 @@
     faults: StoreFaults
     operator: FakeFeed[OperatorValue]
     registry: FakeFeed[EndpointEntry]
+    statuses: FakeStatuses
+    members: FakeMembers
+
+    @property
+    def store_calls(self) -> float:
+        """Calls to the store so far; to keep a seat in its group counts a tenth."""
+        whole = self.operator.calls + self.registry.calls
+        whole += self.statuses.calls + self.members.lists
+        return whole + 0.1 * self.members.joins
 
 
 @dataclass
@@ -115,7 +125,7 @@
         self.operator: KeyedMemory[OperatorValue] = KeyedMemory()
         self.registry: KeyedMemory[EndpointEntry] = KeyedMemory()
         self.statuses: list[tuple[str, str, RolloutState]] = []
-        self.members: dict[str, Member] = {}
+        self.members = MemberRows()
         self.network = FakeNetwork(self.clock, self.rng)
         self.endpoints = FakeEndpoints(self.clock)
         self.routers: dict[str, DirectRouter] = {}
@@ -147,7 +157,8 @@
         faults = StoreFaults()
         operator = FakeFeed(self.operator, clock, faults)
         registry = FakeFeed(self.registry, clock, faults)
-        trials = Trials(clock, Random(name), FakeStatuses(self.statuses, status_faults or faults))
+        statuses = FakeStatuses(self.statuses, status_faults or faults)
+        trials = Trials(clock, Random(name), statuses)
         link = self.network.link(name)
         sharing = Sharing(name, 1, clock, Random(name), link.send)
         operator_view = sharing.share(StreamName.OPERATOR, operator_port or operator)
@@ -175,7 +186,9 @@
         gateway.start()
         trials.start()
         peers.start()
-        router = DirectRouter(gateway, trials, peers, clock, faults, operator, registry)
+        router = DirectRouter(
+            gateway, trials, peers, clock, faults, operator, registry, statuses, members
+        )
         self.routers[name] = router
         return router
 
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -41,9 +41,9 @@
     "RouteCounts",
     "RouterDigest",
     "ServiceWork",
-    "SessionsMoved",
     "Start",
     "Taken",
+    "TrialNews",
     "TrialReport",
     "Usage",
     "UsageRecord",
@@ -361,17 +361,21 @@
     """Whether an endpoint of the new version was loaded fully."""
     moved: list[str] = []
     """Sessions that are on the new version, though their share would send them to the old one."""
+    written: str = ""
+    """State that stands in the store, as the sender read or wrote it; empty where it did not."""
 
 
-class SessionsMoved(Struct, frozen=True, array_like=True, tag="moved"):
-    """Sessions that others would send to the other version; the reports repeat them."""
+class TrialNews(Struct, frozen=True, array_like=True, tag="moved"):
+    """What all routers are to know of a roll-out at once; the reports repeat it."""
 
     service: str
     target: str
-    sessions: list[str]
-    """Those that have just moved to the new one."""
+    moved: list[str]
+    """Sessions that have just moved to the new version; others would send them to the old one."""
     kept: list[str] = []
-    """Those that are on the old one, in the first half."""
+    """Sessions on the old version that others would send to the new one, in the first half."""
+    written: str = ""
+    """State that stands in the store, as the sender read or wrote it."""
 
 
 class EndpointUse(Struct, frozen=True, array_like=True):
@@ -456,7 +460,7 @@
     | Order
     | OrderReply
     | PeerReport
-    | SessionsMoved
+    | TrialNews
     | ViewAsk
     | ViewReply
 )
