What many peers have under way counts between their reports

Cause: with 68 routers each peer reports every 2.1 s, and was taken for silent after 2.0 s: its calls under way were missing from choices for the rest, at 370 routers for most of the time. Change: a peer is silent after 2.0 s or 2.5 of its reports, whichever is longer.

--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -51,13 +51,16 @@
     full_pace_peers : int
         up to how many of them; with more, proportionally less often.
     silence_s : float
-        A peer not heard for so long counts for nothing.
+        A peer not heard for so long counts for nothing, and
+    missed_reports : float
+        not before so many of its reports have not come: with 68 peers there is one each 2.1 s.
     membership : MembershipLimits
     """
 
     report_s: float = 0.25
     full_pace_peers: int = 8
     silence_s: float = 2.0
+    missed_reports: float = 2.5
     membership: MembershipLimits = MembershipLimits()
 
 
@@ -185,8 +188,12 @@
         for name in self._known:
             if is_for_all or not self._is_far(name):
                 self._link.send(name, report)
+        self._clock.callLater(self._report_s(), self._report)
+
+    def _report_s(self) -> float:
+        """Return how often each peer is told."""
         crowd = max(1.0, len(self._known) / self._limits.full_pace_peers)
-        self._clock.callLater(self._limits.report_s * crowd, self._report)
+        return self._limits.report_s * crowd
 
     def _tell_news_soon(self) -> None:
         if not self._is_news_due:
@@ -211,7 +218,9 @@
 
     def _is_silent(self, heard: _Heard) -> bool:
         is_far = heard.report.zone != self._gateway.settings.zone
-        silence_s = self._limits.silence_s * (self._far_every() if is_far else 1)
+        limits = self._limits
+        silence_s = max(limits.silence_s, limits.missed_reports * self._report_s())
+        silence_s *= self._far_every() if is_far else 1
         return heard.at_s < self._clock.seconds() - silence_s
 
     def live(self) -> list[PeerReport]:
--- a/umberhitch/tasks/direct/tests/test_peers.py
+++ b/umberhitch/tasks/direct/tests/test_peers.py
@@ -47,3 +47,18 @@
 def test_during_a_roll_out_evidence_reaches_every_zone_at_full_pace():
     near, far = _reports(12, is_rolling_out=True)
     assert abs(near - far) <= 2
+
+
+def test_what_many_peers_have_under_way_counts_between_their_reports():
+    """With 68 routers each reported every 2.1 s and counted for 2.0 s."""
+    world = DirectWorld()
+    world.add_endpoint("e1")
+    world.operator.put("config", make_direct_document())
+    for number in range(68):
+        world.add_router(f"r{number:02d}")
+    world.run(6.0)
+    counts = []
+    for _ in range(50):
+        world.run(0.1)
+        counts.append(len(world.routers["r00"].peers.live()))
+    assert set(counts) == {67}
