A reader that the store turns away is not waited for, and all know at once that the store is back

Cause: routers that asked such a reader were held for 0.5 s, called the store each, and came back to it each 2 s; it asked them in turn, so that a change could wait until views were 1.5 s old. When the store was back, asks were held on until there was something new. Change: a reader that the store turns away says so at once, unless the asker cannot read either; the asker tries the next reader before the store, and leaves the first alone for 2 to 16 s; it leaves the store alone for 0.5 to 4 s as long as others tell it. Asks of those without a proof are answered as soon as there is one.

--- a/umberhitch/tasks/direct/membership.py
+++ b/umberhitch/tasks/direct/membership.py
@@ -135,7 +135,7 @@
         )
         if reply is None or not reply.is_known or reply.end < generation:
             return False
-        self._take([Member(name, address.decode()) for name, address in reply.packed], reply.end)
+        self._take([Member(name, address) for name, address in reply.members], reply.end)
         return True
 
     async def _read(self, generation: int) -> None:
@@ -186,6 +186,6 @@
     def _answer(self, sender: str, ask: ViewAsk) -> None:
         reply = ViewReply(ask.ask, ask.incarnation, False)
         if ask.offset <= self._listed:
-            packed = [(each.name, each.address.encode()) for each in self._members]
-            reply = ViewReply(ask.ask, ask.incarnation, True, self._listed, packed=packed)
+            members = [(each.name, each.address) for each in self._members]
+            reply = ViewReply(ask.ask, ask.incarnation, True, self._listed, members=members)
         self._sharing.send(sender, reply)
--- a/umberhitch/tasks/direct/sharing.py
+++ b/umberhitch/tasks/direct/sharing.py
@@ -77,8 +77,12 @@
         between them, at most.
     asked_s : float
         A router that was asked within this reads for others.
-    shun_s : float
-        A router that could not tell what the store could is not asked for so long.
+    shun_s, longest_shun_s : float
+        A router that could not tell what another or the store could is not asked for so long,
+        doubled each time up to the longest.
+    first_retry_s, longest_retry_s : float
+        How long a reader that the store turns away, and whom others tell, leaves the store alone,
+        doubled each time. It learns from them in time what is new.
     asks_a_call : int
         While neither the store nor the reader can tell, so many asks are made for one call: the
         reader calls all the time, and tells the others as soon as the store is back.
@@ -92,6 +96,9 @@
     read_pause_s: float = 0.4
     asked_s: float = 2.0
     shun_s: float = 2.0
+    longest_shun_s: float = 16.0
+    first_retry_s: float = 0.5
+    longest_retry_s: float = 4.0
     asks_a_call: int = 3
 
 
@@ -133,6 +140,14 @@
     NEWS = "there is something new in the store"
 
 
+@dataclass(slots=True)
+class _Shunned:
+    """A peer that is not asked for a while."""
+
+    until_s: float
+    pause_s: float
+
+
 @dataclass(slots=True)
 class _Asked:
     done: "Deferred[ViewReply | None]"
@@ -184,17 +199,28 @@
         link_bytes_per_s = (self.link_mbps(self.name) or UNKNOWN_LINK_MBPS) * 1e6 / 8
         return link_bytes_per_s * TELL_S / max(1, len(self.peers()))
 
-    def reader(self, shunned: set[str]) -> str | None:
+    def reader(self, shunned: set[str], among_others: bool = False) -> str | None:
         """Return who reads for this router, or None if it reads itself.
 
         Those with the fastest links read: what they read the others wait for.
+
+        Parameters
+        ----------
+        shunned : set of str
+            Peers that are not asked.
+        among_others : bool
+            Whether this router does not read itself.
         """
-        names = sorted({self.name, *self.peers()} - shunned | {self.name})
+        own = set() if among_others else {self.name}
+        names = sorted({self.name, *self.peers()} - shunned | own)
+        if not names:
+            return None
         fastest = sorted(names, key=lambda name: (-self.link_mbps(name), name))
         readers = fastest[: -(-len(names) // READER_GROUP)]
         if self.name in readers:
             return None
-        return readers[names.index(self.name) % len(readers)]
+        place = sum(name < self.name for name in names)
+        return readers[place % len(readers)]
 
     def any_peer(self) -> str | None:
         """Return a peer by chance, or None."""
@@ -202,7 +228,13 @@
         return self.rng.choice(sorted(names)) if names else None
 
     def ask(
-        self, peer: str, stream: str, offset: int, hold_s: float, patience_s: float
+        self,
+        peer: str,
+        stream: str,
+        offset: int,
+        hold_s: float,
+        patience_s: float,
+        is_patient: bool = False,
     ) -> "Deferred[ViewReply | None]":
         """Ask a peer what has changed; the result is None where no answer comes in time."""
         self._last_ask += 1
@@ -210,7 +242,7 @@
         done: Deferred[ViewReply | None] = Deferred()
         timer = self.clock.callLater(hold_s + patience_s, self._give_up, number)
         self._asked[number] = _Asked(done, timer)
-        self.send(peer, ViewAsk(number, self.incarnation, stream, offset, hold_s))
+        self.send(peer, ViewAsk(number, self.incarnation, stream, offset, hold_s, is_patient))
         return done
 
     def _give_up(self, number: int) -> None:
@@ -261,8 +293,14 @@
         self._log: ChangeLog[Value] = ChangeLog(teller)
         self._held: list[_HeldAsk] = []
         self._asked_s = float("-inf")
-        self._shunned: dict[str, float] = {}
+        self._shunned: dict[str, _Shunned] = {}
         self._is_failing = False
+        """Whether neither the store nor a peer could tell at the last try."""
+        self._retry_s = 0.0
+        """Pause between calls to the store that turns this router away; 0 while it does not."""
+        self._next_call_s = float("-inf")
+        self._is_back = False
+        """Whether the store has just been reached again, so that all who wait are to know."""
         self._vain_asks = 0
         self._early: Timer | None = None
         self._is_reading = False
@@ -295,15 +333,13 @@
     ) -> FeedBatch[Value]:
         """Return what has changed, from a peer if one can tell, else from the store."""
         reader = self._reader()
-        peer = self._sharing.any_peer() if reader is None and self._is_failing else reader
+        peer = self._other_peer() if reader is None else reader
         if peer is None:
             return await self._since_by_store(offset, wait_s, patience_s)
-        hold_s = self._limits.quick_hold_s if reader is None else self._limits.hold_s
-        if self._is_stale() and not self._is_failing:
-            hold_s = 0.0  # the process stood still: what has changed meanwhile is to be known now
-        called_s = self._clock.seconds()
-        reply = await self._sharing.ask(peer, self._stream, offset, hold_s, self._limits.patience_s)
-        match self._judge(reply, called_s, offset):
+        found = await self._ask(peer, offset, self._hold_s(reader))
+        if found in (_Word.NOTHING, _Word.STALE) and not self._is_failing:
+            found = await self._ask_next(peer, offset) or found
+        match found:
             case FeedBatch() as batch:
                 self._is_failing = False
                 return batch
@@ -315,18 +351,61 @@
                 if self._vain_asks % self._limits.asks_a_call:
                     raise LogUnavailableError("neither the store nor the reader can tell")
         batch = await self._since_by_store(offset, 0.0, patience_s)
-        # The store could tell what the peer could not.
-        self._shunned[peer] = self._clock.seconds() + self._limits.shun_s
+        self._shun(peer)  # the store could tell what the peer could not
         return batch
 
+    def _hold_s(self, reader: str | None) -> float:
+        """Return how long an ask may be held."""
+        if reader is None and self._is_failing:
+            return self._limits.quick_hold_s
+        if self._is_stale() and not self._is_failing:
+            return 0.0  # the process stood still: what has changed meanwhile is to be known now
+        return self._limits.hold_s
+
+    def _other_peer(self) -> str | None:
+        """Return whom a reader asks instead of the store: nobody, unless that turns it away."""
+        if self._is_failing:
+            return self._sharing.any_peer()
+        if self._clock.seconds() < self._next_call_s:
+            return self._sharing.reader({*self._shunned, self._sharing.name}, among_others=True)
+        return None
+
+    async def _ask(self, peer: str, offset: int, hold_s: float) -> "FeedBatch[Value] | _Word":
+        """Ask a peer what has changed."""
+        called_s = self._clock.seconds()
+        reply = await self._sharing.ask(
+            peer, self._stream, offset, hold_s, self._limits.patience_s, self._is_failing
+        )
+        found = self._judge(reply, called_s, offset)
+        if isinstance(found, FeedBatch):
+            self._shunned.pop(peer, None)
+        return found
+
+    async def _ask_next(self, failed: str, offset: int) -> "FeedBatch[Value] | _Word | None":
+        """Ask another reader, where the first could not tell; None if that cannot either."""
+        peer = self._sharing.reader({*self._shunned, failed})
+        if peer is None:
+            return None
+        found = await self._ask(peer, offset, 0.0)
+        if found in (_Word.NOTHING, _Word.STALE):
+            return None
+        self._shun(failed)
+        return found
+
+    def _shun(self, peer: str) -> None:
+        """Leave a peer alone for a while."""
+        limits, before = self._limits, self._shunned.get(peer)
+        pause_s = limits.shun_s if before is None else 2 * before.pause_s
+        pause_s = min(limits.longest_shun_s, pause_s)
+        self._shunned[peer] = _Shunned(self._clock.seconds() + pause_s, pause_s)
+
     def _is_stale(self) -> bool:
         proved_s = None if self._feed is None else self._feed.proved_s
         return proved_s is None or self._clock.seconds() - proved_s > self._limits.stale_s
 
     def _reader(self) -> str | None:
         now_s = self._clock.seconds()
-        self._shunned = {name: end for name, end in self._shunned.items() if end > now_s}
-        return self._sharing.reader(set(self._shunned))
+        return self._sharing.reader({n for n, e in self._shunned.items() if e.until_s > now_s})
 
     def _judge(
         self, reply: ViewReply | None, called_s: float, offset: int
@@ -358,15 +437,26 @@
             raise  # the store is there, and says that the newest are to be read
         except LogError:
             self._is_failing = True
+            self._shunned.clear()  # all come back to the same readers, which call all the time
+            self._leave_alone()
             raise
         finally:
             self._stop_early()
         self._is_failing = False
+        self._is_back = self._retry_s > 0.0
+        self._retry_s = 0.0
+        self._next_call_s = float("-inf")
         proved_s = called_s
         if wait_s and not batch.records and self._clock.seconds() - called_s >= wait_s:
             proved_s = called_s + wait_s - HOLD_MARGIN_S
         return replace(batch, proved_s=proved_s, pause_s=pause_s)
 
+    def _leave_alone(self) -> None:
+        """Put off the next call to the store, as long as others tell what is new."""
+        limits = self._limits
+        self._retry_s = min(limits.longest_retry_s, max(limits.first_retry_s, 2 * self._retry_s))
+        self._next_call_s = self._clock.seconds() + self._retry_s
+
     def _on_begun(self) -> None:
         """Take note that something new is on its way here."""
         self._note_news()
@@ -397,15 +487,16 @@
         if is_whole:
             self._log.begin(batch)
         self._note_changes(batch, is_whole, was_away)
-        self._tell_held()
+        is_back, self._is_back = self._is_back, False
+        self._tell_held(is_back)
 
     def _note_changes(self, batch: FeedBatch[Value], is_whole: bool, was_away: bool) -> None:
         most_bytes = self._sharing.tell_bytes()
         self._log.note(batch, is_whole, was_away, self._is_asked(), most_bytes)
 
-    def _tell_held(self) -> None:
-        """Answer those for whom there is something new."""
-        for held in [each for each in self._held if self._has_news(each.ask)]:
+    def _tell_held(self, is_back: bool = False) -> None:
+        """Answer those for whom there is something new, or all."""
+        for held in [each for each in self._held if is_back or self._has_news(each.ask)]:
             if held.timer.active():  # else it is due in this very turn
                 held.timer.cancel()
             self._answer(held)
@@ -429,10 +520,18 @@
         timer = self._clock.callLater(ask.hold_s, self._on_held, sender, ask.ask)
         held = _HeldAsk(sender, ask, now_s, timer)
         self._held.append(held)
-        if self._has_news(ask):
+        has_proof = not self._retry_s and not self._is_stale()
+        if self._has_news(ask) or not self._can_tell(ask) or (ask.is_patient and has_proof):
             timer.cancel()
             self._answer(held)
 
+    def _can_tell(self, ask: ViewAsk) -> bool:
+        """Whether this router is worth waiting for: not while the store turns it away.
+
+        Else those who ask it wait for it while it asks them.
+        """
+        return ask.is_patient or self._clock.seconds() >= self._next_call_s
+
     def _on_held(self, sender: str, number: int) -> None:
         for held in [e for e in self._held if (e.sender, e.ask.ask) == (sender, number)]:
             self._answer(held)
@@ -442,7 +541,8 @@
         ask, feed, now_s = held.ask, self._feed, self._clock.seconds()
         reply = ViewReply(ask.ask, ask.incarnation, False)
         is_covered = self._log.covers(ask.offset)
-        if feed is not None and feed.proved_s is not None:
+        can_tell = self._has_news(ask) or self._can_tell(ask)
+        if can_tell and feed is not None and feed.proved_s is not None:
             if is_covered or not self._teller.tells_all:
                 reply = ViewReply(
                     ask.ask,
--- a/umberhitch/tasks/direct/tests/test_sharing.py
+++ b/umberhitch/tasks/direct/tests/test_sharing.py
@@ -176,3 +176,29 @@
         router.faults.is_down = False
     world.run(0.5)
     assert [_ask(world, router, "/look/x") for router in routers] == [200] * 12
+
+
+def test_a_reader_that_the_store_turns_away_leaves_it_alone_and_the_others_ask_the_next_one():
+    """Those who asked it waited 0.5 s, then called the store, each, and came back to it each 2 s; a
+    change was in force after up to 1.75 s."""
+    world, routers = _world(40)
+    routers[0].faults.is_down = True
+    world.run(3.0)
+    before = _calls(routers)
+    world.run(10.0)
+    assert (_calls(routers) - before) / 10.0 < 12.0
+    ages = [r.gateway.view.proof_age_s(world.clock.seconds()) for r in routers]
+    assert max(ages) < 2.0
+
+
+def test_all_know_at_once_that_the_store_is_back():
+    """Asks that were held until there is something new were held on, up to 0.5 s."""
+    world, routers = _world(12)
+    for router in routers:
+        router.faults.is_down = True
+    world.run(9.0)
+    for router in routers:
+        router.faults.is_down = False
+    world.run(0.45)
+    ages = [r.gateway.view.proof_age_s(world.clock.seconds()) for r in routers]
+    assert max(ages) < 0.45
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -399,6 +399,8 @@
     stream: str
     offset: int
     hold_s: float
+    is_patient: bool = False
+    """Whether to hold it also where the store cannot be read: the asker cannot either."""
 
 
 class ViewReply(Struct, frozen=True, array_like=True, tag="view"):
@@ -419,6 +421,8 @@
     """Changed entries of endpoints; None where one is gone."""
     packed: list[tuple[str, bytes]] = []
     """What operators wrote, see `pack_value`. With none the store is to be read up to the end."""
+    members: list[tuple[str, str]] = []
+    """Names and addresses of routers."""
 
 
 class PeerReport(Struct, frozen=True, array_like=True, tag="peer"):
