Connects and handshakes between routers that nothing answers are given up after 1 s and 2 s

Dialed while the peer's host had no power, a connect or a handshake hung as long as the network or the library (30 s) let it. Change: both are given up and dialed again.

--- a/umberhitch/adapters/tests/test_zmq_link.py
+++ b/umberhitch/adapters/tests/test_zmq_link.py
@@ -1,5 +1,7 @@
 """The link over real sockets: keys, versions, foreign and malformed frames."""
 
+import socket
+from contextlib import suppress
 from time import sleep
 from typing import Any
 
@@ -178,3 +180,24 @@
     stranger.close(linger=0)
     one.close()
     two.close()
+
+
+def test_a_peer_that_accepts_and_says_nothing_is_dialed_anew(context) -> None:
+    """Its host lost power as it accepted; the library by itself waits for 30 s."""
+    silent = socket.create_server(("127.0.0.1", 0))
+    silent.setblocking(False)
+    reactor = PolledReactor()
+    link = ZmqLink("two", reactor, context, "127.0.0.1:0")
+    link.connect("one", f"127.0.0.1:{silent.getsockname()[1]}")
+    accepted: list[socket.socket] = []
+
+    def is_dialed_twice() -> bool:
+        with suppress(BlockingIOError):
+            accepted.append(silent.accept()[0])
+        return len(accepted) >= 2
+
+    # Each poll waits 5 ms: these are 20 s at the most, where the handshake is given up after 2 s.
+    assert reactor.poll_until(is_dialed_twice, 4000)
+    for each in (silent, *accepted):
+        each.close()
+    link.close()
--- a/umberhitch/adapters/zmq_link.py
+++ b/umberhitch/adapters/zmq_link.py
@@ -25,6 +25,11 @@
 
 HIGH_WATER_MARK = 10_000
 """Frames queued for a peer that does not read; more are dropped and repaired by the tasks."""
+CONNECT_MS = 1000
+"""A connect that a host without power never answered is tried anew after this: left to the network,
+a fifth of 80 routers that lost power together did not hear of others for 28 s and more."""
+HANDSHAKE_MS = 2000
+"""The same for a connection on which nothing comes; a hop takes some ms."""
 READ_BURST = 200
 """Frames read before other work gets its turn."""
 
@@ -176,6 +181,8 @@
         sock.setsockopt(zmq.HEARTBEAT_IVL, 5000)
         sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, 15000)
         sock.setsockopt(zmq.RECONNECT_IVL_MAX, 5000)
+        sock.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_MS)
+        sock.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_MS)
         sock.setsockopt(zmq.IDENTITY, self.name.encode())
         if keys is not None:
             sock.curve_publickey = keys.public
