--- a/umberhitch/platform/standins/_endpoint.py
+++ b/umberhitch/platform/standins/_endpoint.py
@@ -22,6 +22,8 @@
         Status of its replies.
     is_shedding : bool
         It refuses everything, and says that nothing has run.
+    loses_answers : bool
+        It runs everything, and breaks the connection off instead of answering.
     break_after : int
         Streams break off within the event after so many; 0 for never.
     event_s : float
@@ -32,6 +34,7 @@
 
     status: int = 200
     is_shedding: bool = False
+    loses_answers: bool = False
     break_after: int = 0
     event_s: float = 0.01
     confidence: int = 100
@@ -76,6 +79,9 @@
         model = head.getRawHeaders("Model", [""])[0]
         customer = head.getRawHeaders("Tenant", [""])[0]
         self.runs.append(Run(call_id, customer, model, monotonic()))
+        if self.faults.loses_answers:
+            request.transport.abortConnection()
+            return Deferred()
         request.setHeader("Attempt-Id", call_id)
         request.setHeader("Response-Signature", f"signed.{self.incarnation}.{call_id}")
         request.setResponseCode(self.faults.status)
--- a/umberhitch/platform/standins/client.py
+++ b/umberhitch/platform/standins/client.py
@@ -24,7 +24,7 @@
 }
 ROUTES = [
     {**ROUTE, "name": "look", "pathPrefix": "/look/", "kind": "idempotent", "maxAttempts": 2},
-    {**ROUTE, "name": "order", "pathPrefix": "/order/", "kind": "non_idempotent"},
+    {**ROUTE, "name": "order", "pathPrefix": "/order/", "kind": "non_idempotent", "maxAttempts": 2},
     {
         **ROUTE,
         "name": "draft",
--- a/umberhitch/soak/_run.py
+++ b/umberhitch/soak/_run.py
@@ -236,6 +236,9 @@
         case Fault.SHED:
             _set_fault(platform, endpoint, {"is_shedding": True})
             return lambda: _set_fault(platform, endpoint, {"is_shedding": False})
+        case Fault.LOSE:
+            _set_fault(platform, endpoint, {"loses_answers": True})
+            return lambda: _set_fault(platform, endpoint, {"loses_answers": False})
         case Fault.BREAK:
             platform.break_streams(endpoint, 2)
             return lambda: platform.break_streams(endpoint, 0)
--- a/umberhitch/soak/_schedule.py
+++ b/umberhitch/soak/_schedule.py
@@ -22,6 +22,7 @@
     LINK_ONE_WAY = "cut a router's way from the store"
     SHED = "endpoint refuses all"
     BREAK = "endpoint breaks streams off"
+    LOSE = "endpoint loses its answers"
     DEPART = "endpoint leaves, another comes"
     REBORN = "endpoint starts again under its name"
     BROKEN_ENTRY = "entry of another writer"
@@ -40,6 +41,7 @@
         Fault.LINK_ONE_WAY,
         Fault.SHED,
         Fault.BREAK,
+        Fault.LOSE,
     }
 )
 """Faults that last; the others are done at once."""
