--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -37,9 +37,8 @@
 roll-out: calls mostly stay in their zone, and reports cross it."""
 NEWS_S = 0.03
 """Sessions that others would send to the other version, and states that were written to the store,
-are told together after this. With 28 peers
-a report goes out each 0.9 s; sessions whose next request came to another router sooner went there:
-4 on a day, and 10 of 200 within 0.1 s of an order."""
+are told together after this. With 28 peers a report goes out each 0.9 s; sessions whose next
+request came to another router sooner went there: 4 on a day, 10 of 200 within 0.1 s of an order."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberhitch/tasks/direct/sharing.py
+++ b/umberhitch/tasks/direct/sharing.py
@@ -5,8 +5,8 @@
 ask until something has, as the store does. What it tells rests on its own reads, and it says how
 old they are: so an answer proves to the one who asked that its view was the newest at a time that
 it can tell by its own clock, whatever was frozen or late in between. An ask that is not answered in
-time, or from a view that is too old, is put to the store at once, so that a reader that fails costs
-one short wait.
+time, or from a view that is too old, is put to the next reader and then to the store, so that a
+reader that fails costs one short wait. How a stream is read and told: `tasks/direct/shared_view`.
 """
 
 from collections.abc import Callable
