--- a/umberhitch/adapters/zmq_link.py
+++ b/umberhitch/adapters/zmq_link.py
@@ -26,10 +26,10 @@
 HIGH_WATER_MARK = 10_000
 """Frames queued for a peer that does not read; more are dropped and repaired by the tasks."""
 CONNECT_MS = 1000
-"""A connect that a host without power never answered is tried anew after this: left to the network,
-a fifth of 80 routers that lost power together did not hear of others for 28 s and more."""
+"""A connect that nothing answers is tried anew after this, far over a hop's some ms. Left to itself
+the network tries for minutes, ever more rarely, a host that was without power meanwhile."""
 HANDSHAKE_MS = 2000
-"""The same for a connection on which nothing comes; a hop takes some ms."""
+"""The same for a connection on which nothing comes: the library by itself waits for 30 s."""
 READ_BURST = 200
 """Frames read before other work gets its turn."""
 
