--- a/umberhitch/soak/_records.py
+++ b/umberhitch/soak/_records.py
@@ -46,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Departure:
-    """An endpoint that said that it leaves, and until when the store was sound after that."""
+    """An endpoint that said that it leaves; confirmed by the store at a time."""
 
     endpoint: str
     at_s: float
