--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -11,6 +11,7 @@
 from umberhitch.core.direct._pace import EventPace, Paces, PacesLimits
 from umberhitch.core.direct._placement import EngineWork, Offer, Placed, Placement, PlacementLimits
 from umberhitch.core.direct._readings import NO_READING, Readings
+from umberhitch.core.direct._request_key import request_key
 from umberhitch.core.direct._routes import RouteTable
 from umberhitch.core.direct._trial import Trial, TrialLimits
 from umberhitch.core.direct._types import (
@@ -79,4 +80,5 @@
     "change_between",
     "key_digest",
     "make_stake",
+    "request_key",
 ]
--- a/umberhitch/tasks/direct/admission.py
+++ b/umberhitch/tasks/direct/admission.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from umberhitch.core.direct import Ask, Customer, Route, RouteKind
+from umberhitch.core.direct import Ask, Customer, Route, RouteKind, request_key
 from umberhitch.ports.clock import Clock
 from umberhitch.tasks.direct.services import Permit
 from umberhitch.tasks.direct.store_view import StoreView
@@ -99,7 +99,8 @@
         ready = self._view.directory.ready(service, now_s, self._rng)
         is_light = ask.prompt_tokens < LIGHT_TOKENS
         wants = self._trials.wants_target(service, ask.session, now_s, ready, is_light)
-        return Permit(ask, route, service, customer, received_s, wants)
+        key = request_key(ask, customer)
+        return Permit(ask, route, service, customer, received_s, wants, key)
 
     def _pick_service(self, route: Route) -> str:
         if len(route.services) == 1:
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -423,6 +423,7 @@
             what,
             exchange.permit.ask.call_id,
             is_failure,
+            key=exchange.permit.key,
             route=exchange.permit.route.name,
             endpoint=None if endpoint is None else endpoint.lifetime,
             model=exchange.model,
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -62,6 +62,8 @@
     received_s: float
     wants_target: bool | None
     """Whether it goes to the new version of a roll-out; None without one."""
+    key: str = ""
+    """Names the request when it comes again, see `request_key`."""
 
 
 class RequestState(CallEvents, Protocol):
