--- a/umberhitch/adapters/tests/test_steady.py
+++ b/umberhitch/adapters/tests/test_steady.py
@@ -1,7 +1,8 @@
 """Timers where the time of day jumps."""
 
-from time import monotonic
+from time import CLOCK_BOOTTIME, monotonic
 
+import pytest
 from twisted.internet.epollreactor import EPollReactor
 
 from umberhitch.adapters.steady import make_steady
@@ -15,3 +16,22 @@
     timer = reactor.callLater(5.0, lambda: None)
     assert before_s + 5.0 <= timer.getTime() <= monotonic() + 5.0
     assert before_s <= reactor.seconds() <= monotonic()
+
+
+def test_time_goes_on_while_the_host_is_suspended(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The steady clock stands still meanwhile: a router woke up with a proof 4 s too young.
+
+    Then keys that were taken away in between were served, and leases, deadlines and bans of before
+    held on for as long again.
+    """
+    suspended_s = [0.0]
+    monkeypatch.setattr(
+        "umberhitch.adapters.steady.clock_gettime",
+        lambda clock: monotonic() + (suspended_s[0] if clock == CLOCK_BOOTTIME else 0.0),
+        raising=False,
+    )
+    reactor = EPollReactor()
+    make_steady(reactor)
+    timer = reactor.callLater(5.0, lambda: None)
+    suspended_s[0] = 6.0
+    assert timer.getTime() <= reactor.seconds()
--- a/umberhitch/fakes/_direct_http.py
+++ b/umberhitch/fakes/_direct_http.py
@@ -61,10 +61,20 @@
     ----------
     fails_over : int
         With more calls than this under way, further ones fail; 0 for never.
+    crashing : dict of bytes to float
+        Bodies of calls that end the endpoint, and how long after they begin, in seconds.
+    crashes_silently : bool
+        Whether its connections hang when it ends, in place of being closed.
+    on_crash : callable
+        Called when it ends.
     """
 
     fails_over: int = 0
     active: int = 0
+    crashing: dict[bytes, float] = field(default_factory=dict)
+    crashes_silently: bool = False
+    is_down: bool = False
+    on_crash: Callable[["FakeEndpoint"], None] | None = None
 
     reply: Reply = field(default_factory=Reply)
     replies: list[Reply] = field(default_factory=list)
@@ -72,6 +82,17 @@
     called_s: list[float] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
     ran: list[str] = field(default_factory=list)
+    under_way: list["_FakeCall"] = field(default_factory=list)
+
+    def crash(self) -> None:
+        """End at once, with all calls under way."""
+        if self.is_down:
+            return
+        self.is_down = True
+        if self.on_crash is not None:
+            self.on_crash(self)
+        for call in [*self.under_way]:
+            call.lose(self.crashes_silently)
 
 
 class _FakeCall:
@@ -89,6 +110,10 @@
         reply = self._reply()
         if reply is not None and not reply.is_silent:
             self._later(reply.delay_s, lambda: self._begin(reply))
+        if endpoint is not None:
+            endpoint.under_way.append(self)
+            if call.body in endpoint.crashing:
+                clock.callLater(endpoint.crashing[call.body], endpoint.crash)
 
     def _reply(self) -> Reply | None:
         if self._endpoint is None:
@@ -137,7 +162,8 @@
             return
         if reply.break_after is not None and count > reply.break_after:
             self._events.on_data(b"id: %d\ndata: bro" % number)
-            events, self._events = self._events, None
+            events = self._events
+            self._stop()
             events.on_failure(CallFailure.BROKEN, "fake")
             return
         self._events.on_data(b"id: %d\ndata: e%d\n\n" % (number, number))
@@ -146,8 +172,22 @@
             return
         self._later(reply.gap_s, lambda: self._event(reply, number + 1, count + 1))
 
+    def lose(self, is_silent: bool) -> None:
+        """Lose the endpoint; the caller sees that unless it is silent."""
+        events = self._events
+        self._stop()
+        if events is not None and not is_silent:
+            events.on_failure(CallFailure.BROKEN, "lost")
+
+    def _stop(self) -> None:
+        """Nothing more happens to the call."""
+        self._events = None
+        if self._endpoint is not None and self in self._endpoint.under_way:
+            self._endpoint.under_way.remove(self)
+
     def _end(self) -> None:
-        events, self._events = self._events, None
+        events = self._events
+        self._stop()
         if self._endpoint is not None:
             self._endpoint.active -= 1
         if events is not None:
@@ -156,7 +196,7 @@
     def cancel(self) -> None:
         if self._events is not None and self._endpoint is not None:
             self._endpoint.cancelled.append(self._call.call_id)
-        self._events = None
+        self._stop()
 
     def detach(self) -> None:
         self._events = None
--- a/umberhitch/testing/__init__.py
+++ b/umberhitch/testing/__init__.py
@@ -10,6 +10,7 @@
     make_version,
     make_work,
 )
+from umberhitch.testing._crashing import CrashingFleet, CrashShape
 from umberhitch.testing._direct import (
     DirectAsk,
     DirectRouter,
@@ -27,6 +28,8 @@
     "SIGNING_SECRET",
     "AskOptions",
     "CallerRecord",
+    "CrashShape",
+    "CrashingFleet",
     "DirectAsk",
     "DirectRouter",
     "DirectWorld",
--- a/umberhitch/testing/_direct.py
+++ b/umberhitch/testing/_direct.py
@@ -211,7 +211,12 @@
             self.clock.advance(STEP_S)
 
     def ask(
-        self, router: DirectRouter, path: str, key: str | None = KEY, **headers: str
+        self,
+        router: DirectRouter,
+        path: str,
+        key: str | None = KEY,
+        body: bytes = b"body",
+        **headers: str,
     ) -> "DirectAsk":
         """Send a request; ``headers`` are those of `FakeWire`, underscores for hyphens."""
         self._asked += 1
@@ -222,7 +227,7 @@
         for name, value in headers.items():
             lines.append((name.replace("_", "-").encode(), value.encode()))
         reply = FakeReply()
-        raw = RawRequest(b"POST", path.encode(), lines, b"body", self.clock.seconds())
+        raw = RawRequest(b"POST", path.encode(), lines, body, self.clock.seconds())
         leave = router.gateway.handle(raw, reply)
         return DirectAsk(call_id, reply, leave)
 
