Timers and ages go by the clock that goes on in a suspension (CLOCK_BOOTTIME)

Cause: monotonic stands still while a host is suspended; after 6 s of it a timer of 5 s was not due, and a proof of the keys would have looked 6 s younger. Two tests compared with monotonic, which is the wrong clock now: they compare with CLOCK_BOOTTIME from both sides.

--- a/umberhitch/adapters/steady.py
+++ b/umberhitch/adapters/steady.py
@@ -1,9 +1,18 @@
-"""Timers by the steady clock."""
+"""Timers by a clock that nobody sets and that a suspension of the host does not stop."""
 
-from time import monotonic
+from time import CLOCK_BOOTTIME, clock_gettime
 from typing import Any
 
-__all__ = ["make_steady"]
+__all__ = ["make_steady", "steady_s"]
+
+
+def steady_s() -> float:
+    """Return the seconds since the host started, those in which it was suspended included.
+
+    The usual steady clock leaves these out: a process that wakes up would take its proof of the
+    keys, leases, deadlines and bans for younger than they are, by seconds.
+    """
+    return clock_gettime(CLOCK_BOOTTIME)
 
 
 def make_steady(reactor: Any) -> None:
@@ -17,4 +26,4 @@
     ----------
     reactor : IReactorTime
     """
-    reactor.seconds = monotonic
+    reactor.seconds = steady_s
--- a/umberhitch/adapters/tests/test_steady.py
+++ b/umberhitch/adapters/tests/test_steady.py
@@ -1,6 +1,6 @@
 """Timers where the time of day jumps."""
 
-from time import CLOCK_BOOTTIME, monotonic
+from time import CLOCK_BOOTTIME, clock_gettime, monotonic
 
 import pytest
 from twisted.internet.epollreactor import EPollReactor
@@ -12,10 +12,10 @@
     """A jump of the time of day ended every stream and call at once (own day clock-hup-storm)."""
     reactor = EPollReactor()
     make_steady(reactor)
-    before_s = monotonic()
+    before_s = clock_gettime(CLOCK_BOOTTIME)
     timer = reactor.callLater(5.0, lambda: None)
-    assert before_s + 5.0 <= timer.getTime() <= monotonic() + 5.0
-    assert before_s <= reactor.seconds() <= monotonic()
+    assert before_s + 5.0 <= timer.getTime() <= clock_gettime(CLOCK_BOOTTIME) + 5.0
+    assert before_s <= reactor.seconds() <= clock_gettime(CLOCK_BOOTTIME)
 
 
 def test_time_goes_on_while_the_host_is_suspended(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/umberhitch/cli/tests/test_daemon.py
+++ b/umberhitch/cli/tests/test_daemon.py
@@ -108,7 +108,8 @@
         "import sys, time; sys.argv = ['d', sys.argv[1]]\n"
         "from twisted.internet import reactor\n"
         "from umberhitch.cli import daemon\n"
-        "reactor.run = lambda **kwargs: print(reactor.seconds() <= time.monotonic())\n"
+        "steady = lambda: time.clock_gettime(time.CLOCK_BOOTTIME)\n"
+        "reactor.run = lambda **kwargs: print(steady() <= reactor.seconds() <= steady())\n"
         "daemon.run()\n"
     )
     for settings in (AGENT, GATEWAY):
