Requests under which endpoints end are held: by all routers together, from the third crash on

Cause: a router knew of a request only while it ran, and told no other what was under way where an endpoint ended. Now: a call that breaks makes the router look whether its endpoint still listens; the end of an endpoint counts against each request under way there until a run of it ends well, or outlives; all routers are told in 0.03 s; from three on it runs by one probe at a time for all (after 1 s, 10 s, 600 s doubled). A crash by a suspect is no evidence against a version, and any crash is one answer, not one a call.

--- a/umberhitch/adapters/h11_endpoints.py
+++ b/umberhitch/adapters/h11_endpoints.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 import h11
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
@@ -24,6 +24,7 @@
     CallFailure,
     EndpointCall,
     HeaderList,
+    Listening,
 )
 
 __all__ = ["EndpointClient", "EndpointClientLimits"]
@@ -266,7 +267,9 @@
         return _Dialed(self._client, self._address, self._call)
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        self._call.fail(CallFailure.NOT_SENT, f"no connection: {reason.value!r}")
+        is_refused = reason.check(ConnectionRefusedError) is not None
+        failure = CallFailure.REFUSED if is_refused else CallFailure.NOT_SENT
+        self._call.fail(failure, f"no connection: {reason.value!r}")
 
 
 class _Dialed(_Connection):
@@ -284,6 +287,35 @@
         self.start(self._first)
 
 
+class _Check(ClientFactory):
+    """Connects to see whether a process listens; the connection serves the next call."""
+
+    noisy = False
+
+    def __init__(
+        self, client: "EndpointClient", address: str, on_found: Callable[[Listening], None]
+    ) -> None:
+        self._client = client
+        self._address = address
+        self._on_found = on_found
+
+    def buildProtocol(self, addr: Any) -> Protocol:
+        self._on_found(Listening.YES)
+        return _Kept(self._client, self._address)
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        is_refused = reason.check(ConnectionRefusedError) is not None
+        self._on_found(Listening.NO if is_refused else Listening.UNKNOWN)
+
+
+class _Kept(_Connection):
+    """A connection that was made for no call."""
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self._client.keep(self)
+
+
 class EndpointClient:
     """Owns the connections to endpoints.
 
@@ -317,13 +349,19 @@
         if kept is not None:
             kept.start(running)
             return running
+        self._connect(address, _Dial(self, address, running))
+        return running
+
+    def check(self, address: str, on_found: Callable[[Listening], None]) -> None:
+        """Find out whether a process listens at ``IP:PORT``; the answer comes later."""
+        self._connect(address, _Check(self, address, on_found))
+
+    def _connect(self, address: str, factory: ClientFactory) -> None:
         self.opened += 1
         host, _, port = address.rpartition(":")
-        factory = _Dial(self, address, running)
         self._reactor.connectTCP(
             str(ip_address(host)), int(port), factory, timeout=self.limits.connect_s
         )
-        return running
 
     def _take(self, address: str, is_once: bool) -> _Connection | None:
         idle = self._idle.get(address)
--- a/umberhitch/adapters/tests/test_h11_endpoints.py
+++ b/umberhitch/adapters/tests/test_h11_endpoints.py
@@ -10,7 +10,7 @@
 from umberhitch.adapters.h11_endpoints import EndpointClient
 from umberhitch.adapters.h11_fetch import NoReplyError, fetch
 from umberhitch.core.direct import ReplyHead
-from umberhitch.ports.direct import CallFailure, EndpointCall, HeaderList
+from umberhitch.ports.direct import CallFailure, EndpointCall, HeaderList, Listening
 from umberhitch.testing import dial
 
 ADDRESS = "10.0.0.1:80"
@@ -76,12 +76,38 @@
     assert transport.take().startswith(b"POST")
 
 
-def test_without_a_connection_nothing_was_sent(reactor, client):
+@pytest.mark.parametrize(
+    ("error", "failure"),
+    [(ConnectionRefusedError(), CallFailure.REFUSED), (TimeoutError(), CallFailure.NOT_SENT)],
+)
+def test_without_a_connection_nothing_was_sent(reactor, client, error, failure):
     events = Events()
     client.send(ADDRESS, make_call(), events)
     factory = reactor.tcpClients[-1][2]
-    factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
-    assert events.failure is CallFailure.NOT_SENT
+    factory.clientConnectionFailed(None, Failure(error))
+    assert events.failure is failure
+
+
+@pytest.mark.parametrize(
+    ("error", "expected"),
+    [(ConnectionRefusedError(), Listening.NO), (TimeoutError(), Listening.UNKNOWN)],
+)
+def test_a_check_tells_an_ended_process_from_one_that_cannot_be_reached(
+    reactor, client, error, expected
+):
+    found = []
+    client.check(ADDRESS, found.append)
+    reactor.tcpClients[-1][2].clientConnectionFailed(None, Failure(error))
+    assert found == [expected]
+
+
+def test_the_connection_of_a_check_serves_the_next_call(reactor, client):
+    found = []
+    client.check(ADDRESS, found.append)
+    dial(reactor)
+    assert found == [Listening.YES]
+    client.send(ADDRESS, make_call(), Events())
+    assert len(reactor.tcpClients) == 1
 
 
 def test_a_late_reply_to_another_call_is_skipped(reactor, client):
--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -3,6 +3,7 @@
 from umberhitch.core.direct._budget import BudgetLimits, RetryBudget
 from umberhitch.core.direct._cascade import Cascade, CascadeLimits
 from umberhitch.core.direct._change import DocumentChange, apply_change, change_between
+from umberhitch.core.direct._crash_record import Crash, CrashLimits, CrashRecord, Hold
 from umberhitch.core.direct._directory import Directory, Endpoint
 from umberhitch.core.direct._engine_time import EngineDemand, EnginePrice, EngineTimeLimits
 from umberhitch.core.direct._events import EventCutter
@@ -40,6 +41,9 @@
     "Cascade",
     "CascadeLimits",
     "Counts",
+    "Crash",
+    "CrashLimits",
+    "CrashRecord",
     "Customer",
     "Directory",
     "Document",
@@ -54,6 +58,7 @@
     "EventCutter",
     "EventPace",
     "EvidenceBar",
+    "Hold",
     "IntakeLimits",
     "Offer",
     "Paces",
--- a/umberhitch/fakes/_direct_http.py
+++ b/umberhitch/fakes/_direct_http.py
@@ -12,9 +12,12 @@
     CallFailure,
     EndpointCall,
     HeaderList,
+    Listening,
     RawRequest,
 )
 
+CHECK_S = 0.002
+
 __all__ = ["FakeEndpoint", "FakeEndpoints", "FakeReply", "FakeWire", "Reply"]
 
 
@@ -115,9 +118,14 @@
             if call.body in endpoint.crashing:
                 clock.callLater(endpoint.crashing[call.body], endpoint.crash)
 
+    @property
+    def body(self) -> bytes:
+        """Return the body of the call."""
+        return self._call.body
+
     def _reply(self) -> Reply | None:
         if self._endpoint is None:
-            return Reply(failure=CallFailure.NOT_SENT)
+            return Reply(failure=CallFailure.REFUSED)
         self._endpoint.calls.append(self._call)
         self._endpoint.called_s.append(self._clock.seconds())
         endpoint = self._endpoint
@@ -224,6 +232,15 @@
         self.running.append(running)
         return running
 
+    def check(self, address: str, on_found: Callable[[Listening], None]) -> None:
+        """Tell whether there is an endpoint."""
+        self._clock.callLater(CHECK_S, self._found, address, on_found)
+
+    def _found(self, address: str, on_found: Callable[[Listening], None]) -> None:
+        endpoint = self.by_address.get(address)
+        is_there = endpoint is not None and not endpoint.is_down
+        on_found(Listening.YES if is_there else Listening.NO)
+
     def close_idle(self, address: str) -> None:
         """Take note; no connection is kept."""
         self.closed.append(address)
--- a/umberhitch/ports/direct.py
+++ b/umberhitch/ports/direct.py
@@ -24,6 +24,7 @@
     "FeedPort",
     "FeedRecord",
     "HeaderList",
+    "Listening",
     "Member",
     "MembersPort",
     "OperatorValue",
@@ -89,10 +90,21 @@
 
     NOT_SENT = "not_sent"
     """No connection: the endpoint certainly has nothing of it."""
+    REFUSED = "refused"
+    """The same, since nothing listens at its address: its process has ended."""
     BROKEN = "broken"
     """It was sent, at least in part, and may have run."""
 
 
+class Listening(StrEnum):
+    """What a connection to an address told of the process there."""
+
+    YES = "yes"
+    NO = "no"
+    UNKNOWN = "unknown"
+    """Nothing answered in time."""
+
+
 class CallEvents(Protocol):
     """What happens to a call; `on_end` or `on_failure` is the last."""
 
@@ -158,6 +170,10 @@
         """Send a call to ``IP:PORT``; events come later, never from within."""
         ...
 
+    def check(self, address: str, on_found: Callable[[Listening], None]) -> None:
+        """Find out whether a process listens at ``IP:PORT``; the answer comes later."""
+        ...
+
     def close_idle(self, address: str) -> None:
         """Close the kept connections to an address."""
         ...
--- /dev/null
+++ b/umberhitch/tasks/direct/crash_guard.py
@@ -0,0 +1,186 @@
+"""Keeps requests that end the endpoints that run them from being run on and on.
+
+Design note 14 weighs the ways. What is seen here: `crash_watch`. What follows, and when a request
+is run again: `core/direct/_crash_record`. How all routers come to know it: `crash_sharing`,
+`probing`.
+"""
+
+from collections.abc import Callable
+
+from umberhitch.core.direct import AnswerVerdict, CrashLimits, CrashRecord, Endpoint, Hold
+from umberhitch.ports.clock import Clock
+from umberhitch.ports.direct import EndpointPort, Listening
+from umberhitch.tasks.direct.crash_sharing import CrashSharing
+from umberhitch.tasks.direct.crash_watch import CrashWatch
+from umberhitch.tasks.direct.probing import Probing
+from umberhitch.tasks.direct.services import Permit, Run, place_of
+from umberhitch.wire import CrashNews, ProbeAsk, ProbeReply
+
+__all__ = ["CrashGuard"]
+
+ABSENT_RETRY_S = 1.0
+"""Time to come back that is named where the endpoint of a probe is not there: others are found
+meanwhile, or those that ended are back after some seconds."""
+
+
+class CrashGuard:
+    """What a router's requests need of it: runs in, holds out.
+
+    Parameters
+    ----------
+    name : str
+        Of this router.
+    clock : Clock
+    endpoints : EndpointPort
+    on_verdict : callable
+        Called with a run that broke off, and what that says of its version.
+    on_unreachable : callable
+        Called with an endpoint that did not answer, and whether its process has ended.
+    limits : CrashLimits
+    """
+
+    def __init__(
+        self,
+        name: str,
+        clock: Clock,
+        endpoints: EndpointPort,
+        on_verdict: Callable[[Run, AnswerVerdict], None],
+        on_unreachable: Callable[[Endpoint, bool], None],
+        limits: CrashLimits | None = None,
+    ) -> None:
+        self.record = CrashRecord(limits)
+        self.sharing = CrashSharing(name, clock, self.record)
+        self.probing = Probing(name, clock, self.sharing)
+        self.watch = CrashWatch(clock, endpoints, self.record, self.sharing.crashed, on_verdict)
+        self._clock = clock
+        self._endpoints = endpoints
+        self._on_unreachable = on_unreachable
+        self._under_way: dict[str, list[Run]] = {}
+        self.sharing.on_held = self._on_held
+
+    # Requests
+
+    def hold(self, permit: Permit) -> Hold | None:
+        """Return why a request is held, or None."""
+        return self.record.hold(permit.key, self._clock.seconds())
+
+    def is_held(self, permit: Permit) -> bool:
+        """Whether a request is run by probes only."""
+        return self.record.is_held(permit.key)
+
+    def retry_s(self, permit: Permit) -> float:
+        """Return when a request that is held may come again."""
+        hold = self.hold(permit)
+        return 0.0 if hold is None else max(0.0, hold.until_s - self._clock.seconds())
+
+    def ask_probe(
+        self,
+        permit: Permit,
+        endpoint: Endpoint,
+        lease_s: float,
+        done: Callable[[float | None], None],
+    ) -> None:
+        """Ask to run a request that is held; see `Probing.ask`.
+
+        It is seen first that the endpoint is there: a probe that reaches nobody is one of few.
+        """
+        now_s = self._clock.seconds()
+        hold = self.record.hold(permit.key, now_s, place_of(endpoint))
+        if hold is not None and hold.until_s > now_s:
+            done(hold.until_s - now_s)
+            return
+
+        def take(found: Listening) -> None:
+            if found is Listening.YES:
+                self.probing.ask(permit.key, place_of(endpoint), lease_s, done)
+            else:
+                self._on_unreachable(endpoint, found is Listening.NO)
+                done(ABSENT_RETRY_S)
+
+        self._endpoints.check(endpoint.entry.address, take)
+
+    # Calls
+
+    def began(self, permit: Permit, endpoint: Endpoint, is_probe: bool) -> Run:
+        """Take note that a call is sent."""
+        run = Run(permit, endpoint, self._clock.seconds(), is_probe)
+        self._under_way.setdefault(permit.key, []).append(run)
+        return run
+
+    def _over(self, run: Run) -> None:
+        runs = self._under_way[run.permit.key]
+        runs.remove(run)
+        if not runs:
+            del self._under_way[run.permit.key]
+
+    def _is_under_way(self, run: Run) -> bool:
+        return any(each is run for each in self._under_way.get(run.permit.key, ()))
+
+    def answered(self, run: Run) -> None:
+        """Take note that a call has the head of its reply."""
+        run.head_s = self._clock.seconds()
+        self.watch.answered(run)
+        if self.record.is_held(run.permit.key):
+            self._free_if_outlived(run)
+
+    def _on_held(self, key: str) -> None:
+        for run in self._under_way.get(key, ()):
+            if run.head_s is not None:
+                self._free_if_outlived(run)
+
+    def _free_if_outlived(self, run: Run) -> None:
+        """Free a request once a run of it has gone on for long enough."""
+        assert run.head_s is not None
+        key = run.permit.key
+        left_s = run.head_s + self.record.outlived_s(key) - self._clock.seconds()
+
+        def look() -> None:
+            if self._is_under_way(run) and self.record.is_held(key):
+                self.sharing.ended(key, self._clock.seconds())
+
+        self._clock.callLater(max(0.0, left_s), look)
+
+    def ended(self, run: Run) -> None:
+        """Take note that a call has its whole reply: its endpoint lives after it."""
+        self._over(run)
+        key, now_s = run.permit.key, self._clock.seconds()
+        if self.record.is_suspect(key):
+            self.watch.ended_well(run, lambda: self.sharing.ended(key, now_s))
+        else:
+            self.sharing.ended(key, now_s)
+
+    def not_run(self, run: Run) -> None:
+        """Take note that the endpoint has not run it."""
+        self._over(run)
+        self._show_nothing(run)
+
+    def left(self, run: Run) -> None:
+        """Take note that the call was given up here."""
+        self._over(run)
+        self.watch.left(run)
+        self._show_nothing(run)
+
+    def broke(self, run: Run) -> None:
+        """Take note that the call broke, or was silent for too long."""
+        self._over(run)
+        self.watch.broke(run)
+
+    def never_sent(self, run: Run) -> None:
+        """Take note that there was no connection for it."""
+        self._over(run)
+
+    def _show_nothing(self, run: Run) -> None:
+        if run.is_probe:
+            self.sharing.probe_over(run.permit.key)
+
+    # Peers
+
+    def receive(self, sender: str, message: CrashNews | ProbeAsk | ProbeReply) -> None:
+        """Handle what another router sent."""
+        match message:
+            case CrashNews():
+                self.sharing.receive(message)
+            case ProbeAsk():
+                self.probing.on_ask(sender, message)
+            case ProbeReply():
+                self.probing.on_reply(message)
--- /dev/null
+++ b/umberhitch/tasks/direct/crash_sharing.py
@@ -0,0 +1,241 @@
+"""Tells the other routers of crashes, so that all hold the same requests within some 0.05 s.
+
+What is told is added to what is known, so that lost, repeated and late messages do no harm: news go
+to all at once, what is held is told again as long as it is, and a router that is new gets all of
+it. A router that knows that a request has ended well since tells the one router that is asked for
+its probes, and that one tells all.
+"""
+
+from collections.abc import Callable
+from logging import getLogger
+
+from xxhash import xxh3_64_intdigest
+
+from umberhitch.core.direct import Crash, CrashRecord
+from umberhitch.ports.clock import Clock
+from umberhitch.ports.direct import do_nothing
+from umberhitch.wire import CrashNews, CrashTold, EndTold, Message, ProbeTold
+
+__all__ = ["CrashSharing"]
+
+log = getLogger(__name__)
+
+MAX_CRASHES = 512
+"""Crashes in one message, some 0.1 kB each: those of a third of a zone's running requests."""
+MAX_AGAIN = 4
+"""Requests that are told again with each report, in turn: under 1 kB."""
+AGAIN_S = 30.0
+"""So long a crash is told again, and a request that is held as long as it is held."""
+
+
+class CrashSharing:
+    """One router's part in what all know of crashes.
+
+    Parameters
+    ----------
+    name : str
+        Of this router.
+    clock : Clock
+    record : CrashRecord
+
+    Attributes
+    ----------
+    peers : callable
+        Returns the names of the other routers.
+    send : callable
+        Sends a message to one of them.
+    on_news : callable
+        Called when there is something that the others are to be told at once.
+    on_held : callable
+        Called with the key of a request that is held from now on.
+    """
+
+    def __init__(self, name: str, clock: Clock, record: CrashRecord) -> None:
+        self.record = record
+        self.peers: Callable[[], list[str]] = list
+        self.send: Callable[[str, Message], None] = lambda peer, message: None
+        self.on_news: Callable[[], None] = do_nothing
+        self.on_held: Callable[[str], None] = lambda key: None
+        self._name = name
+        self._clock = clock
+        self._crashes: list[tuple[str, Crash]] = []
+        self._ends: set[str] = set()
+        self._probes: dict[str, ProbeTold] = {}
+        self._turn = 0
+
+    def arbiter(self, key: str) -> str:
+        """Return the router that lets probes of a request through (rendezvous hash)."""
+        names = [self._name, *self.peers()]
+        return max(names, key=lambda name: xxh3_64_intdigest(f"{key}|{name}".encode()))
+
+    # Own news
+
+    def crashed(self, key: str, crash: Crash) -> None:
+        """Take note of a crash that this router has seen."""
+        was_held = self.record.is_held(key)
+        if not self.record.note_crash(key, crash):
+            return
+        self._crashes.append((key, crash))
+        self._look_held(key, was_held, "here")
+        self.on_news()
+
+    def ended(self, key: str, at_s: float) -> None:
+        """Take note that a run of a request has ended here, or gone on for long enough."""
+        was_held = self.record.is_held(key)
+        if self.record.note_end(key, at_s):
+            self._tell_end(key, was_held)
+
+    def _tell_end(self, key: str, was_held: bool) -> None:
+        if was_held:
+            log.info(
+                "request held no more",
+                extra={"key": key, "reason": "a run did not end its endpoint"},
+            )
+        self._ends.add(key)
+        self.on_news()
+
+    def probed(self, key: str, place: str, probes: int, lease_s: float) -> None:
+        """Take note that this router has let a probe through."""
+        now_s = self._clock.seconds()
+        if self.record.note_probe(key, place, probes, now_s, now_s + lease_s):
+            self._probes[key] = ProbeTold(key, place, probes, 0.0, lease_s)
+            self.on_news()
+
+    def probe_over(self, key: str) -> None:
+        """Take note that a probe that ran here has ended and shows nothing."""
+        probed = self.record.probed(key)
+        if self.record.note_probe_over(key) and probed is not None:
+            place, probes, _ = probed
+            self._probes[key] = ProbeTold(key, place, probes, 0.0, 0.0)
+            self.on_news()
+
+    def release(self, key: str) -> bool:
+        """Let a request go at an operator's word; return whether it was held or suspect."""
+        is_known = self.record.is_suspect(key)
+        self.ended(key, self._clock.seconds())
+        if is_known:
+            log.info("request let go", extra={"key": key, "reason": "operator"})
+        return is_known
+
+    # Telling
+
+    def take_news(self) -> list[CrashNews]:
+        """Return what the others are to be told at once, and were not."""
+        crashes = [self._told(key, crash) for key, crash in self._crashes[:MAX_CRASHES]]
+        self._crashes = self._crashes[MAX_CRASHES:]
+        ends = [self._end_told(key) for key in self._ends]
+        probes = [*self._probes.values()]
+        self._ends, self._probes = set(), {}
+        if self._crashes:
+            self.on_news()
+        return [CrashNews(crashes, ends, probes)] if crashes or ends or probes else []
+
+    def all_news(self) -> list[CrashNews]:
+        """Return what a router is told that is new here, the strongest evidence first."""
+        keys = sorted(self.record.suspects(), key=lambda each: -len(self.record.crashes(each)))
+        return self._news_of(keys, MAX_CRASHES)
+
+    def news_again(self) -> list[CrashNews]:
+        """Return what is told again with a report: some of what is held or recent, in turn."""
+        if not len(self.record):
+            return []
+        self.record.forget(self._clock.seconds())
+        since_s = self._clock.seconds() - AGAIN_S
+        keys = [
+            key
+            for key in self.record.suspects()
+            if self.record.is_held(key) or self.record.crashes(key)[-1].ended_s > since_s
+        ]
+        self._turn = (self._turn + MAX_AGAIN) % max(1, len(keys))
+        return self._news_of((keys[self._turn :] + keys[: self._turn])[:MAX_AGAIN], MAX_CRASHES)
+
+    def news_of(self, key: str) -> list[CrashNews]:
+        """Return what is held against one request."""
+        return self._news_of([key], MAX_CRASHES)
+
+    def _news_of(self, keys: list[str], most: int) -> list[CrashNews]:
+        now_s = self._clock.seconds()
+        crashes = [self._told(key, each) for key in keys for each in self.record.crashes(key)]
+        probes = []
+        for key in keys:
+            probed = self.record.probed(key)
+            if probed is not None:
+                place, number, at_s = probed
+                probes.append(ProbeTold(key, place, number, now_s - at_s, 0.0))
+        return [CrashNews(crashes[:most], [], probes)] if crashes else []
+
+    def _told(self, key: str, crash: Crash) -> CrashTold:
+        now_s = self._clock.seconds()
+        began_age_s = round(now_s - crash.began_s, 4)
+        ended_age_s = round(now_s - crash.ended_s, 4)
+        return CrashTold(key, crash.lifetime, crash.place, began_age_s, ended_age_s)
+
+    def _end_told(self, key: str) -> EndTold:
+        now_s = self._clock.seconds()
+        ended_s = self.record.ended_s(key)
+        return EndTold(key, 0.0 if ended_s is None else round(now_s - ended_s, 4))
+
+    # Others' news
+
+    def receive(self, message: CrashNews) -> list[str]:
+        """Take what another router tells; return the lifetimes that it says have ended."""
+        now_s = self._clock.seconds()
+        for end in message.ends:
+            self._take_end(end, now_s)
+        for told in message.crashes:
+            self._take_crash(told, now_s)
+        for probe in message.probes:
+            self._take_probe(probe, now_s)
+        return [told.lifetime for told in message.crashes]
+
+    def _take_end(self, end: EndTold, now_s: float) -> None:
+        was_held = self.record.is_held(end.key)
+        is_freed = self.record.note_end(end.key, now_s - end.age_s)
+        if is_freed and self.arbiter(end.key) == self._name:
+            self._tell_end(end.key, was_held)
+        elif is_freed and was_held:
+            log.info("request held no more", extra={"key": end.key, "reason": "told"})
+
+    def _take_crash(self, told: CrashTold, now_s: float) -> None:
+        crash = Crash(told.lifetime, told.place, now_s - told.began_age_s, now_s - told.ended_age_s)
+        if self.record.is_refuted(told.key, crash):
+            self._refute(told.key)
+            return
+        was_held = self.record.is_held(told.key)
+        self.record.note_crash(told.key, crash)
+        self._look_held(told.key, was_held, "told")
+
+    def _refute(self, key: str) -> None:
+        """Tell that the request has ended well since, without a message from each to each."""
+        arbiter = self.arbiter(key)
+        if arbiter == self._name:
+            self._ends.add(key)
+            self.on_news()
+        else:
+            self.send(arbiter, CrashNews([], [self._end_told(key)], []))
+
+    def _take_probe(self, probe: ProbeTold, now_s: float) -> None:
+        at_s = now_s - probe.age_s
+        self.record.note_probe(probe.key, probe.place, probe.probes, at_s, now_s + probe.lease_s)
+        if probe.lease_s == 0.0:
+            known = self.record.probed(probe.key)
+            if known is not None and known[1] <= probe.probes and probe.age_s == 0.0:
+                self.record.note_probe_over(probe.key)
+
+    def _look_held(self, key: str, was_held: bool, source: str) -> None:
+        if was_held or not self.record.is_held(key):
+            return
+        now_s = self._clock.seconds()
+        crashes = self.record.crashes(key)
+        log.warning(
+            "request held",
+            extra={
+                "key": key,
+                "source": source,
+                "endpoints": [each.lifetime for each in crashes],
+                "places": sorted({each.place for each in crashes}),
+                "run_s": [round(each.ended_s - each.began_s, 3) for each in crashes],
+                "age_s": [round(now_s - each.ended_s, 3) for each in crashes],
+            },
+        )
+        self.on_held(key)
--- a/umberhitch/tasks/direct/exchange.py
+++ b/umberhitch/tasks/direct/exchange.py
@@ -12,14 +12,16 @@
 from umberhitch.ports.direct import CallerReply, CallFailure, RunningCall
 from umberhitch.tasks.direct.judging import AnswerJudge
 from umberhitch.tasks.direct.relay import Relay
-from umberhitch.tasks.direct.services import Permit, Services
+from umberhitch.tasks.direct.services import Permit, Run, Services
 
-__all__ = ["REFUSED_BY_ENDPOINT", "Exchange"]
+__all__ = ["HELD", "REFUSED_BY_ENDPOINT", "Exchange"]
 
 MAX_DIALS = 6
 """Endpoints that could not be reached, for one request."""
 REFUSED_BY_ENDPOINT = "refused by the endpoint"
 """Outcome of a request that the endpoint found wanting: the caller's fault."""
+HELD = "endpoints ended under it"
+"""Reason of an answer to a request that is held."""
 LEAST_LEFT_S = 0.02
 """With less time left no call is begun."""
 
@@ -32,10 +34,16 @@
     services : Services
     permit : Permit
     reply : CallerReply
+    is_probe : bool
+        Whether the request is held and this is to show whether it still ends endpoints: it is sent
+        once, then.
     """
 
-    def __init__(self, services: Services, permit: Permit, reply: CallerReply) -> None:
+    def __init__(
+        self, services: Services, permit: Permit, reply: CallerReply, is_probe: bool = False
+    ) -> None:
         self.permit = permit
+        self._is_probe = is_probe
         self._svc = services
         self._reply = reply
         self._clock = services.clock
@@ -49,6 +57,7 @@
         self._endpoint: Endpoint | None = None
         self._placed: Placed | None = None
         self._call: RunningCall | None = None
+        self._run: Run | None = None
         self._head: ReplyHead | None = None
         self._judge = AnswerJudge(services, permit)
         self._relay = Relay(reply, ask.last_event, self._pause, self._resume)
@@ -104,6 +113,9 @@
         if self._sends >= self.permit.route.max_attempts:
             self._give_up("attempts")
             return
+        if self._is_held():
+            self._give_up(HELD)
+            return
         chosen = self._choose()
         if chosen is None:
             self._give_up("no endpoint")
@@ -113,6 +125,12 @@
             return
         self._begin_call(chosen)
 
+    def _is_held(self) -> bool:
+        """Whether the request may not be sent (again)."""
+        if self._is_probe and self._sends == 0:
+            return False
+        return self._is_probe or self._svc.crashes.is_held(self.permit)
+
     def _choose(self) -> Offer | None:
         """Return an endpoint that has not been tried, or None."""
         return self._svc.choosing.endpoint(self.permit, self._model, self._tried)
@@ -124,6 +142,7 @@
         self._relay.call_sent()
         self._sends += 1
         self._tried.add(endpoint.lifetime)
+        self._run = self._svc.crashes.began(self.permit, endpoint, self._is_probe)
         self._call, self._placed = self._svc.send(self.permit, endpoint, self._model, self)
         self._svc.decided(
             self,
@@ -149,6 +168,12 @@
         if placed is not None:
             self._svc.release(placed, is_failure)
 
+    def _settle(self, tell: Callable[[Run], None]) -> None:
+        """Tell how the present call went on: once, by what is known first."""
+        run, self._run = self._run, None
+        if run is not None:
+            tell(run)
+
     # Timers
 
     def _watch(self, delay_s: float) -> None:
@@ -171,20 +196,25 @@
         self._call.cancel()
         self._broken("silent")
 
+    def _leave_call(self) -> None:
+        """Give up the present call."""
+        assert self._call is not None
+        self._call.cancel()
+        self._settle(self._svc.crashes.left)
+        self._end_call(None)
+
     def _on_deadline(self) -> None:
         self._deadline = None
         if self._call is not None:
-            self._call.cancel()
             self._may_have_run = True
-            self._end_call(None)
+            self._leave_call()
         self._give_up("deadline")
 
     def _on_caller_left(self) -> None:
         if self._is_over:
             return
         if self._call is not None:
-            self._call.cancel()
-            self._end_call(None)
+            self._leave_call()
         self._finish("caller left")
 
     # Events of the call
@@ -195,6 +225,8 @@
         assert self._placed is not None
         self._head = head
         self._svc.began(self._placed, head)
+        if self._run is not None and not head.is_elsewhere:
+            self._svc.crashes.answered(self._run)
         if head.not_run:
             self._on_not_run(head)
         elif head.is_success:
@@ -206,6 +238,7 @@
         assert self._endpoint is not None
         if head.is_elsewhere:
             self._svc.moved(self._endpoint)
+        self._settle(self._svc.crashes.not_run)
         self._svc.decided(self, "call not run", True, status=head.status)
         self._go_on(None)
 
@@ -227,7 +260,8 @@
             self._watch_gap()
             return
         larger = None
-        if self._model is not None and self._sends < self.permit.route.max_attempts:
+        if self._may_escalate():
+            assert self._model is not None
             waited_s = self._clock.seconds() - self.permit.received_s
             larger = self._svc.choosing.larger_model(
                 self.permit, self._model, head.confidence, waited_s
@@ -239,14 +273,17 @@
             self._relay.begin_stream(head)
             self._watch_gap()
 
+    def _may_escalate(self) -> bool:
+        has_sends = self._sends < self.permit.route.max_attempts
+        return self._model is not None and has_sends and not self._is_held()
+
     def _escalate(self, larger: str) -> None:
         """Drop an answer of which the caller has nothing yet, and ask another model."""
         assert self._call is not None
         assert self._endpoint is not None
         confidence = None if self._head is None else self._head.confidence
         self._svc.decided(self, "answer dropped", False, confidence=confidence, larger=larger)
-        self._call.cancel()
-        self._end_call(None)
+        self._leave_call()
         previous = self._model
         self._model = larger
         self._tried.clear()
@@ -262,6 +299,7 @@
         self._may_have_run = True
         is_server_side = head.status >= 500
         self._svc.decided(self, "endpoint failed", True, status=head.status)
+        self._settle(self._svc.crashes.ended)
         if is_server_side:
             self._judge.failed()
         if self._relay.is_streaming or (is_server_side and self._can_repeat()):
@@ -306,6 +344,7 @@
         if not self._relay.is_whole:
             self._broken("ended within an event")
             return
+        self._settle(self._svc.crashes.ended)
         is_failure = self._head.status >= 500
         if not is_failure:
             if self._relay.is_streaming:
@@ -323,14 +362,17 @@
         """Take the end of a call without a whole reply."""
         match failure:
             case CallFailure.NOT_SENT:
-                self._not_sent(detail)
+                self._not_sent(detail, False)
+            case CallFailure.REFUSED:
+                self._not_sent(detail, True)
             case CallFailure.BROKEN:
                 self._broken(detail)
 
-    def _not_sent(self, detail: str) -> None:
+    def _not_sent(self, detail: str, is_ended: bool) -> None:
         assert self._endpoint is not None
         self._svc.decided(self, "endpoint not reached", True, detail=detail)
-        self._svc.unreachable(self._endpoint)
+        self._svc.unreachable(self._endpoint, is_ended)
+        self._settle(self._svc.crashes.never_sent)
         self._end_call(True)
         self._sends -= 1
         self._dials += 1
@@ -346,7 +388,7 @@
         self._may_have_run = True
         if self._head is None:
             self._svc.unreachable(self._endpoint)
-        self._judge.broken()
+        self._settle(self._svc.crashes.broke)
         self._end_call(True)
         self._relay.call_broken()
         if self._relay.is_streaming:
@@ -388,9 +430,8 @@
         if self._is_over:
             return
         if self._call is not None:
-            self._call.cancel()
             self._may_have_run = True
-            self._end_call(None)
+            self._leave_call()
         self._give_up("leaving")
 
     # Pressure
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -39,8 +39,9 @@
 from umberhitch.tasks.burn import BurnTask
 from umberhitch.tasks.direct.admission import STALE, Admission, Refusal
 from umberhitch.tasks.direct.choosing import Choosing
+from umberhitch.tasks.direct.crash_guard import CrashGuard
 from umberhitch.tasks.direct.decisions import DecisionLog
-from umberhitch.tasks.direct.exchange import REFUSED_BY_ENDPOINT, Exchange
+from umberhitch.tasks.direct.exchange import HELD, REFUSED_BY_ENDPOINT, Exchange
 from umberhitch.tasks.direct.gateway_limits import GatewayCounters, GatewaySettings
 from umberhitch.tasks.direct.presence import LEAST_RETRY_S, Presence
 from umberhitch.tasks.direct.services import Permit, RequestState
@@ -103,6 +104,13 @@
         self._rng = rng
         self._wire = wire
         self._endpoints = endpoints
+        self.crashes = CrashGuard(
+            settings.name,
+            clock,
+            endpoints,
+            lambda run, verdict: self.noted(run.permit, run.endpoint, verdict),
+            self.unreachable,
+        )
         trials.running = self.placement.all_running
         self.view = StoreView(
             clock,
@@ -113,6 +121,7 @@
             settings.endpoint_pace,
             trials,
             self._on_endpoints,
+            self.crashes.watch.ended,
         )
         self.presence = Presence(
             clock,
@@ -252,11 +261,45 @@
                 retry_s = self._come_back_s(ask)
             self._answer(reply, ask.call_id, permit.status, permit.reason, retry_s)
             return do_nothing
+        if self.crashes.is_held(permit):
+            return self._ask_probe(permit, reply)
+        return self._exchange(permit, reply, False)
+
+    def _exchange(self, permit: Permit, reply: CallerReply, is_probe: bool) -> Callable[[], None]:
         self.budget.request(permit.service, permit.received_s)
-        exchange = Exchange(self, permit, reply)
+        exchange = Exchange(self, permit, reply, is_probe)
         self.running.add(exchange)
         return exchange.start()
 
+    def _ask_probe(self, permit: Permit, reply: CallerReply) -> Callable[[], None]:
+        """Run a request that is held if that is allowed, else refuse it."""
+        ask = permit.ask
+        leave = do_nothing
+        has_left = False
+
+        def go_on(retry_s: float | None) -> None:
+            nonlocal leave
+            if has_left:
+                if retry_s is None:
+                    self.crashes.sharing.probe_over(permit.key)
+            elif retry_s is None:
+                leave = self._exchange(permit, reply, True)
+            else:
+                self._answer(reply, ask.call_id, 503, HELD, max(LEAST_RETRY_S, retry_s))
+
+        def on_left() -> None:
+            nonlocal has_left
+            has_left = True
+            leave()
+
+        chosen = self.choosing.endpoint(permit, self.choosing.first_model(permit), set())
+        if chosen is None:
+            go_on(STARTING_RETRY_S)
+        else:
+            lease_s = min(ask.patience_s, permit.route.timeout_s)
+            self.crashes.ask_probe(permit, chosen.endpoint, lease_s, go_on)
+        return on_left
+
     def _come_back_s(self, ask: Ask) -> float:
         """Return when a request that is not taken should come again.
 
@@ -340,13 +383,16 @@
         """Take note of how an endpoint answered."""
         self.trials.note(permit.service, permit.route.name, endpoint, verdict)
 
-    def unreachable(self, endpoint: Endpoint) -> None:
+    def unreachable(self, endpoint: Endpoint, is_ended: bool = False) -> None:
         """Take note that an endpoint could not be reached or went silent."""
         self.directory.failed(endpoint, self.clock.seconds())
+        if is_ended:
+            self.crashes.watch.ended(endpoint)
 
     def moved(self, endpoint: Endpoint) -> None:
         """Take note that another incarnation has the endpoint's address."""
         log.info("address reused", extra={"endpoint": endpoint.lifetime})
+        self.crashes.watch.ended(endpoint)
         if self.directory.of_lifetime(endpoint.lifetime) is not None:
             self.directory.drop(endpoint.entry.incarnation)
 
@@ -368,7 +414,9 @@
     def refuse(self, reply: CallerReply, permit: Permit, status: int, reason: str) -> None:
         """Send an answer of the router's own."""
         retry_s = None
-        if status == 503:
+        if status == 503 and reason == HELD:
+            retry_s = max(LEAST_RETRY_S, self.crashes.retry_s(permit))
+        elif status == 503:
             retry_s = max(LEAST_RETRY_S, 0.2 * permit.route.objective_s)
         self._answer(reply, permit.ask.call_id, status, reason, retry_s)
 
--- a/umberhitch/tasks/direct/judging.py
+++ b/umberhitch/tasks/direct/judging.py
@@ -49,10 +49,6 @@
         """Note a failure by the endpoint's own word."""
         self._note(AnswerVerdict.FAILED)
 
-    def broken(self) -> None:
-        """Note that the call ended without a whole reply."""
-        self._note(AnswerVerdict.BROKEN)
-
     def _judge(self, pace_s: float | None, since_s: float) -> None:
         if pace_s is None or self._is_noted:
             return
@@ -63,6 +59,6 @@
     def _note(self, verdict: AnswerVerdict) -> None:
         """Note how the endpoint answered: once a call, and once more if it fails after that."""
         assert self._endpoint is not None
-        if not self._is_noted or verdict in (AnswerVerdict.FAILED, AnswerVerdict.BROKEN):
+        if not self._is_noted or verdict is AnswerVerdict.FAILED:
             self._svc.noted(self._permit, self._endpoint, verdict)
         self._is_noted = True
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -20,9 +20,12 @@
 from umberhitch.wire import (
     BurnAsk,
     BurnReply,
+    CrashNews,
     EndpointUse,
     Message,
     PeerReport,
+    ProbeAsk,
+    ProbeReply,
     TrialNews,
     ViewAsk,
     ViewReply,
@@ -123,6 +126,9 @@
         gateway.trials.follow(self.rank, self._tell_news_soon)
         gateway.trials.old_running = self.old_running
         gateway.presence.others_return_s = self.return_s
+        gateway.crashes.sharing.peers = self.names
+        gateway.crashes.sharing.send = link.send
+        gateway.crashes.sharing.on_news = self._tell_news_soon
         sharing.peers = self.names
         sharing.link_mbps = self.link_mbps
 
@@ -157,9 +163,10 @@
         They choose readers by the speeds of links that they were told: until then each takes
         itself for one, 25 reads a second of 80 routers that started together, else 7.
         """
-        report = self._make_report()
+        messages: list[Message] = [self._make_report(), *self._gateway.crashes.sharing.all_news()]
         for name in names:
-            self._link.send(name, report)
+            for message in messages:
+                self._link.send(name, message)
 
     def _make_report(self) -> PeerReport:
         self._seq += 1
@@ -182,12 +189,14 @@
         if self._is_stopped:
             return
         self._add_up()
-        report = self._make_report()
+        messages: list[Message] = [self._make_report()]
+        messages += self._gateway.crashes.sharing.news_again()
         self._rounds += 1
         is_for_all = self._gateway.trials.is_any_open() or self._rounds % self._far_every() == 0
         for name in self._known:
             if is_for_all or not self._is_far(name):
-                self._link.send(name, report)
+                for message in messages:
+                    self._link.send(name, message)
         self._clock.callLater(self._report_s(), self._report)
 
     def _report_s(self) -> float:
@@ -201,9 +210,11 @@
             self._clock.callLater(NEWS_S, self._tell_news)
 
     def _tell_news(self) -> None:
-        """Tell all peers what has just become known of roll-outs."""
+        """Tell all peers what has just become known of roll-outs and crashes."""
         self._is_news_due = False
-        for message in self._gateway.trials.take_news():
+        messages: list[Message] = [*self._gateway.trials.take_news()]
+        messages += self._gateway.crashes.sharing.take_news()
+        for message in messages:
             for name in self._known:
                 self._link.send(name, message)
 
@@ -307,6 +318,8 @@
                     self._gateway.burn.take(sender, message)
                 case TrialNews():
                     self._gateway.trials.note_news(message)
+                case CrashNews() | ProbeAsk() | ProbeReply():
+                    self._gateway.crashes.receive(sender, message)
                 case ViewAsk() | ViewReply():
                     self._sharing.receive(sender, message)
                 case _:
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -17,7 +17,16 @@
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import CallerReply, CallEvents, RunningCall
 
-__all__ = ["ChoosingPort", "ExchangeLimits", "Permit", "RequestState", "Services"]
+__all__ = [
+    "ChoosingPort",
+    "CrashGuardPort",
+    "ExchangeLimits",
+    "Permit",
+    "RequestState",
+    "Run",
+    "Services",
+    "place_of",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +75,39 @@
     """Names the request when it comes again, see `request_key`."""
 
 
+@dataclass(slots=True)
+class Run:
+    """One call of a request to an endpoint.
+
+    Attributes
+    ----------
+    permit : Permit
+    endpoint : Endpoint
+    began_s : float
+        When it was sent.
+    is_probe : bool
+        Whether the request is held, and this call is to show whether it still ends endpoints.
+    head_s : float or None
+        When the head of the reply came: the endpoint had begun to run it.
+    """
+
+    permit: Permit
+    endpoint: Endpoint
+    began_s: float
+    is_probe: bool
+    head_s: float | None = None
+
+    @property
+    def place(self) -> str:
+        """Return service and version that runs it."""
+        return place_of(self.endpoint)
+
+
+def place_of(endpoint: Endpoint) -> str:
+    """Return the service of an endpoint and the version that it runs."""
+    return f"{endpoint.entry.service}/{endpoint.entry.version}"
+
+
 class RequestState(CallEvents, Protocol):
     """One request under way, as its router sees it."""
 
@@ -120,6 +162,42 @@
         ...
 
 
+class CrashGuardPort(Protocol):
+    """Knows under which requests endpoints end, and is told of all calls."""
+
+    def is_held(self, permit: Permit) -> bool:
+        """Whether a request is run by probes only."""
+        ...
+
+    def began(self, permit: Permit, endpoint: Endpoint, is_probe: bool) -> Run:
+        """Take note that a call is sent; what is returned names it in the others."""
+        ...
+
+    def answered(self, run: Run) -> None:
+        """Take note that it has the head of its reply."""
+        ...
+
+    def ended(self, run: Run) -> None:
+        """Take note that it has its whole reply: its endpoint lives after it."""
+        ...
+
+    def not_run(self, run: Run) -> None:
+        """Take note that the endpoint has not run it."""
+        ...
+
+    def left(self, run: Run) -> None:
+        """Take note that it was given up here."""
+        ...
+
+    def broke(self, run: Run) -> None:
+        """Take note that it broke, or was silent for too long."""
+        ...
+
+    def never_sent(self, run: Run) -> None:
+        """Take note that there was no connection for it."""
+        ...
+
+
 class Services(Protocol):
     """What a request needs of its router."""
 
@@ -131,6 +209,11 @@
         """Chooses model and endpoint."""
         ...
 
+    @property
+    def crashes(self) -> CrashGuardPort:
+        """Knows under which requests endpoints end."""
+        ...
+
     def send(
         self, permit: Permit, endpoint: Endpoint, model: str | None, call: RequestState
     ) -> tuple[RunningCall, Placed]:
@@ -156,8 +239,15 @@
         """Take note of how an endpoint answered."""
         ...
 
-    def unreachable(self, endpoint: Endpoint) -> None:
-        """Take note that an endpoint could not be reached or went silent."""
+    def unreachable(self, endpoint: Endpoint, is_ended: bool = False) -> None:
+        """Take note that an endpoint could not be reached or went silent.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+        is_ended : bool
+            Whether nothing listens at its address any more.
+        """
         ...
 
     def moved(self, endpoint: Endpoint) -> None:
--- a/umberhitch/tasks/direct/store_view.py
+++ b/umberhitch/tasks/direct/store_view.py
@@ -4,7 +4,14 @@
 from logging import getLogger
 from random import Random
 
-from umberhitch.core.direct import Directory, Document, EndpointEntry, RolloutOrder, RouteTable
+from umberhitch.core.direct import (
+    Directory,
+    Document,
+    Endpoint,
+    EndpointEntry,
+    RolloutOrder,
+    RouteTable,
+)
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import FeedBatch, FeedPort, OperatorValue
 from umberhitch.tasks.direct.feeds import Feed, FeedPace
@@ -31,6 +38,8 @@
         Gets the orders of roll-outs.
     on_endpoints : callable
         Called when endpoints have come or gone, with the addresses of those that are gone.
+    on_restarted : callable
+        Called with the lifetime that has ended where an endpoint started again.
     """
 
     def __init__(
@@ -43,12 +52,14 @@
         endpoint_pace: FeedPace,
         trials: Trials,
         on_endpoints: Callable[[list[str]], None],
+        on_restarted: Callable[[Endpoint], None],
     ) -> None:
         self.clock = clock
         self.directory = Directory()
         self.trials = trials
         self.table: RouteTable | None = None
         self._on_endpoints = on_endpoints
+        self._on_restarted = on_restarted
         self._is_stopped = False
         self.operator_feed: Feed[OperatorValue] = Feed(
             "operator",
@@ -159,6 +170,7 @@
                 if ended is not None:
                     log.info("endpoint started again", extra={"endpoint": ended.lifetime})
                     gone.append(ended.entry.address)
+                    self._on_restarted(ended)
             elif was_away:
                 self.directory.lapse(record.key, now_s, self.registry_feed.proved_s)
             elif known is not None:
--- a/umberhitch/testing/_crashing.py
+++ b/umberhitch/testing/_crashing.py
@@ -61,6 +61,7 @@
         self.crashes_s: list[float] = []
         """When an endpoint ended on which the crashing request ran."""
         self._starts = 0
+        self._born: dict[str, int] = {}
         for number in range(self.endpoints):
             self._start(f"e{number}")
         for number in range(self.routers):
@@ -74,6 +75,7 @@
 
     def _start(self, incarnation: str) -> None:
         self._starts += 1
+        self._born[incarnation] = self._starts
         endpoint = self.world.add_endpoint(incarnation, born=self._starts)
         endpoint.reply = replace(self.reply)
         endpoint.crashing = {CRASHING_BODY: self.shape.after_s}
@@ -103,7 +105,9 @@
 
     def leave(self, incarnation: str) -> None:
         """Let an endpoint say that it is leaving."""
-        entry = make_endpoint_entry(incarnation, state=EndpointState.DRAINING)
+        entry = make_endpoint_entry(
+            incarnation, state=EndpointState.DRAINING, born=self._born[incarnation]
+        )
         self.world.registry.put(incarnation, entry)
 
     def ask(
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -23,6 +23,9 @@
     "Chunk",
     "ConfigRecords",
     "ConfigSnapshot",
+    "CrashNews",
+    "CrashTold",
+    "EndTold",
     "EndpointState",
     "EndpointUse",
     "EngineWork",
@@ -37,6 +40,9 @@
     "Order",
     "OrderReply",
     "PeerReport",
+    "ProbeAsk",
+    "ProbeReply",
+    "ProbeTold",
     "Refused",
     "RouteCounts",
     "RouterDigest",
@@ -378,6 +384,62 @@
     """State that stands in the store, as the sender read or wrote it."""
 
 
+class CrashTold(Struct, frozen=True, array_like=True):
+    """An endpoint ended while a request was under way there; ages are from the sending on."""
+
+    key: str
+    lifetime: str
+    place: str
+    """Service and version that the endpoint ran."""
+    began_age_s: float
+    ended_age_s: float
+
+
+class EndTold(Struct, frozen=True, array_like=True):
+    """A run of a request ended with its endpoint alive, so long ago."""
+
+    key: str
+    age_s: float
+
+
+class ProbeTold(Struct, frozen=True, array_like=True):
+    """A probe of a request that is held was let through, so long ago."""
+
+    key: str
+    place: str
+    probes: int
+    """How many that made."""
+    age_s: float
+    lease_s: float
+    """How long from now on it may last; 0 where it is over."""
+
+
+class CrashNews(Struct, frozen=True, array_like=True, tag="crash"):
+    """What routers tell each other of crashes; any part may come again, late or never."""
+
+    crashes: list[CrashTold] = []
+    ends: list[EndTold] = []
+    probes: list[ProbeTold] = []
+
+
+class ProbeAsk(Struct, frozen=True, array_like=True, tag="probe?"):
+    """May the sender run a request that is held?"""
+
+    ask: int
+    key: str
+    place: str
+    lease_s: float
+    """How long the run lasts at most."""
+
+
+class ProbeReply(Struct, frozen=True, array_like=True, tag="probe"):
+    """The answer to a `ProbeAsk`."""
+
+    ask: int
+    is_granted: bool
+    retry_s: float = 0.0
+
+
 class EndpointUse(Struct, frozen=True, array_like=True):
     """What one router has under way on one endpoint."""
 
@@ -465,6 +527,9 @@
     | OrderReply
     | PeerReport
     | TrialNews
+    | CrashNews
+    | ProbeAsk
+    | ProbeReply
     | ViewAsk
     | ViewReply
 )
