Held requests outlast the loss of all routers; shown and let go at a router's pages

Cause: all routers restarted at once took up to five endpoints more by the same request. It is written by the router that decides (3 writes for a request that is never mended), read by two at their start and told. Metrics requests_held, requests_suspect, endpoint_crashes_total; pages /held, /held/release/KEY.

--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -19,6 +19,7 @@
 HTML = b"text/html; charset=utf-8"
 TEXT = b"text/plain; charset=utf-8"
 JSON = b"application/json"
+RELEASE = b"/held/release/"
 READINESS_ENDING = b"/readyz"
 """The balancer asks by its own prefix."""
 
@@ -49,10 +50,36 @@
             _send(reply, 200, TEXT, self._metrics())
         elif path == b"/status":
             _send(reply, 200, JSON, json.encode(self._status()))
+        elif path == b"/held":
+            _send(reply, 200, JSON, json.encode(self._held()))
+        elif path.startswith(RELEASE) and raw.method == b"POST":
+            key = path.removeprefix(RELEASE).decode("ascii", "replace")
+            is_known = self._gateway.crashes.sharing.release(key)
+            _send(reply, 200 if is_known else 404, JSON, json.encode({"released": is_known}))
         else:
             _send(reply, 404, TEXT, b"no such page\n")
         return do_nothing
 
+    def _held(self) -> list[dict[str, object]]:
+        """Return the requests that are held, what for, and how long."""
+        gateway = self._gateway
+        now_s = gateway.clock.seconds()
+        record = gateway.crashes.record
+        return [
+            {
+                "key": key,
+                "endpoints": [each.lifetime for each in record.crashes(key)],
+                "places": sorted({each.place for each in record.crashes(key)}),
+                "last_crash_age_s": round(
+                    now_s - max(each.ended_s for each in record.crashes(key)), 3
+                ),
+                "probes": hold.probes,
+                "next_probe_s": round(max(0.0, hold.until_s - now_s), 3),
+                "arbiter": gateway.crashes.sharing.arbiter(key),
+            }
+            for key, hold in record.held(now_s)
+        ]
+
     def _answer_burn(self, reply: CallerReply, is_json: bool) -> Callable[[], None]:
         burn = self._gateway.burn
         if burn is None:
@@ -102,6 +129,7 @@
             "routers": gateway.budget.routers,
             "outcomes": gateway.counters.outcomes,
             "refused": gateway.counters.refused,
+            "held": sum(1 for _ in gateway.crashes.record.held(gateway.clock.seconds())),
         }
 
     def _metrics(self) -> bytes:
@@ -113,6 +141,9 @@
             f"umberhitch_running {len(gateway.running)}",
             f"umberhitch_endpoints {len(gateway.directory)}",
             f"umberhitch_routers {gateway.budget.routers}",
+            f"umberhitch_endpoint_crashes_total {gateway.crashes.watch.crashes}",
+            f"umberhitch_requests_suspect {len(gateway.crashes.record)}",
+            f"umberhitch_requests_held {self._status()['held']}",
         ]
         lines += [f"umberhitch_{name} {value}" for name, value in self._transport().items()]
         age_s = gateway.view.proof_age_s(gateway.clock.seconds())
--- a/umberhitch/fakes/__init__.py
+++ b/umberhitch/fakes/__init__.py
@@ -13,6 +13,7 @@
 )
 from umberhitch.fakes._direct_store import (
     FakeFeed,
+    FakeHolds,
     FakeMembers,
     FakeStatuses,
     KeyedMemory,
@@ -32,6 +33,7 @@
     "FakeEndpoints",
     "FakeEngine",
     "FakeFeed",
+    "FakeHolds",
     "FakeHostList",
     "FakeLink",
     "FakeLog",
--- a/umberhitch/fakes/_direct_store.py
+++ b/umberhitch/fakes/_direct_store.py
@@ -9,9 +9,24 @@
 from umberhitch.core.direct import RolloutState
 from umberhitch.errors import LogAnswerLostError, LogTrimmedError, LogUnavailableError
 from umberhitch.ports.clock import Clock, pause
-from umberhitch.ports.direct import FeedBatch, FeedRecord, Member, StoredStatus, do_nothing
-
-__all__ = ["FakeFeed", "FakeMembers", "FakeStatuses", "KeyedMemory", "MemberRows", "StoreFaults"]
+from umberhitch.ports.direct import (
+    FeedBatch,
+    FeedRecord,
+    Member,
+    StoredHold,
+    StoredStatus,
+    do_nothing,
+)
+
+__all__ = [
+    "FakeFeed",
+    "FakeHolds",
+    "FakeMembers",
+    "FakeStatuses",
+    "KeyedMemory",
+    "MemberRows",
+    "StoreFaults",
+]
 
 Value = TypeVar("Value")
 
@@ -163,6 +178,32 @@
             self.generation += 1
 
 
+class FakeHolds:
+    """A `HoldsPort`; routers share ``rows``."""
+
+    def __init__(self, rows: dict[str, StoredHold], faults: StoreFaults) -> None:
+        self._rows = rows
+        self._faults = faults
+        self.calls = 0
+
+    async def read(self) -> list[StoredHold]:
+        """Return all requests that are held."""
+        self._reach()
+        return list(self._rows.values())
+
+    async def write(self, key: str, hold: StoredHold | None) -> None:
+        """Let a hold stand, or none."""
+        self._reach()
+        self._rows.pop(key, None)
+        if hold is not None:
+            self._rows[key] = hold
+
+    def _reach(self) -> None:
+        self.calls += 1
+        if self._faults.is_down:
+            raise LogUnavailableError("down")
+
+
 class FakeMembers:
     """A `MembersPort`; routers share the group.
 
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -12,6 +12,7 @@
 from umberhitch.adapters.gateway_pages import GatewayPages
 from umberhitch.adapters.h11_callers import CallerFactory
 from umberhitch.adapters.h11_endpoints import EndpointClient
+from umberhitch.adapters.stored_holds import HoldsStore
 from umberhitch.adapters.zmq_link import ZmqLink
 from umberhitch.addresses import split_address
 from umberhitch.core.direct import BudgetLimits, TrialLimits
@@ -32,6 +33,7 @@
 from umberhitch.tasks.direct.peers import DirectPeers
 from umberhitch.tasks.direct.shared_view import share_stream
 from umberhitch.tasks.direct.sharing import Sharing, StreamName
+from umberhitch.tasks.direct.stored_holds import StoredHolds
 from umberhitch.tasks.direct.trials import Trials
 
 __all__ = ["GatewayNode", "make_gateway_node"]
@@ -56,6 +58,7 @@
     gateway: Gateway
     trials: Trials
     peers: DirectPeers
+    holds: StoredHolds
     link: ZmqLink
     client: EndpointClient
     callers: CallerFactory
@@ -93,6 +96,7 @@
         self.gateway.stop()
         self.trials.stop()
         self.peers.stop()
+        self.holds.stop()
         self.link.close()
         self.client.close()
         for port in self._ports.values():
@@ -156,6 +160,7 @@
     burn_host = BurnHost(settings.name, sharing.names, link.send, gateway.objectives)
     gateway.burn = BurnTask(burn_host, reactor, time, has_latencies=False)
     peers = DirectPeers(me, incarnation, gateway, reactor, rng, link, Members(store), sharing)
+    holds = StoredHolds(reactor, HoldsStore(store), gateway.crashes.sharing, peers.rank)
     callers = CallerFactory(reactor, gateway, int(settings.memory_mb * MIB * BODIES_SHARE))
 
     def transport() -> dict[str, int]:
@@ -177,8 +182,11 @@
     gateway.start()
     trials.start()
     peers.start()
+    holds.start()
     host, number = callers_socket.getsockname()
-    node = GatewayNode(gateway, trials, peers, link, client, callers, f"{host}:{number}", ports)
+    node = GatewayNode(
+        gateway, trials, peers, holds, link, client, callers, f"{host}:{number}", ports
+    )
     open_when_loaded(
         reactor,
         lambda: gateway.view.is_loaded,
--- a/umberhitch/platform/__init__.py
+++ b/umberhitch/platform/__init__.py
@@ -3,7 +3,7 @@
 from umberhitch.core.direct import EndpointEntry
 from umberhitch.platform._client import StoreClient
 from umberhitch.platform._documents import CONFIG_KEY, decode_endpoint, decode_operator
-from umberhitch.platform._feed import KeyedFeed, LargeRecords
+from umberhitch.platform._feed import KeyedFeed, LargeRecords, append_row, newest_rows
 from umberhitch.platform._headers import PlatformWire
 from umberhitch.platform._store import ENDPOINT_TOPIC, OPERATOR_TOPIC, Members, Statuses
 from umberhitch.ports.direct import OperatorValue
@@ -13,11 +13,12 @@
     "PlatformWire",
     "Statuses",
     "StoreClient",
+    "append_row",
     "make_endpoint_feed",
     "make_operator_feed",
+    "newest_rows",
 ]
 
-
 CONFIGURATIONS = LargeRecords(CONFIG_KEY, skip_bytes=32 * 1024)
 """Of several configurations only the newest is read: a series of 12, 0.33 s apart and 0.8 MB each,
 is in force 1.6 s after its last over 5 Mbit/s; 11.6 s where each is read (virtual clock)."""
--- a/umberhitch/platform/_feed.py
+++ b/umberhitch/platform/_feed.py
@@ -17,7 +17,7 @@
 from umberhitch.platform._client import CALL_S, StoreClient, json_of
 from umberhitch.ports.direct import FeedBatch, FeedRecord, do_nothing
 
-__all__ = ["LENGTH", "KeyedFeed", "LargeRecords", "newest_rows"]
+__all__ = ["KeyedFeed", "LargeRecords", "append_row", "newest_rows"]
 
 Value = TypeVar("Value")
 
@@ -189,6 +189,17 @@
         query["after"] = rows[-1][0]
 
 
+async def append_row(store: StoreClient, topic: str, key: str, value: bytes, **query: int) -> bool:
+    """Append a record to a keyed topic; return False where a condition does not hold."""
+    record = bytes([len(key)]) + key.encode() + value
+    asked = {"topic": topic, "part": 0, **query}
+    body = LENGTH.pack(len(record)) + record
+    status, data = await store.call("POST", "/-/log-append", asked, body)
+    if status != 412:
+        json_of(status, data)
+    return status != 412
+
+
 def _end(data: bytes | bytearray) -> int:
     """Return the end of the stream, with which raw records begin."""
     return int(OFFSETS.unpack_from(data)[0])
--- a/umberhitch/platform/_store.py
+++ b/umberhitch/platform/_store.py
@@ -6,7 +6,7 @@
 from umberhitch.errors import ConfigError
 from umberhitch.platform._client import StoreClient, json_of
 from umberhitch.platform._documents import decode_status, encode_status
-from umberhitch.platform._feed import LENGTH, newest_rows
+from umberhitch.platform._feed import append_row, newest_rows
 from umberhitch.ports.direct import Member, StoredStatus
 
 __all__ = ["ENDPOINT_TOPIC", "OPERATOR_TOPIC", "Members", "Statuses"]
@@ -45,14 +45,7 @@
     async def write(self, service: str, target: str, state: RolloutState, end: int) -> bool:
         """Write a state unless anything was written since ``end``; return whether it was done."""
         key, value = encode_status(service, target, state)
-        record = bytes([len(key)]) + key.encode() + value
-        query = {"topic": STATUS_TOPIC, "part": 0, "expectedOffset": end}
-        body = LENGTH.pack(len(record)) + record
-        status, data = await self._store.call("POST", "/-/log-append", query, body)
-        if status == 412:
-            return False
-        json_of(status, data)
-        return True
+        return await append_row(self._store, STATUS_TOPIC, key, value, expectedOffset=end)
 
 
 class Members:
@@ -89,13 +82,9 @@
         # The pages do not name the list of rows; it is the only list in the answer.
         rows = next((v for v in json_of(status, data).values() if isinstance(v, list)), [])
         labels = {row[2] for row in rows if row[2]}
-        return [_member(label) for label in sorted(labels)]
+        parts = [label.rpartition("@") for label in sorted(labels)]
+        return [Member(name, address) for name, _, address in parts]
 
 
 def _label(member: Member) -> str:
     return f"{member.name}@{member.address}"
-
-
-def _member(label: str) -> Member:
-    name, _, address = label.rpartition("@")
-    return Member(name, address)
--- a/umberhitch/platform/tests/test_pages.py
+++ b/umberhitch/platform/tests/test_pages.py
@@ -4,14 +4,15 @@
 
 from umberhitch.adapters.gateway_pages import GatewayPages
 from umberhitch.adapters.h11_callers import CallerFactory
-from umberhitch.testing import DirectWorld, FakeTransport
+from umberhitch.fakes import Reply
+from umberhitch.testing import CrashingFleet, DirectWorld, FakeTransport
 
 
-def get(pages: GatewayPages, path: str) -> bytes:
+def get(pages: GatewayPages, path: str, method: str = "GET") -> bytes:
     protocol = CallerFactory(Clock(), pages, 1000).buildProtocol(None)
     transport = FakeTransport()
     protocol.makeConnection(transport)
-    protocol.dataReceived(f"GET {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+    protocol.dataReceived(f"{method} {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
     return transport.take()
 
 
@@ -28,3 +29,16 @@
     assert b"umberhitch_callers_connected 3\n" in metrics
     assert b'"configuration":1' in get(ready, "/status")
     assert get(ready, "/other").startswith(b"HTTP/1.1 404")
+
+
+def test_what_is_held_is_shown_and_let_go():
+    fleet = CrashingFleet(routers=1, reply=Reply(events=8))
+    fleet.every(0.4, 2.0, lambda n: fleet.ask(n, "/draft/x"))
+    fleet.world.run(3.0)
+    pages = GatewayPages(fleet.all_routers[0].gateway, dict)
+    assert b"umberhitch_requests_held 1\n" in get(pages, "/metrics")
+    key = fleet.all_routers[0].gateway.crashes.record.suspects()[0]
+    assert f'"key":"{key}"'.encode() in get(pages, "/held")
+    assert get(pages, f"/held/release/{key}").startswith(b"HTTP/1.1 404")
+    assert get(pages, f"/held/release/{key}", "POST").startswith(b"HTTP/1.1 200")
+    assert b"umberhitch_requests_held 0\n" in get(pages, "/metrics")
--- a/umberhitch/ports/direct.py
+++ b/umberhitch/ports/direct.py
@@ -24,6 +24,7 @@
     "FeedPort",
     "FeedRecord",
     "HeaderList",
+    "HoldsPort",
     "Listening",
     "Member",
     "MembersPort",
@@ -31,6 +32,7 @@
     "RawRequest",
     "RunningCall",
     "StatusPort",
+    "StoredHold",
     "StoredStatus",
     "WirePort",
     "do_nothing",
@@ -314,6 +316,38 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class StoredHold:
+    """A request that is held, as the store keeps it.
+
+    Attributes
+    ----------
+    key : str
+    place : str
+        A service and version that endpoints ran which ended under it.
+    lifetimes : tuple of str
+        Of these endpoints.
+    probes : int
+    """
+
+    key: str
+    place: str
+    lifetimes: tuple[str, ...]
+    probes: int
+
+
+class HoldsPort(Protocol):
+    """The requests that are held, in the store; both raise `LogError` where it does not answer."""
+
+    async def read(self) -> list[StoredHold]:
+        """Return all of them."""
+        ...
+
+    async def write(self, key: str, hold: StoredHold | None) -> None:
+        """Let one stand, or none under its key."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """A router that is alive as far as the store knows."""
--- a/umberhitch/tasks/direct/crash_sharing.py
+++ b/umberhitch/tasks/direct/crash_sharing.py
@@ -48,6 +48,8 @@
         Called when there is something that the others are to be told at once.
     on_held : callable
         Called with the key of a request that is held from now on.
+    on_decided : callable
+        Called with the key of a request that is held, probed or free by this router's decision.
     """
 
     def __init__(self, name: str, clock: Clock, record: CrashRecord) -> None:
@@ -56,6 +58,7 @@
         self.send: Callable[[str, Message], None] = lambda peer, message: None
         self.on_news: Callable[[], None] = do_nothing
         self.on_held: Callable[[str], None] = lambda key: None
+        self.on_decided: Callable[[str], None] = lambda key: None
         self._name = name
         self._clock = clock
         self._crashes: list[tuple[str, Crash]] = []
@@ -87,6 +90,7 @@
 
     def _tell_end(self, key: str, was_held: bool) -> None:
         if was_held:
+            self._decide(key)
             log.info(
                 "request held no more",
                 extra={"key": key, "reason": "a run did not end its endpoint"},
@@ -99,6 +103,7 @@
         now_s = self._clock.seconds()
         if self.record.note_probe(key, place, probes, now_s, now_s + lease_s):
             self._probes[key] = ProbeTold(key, place, probes, 0.0, lease_s)
+            self._decide(key)
             self.on_news()
 
     def probe_over(self, key: str) -> None:
@@ -239,3 +244,8 @@
             },
         )
         self.on_held(key)
+        self._decide(key)
+
+    def _decide(self, key: str) -> None:
+        if self.arbiter(key) == self._name:
+            self.on_decided(key)
--- a/umberhitch/testing/_direct.py
+++ b/umberhitch/testing/_direct.py
@@ -24,6 +24,7 @@
     FakeEndpoint,
     FakeEndpoints,
     FakeFeed,
+    FakeHolds,
     FakeMembers,
     FakeNetwork,
     FakeReply,
@@ -34,12 +35,13 @@
     ProcessClock,
     StoreFaults,
 )
-from umberhitch.ports.direct import FeedPort, Member, OperatorValue, RawRequest
+from umberhitch.ports.direct import FeedPort, Member, OperatorValue, RawRequest, StoredHold
 from umberhitch.tasks.direct.gateway import Gateway
 from umberhitch.tasks.direct.gateway_limits import GatewaySettings
 from umberhitch.tasks.direct.peers import DirectPeers
 from umberhitch.tasks.direct.shared_view import share_stream
 from umberhitch.tasks.direct.sharing import Sharing, StreamName
+from umberhitch.tasks.direct.stored_holds import StoredHolds
 from umberhitch.tasks.direct.trials import Trials
 
 __all__ = [
@@ -106,12 +108,14 @@
     registry: FakeFeed[EndpointEntry]
     statuses: FakeStatuses
     members: FakeMembers
+    holds: StoredHolds
+    holds_port: FakeHolds
 
     @property
     def store_calls(self) -> float:
         """Calls to the store so far; to keep a seat in its group counts a tenth."""
         whole = self.operator.calls + self.registry.calls
-        whole += self.statuses.calls + self.members.lists
+        whole += self.statuses.calls + self.members.lists + self.holds_port.calls
         return whole + 0.1 * self.members.joins
 
 
@@ -127,6 +131,7 @@
         self.registry: KeyedMemory[EndpointEntry] = KeyedMemory()
         self.statuses: list[tuple[str, str, RolloutState]] = []
         self.members = MemberRows()
+        self.held: dict[str, StoredHold] = {}
         self.network = FakeNetwork(self.clock, self.rng)
         self.endpoints = FakeEndpoints(self.clock)
         self.routers: dict[str, DirectRouter] = {}
@@ -187,12 +192,32 @@
         gateway.start()
         trials.start()
         peers.start()
+        holds_port = FakeHolds(self.held, faults)
+        holds = StoredHolds(clock, holds_port, gateway.crashes.sharing, peers.rank)
+        holds.start()
         router = DirectRouter(
-            gateway, trials, peers, clock, faults, operator, registry, statuses, members
+            gateway,
+            trials,
+            peers,
+            clock,
+            faults,
+            operator,
+            registry,
+            statuses,
+            members,
+            holds,
+            holds_port,
         )
         self.routers[name] = router
         return router
 
+    def kill_router(self, name: str) -> None:
+        """Let a router lose power: it does and says nothing more."""
+        router = self.routers.pop(name)
+        router.clock.is_paused = True
+        self.network.unplug(name)
+        self.members.drop(name)
+
     def ready_router(self, document: Document | None = None) -> DirectRouter:
         """Publish a document, start a router and let it become ready."""
         self.operator.put("config", document or make_direct_document())
