--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -16,6 +16,7 @@
     "recovery",
     "fleet",
     "exposure",
+    "crashing",
     "overload",
     "slopes",
     "capacity",
--- a/umberhitch/explain/_story.py
+++ b/umberhitch/explain/_story.py
@@ -12,8 +12,11 @@
     {
         "configuration in force",
         "draining",
+        "endpoint ended",
         "history gone",
         "peers",
+        "request held",
+        "request held no more",
         "roll-out begins",
         "roll-out state",
         "settings read again",
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -6,7 +6,6 @@
 
 from umberhitch.core.direct import (
     AnswerVerdict,
-    Ask,
     Cascade,
     Directory,
     Endpoint,
@@ -21,7 +20,6 @@
     RouteKind,
     RouteTable,
 )
-from umberhitch.errors import BadAskError
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import (
     CallerReply,
@@ -34,15 +32,15 @@
     RawRequest,
     RunningCall,
     WirePort,
-    do_nothing,
 )
 from umberhitch.tasks.burn import BurnTask
-from umberhitch.tasks.direct.admission import STALE, Admission, Refusal
+from umberhitch.tasks.direct.admission import Admission
 from umberhitch.tasks.direct.choosing import Choosing
 from umberhitch.tasks.direct.crash_guard import CrashGuard
 from umberhitch.tasks.direct.decisions import DecisionLog
 from umberhitch.tasks.direct.exchange import HELD, REFUSED_BY_ENDPOINT, Exchange
 from umberhitch.tasks.direct.gateway_limits import GatewayCounters, GatewaySettings
+from umberhitch.tasks.direct.intake import Intake
 from umberhitch.tasks.direct.presence import LEAST_RETRY_S, Presence
 from umberhitch.tasks.direct.services import Permit, RequestState
 from umberhitch.tasks.direct.store_view import StoreView
@@ -54,13 +52,6 @@
 
 SPENDS_NO_BUDGET = ("caller left", REFUSED_BY_ENDPOINT)
 """Outcomes that are the caller's own; the burn report leaves them out."""
-PROOF_WAIT_S = 0.025
-"""A router that stood still waits so long for the store's word before it refuses requests with
-keys: the store answers in some ms, and it is under a quarter of the shortest objective seen."""
-STARTING_RETRY_S = 0.5
-"""Time to come back that is named while there is no configuration."""
-HONOURED_SHARE = 1 / 3
-"""Callers honour a time to come back up to such a share of the time that they have left."""
 
 
 class Gateway:
@@ -141,7 +132,7 @@
             clock,
             rng,
         )
-        self._admission = Admission(
+        admission = Admission(
             self.view,
             trials,
             clock,
@@ -150,6 +141,17 @@
             settings.behind_s,
             settings.is_strict,
         )
+        self._intake = Intake(
+            clock,
+            wire,
+            self.view,
+            admission,
+            self.presence,
+            self.choosing,
+            self.crashes,
+            self._answer,
+            self._begin,
+        )
 
     # Life
 
@@ -222,98 +224,15 @@
     def handle(self, raw: RawRequest, reply: CallerReply) -> Callable[[], None]:
         """Begin to answer a request; returns what is to be called if the caller leaves."""
         self.counters.requests += 1
-        try:
-            ask = self._wire.read_ask(raw)
-        except BadAskError as exc:
-            self._answer(reply, None, exc.status, str(exc), None)
-            return do_nothing
-        permit = self._admission.admit(ask, raw.received_s, not self.presence.is_noticed)
-        if permit is STALE and not self.view.operator_feed.is_failing:
-            return self._wait_for_proof(ask, raw.received_s, reply)
-        return self._begin(ask, permit, reply)
-
-    def _wait_for_proof(
-        self, ask: Ask, received_s: float, reply: CallerReply
-    ) -> Callable[[], None]:
-        """Wait a moment for the store's answer: the process stood still, and wakes."""
-        leave = do_nothing
-
-        def go_on() -> None:
-            nonlocal leave
-            permit = self._admission.admit(ask, received_s, not self.presence.is_noticed)
-            leave = self._begin(ask, permit, reply)
-
-        timer = self.clock.callLater(PROOF_WAIT_S, go_on)
-
-        def on_left() -> None:
-            if timer.active():
-                timer.cancel()
-            else:
-                leave()
-
-        return on_left
-
-    def _begin(self, ask: Ask, permit: Permit | Refusal, reply: CallerReply) -> Callable[[], None]:
-        """Pass a request on, or refuse it."""
-        if isinstance(permit, Refusal):
-            retry_s = None
-            if permit.status == 503:
-                retry_s = self._come_back_s(ask)
-            self._answer(reply, ask.call_id, permit.status, permit.reason, retry_s)
-            return do_nothing
-        if self.crashes.is_held(permit):
-            return self._ask_probe(permit, reply)
-        return self._exchange(permit, reply, False)
-
-    def _exchange(self, permit: Permit, reply: CallerReply, is_probe: bool) -> Callable[[], None]:
+        return self._intake.take(raw, reply)
+
+    def _begin(self, permit: Permit, reply: CallerReply, is_probe: bool) -> Callable[[], None]:
+        """Begin an exchange with endpoints."""
         self.budget.request(permit.service, permit.received_s)
         exchange = Exchange(self, permit, reply, is_probe)
         self.running.add(exchange)
         return exchange.start()
 
-    def _ask_probe(self, permit: Permit, reply: CallerReply) -> Callable[[], None]:
-        """Run a request that is held if that is allowed, else refuse it."""
-        ask = permit.ask
-        leave = do_nothing
-        has_left = False
-
-        def go_on(retry_s: float | None) -> None:
-            nonlocal leave
-            if has_left:
-                if retry_s is None:
-                    self.crashes.sharing.probe_over(permit.key)
-            elif retry_s is None:
-                leave = self._exchange(permit, reply, True)
-            else:
-                self._answer(reply, ask.call_id, 503, HELD, max(LEAST_RETRY_S, retry_s))
-
-        def on_left() -> None:
-            nonlocal has_left
-            has_left = True
-            leave()
-
-        chosen = self.choosing.endpoint(permit, self.choosing.first_model(permit), set())
-        if chosen is None:
-            go_on(STARTING_RETRY_S)
-        else:
-            lease_s = min(ask.patience_s, permit.route.timeout_s)
-            self.crashes.ask_probe(permit, chosen.endpoint, lease_s, go_on)
-        return on_left
-
-    def _come_back_s(self, ask: Ask) -> float:
-        """Return when a request that is not taken should come again.
-
-        A router that starts while the store is away has nothing to serve by until that is back,
-        which takes seconds, and callers come again once or a few times only: so they are told the
-        longest time that they honour. With 0.5 s, 166 of 174 requests of the 2 s in which 32
-        routers were restarted without a store were refused twice, and lost.
-        """
-        if self.presence.is_leaving:
-            return self.presence.retry_s()
-        if not self.view.is_loaded and self.view.is_store_away:
-            return max(STARTING_RETRY_S, HONOURED_SHARE * ask.patience_s)
-        return STARTING_RETRY_S
-
     # Services of an exchange
 
     def send(
--- a/umberhitch/testing/_crashing.py
+++ b/umberhitch/testing/_crashing.py
@@ -117,7 +117,7 @@
         routers = self.all_routers
         return self.world.ask(routers[router % len(routers)], path, body=body, **headers)
 
-    def every(self, gap_s: float, until_s: float, action: Callable[[int], None]) -> Timer:
+    def every(self, gap_s: float, until_s: float, action: Callable[[int], object]) -> Timer:
         """Call ``action`` with 0, 1, 2, ... at a fixed gap for a time from now on."""
         clock = self.world.clock
         end_s = clock.seconds() + until_s
