--- a/umberhitch/platform/standins/__main__.py
+++ b/umberhitch/platform/standins/__main__.py
@@ -57,7 +57,7 @@
     def add_endpoint(self, request: Any, name: str) -> bytes:
         """Start an endpoint."""
         endpoint = EndpointStandin(self._reactor, name)
-        _, address = listen_http(self._reactor, endpoint.app, ANY_PORT, MAX_BODY_BYTES)
+        endpoint.port, address = listen_http(self._reactor, endpoint.app, ANY_PORT, MAX_BODY_BYTES)
         self._endpoints[name] = endpoint
         self._entries[name] = {
             "zone": "a",
--- a/umberhitch/platform/standins/_endpoint.py
+++ b/umberhitch/platform/standins/_endpoint.py
@@ -28,6 +28,8 @@
         Streams break off within the event after so many; 0 for never.
     event_s : float
         Time between events.
+    crashes_on : str
+        A request with this body ends the endpoint.
     confidence : int
         What its models declare.
     """
@@ -35,6 +37,7 @@
     status: int = 200
     is_shedding: bool = False
     loses_answers: bool = False
+    crashes_on: str = ""
     break_after: int = 0
     event_s: float = 0.01
     confidence: int = 100
@@ -59,12 +62,27 @@
     incarnation: str
     faults: EndpointFaults = field(default_factory=EndpointFaults)
     runs: list[Run] = field(default_factory=list)
+    port: Any = None
+    """Where it listens."""
+    is_ended: bool = False
+    _transports: set[Any] = field(default_factory=set)
 
     app = Klein()
 
+    def end(self) -> None:
+        """End as a process does: listen no more, and break every connection."""
+        self.is_ended = True
+        self.port.stopListening()
+        for transport in self._transports:
+            transport.abortConnection()
+
     @app.route("/", branch=True)
     def run(self, request: Any) -> Any:
         """Run any request."""
+        self._transports.add(request.transport)
+        if self.is_ended:
+            request.transport.abortConnection()
+            return Deferred()
         head = request.requestHeaders
         call_id = head.getRawHeaders("Attempt-Id", [""])[0]
         expected = head.getRawHeaders("Expect-Instance", [self.incarnation])[0]
@@ -79,6 +97,10 @@
         model = head.getRawHeaders("Model", [""])[0]
         customer = head.getRawHeaders("Tenant", [""])[0]
         self.runs.append(Run(call_id, customer, model, monotonic()))
+        body = request.content.read().decode("latin-1")
+        if self.faults.crashes_on and body == self.faults.crashes_on:
+            self.end()
+            return Deferred()
         if self.faults.loses_answers:
             request.transport.abortConnection()
             return Deferred()
--- a/umberhitch/platform/standins/client.py
+++ b/umberhitch/platform/standins/client.py
@@ -115,7 +115,14 @@
         """Return one of the router's pages."""
         return call(self.addresses["pages"], "GET", path).body
 
-    def ask(self, path: str, call_id: str, key: str, model: str | None = None) -> Answer:
+    def ask(
+        self,
+        path: str,
+        call_id: str,
+        key: str,
+        model: str | None = None,
+        body: bytes = b"body",
+    ) -> Answer:
         """Send a caller's request."""
         headers = {
             "Host": "models.example",
@@ -125,7 +132,7 @@
         }
         if model is not None:
             headers |= {"Model": model, "Token-Count": "100,40", "Prompt-Prefix": "aa:60,bb:40"}
-        return call(self.addresses["callers"], "POST", path, b"body", headers)
+        return call(self.addresses["callers"], "POST", path, body, headers)
 
     def kill(self) -> None:
         """End it without notice."""
--- a/umberhitch/platform/tests/test_processes.py
+++ b/umberhitch/platform/tests/test_processes.py
@@ -168,3 +168,33 @@
     late = router.ask("/look/x", "j3", KEY)
     assert (late.status, late.headers.get("connection")) == (200, "close")
     assert router.process.wait() == 0
+
+
+def test_a_request_that_ends_endpoints_is_held_by_all_routers(platform):
+    """Three endpoints by two routers, then at most two probes; what else is asked for is served."""
+    names = ("e1", "e2", *(f"x{number}" for number in range(6)))
+    for name in names[2:]:
+        platform.add_endpoint(name)
+    routers = [platform.start_router(f"r{number}") for number in range(2)]
+    eventually(lambda: all(router.status()["routers"] == 2 for router in routers))
+    for router in routers:
+        settle(router, len(names))
+    for name in names:
+        platform.control("POST", f"/endpoints/{name}/faults", {"crashes_on": "crash"})
+    sent = 0
+
+    def is_held() -> bool:
+        nonlocal sent
+        for router in routers:
+            sent += 1
+            router.ask("/order/x", f"p{sent}", KEY, body=b"crash")
+        return all(router.status()["held"] == 1 for router in routers)
+
+    eventually(is_held)
+    refused = routers[0].ask("/order/x", "last", KEY, body=b"crash")
+    assert refused.status in (502, 503)
+    if refused.status == 503:
+        assert float(refused.headers["retry-after"]) > 0
+    ran_in_all = sum(ran(platform, f"p{number + 1}", *names) for number in range(sent))
+    assert 3 <= ran_in_all <= 5
+    eventually(lambda: routers[1].ask("/look/x", "fine", KEY).status == 200)
