--- a/umberhitch/tasks/direct/crash_sharing.py
+++ b/umberhitch/tasks/direct/crash_sharing.py
@@ -23,7 +23,9 @@
 MAX_CRASHES = 512
 """Crashes in one message, some 0.1 kB each: those of a third of a zone's running requests."""
 MAX_AGAIN = 4
-"""Requests that are told again with each report, in turn: under 1 kB."""
+"""Requests that are told again at a time, in turn: under 1 kB."""
+AGAIN_GAP_S = 1.0
+"""Least time between: who lost the news has it a second later."""
 AGAIN_S = 30.0
 """So long a crash is told again, and a request that is held as long as it is held."""
 
@@ -65,6 +67,7 @@
         self._ends: set[str] = set()
         self._probes: dict[str, ProbeTold] = {}
         self._turn = 0
+        self._again_s = float("-inf")
 
     def arbiter(self, key: str) -> str:
         """Return the router that lets probes of a request through (rendezvous hash)."""
@@ -142,10 +145,12 @@
 
     def news_again(self) -> list[CrashNews]:
         """Return what is told again with a report: some of what is held or recent, in turn."""
-        if not len(self.record):
+        now_s = self._clock.seconds()
+        if not len(self.record) or now_s < self._again_s + AGAIN_GAP_S:
             return []
-        self.record.forget(self._clock.seconds())
-        since_s = self._clock.seconds() - AGAIN_S
+        self._again_s = now_s
+        self.record.forget(now_s)
+        since_s = now_s - AGAIN_S
         keys = [
             key
             for key in self.record.suspects()
@@ -160,7 +165,10 @@
 
     def _news_of(self, keys: list[str], most: int) -> list[CrashNews]:
         now_s = self._clock.seconds()
-        crashes = [self._told(key, each) for key in keys for each in self.record.crashes(key)]
+        enough = self.record.limits.crashes
+        crashes = [
+            self._told(key, each) for key in keys for each in self.record.crashes(key)[:enough]
+        ]
         probes = []
         for key in keys:
             probed = self.record.probed(key)
