What is held is told again to two peers each second, whatever the number of routers

Cause: told with the reports to all peers, its cost grows with the routers: 131 messages in 24 s at six, and some 10 kB a second at 370 (computed), over the 2 kB a second for control.

--- a/umberhitch/tasks/direct/crash_sharing.py
+++ b/umberhitch/tasks/direct/crash_sharing.py
@@ -1,9 +1,9 @@
 """Tells the other routers of crashes, so that all hold the same requests within some 0.05 s.
 
 What is told is added to what is known, so that lost, repeated and late messages do no harm: news go
-to all at once, what is held is told again as long as it is, and a router that is new gets all of
-it. A router that knows that a request has ended well since tells the one router that is asked for
-its probes, and that one tells all.
+to all at once, what is held is told again to a few peers as long as it is, and a router that is new
+gets all of it. A router that knows that a request has ended well since tells the one router that is
+asked for its probes, and that one tells all.
 """
 
 from collections.abc import Callable
@@ -24,8 +24,6 @@
 """Crashes in one message, some 0.1 kB each: those of a third of a zone's running requests."""
 MAX_AGAIN = 4
 """Requests that are told again at a time, in turn: under 1 kB."""
-AGAIN_GAP_S = 1.0
-"""Least time between: who lost the news has it a second later."""
 AGAIN_S = 30.0
 """So long a crash is told again, and a request that is held as long as it is held."""
 
@@ -67,7 +65,6 @@
         self._ends: set[str] = set()
         self._probes: dict[str, ProbeTold] = {}
         self._turn = 0
-        self._again_s = float("-inf")
 
     def arbiter(self, key: str) -> str:
         """Return the router that lets probes of a request through (rendezvous hash)."""
@@ -144,11 +141,10 @@
         return self._news_of(keys, MAX_CRASHES)
 
     def news_again(self) -> list[CrashNews]:
-        """Return what is told again with a report: some of what is held or recent, in turn."""
+        """Return what is told again: some of what is held or recent, in turn."""
         now_s = self._clock.seconds()
-        if not len(self.record) or now_s < self._again_s + AGAIN_GAP_S:
+        if not len(self.record):
             return []
-        self._again_s = now_s
         self.record.forget(now_s)
         since_s = now_s - AGAIN_S
         keys = [
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -38,6 +38,10 @@
 FAR_EVERY = 4
 """Of many peers, those in other availability zones get each fourth report only, but during a
 roll-out: calls mostly stay in their zone, and reports cross it."""
+AGAIN_S = 1.0
+AGAIN_PEERS = 2
+"""Requests that are held are told again to so many peers that often. All routers do, so that each
+hears of them twice a second, whatever their number, at under 2 kB a second."""
 NEWS_S = 0.03
 """Sessions that others would send to the other version, and states that were written to the store,
 are told together after this. With 28 peers a report goes out each 0.9 s; sessions whose next
@@ -106,6 +110,7 @@
         self._incarnation = incarnation
         self._gateway = gateway
         self._clock = clock
+        self._rng = rng
         self._link = link
         self._sharing = sharing
         self._limits = limits or DirectPeersLimits()
@@ -137,6 +142,7 @@
         self._link.listen(self.receive)
         self._membership.start()
         self._report()
+        self._tell_again()
 
     def stop(self) -> None:
         """Report no more, and leave."""
@@ -189,16 +195,24 @@
         if self._is_stopped:
             return
         self._add_up()
-        messages: list[Message] = [self._make_report()]
-        messages += self._gateway.crashes.sharing.news_again()
+        report = self._make_report()
         self._rounds += 1
         is_for_all = self._gateway.trials.is_any_open() or self._rounds % self._far_every() == 0
         for name in self._known:
             if is_for_all or not self._is_far(name):
-                for message in messages:
-                    self._link.send(name, message)
+                self._link.send(name, report)
         self._clock.callLater(self._report_s(), self._report)
 
+    def _tell_again(self) -> None:
+        """Tell a few peers what is held: who lost the news has them from one or the other."""
+        if self._is_stopped:
+            return
+        news = self._gateway.crashes.sharing.news_again()
+        for name in self._rng.sample(list(self._known), min(AGAIN_PEERS, len(self._known))):
+            for message in news:
+                self._link.send(name, message)
+        self._clock.callLater(AGAIN_S, self._tell_again)
+
     def _report_s(self) -> float:
         """Return how often each peer is told."""
         crowd = max(1.0, len(self._known) / self._limits.full_pace_peers)
