--- a/umberhitch/core/direct/_crash_record.py
+++ b/umberhitch/core/direct/_crash_record.py
@@ -7,8 +7,8 @@
 ask for out of it when a zone is lost.
 
 From the third crash on a request is held, as by a circuit breaker: it is run again by one probe at
-a time, and by ever fewer of them. All of it is the same whatever the order in which it is told, so
-that routers that heard the same hold the same.
+a time, and by ever fewer of them. Crashes and ends add up to the same in whatever order and however
+often they are told, so that routers that heard the same hold the same.
 """
 
 from collections import OrderedDict
--- a/umberhitch/core/direct/tests/test_crash_record.py
+++ b/umberhitch/core/direct/tests/test_crash_record.py
@@ -5,6 +5,10 @@
 """
 
 from itertools import pairwise, permutations
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
 
 from umberhitch.core.direct import Crash, CrashLimits, CrashRecord
 
@@ -54,6 +58,33 @@
     assert found == {("e5",)}
 
 
+WORDS = st.lists(
+    st.one_of(
+        st.tuples(st.just("crash"), st.integers(0, 5), st.integers(0, 20)),
+        st.tuples(st.just("end"), st.just(0), st.integers(0, 20)),
+    ),
+    max_size=12,
+)
+
+
+def _told(words: list[tuple[str, int, int]]) -> list[str]:
+    """Return the lifetimes held against a request after all was told."""
+    record = CrashRecord()
+    for what, number, at in words:
+        if what == "end":
+            record.note_end(KEY, float(at))
+        else:
+            record.note_crash(KEY, Crash(f"e{number}.{at}", "svc/v1", float(at), at + 0.1))
+    return sorted(each.lifetime for each in record.crashes(KEY))
+
+
+@given(WORDS, st.integers(0, 1000))
+def test_routers_that_heard_the_same_hold_the_same(words, seed):
+    again = words + words
+    Random(seed).shuffle(again)
+    assert _told(again) == _told(words)
+
+
 def test_probes_come_one_at_a_time_and_ever_more_seldom():
     record = _held()
     untils = []
