An endpoint that ends by the first byte of a request is counted against it where it was there alone

Cause: a call sent less than 2 ms before the end was never blamed; among real processes on one host a crash came in 1 to 2 ms, was not counted in 1 of 5 plays, and the request never held (its test timed out). Now such a call is passed over only beside an older one. Test of the lone call: 0 -> 1 suspect; of the young one beside an older: 1, as before.

--- a/umberhitch/platform/standins/_endpoint.py
+++ b/umberhitch/platform/standins/_endpoint.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from klein import Klein
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, maybeDeferred
 
 __all__ = ["EndpointFaults", "EndpointStandin"]
 
@@ -70,9 +70,11 @@
     app = Klein()
 
     def end(self) -> None:
-        """End as a process does: listen no more, and break every connection."""
+        """End as a process does: listen no more, then break every connection."""
         self.is_ended = True
-        self.port.stopListening()
+        maybeDeferred(self.port.stopListening).addCallback(lambda _: self._break_all())
+
+    def _break_all(self) -> None:
         for transport in self._transports:
             transport.abortConnection()
 
--- a/umberhitch/tasks/direct/crash_watch.py
+++ b/umberhitch/tasks/direct/crash_watch.py
@@ -26,8 +26,9 @@
 endpoint ends: the way to the end of a process through a proof by others takes some ms, by the
 registry up to 1.5 s."""
 LEAST_RUN_S = 0.002
-"""A call that was sent less long before its endpoint ended had not begun there: the way to it takes
-half of that. Where all endpoints end together, calls go from one to the next in such times."""
+"""A call that was sent less long before its endpoint ended is not blamed where an older one was
+there: the way to it takes half of that. Where all endpoints end together, calls go from one to the
+next in such times. Alone, it is blamed: an endpoint may end by the first byte it reads."""
 ALIVE_S = 1.0
 """An endpoint that lives so long after the whole reply to a request is not ended by it: one that
 goes on with a stream after another's crash may be done before it ends."""
@@ -175,8 +176,10 @@
             },
         )
         self._note_crash_of_version(broken)
+        has_older = any(_ran(each) for each in broken)
         for each in broken:
-            self._blame(each)
+            if _ran(each) or not has_older:
+                self._blame(each)
 
     def _note_crash_of_version(self, broken: list[_Broken]) -> None:
         """Count the end of an endpoint as one answer of its version, not as one for each call.
@@ -193,7 +196,10 @@
 
     def _blame(self, broken: _Broken) -> None:
         run = broken.run
-        if broken.at_s < run.began_s + LEAST_RUN_S:
-            return
         crash = Crash(run.endpoint.lifetime, run.place, run.began_s, broken.at_s)
         self._on_crash(run.permit.key, crash)
+
+
+def _ran(broken: _Broken) -> bool:
+    """Whether a call can have begun before its endpoint ended."""
+    return broken.at_s >= broken.run.began_s + LEAST_RUN_S
--- a/umberhitch/tasks/direct/tests/test_crash_blame.py
+++ b/umberhitch/tasks/direct/tests/test_crash_blame.py
@@ -9,7 +9,7 @@
 from umberhitch.core.direct import AnswerVerdict
 from umberhitch.fakes import Reply
 from umberhitch.tasks.direct.exchange import HELD
-from umberhitch.testing import CrashingFleet, DirectAsk
+from umberhitch.testing import CrashingFleet, CrashShape, DirectAsk
 
 LONG = Reply(events=60, gap_s=0.05)
 SHORT = Reply(events=8, gap_s=0.05)
@@ -169,3 +169,22 @@
     assert not fleet.all_routers[0].gateway.crashes.record.suspects()
     fleet.world.run(5.0)
     assert ask.reply.is_complete
+
+
+def test_what_was_there_alone_is_blamed_however_soon_the_endpoint_ends():
+    fleet = CrashingFleet(routers=1, shape=CrashShape(after_s=0.0005))
+    fleet.ask(0, "/order/x")
+    fleet.world.clock.advance(0.0005)
+    fleet.world.run(0.1)
+    assert len(fleet.all_routers[0].gateway.crashes.record) == 1
+
+
+def test_what_was_just_sent_beside_an_older_call_is_not_blamed():
+    fleet = CrashingFleet(routers=1, endpoints=1, reply=LONG)
+    fleet.ask(0, "/order/x", body=b"older")
+    fleet.world.run(0.1)
+    fleet.ask(0, "/order/x", body=b"younger")
+    fleet.world.clock.advance(0.0005)
+    fleet.ever[0].crash()
+    fleet.world.run(0.1)
+    assert len(fleet.all_routers[0].gateway.crashes.record) == 1
