--- a/umberhitch/tasks/direct/crash_sharing.py
+++ b/umberhitch/tasks/direct/crash_sharing.py
@@ -138,7 +138,7 @@
     def all_news(self) -> list[CrashNews]:
         """Return what a router is told that is new here, the strongest evidence first."""
         keys = sorted(self.record.suspects(), key=lambda each: -len(self.record.crashes(each)))
-        return self._news_of(keys, MAX_CRASHES)
+        return self._news_of(keys)
 
     def news_again(self) -> list[CrashNews]:
         """Return what is told again: some of what is held or recent, in turn."""
@@ -153,13 +153,13 @@
             if self.record.is_held(key) or self.record.crashes(key)[-1].ended_s > since_s
         ]
         self._turn = (self._turn + MAX_AGAIN) % max(1, len(keys))
-        return self._news_of((keys[self._turn :] + keys[: self._turn])[:MAX_AGAIN], MAX_CRASHES)
+        return self._news_of((keys[self._turn :] + keys[: self._turn])[:MAX_AGAIN])
 
     def news_of(self, key: str) -> list[CrashNews]:
         """Return what is held against one request."""
-        return self._news_of([key], MAX_CRASHES)
+        return self._news_of([key])
 
-    def _news_of(self, keys: list[str], most: int) -> list[CrashNews]:
+    def _news_of(self, keys: list[str]) -> list[CrashNews]:
         now_s = self._clock.seconds()
         enough = self.record.limits.crashes
         crashes = [
@@ -171,7 +171,7 @@
             if probed is not None:
                 place, number, at_s = probed
                 probes.append(ProbeTold(key, place, number, now_s - at_s, 0.0))
-        return [CrashNews(crashes[:most], [], probes)] if crashes else []
+        return [CrashNews(crashes[:MAX_CRASHES], [], probes)] if crashes else []
 
     def _told(self, key: str, crash: Crash) -> CrashTold:
         now_s = self._clock.seconds()
@@ -186,8 +186,8 @@
 
     # Others' news
 
-    def receive(self, message: CrashNews) -> list[str]:
-        """Take what another router tells; return the lifetimes that it says have ended."""
+    def receive(self, message: CrashNews) -> None:
+        """Take what another router tells."""
         now_s = self._clock.seconds()
         for end in message.ends:
             self._take_end(end, now_s)
@@ -195,7 +195,6 @@
             self._take_crash(told, now_s)
         for probe in message.probes:
             self._take_probe(probe, now_s)
-        return [told.lifetime for told in message.crashes]
 
     def _take_end(self, end: EndTold, now_s: float) -> None:
         was_held = self.record.is_held(end.key)
