--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -3,6 +3,7 @@
 from umberhitch.core.direct._budget import BudgetLimits, RetryBudget
 from umberhitch.core.direct._cascade import Cascade, CascadeLimits
 from umberhitch.core.direct._change import DocumentChange, apply_change, change_between
+from umberhitch.core.direct._cold import ColdLimits, ColdShare
 from umberhitch.core.direct._crash_record import Crash, CrashLimits, CrashRecord, Hold
 from umberhitch.core.direct._directory import Directory, Endpoint
 from umberhitch.core.direct._engine_time import EngineDemand, EnginePrice, EngineTimeLimits
@@ -30,6 +31,7 @@
     Route,
     RouteKind,
     Service,
+    ZoneOut,
 )
 from umberhitch.core.direct._worth import Stake, WorthLimits, make_stake
 
@@ -40,6 +42,8 @@
     "BudgetLimits",
     "Cascade",
     "CascadeLimits",
+    "ColdLimits",
+    "ColdShare",
     "Counts",
     "Crash",
     "CrashLimits",
@@ -81,6 +85,7 @@
     "Trial",
     "TrialLimits",
     "WorthLimits",
+    "ZoneOut",
     "apply_change",
     "change_between",
     "key_digest",
--- a/umberhitch/core/direct/_directory.py
+++ b/umberhitch/core/direct/_directory.py
@@ -1,5 +1,8 @@
 """Which endpoints there are, and which of them take new work.
 
+Nothing new goes to the endpoints of an availability zone that is out of service: they stand in no
+list that is given out, and are no home, whatever kind of call it is for. What runs there goes on.
+
 An endpoint may start again under its incarnation: then its entry names another time of birth, and a
 new lifetime begins. What is believed of one process dies with its lifetime: that it is banned or
 failing, the load that it or peers told, what its engine has cached and reads, its pace, calls under
@@ -59,6 +62,14 @@
     lapses_s: float | None = None
     banned_until_s: float = 0.0
     failures: int = 0
+    has_ended: bool = False
+    """Whether its process was seen to have ended; one that answers again has started again."""
+    cold_until_s: float = 0.0
+    """It is cold until then, by its own word, or"""
+    guarded_until_s: float = 0.0
+    """taken for cold, since it may have started again and not have said so yet."""
+    cold_source: str = ""
+    """How that is known."""
     lifetime: str = ""
     """Names it among all lifetimes, at every router."""
 
@@ -67,8 +78,18 @@
         name = self.entry.incarnation
         self.lifetime = name if born is None else f"{name}@{born}"
 
+    def is_cold(self, now_s: float) -> bool:
+        """Whether it bears only so many requests a second."""
+        return now_s < self.cold_until_s or now_s < self.guarded_until_s
+
+    def guard(self, until_s: float, source: str) -> None:
+        """Take it for cold until then."""
+        if until_s > self.guarded_until_s:
+            self.guarded_until_s = until_s
+            self.cold_source = source
+
     def takes_work(self, now_s: float) -> bool:
-        """Whether new work may be sent to it."""
+        """Whether new work may be sent to it, as far as it is for itself."""
         return (
             self.entry.state is EndpointState.READY
             and now_s >= self.banned_until_s
@@ -80,6 +101,8 @@
 class _Members:
     """The endpoints of one service, with what is worked out from them when it is asked for."""
 
+    zones_out: set[str]
+    """Of the directory."""
     by_incarnation: dict[str, Endpoint] = field(default_factory=dict)
     listed: list[Endpoint] | None = None
     homes: dict[int, tuple[int, Endpoint]] = field(default_factory=dict)
@@ -90,7 +113,7 @@
         self.by_incarnation[endpoint.entry.incarnation] = endpoint
         self.listed = None
         self._give_up_homes(endpoint)
-        if endpoint.entry.state is EndpointState.READY:
+        if self._is_listed(endpoint):
             for bucket, (score, _) in self.homes.items():
                 own = _score(bucket, endpoint)
                 if own > score:
@@ -119,12 +142,20 @@
         return found[1]
 
     def all(self) -> list[Endpoint]:
-        """Return the endpoints that are not draining."""
+        """Return the endpoints that are not draining, of zones that are in service."""
         if self.listed is None:
-            ready = EndpointState.READY
-            self.listed = [e for e in self.by_incarnation.values() if e.entry.state is ready]
+            self.listed = [each for each in self.by_incarnation.values() if self._is_listed(each)]
         return self.listed
 
+    def _is_listed(self, endpoint: Endpoint) -> bool:
+        entry = endpoint.entry
+        return entry.state is EndpointState.READY and entry.zone not in self.zones_out
+
+    def zones_changed(self) -> None:
+        """Work out anew what depends on the zones that are in service."""
+        self.listed = None
+        self.homes.clear()
+
 
 class Directory:
     """The registry's entries as they reached this router."""
@@ -138,6 +169,10 @@
         """Entries of replaced lifetimes, and since when they stand."""
         self._by_service: dict[str, _Members] = {}
         self.is_loaded = False
+        self.zones_out: set[str] = set()
+        """Availability zones that are out of service."""
+        self._cold_start_s: dict[str, float] = {}
+        """By service, where its endpoints are cold after a start."""
 
     def __len__(self) -> int:
         return len(self._endpoints)
@@ -155,7 +190,7 @@
             self._doubted[entry.incarnation] = entry, since_s
             return None
         self._doubted.pop(entry.incarnation, None)
-        return self._take(entry)
+        return self._take(entry, now_s)
 
     def _is_late(self, entry: EndpointEntry) -> bool:
         """Whether an entry is of a lifetime that another one has replaced."""
@@ -164,15 +199,17 @@
             return False
         return entry.born in self._replaced.get(entry.incarnation, ())
 
-    def _take(self, entry: EndpointEntry) -> Endpoint | None:
+    def _take(self, entry: EndpointEntry, now_s: float) -> Endpoint | None:
         known = self._endpoints.get(entry.incarnation)
         if known is not None and known.entry == entry and known.lapses_s is None:
+            self._note_cold(known, now_s)
             return None
         ended = None
         if known is not None and known.entry.born != entry.born:
             ended, known = known, None
             self._note_replaced(ended.entry)
             self.drop(entry.incarnation)
+        is_new = known is None
         if known is None:
             known = Endpoint(entry)
             self._endpoints[entry.incarnation] = known
@@ -181,10 +218,57 @@
             self._remove(known)
         known.entry = entry
         known.lapses_s = None
-        members = self._by_service.setdefault(entry.service, _Members())
+        self._note_cold(known, now_s)
+        if is_new and self.is_loaded and entry.cold_s is None:
+            self._guard(known, now_s, "new, and does not say")
+        members = self._by_service.setdefault(entry.service, _Members(self.zones_out))
         members.put(known)
         return ended
 
+    def _note_cold(self, endpoint: Endpoint, now_s: float) -> None:
+        """Take an endpoint's word that it is cold: it may be late, and then this is too long."""
+        if endpoint.entry.cold_s is not None:
+            endpoint.cold_until_s = now_s + endpoint.entry.cold_s
+            if endpoint.entry.cold_s and now_s >= endpoint.guarded_until_s:
+                endpoint.cold_source = "its entry"
+
+    def _guard(self, endpoint: Endpoint, now_s: float, source: str) -> None:
+        endpoint.guard(now_s + self._cold_start_s.get(endpoint.entry.service, 0.0), source)
+
+    def take_cold_starts(self, cold_start_s: dict[str, float]) -> None:
+        """Take how long the endpoints of services are cold after a start."""
+        self._cold_start_s = cold_start_s
+
+    def zone_out(self, zone: str) -> bool:
+        """Take an availability zone out of service; return whether it was in service."""
+        if zone in self.zones_out:
+            return False
+        self.zones_out.add(zone)
+        self._zones_changed()
+        return True
+
+    def zone_back(self, zone: str, now_s: float) -> bool:
+        """Take a zone back into service; return whether it was out.
+
+        Its endpoints are taken for cold: they may have become so while nothing was sent there.
+        """
+        if zone not in self.zones_out:
+            return False
+        self.zones_out.discard(zone)
+        for endpoint in self._endpoints.values():
+            if endpoint.entry.zone == zone:
+                self._guard(endpoint, now_s, "its zone was out of service")
+        self._zones_changed()
+        return True
+
+    def _zones_changed(self) -> None:
+        for members in self._by_service.values():
+            members.zones_changed()
+
+    def cold(self, now_s: float) -> list[Endpoint]:
+        """Return the endpoints that are cold, or taken for it."""
+        return [each for each in self._endpoints.values() if each.is_cold(now_s)]
+
     def _note_replaced(self, entry: EndpointEntry) -> None:
         replaced = self._replaced.pop(entry.incarnation, deque(maxlen=KEPT_LIFETIMES))
         replaced.append(entry.born)
@@ -240,7 +324,7 @@
         for entry, since_s in list(self._doubted.values()):
             if now_s >= since_s + DOUBT_S:
                 del self._doubted[entry.incarnation]
-                replaced = self._take(entry)
+                replaced = self._take(entry, now_s)
                 ended += [] if replaced is None else [replaced]
         return ended
 
@@ -295,14 +379,18 @@
         if endpoint.failures:
             endpoint.banned_until_s = max(endpoint.banned_until_s, now_s + TRY_S)
 
-    def failed(self, endpoint: Endpoint, now_s: float) -> None:
-        """Note that an endpoint could not be reached or broke off."""
+    def failed(self, endpoint: Endpoint, now_s: float, is_ended: bool = False) -> None:
+        """Note that an endpoint could not be reached or broke off, perhaps since it has ended."""
+        endpoint.has_ended |= is_ended
         ban_s = min(LONGEST_BAN_S, FIRST_BAN_S * 2**endpoint.failures)
         endpoint.failures += 1
         endpoint.banned_until_s = now_s + ban_s
 
-    def answered(self, endpoint: Endpoint) -> None:
+    def answered(self, endpoint: Endpoint, now_s: float) -> None:
         """Note that an endpoint answered."""
+        if endpoint.has_ended:
+            endpoint.has_ended = False
+            self._guard(endpoint, now_s, "its process had ended")
         endpoint.failures = 0
         endpoint.banned_until_s = 0.0
 
--- a/umberhitch/core/direct/_types.py
+++ b/umberhitch/core/direct/_types.py
@@ -18,6 +18,7 @@
     "Route",
     "RouteKind",
     "Service",
+    "ZoneOut",
 ]
 
 HeaderList = list[tuple[bytes, bytes]]
@@ -89,6 +90,11 @@
         Tokens that one engine's memory holds; 0 for plain services.
     prices : dict of str to float
         Of its models, for 1,000 tokens generated.
+    cold_start_s : float
+        So long after a start one of its endpoints is cold: it ends where many requests come. 0
+        where its endpoints are never cold.
+    cold_rate : float
+        Requests a second that a cold endpoint bears.
     """
 
     name: str
@@ -96,6 +102,8 @@
     slots: int = 0
     cache_tokens: int = 0
     prices: dict[str, float] = field(default_factory=dict)
+    cold_start_s: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,6 +154,8 @@
     born : int or None
         When its process started, in ms of the time of day; None where it does not say. Two values
         are compared for being equal only: the clock may have stepped back between two starts.
+    cold_s : float or None
+        How long it stays cold, counted from when it said so; None where it does not say.
     """
 
     incarnation: str
@@ -156,6 +166,7 @@
     slots: int
     state: EndpointState
     born: int | None = None
+    cold_s: float | None = None
 
 
 class RolloutState(StrEnum):
@@ -175,6 +186,13 @@
     duration_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneOut:
+    """An operator's word that an availability zone is out of service: nothing new goes there."""
+
+    zone: str
+
+
 @dataclass(frozen=True, slots=True)
 class PromptPart:
     """A piece of a prompt; engines keep what they have read of it."""
--- a/umberhitch/core/direct/tests/test_directory.py
+++ b/umberhitch/core/direct/tests/test_directory.py
@@ -16,7 +16,7 @@
     assert dark in directory.ready("svc", 0.6)
     directory.tried(dark, 0.6)
     assert dark not in directory.ready("svc", 0.7)
-    directory.answered(dark)
+    directory.answered(dark, 0.7)
     assert dark in directory.ready("svc", 0.7)
 
 
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -15,7 +15,7 @@
 from umberhitch.adapters.stored_holds import HoldsStore
 from umberhitch.adapters.zmq_link import ZmqLink
 from umberhitch.addresses import split_address
-from umberhitch.core.direct import BudgetLimits, TrialLimits
+from umberhitch.core.direct import BudgetLimits, ColdLimits, TrialLimits
 from umberhitch.gateway_settings import GatewayFile
 from umberhitch.platform import (
     Members,
@@ -145,6 +145,7 @@
             drain_notice_s=settings.drain_notice_s,
             good_share=settings.good_share,
             budget=BudgetLimits(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s),
+            cold=ColdLimits(bounds.cold_overrun, bounds.cold_slack),
         ),
         reactor,
         rng,
--- a/umberhitch/gateway_settings.py
+++ b/umberhitch/gateway_settings.py
@@ -52,6 +52,10 @@
     """Share of all requests that a bad version may get during its roll-out, and"""
     exposure_slack: Annotated[float, Meta(ge=0)] = 30.0
     """so many besides."""
+    cold_overrun: Annotated[float, Meta(ge=1, le=100)] = 1.5
+    """In any second a cold endpoint gets so many times the rate that its service names, and"""
+    cold_slack: Annotated[float, Meta(ge=0)] = 5.0
+    """so many requests more, over all routers."""
     session_s: Seconds = 5.0
     """Requests of a session that are not further apart belong together."""
 
--- a/umberhitch/platform/_client.py
+++ b/umberhitch/platform/_client.py
@@ -13,6 +13,7 @@
 
 __all__ = ["CALL_S", "StoreClient", "json_of"]
 
+Query = dict[str, Any]
 CALL_S = 1.0
 """A call that takes longer has failed; the store answers within some ms, slow within some 100."""
 
@@ -38,7 +39,7 @@
         self,
         method: str,
         path: str,
-        query: dict[str, Any],
+        query: Query,
         body: bytes = b"",
         patience_s: float = CALL_S,
         is_wanted: IsWanted | None = None,
@@ -60,9 +61,8 @@
             headers.append((b"Content-Type", b"application/json"))
         call = EndpointCall("", method.encode(), target.encode(), headers, body, is_once=True)
         try:
-            head, data = await fetch(
-                self._http, self.clock, self._address, call, patience_s, is_wanted
-            )
+            fetched = fetch(self._http, self.clock, self._address, call, patience_s, is_wanted)
+            head, data = await fetched
         except NoReplyError as exc:
             if exc.has_begun:
                 raise LogBrokenOffError(str(exc)) from exc
@@ -74,11 +74,7 @@
         return head.status, data
 
     async def read(
-        self,
-        path: str,
-        query: dict[str, Any],
-        patience_s: float = CALL_S,
-        is_wanted: IsWanted | None = None,
+        self, path: str, query: Query, patience_s: float = CALL_S, is_wanted: IsWanted | None = None
     ) -> tuple[int, bytes]:
         """Return status and body of an answer to a call that changes nothing.
 
--- a/umberhitch/platform/_documents.py
+++ b/umberhitch/platform/_documents.py
@@ -22,9 +22,11 @@
     Route,
     RouteKind,
     Service,
+    ZoneOut,
     key_digest,
 )
 from umberhitch.errors import ConfigError
+from umberhitch.ports.direct import OperatorValue
 
 __all__ = ["CONFIG_KEY", "decode_endpoint", "decode_operator", "decode_status", "encode_status"]
 
@@ -35,6 +37,8 @@
 ENDPOINT_KEY = re.compile(r"[!-~]{1,255}", re.ASCII)
 """It is sent in a header."""
 ROLLOUT_PREFIX = "rollout/"
+ZONE_PREFIX = "evacuate/"
+LONGEST_COLD_MS = 3_600_000.0  # an hour covers any start
 KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -79,6 +83,8 @@
     name: str
     max_connections: int = 100
     engine: _Engine | None = None
+    cold_start_s: Annotated[float, Meta(ge=0)] = 0.0
+    cold_per_s: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class _Limits(Struct, rename="camel", frozen=True):
@@ -119,6 +125,7 @@
     state: Literal["ready", "draining"]
     zone: _Text = ""
     born: Annotated[int, Meta(ge=0, le=LATEST_BORN_MS)] | None = None
+    cold_remaining_ms: Annotated[float, Meta(ge=0, le=LONGEST_COLD_MS)] | None = None
 
 
 class _Status(Struct):
@@ -129,12 +136,13 @@
 _config = json.Decoder(_Config)
 _order = json.Decoder(_Order)
 _entry = json.Decoder(_Entry)
-_status = json.Decoder(_Status)
 
 
-def decode_operator(key: str, value: bytes) -> Document | RolloutOrder | None:
+def decode_operator(key: str, value: bytes) -> OperatorValue | None:
     """Return what an operator's record says, or None for a key that is not known.
 
+    That a zone's record is there says all; what is in it may be anything.
+
     Raises
     ------
     ConfigError
@@ -146,6 +154,8 @@
         if key.startswith(ROLLOUT_PREFIX):
             order = _order.decode(value)
             return RolloutOrder(order.service, order.target, order.duration_s)
+        if key.startswith(ZONE_PREFIX):
+            return ZoneOut(key.removeprefix(ZONE_PREFIX))
     except (DecodeError, ValidationError, KeyError) as exc:
         raise ConfigError([f"{key}: {exc}"]) from exc
     return None
@@ -189,7 +199,8 @@
 def _service(raw: _Service) -> Service:
     engine = raw.engine or _Engine()
     prices = {model.name: model.cost for model in engine.models}
-    return Service(raw.name, raw.max_connections, engine.slots, engine.kv_capacity_tokens, prices)
+    sizes = (raw.max_connections, engine.slots, engine.kv_capacity_tokens)
+    return Service(raw.name, *sizes, prices, raw.cold_start_s, raw.cold_per_s)
 
 
 def decode_endpoint(key: str, value: bytes) -> EndpointEntry | None:
@@ -207,7 +218,8 @@
         raise ConfigError([f"{key}: {exc}"]) from exc
     state = EndpointState(raw.state)
     where = (raw.service, raw.address, raw.zone)
-    return EndpointEntry(key, *where, raw.version, raw.slots, state, raw.born)
+    cold_s = None if raw.cold_remaining_ms is None else raw.cold_remaining_ms / 1000
+    return EndpointEntry(key, *where, raw.version, raw.slots, state, raw.born, cold_s)
 
 
 def decode_status(key: str, value: bytes) -> tuple[str, str, RolloutState] | None:
@@ -218,7 +230,7 @@
     if not key.startswith(ROLLOUT_PREFIX):
         return None
     try:
-        raw = _status.decode(value)
+        raw = json.decode(value, type=_Status)
         return key.removeprefix(ROLLOUT_PREFIX), raw.target, RolloutState(raw.state)
     except (DecodeError, ValidationError, ValueError) as exc:
         raise ConfigError([f"{key}: {exc}"]) from exc
--- a/umberhitch/platform/_feed.py
+++ b/umberhitch/platform/_feed.py
@@ -15,7 +15,7 @@
     LogUnavailableError,
 )
 from umberhitch.platform._client import CALL_S, StoreClient, json_of
-from umberhitch.ports.direct import FeedBatch, FeedRecord, do_nothing
+from umberhitch.ports.direct import FeedBatch, FeedRecord, OnBegun, do_nothing
 
 __all__ = ["KeyedFeed", "LargeRecords", "append_row", "newest_rows"]
 
@@ -107,11 +107,7 @@
         return None
 
     async def since(
-        self,
-        offset: int,
-        wait_s: float,
-        patience_s: float,
-        on_begun: Callable[[], None] = do_nothing,
+        self, offset: int, wait_s: float, patience_s: float, on_begun: OnBegun = do_nothing
     ) -> FeedBatch[Value]:
         """Return the records from an offset on, as soon as there is one or the wait is over."""
         rows, end = await self._read_from(offset, wait_s, patience_s, on_begun)
@@ -119,11 +115,7 @@
         return FeedBatch(tuple(filter(None, records)), end)
 
     async def _read_from(
-        self,
-        offset: int,
-        wait_s: float,
-        patience_s: float,
-        on_begun: Callable[[], None] = do_nothing,
+        self, offset: int, wait_s: float, patience_s: float, on_begun: OnBegun = do_nothing
     ) -> tuple[list[tuple[str, bytes]], int]:
         query = {"topic": self._topic, "part": 0, "from": offset, "maxKb": READ_KB}
         query["waitMs"] = int(wait_s * 1000)
--- a/umberhitch/ports/direct.py
+++ b/umberhitch/ports/direct.py
@@ -11,6 +11,7 @@
     ReplyHead,
     RolloutOrder,
     RolloutState,
+    ZoneOut,
 )
 
 __all__ = [
@@ -28,6 +29,7 @@
     "Listening",
     "Member",
     "MembersPort",
+    "OnBegun",
     "OperatorValue",
     "RawRequest",
     "RunningCall",
@@ -40,6 +42,7 @@
 
 HeaderList = list[tuple[bytes, bytes]]
 Value = TypeVar("Value")
+OnBegun = Callable[[], None]
 
 
 @dataclass(slots=True)
@@ -267,7 +270,7 @@
         offset: int,
         wait_s: float,
         patience_s: float,
-        on_begun: Callable[[], None] = do_nothing,
+        on_begun: OnBegun = do_nothing,
     ) -> FeedBatch[Value]:
         """Return the records from an offset on, as soon as there is one or the wait is over.
 
@@ -284,7 +287,7 @@
         ...
 
 
-OperatorValue = Document | RolloutOrder
+OperatorValue = Document | RolloutOrder | ZoneOut
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberhitch/tasks/direct/choosing.py
+++ b/umberhitch/tasks/direct/choosing.py
@@ -1,9 +1,12 @@
 """Chooses model and endpoint for each call of a request."""
 
+from collections.abc import Callable
 from random import Random
 
 from umberhitch.core.direct import (
     Cascade,
+    ColdShare,
+    Endpoint,
     EngineDemand,
     EngineWork,
     Offer,
@@ -16,12 +19,16 @@
 )
 from umberhitch.ports.clock import Clock
 from umberhitch.tasks.direct.admission import LIGHT_TOKENS
+from umberhitch.tasks.direct.come_back import HONOURED_SHARE, LEAST_RETRY_S
 from umberhitch.tasks.direct.services import Permit
 from umberhitch.tasks.direct.store_view import StoreView
 from umberhitch.tasks.direct.trials import Trials
 
 __all__ = ["Choosing"]
 
+SOON_OBJECTIVES = 0.2
+"""Time to come back while the endpoints bear no more, in objectives: an answer is in time then."""
+
 
 class Choosing:
     """Brings together what the store told, what is under way, and the decisions of the core.
@@ -34,6 +41,7 @@
     budget : RetryBudget
     cascade : Cascade
     demand : EngineDemand
+    cold : ColdShare
     worth : WorthLimits
     clock : Clock
     rng : Random
@@ -47,6 +55,7 @@
         budget: RetryBudget,
         cascade: Cascade,
         demand: EngineDemand,
+        cold: ColdShare,
         worth: WorthLimits,
         clock: Clock,
         rng: Random,
@@ -57,6 +66,8 @@
         self._budget = budget
         self._cascade = cascade
         self._demand = demand
+        self._cold = cold
+        self._is_settled: Callable[[], bool] = lambda: False
         self._worth = worth
         self._clock = clock
         self._rng = rng
@@ -93,6 +104,34 @@
         assert self._view.table is not None
         return self._view.table.document.services.get(permit.service)
 
+    def follow(self, is_settled: Callable[[], bool]) -> None:
+        """Take whether this router's place among the others is sure."""
+        self._is_settled = is_settled
+
+    def _bearing(self, permit: Permit, found: list[Endpoint], now_s: float) -> list[Endpoint]:
+        """Return the endpoints that are not cold, or that bear one more request of this router."""
+        service = self.service(permit)
+        if service is None or not service.cold_rate:
+            return found
+        rate, is_settled = service.cold_rate, self._is_settled()
+        return [
+            each
+            for each in found
+            if not each.is_cold(now_s) or (is_settled and self._cold.allows(each, rate, now_s))
+        ]
+
+    def come_back_s(self, permit: Permit) -> float:
+        """Return when a request for which there was no endpoint should come again.
+
+        Where the service has none at all, as late as callers honour: nothing tells when one comes.
+        Else some are cold or failing, which passes, and other routers may have their share left.
+        """
+        now_s = self._clock.seconds()
+        if not self._view.directory.ready(permit.service, now_s):
+            left_s = permit.received_s + permit.ask.patience_s - now_s
+            return max(LEAST_RETRY_S, HONOURED_SHARE * left_s)
+        return max(LEAST_RETRY_S, SOON_OBJECTIVES * permit.route.objective_s)
+
     def endpoint(self, permit: Permit, model: str | None, tried: set[str]) -> Offer | None:
         """Return where a call goes, or None where no endpoint takes work."""
         now_s = self._clock.seconds()
@@ -104,6 +143,7 @@
             if home is not None and home.takes_work(now_s) and home not in ready:
                 ready.append(home)
         fresh = [each for each in ready if each.lifetime not in tried]
+        fresh = self._bearing(permit, fresh, now_s)
         is_light = permit.ask.prompt_tokens < LIGHT_TOKENS
         fresh = self._trials.allowed(permit.service, permit.wants_target, fresh, is_light)
         if not fresh:
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -7,6 +7,7 @@
 from umberhitch.core.direct import (
     AnswerVerdict,
     Cascade,
+    ColdShare,
     Directory,
     Endpoint,
     EndpointEntry,
@@ -36,12 +37,13 @@
 from umberhitch.tasks.burn import BurnTask
 from umberhitch.tasks.direct.admission import Admission
 from umberhitch.tasks.direct.choosing import Choosing
+from umberhitch.tasks.direct.come_back import LEAST_RETRY_S
 from umberhitch.tasks.direct.crash_guard import CrashGuard
 from umberhitch.tasks.direct.decisions import DecisionLog
 from umberhitch.tasks.direct.exchange import HELD, REFUSED_BY_ENDPOINT, Exchange
 from umberhitch.tasks.direct.gateway_limits import GatewayCounters, GatewaySettings
 from umberhitch.tasks.direct.intake import Intake
-from umberhitch.tasks.direct.presence import LEAST_RETRY_S, Presence
+from umberhitch.tasks.direct.presence import Presence
 from umberhitch.tasks.direct.services import Permit, RequestState
 from umberhitch.tasks.direct.store_view import StoreView
 from umberhitch.tasks.direct.trials import Trials
@@ -86,6 +88,7 @@
         self.placement = Placement(settings.zone, settings.placement)
         self.budget = RetryBudget(settings.budget)
         self.demand = EngineDemand(settings.engine_time)
+        self.cold = ColdShare(settings.name, settings.cold)
         self.trials = trials
         self.decisions = DecisionLog(clock)
         self.running: set[RequestState] = set()
@@ -128,6 +131,7 @@
             self.budget,
             Cascade(settings.cascade),
             self.demand,
+            self.cold,
             settings.worth,
             clock,
             rng,
@@ -182,6 +186,7 @@
         for address in gone:
             self._endpoints.close_idle(address)
         self.placement.forget(self.directory.lifetimes())
+        self.cold.forget(self.directory.lifetimes())
 
     @property
     def directory(self) -> Directory:
@@ -244,6 +249,7 @@
         service = self.choosing.service(permit)
         now_s = self.clock.seconds()
         self.directory.tried(endpoint, now_s)
+        self.cold.note_sent(endpoint, now_s)
         placed = self.placement.place(endpoint, ask, model or "", route.models, service, now_s)
         customer = permit.customer
         priority = route.priority
@@ -304,7 +310,7 @@
 
     def unreachable(self, endpoint: Endpoint, is_ended: bool = False) -> None:
         """Take note that an endpoint could not be reached or went silent."""
-        self.directory.failed(endpoint, self.clock.seconds())
+        self.directory.failed(endpoint, self.clock.seconds(), is_ended)
         if is_ended:
             self.crashes.watch.ended(endpoint)
 
@@ -320,7 +326,7 @@
         now_s = self.clock.seconds()
         endpoint = self.directory.of_lifetime(placed.lifetime)
         if endpoint is not None and not head.is_elsewhere:
-            self.directory.answered(endpoint)
+            self.directory.answered(endpoint, now_s)
         if head.load is not None and endpoint is not None:  # else its lifetime is over
             self.placement.report(placed.lifetime, head.load, now_s)
         if head.is_success:
@@ -336,7 +342,7 @@
         if status == 503 and reason == HELD:
             retry_s = max(LEAST_RETRY_S, self.crashes.retry_s(permit))
         elif status == 503:
-            retry_s = max(LEAST_RETRY_S, 0.2 * permit.route.objective_s)
+            retry_s = self.choosing.come_back_s(permit)
         self._answer(reply, permit.ask.call_id, status, reason, retry_s)
 
     def _answer(
--- a/umberhitch/tasks/direct/gateway_limits.py
+++ b/umberhitch/tasks/direct/gateway_limits.py
@@ -5,6 +5,7 @@
 from umberhitch.core.direct import (
     BudgetLimits,
     CascadeLimits,
+    ColdLimits,
     EngineTimeLimits,
     PlacementLimits,
     WorthLimits,
@@ -57,6 +58,7 @@
     what is left of the 2 s in which an endpoint that leaves has to be known."""
     budget: BudgetLimits = BudgetLimits()
     cascade: CascadeLimits = CascadeLimits()
+    cold: ColdLimits = ColdLimits()
     engine_time: EngineTimeLimits = EngineTimeLimits()
     placement: PlacementLimits = PlacementLimits()
     worth: WorthLimits = WorthLimits()
--- a/umberhitch/tasks/direct/intake.py
+++ b/umberhitch/tasks/direct/intake.py
@@ -10,9 +10,10 @@
 from umberhitch.ports.direct import CallerReply, RawRequest, WirePort, do_nothing
 from umberhitch.tasks.direct.admission import STALE, Admission, Refusal
 from umberhitch.tasks.direct.choosing import Choosing
+from umberhitch.tasks.direct.come_back import HONOURED_SHARE, LEAST_RETRY_S, STARTING_RETRY_S
 from umberhitch.tasks.direct.crash_guard import CrashGuard
 from umberhitch.tasks.direct.exchange import HELD
-from umberhitch.tasks.direct.presence import LEAST_RETRY_S, Presence
+from umberhitch.tasks.direct.presence import Presence
 from umberhitch.tasks.direct.services import Permit
 from umberhitch.tasks.direct.store_view import StoreView
 
@@ -21,10 +22,6 @@
 PROOF_WAIT_S = 0.025
 """A router that stood still waits so long for the store's word before it refuses requests with
 keys: the store answers in some ms, and it is under a quarter of the shortest objective seen."""
-STARTING_RETRY_S = 0.5
-"""Time to come back that is named while there is no configuration, or no endpoint."""
-HONOURED_SHARE = 1 / 3
-"""Callers honour a time to come back up to such a share of the time that they have left."""
 
 Leave = Callable[[], None]
 
--- a/umberhitch/tasks/direct/membership.py
+++ b/umberhitch/tasks/direct/membership.py
@@ -50,6 +50,12 @@
     hold_s: float = 0.3
     patience_s: float = 0.15
 
+    @property
+    def catch_up_s(self) -> float:
+        """Time in which every router that keeps its seat hears of one that has come: its joins are
+        not further apart, and each is followed by a look at the list."""
+        return 1.2 * self.ttl_s / 3 + self.hold_s + self.patience_s
+
 
 class Membership:
     """Keeps this router's seat, and knows the others.
@@ -89,6 +95,9 @@
         self._waiting: list[tuple[str, ViewAsk]] = []
         self._is_reading = False
         self._is_stopped = False
+        self._joined_s: float | None = None
+        """Since when this router has its seat."""
+        self._seat_until_s = float("-inf")
         sharing.answerers[MEMBERS_STREAM] = self
 
     def start(self) -> None:
@@ -103,12 +112,31 @@
         leaving = ensureDeferred(self._port.leave(self._me))
         leaving.addErrback(lambda failure: log.info("not left", extra={"error": str(failure)}))
 
+    def is_settled(self) -> bool:
+        """Whether this router has its seat, and the others have had the time to hear of it.
+
+        Else they may go by a list on which it is not, and share among themselves what it takes for
+        its own.
+        """
+        now_s = self._clock.seconds()
+        if self._joined_s is None or now_s >= self._seat_until_s:
+            return False
+        return now_s >= self._joined_s + self._limits.catch_up_s
+
+    def _note_seat(self, called_s: float) -> None:
+        """Take note that the store keeps the seat for so long after a call was sent."""
+        if self._joined_s is None or called_s >= self._seat_until_s:
+            self._joined_s = self._clock.seconds()
+        self._seat_until_s = called_s + self._limits.ttl_s
+
     async def _keep_joined(self) -> None:
         longest_s = self._limits.ttl_s / 3
         pause_s = min(self._limits.first_join_s, longest_s)
         while not self._is_stopped:
             try:
+                called_s = self._clock.seconds()
                 generation = await self._port.join(self._me, self._limits.ttl_s)
+                self._note_seat(called_s)
                 if not self._is_stopped:
                     await self._catch_up(generation)
             except LogError as exc:
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -129,6 +129,7 @@
         self._is_stopped = False
         self._is_news_due = False
         gateway.trials.follow(self.rank, self._tell_news_soon)
+        gateway.choosing.follow(self._membership.is_settled)
         gateway.trials.old_running = self.old_running
         gateway.presence.others_return_s = self.return_s
         gateway.crashes.sharing.peers = self.names
@@ -158,6 +159,7 @@
             self._link.connect(name, address)
         came = found.keys() - self._known.keys()
         self._known = found
+        self._gateway.cold.take_routers([self._me.name, *found])
         if came:
             self._introduce(came)
         self._is_listed = True
--- a/umberhitch/tasks/direct/presence.py
+++ b/umberhitch/tasks/direct/presence.py
@@ -3,11 +3,10 @@
 from collections.abc import Callable
 
 from umberhitch.ports.clock import Clock
+from umberhitch.tasks.direct.come_back import LEAST_RETRY_S
 
-__all__ = ["LEAST_RETRY_S", "Presence"]
+__all__ = ["Presence"]
 
-LEAST_RETRY_S = 0.1
-"""Soonest time to come back that a refusal names."""
 RESTART_S = 0.7
 """From the end of a process to where the next one takes requests; measured 0.5 to 0.7 s."""
 NOTICED_S = 1.2
--- a/umberhitch/tasks/direct/store_view.py
+++ b/umberhitch/tasks/direct/store_view.py
@@ -11,6 +11,7 @@
     EndpointEntry,
     RolloutOrder,
     RouteTable,
+    ZoneOut,
 )
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import FeedBatch, FeedPort, OperatorValue
@@ -60,6 +61,8 @@
         self.table: RouteTable | None = None
         self._on_endpoints = on_endpoints
         self._on_restarted = on_restarted
+        self._zones_out: dict[str, str] = {}
+        """Zones out of service by the key of the record that says so."""
         self._is_stopped = False
         self.operator_feed: Feed[OperatorValue] = Feed(
             "operator",
@@ -132,6 +135,9 @@
 
     def _take_all_orders(self, batch: FeedBatch[OperatorValue]) -> None:
         self._take_orders(batch, False)
+        standing = {each.key for each in batch.records if each.value is not None}
+        for key in self._zones_out.keys() - standing:
+            self._zone_back(key)
         self.trials.keep([r.value for r in batch.records if isinstance(r.value, RolloutOrder)])
 
     def _take_orders(self, batch: FeedBatch[OperatorValue], was_away: bool) -> None:
@@ -141,13 +147,29 @@
                     self._take_document(record.value)
                 case RolloutOrder():
                     self.trials.take_order(record.value)
+                case ZoneOut():
+                    self._zone_out(record.key, record.value.zone)
                 case None if record.key.startswith("rollout/"):
                     self.trials.drop(record.key.removeprefix("rollout/"))
+                case None if record.key in self._zones_out:
+                    self._zone_back(record.key)
+
+    def _zone_out(self, key: str, zone: str) -> None:
+        self._zones_out[key] = zone
+        if self.directory.zone_out(zone):
+            log.info("zone out of service", extra={"zone": zone})
+
+    def _zone_back(self, key: str) -> None:
+        zone = self._zones_out.pop(key)
+        if self.directory.zone_back(zone, self.clock.seconds()):
+            log.info("zone back in service", extra={"zone": zone})
 
     def _take_document(self, document: Document) -> None:
         if self.table is not None and document.number <= self.table.document.number:
             return
         self.table = RouteTable(document)
+        services = document.services.values()
+        self.directory.take_cold_starts({s.name: s.cold_start_s for s in services if s.cold_rate})
         facts = {"number": document.number, "routes": len(document.routes)}
         log.info("configuration in force", extra=facts)
 
--- a/umberhitch/testing/_direct.py
+++ b/umberhitch/testing/_direct.py
@@ -18,6 +18,7 @@
     Route,
     RouteKind,
     Service,
+    ZoneOut,
     key_digest,
 )
 from umberhitch.fakes import (
@@ -73,15 +74,21 @@
 
 
 def make_direct_document(
-    number: int = 1, routes: tuple[Route, ...] = (), keys: tuple[str, ...] = (KEY,)
+    number: int = 1,
+    routes: tuple[Route, ...] = (),
+    keys: tuple[str, ...] = (KEY,),
+    **service: Any,
 ) -> Document:
-    """Return a document with three routes, one of each kind, or with those given."""
+    """Return a document with three routes, one of each kind, or with those given.
+
+    ``service`` is what its service has besides.
+    """
     routes = routes or (
         make_route("look"),
         make_route("order", RouteKind.NON_IDEMPOTENT),
         make_route("draft", RouteKind.STREAM),
     )
-    services = {"svc": Service("svc", slots=8, cache_tokens=100_000)}
+    services = {"svc": Service("svc", slots=8, cache_tokens=100_000, **service)}
     return Document(number, routes, services, {key_digest(key): Customer("c1") for key in keys})
 
 
@@ -90,9 +97,12 @@
     version: str = "v1",
     state: EndpointState = EndpointState.READY,
     born: int | None = None,
+    zone: str = "a",
+    cold_s: float | None = None,
 ) -> EndpointEntry:
     """Return the entry of an endpoint whose address is ``@`` and its incarnation."""
-    return EndpointEntry(incarnation, "svc", f"@{incarnation}", "a", version, 8, state, born)
+    address = f"@{incarnation}"
+    return EndpointEntry(incarnation, "svc", address, zone, version, 8, state, born, cold_s)
 
 
 @dataclass
@@ -138,12 +148,13 @@
         self._asked = 0
 
     def add_endpoint(
-        self, incarnation: str, version: str = "v1", born: int | None = None
+        self, incarnation: str, version: str = "v1", born: int | None = None, **entry: Any
     ) -> FakeEndpoint:
-        """Start an endpoint, perhaps again, and register it."""
+        """Start an endpoint, perhaps again, and register it; ``entry`` is what its entry says."""
         endpoint = FakeEndpoint()
         self.endpoints.by_address[f"@{incarnation}"] = endpoint
-        self.registry.put(incarnation, make_endpoint_entry(incarnation, version, born=born))
+        made = make_endpoint_entry(incarnation, version, born=born, **entry)
+        self.registry.put(incarnation, made)
         return endpoint
 
     def add_router(
@@ -230,6 +241,14 @@
         """Order a roll-out."""
         self.operator.put("rollout/svc", RolloutOrder("svc", target, duration_s))
 
+    def take_out(self, zone: str) -> None:
+        """Take an availability zone out of service."""
+        self.operator.put(f"zone/{zone}", ZoneOut(zone))
+
+    def take_back(self, zone: str) -> None:
+        """Take it back into service."""
+        self.operator.put(f"zone/{zone}", None)
+
     def run(self, seconds: float) -> None:
         """Let time pass."""
         for _ in range(round(seconds / STEP_S)):
--- a/umberhitch/wire/_packing.py
+++ b/umberhitch/wire/_packing.py
@@ -4,7 +4,7 @@
 
 from msgspec import DecodeError, Struct, ValidationError, msgpack
 
-from umberhitch.core.direct import DocumentChange, RolloutOrder
+from umberhitch.core.direct import DocumentChange, RolloutOrder, ZoneOut
 from umberhitch.errors import FrameError
 
 __all__ = ["pack_value", "unpack_value"]
@@ -16,28 +16,31 @@
 
 
 class _Packed(Struct, frozen=True, array_like=True):
-    """One of the two; neither for a record that is gone."""
+    """One of them; none for a record that is gone."""
 
     change: DocumentChange | None = None
     order: RolloutOrder | None = None
+    zone: ZoneOut | None = None
 
 
 _decoder = msgpack.Decoder(_Packed)
 
 
-def pack_value(value: DocumentChange | RolloutOrder | None) -> bytes:
+def pack_value(value: DocumentChange | RolloutOrder | ZoneOut | None) -> bytes:
     """Return a value as bytes."""
     match value:
         case DocumentChange():
             packed = _Packed(change=value)
         case RolloutOrder():
             packed = _Packed(order=value)
+        case ZoneOut():
+            packed = _Packed(zone=value)
         case None:
             packed = _Packed()
     return zlib.compress(msgpack.encode(packed), LEVEL)
 
 
-def unpack_value(data: bytes) -> DocumentChange | RolloutOrder | None:
+def unpack_value(data: bytes) -> DocumentChange | RolloutOrder | ZoneOut | None:
     """Return the value in bytes.
 
     Raises
@@ -50,4 +53,4 @@
         packed = _decoder.decode(unpacker.decompress(data, MOST_BYTES))
     except (zlib.error, ValidationError, DecodeError) as exc:
         raise FrameError(f"malformed value: {exc}") from exc
-    return packed.order if packed.change is None else packed.change
+    return packed.change or packed.order or packed.zone
