--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -130,8 +130,39 @@
             "outcomes": gateway.counters.outcomes,
             "refused": gateway.counters.refused,
             "held": sum(1 for _ in gateway.crashes.record.held(gateway.clock.seconds())),
+            "zones_out": self._zones_out(),
+            "cold": self._cold(),
         }
 
+    def _zones_out(self) -> dict[str, dict[str, float]]:
+        """Return the zones out of service, since when, and the calls that still run there."""
+        gateway = self._gateway
+        now_s = gateway.clock.seconds()
+        return {
+            zone: {
+                "age_s": round(now_s - since_s, 3),
+                "running": sum(
+                    gateway.placement.all_running(each.lifetime)
+                    for each in gateway.directory.of_zone(zone)
+                ),
+            }
+            for zone, since_s in sorted(gateway.directory.zones_out.items())
+        }
+
+    def _cold(self) -> list[dict[str, object]]:
+        """Return the cold endpoints, how long they stay so, and how that is known."""
+        gateway = self._gateway
+        now_s = gateway.clock.seconds()
+        return [
+            {
+                "endpoint": each.lifetime,
+                "zone": each.entry.zone,
+                "left_s": round(max(each.cold_until_s, each.guarded_until_s) - now_s, 3),
+                "source": each.cold_source,
+            }
+            for each in gateway.directory.cold(now_s)
+        ]
+
     def _metrics(self) -> bytes:
         """Return what is counted, in the Prometheus text format."""
         gateway, count = self._gateway, self._gateway.counters
@@ -144,6 +175,9 @@
             f"umberhitch_endpoint_crashes_total {gateway.crashes.watch.crashes}",
             f"umberhitch_requests_suspect {len(gateway.crashes.record)}",
             f"umberhitch_requests_held {self._status()['held']}",
+            f"umberhitch_zones_out {len(gateway.directory.zones_out)}",
+            f"umberhitch_endpoints_cold {len(gateway.directory.cold(gateway.clock.seconds()))}",
+            f"umberhitch_cold_shares_used_up_total {gateway.cold.used_up}",
         ]
         lines += [f"umberhitch_{name} {value}" for name, value in self._transport().items()]
         age_s = gateway.view.proof_age_s(gateway.clock.seconds())
--- a/umberhitch/core/direct/_cold.py
+++ b/umberhitch/core/direct/_cold.py
@@ -52,10 +52,13 @@
     name : str
         Of this router.
     limits : ColdLimits
+    used_up : int
+        How often this router found its share of an endpoint used up.
     """
 
     name: str
     limits: ColdLimits = field(default_factory=ColdLimits)
+    used_up: int = 0
     _routers: tuple[str, ...] | None = None
     _is_sender: dict[str, bool] = field(default_factory=dict)
     _sent: dict[str, deque[float]] = field(default_factory=dict)
@@ -80,7 +83,9 @@
 
         Only where its place in the list is sure: see `Membership.is_settled`.
         """
-        return self.wait_s(endpoint, rate, now_s) == 0.0
+        wait_s = self.wait_s(endpoint, rate, now_s)
+        self.used_up += 0.0 < wait_s < float("inf")
+        return wait_s == 0.0
 
     def wait_s(self, endpoint: Endpoint, rate: float, now_s: float) -> float:
         """Return the time until this router may; infinite where it is none of the senders."""
--- a/umberhitch/core/direct/_directory.py
+++ b/umberhitch/core/direct/_directory.py
@@ -101,7 +101,7 @@
 class _Members:
     """The endpoints of one service, with what is worked out from them when it is asked for."""
 
-    zones_out: set[str]
+    zones_out: dict[str, float]
     """Of the directory."""
     by_incarnation: dict[str, Endpoint] = field(default_factory=dict)
     listed: list[Endpoint] | None = None
@@ -169,8 +169,8 @@
         """Entries of replaced lifetimes, and since when they stand."""
         self._by_service: dict[str, _Members] = {}
         self.is_loaded = False
-        self.zones_out: set[str] = set()
-        """Availability zones that are out of service."""
+        self.zones_out: dict[str, float] = {}
+        """Availability zones that are out of service, and since when that is known here."""
         self._cold_start_s: dict[str, float] = {}
         """By service, where its endpoints are cold after a start."""
 
@@ -239,11 +239,11 @@
         """Take how long the endpoints of services are cold after a start."""
         self._cold_start_s = cold_start_s
 
-    def zone_out(self, zone: str) -> bool:
+    def zone_out(self, zone: str, now_s: float) -> bool:
         """Take an availability zone out of service; return whether it was in service."""
         if zone in self.zones_out:
             return False
-        self.zones_out.add(zone)
+        self.zones_out[zone] = now_s
         self._zones_changed()
         return True
 
@@ -254,10 +254,9 @@
         """
         if zone not in self.zones_out:
             return False
-        self.zones_out.discard(zone)
-        for endpoint in self._endpoints.values():
-            if endpoint.entry.zone == zone:
-                self._guard(endpoint, now_s, "its zone was out of service")
+        del self.zones_out[zone]
+        for endpoint in self.of_zone(zone):
+            self._guard(endpoint, now_s, "its zone was out of service")
         self._zones_changed()
         return True
 
@@ -349,6 +348,10 @@
         members = self._by_service.get(service)
         return [] if members is None else list(members.by_incarnation.values())
 
+    def of_zone(self, zone: str) -> list[Endpoint]:
+        """Return the endpoints in an availability zone."""
+        return [each for each in self._endpoints.values() if each.entry.zone == zone]
+
     def ready(self, service: str, now_s: float, rng: Random | None = None) -> list[Endpoint]:
         """Return endpoints of a service that take new work.
 
--- a/umberhitch/core/direct/tests/test_cold.py
+++ b/umberhitch/core/direct/tests/test_cold.py
@@ -219,6 +219,6 @@
 def test_where_no_endpoint_is_ever_cold_none_is_taken_for_it():
     directory = _directory(0.0)
     directory.put(make_endpoint_entry("e1"), 5.0)
-    directory.zone_out("a")
+    directory.zone_out("a", 5.0)
     directory.zone_back("a", 6.0)
     assert directory.cold(6.0) == []
--- a/umberhitch/core/direct/tests/test_zones.py
+++ b/umberhitch/core/direct/tests/test_zones.py
@@ -29,7 +29,7 @@
 
 def test_nothing_new_goes_to_a_zone_that_is_out():
     directory = _directory()
-    assert directory.zone_out("b")
+    assert directory.zone_out("b", 0.0)
     assert _zones(directory) == {"a", "c"}
     assert not any(name.startswith("b") for name in _homes(directory).values())
 
@@ -37,7 +37,7 @@
 def test_only_the_homes_of_the_zone_move_and_they_return():
     directory = _directory()
     before = _homes(directory)
-    directory.zone_out("b")
+    directory.zone_out("b", 0.0)
     during = _homes(directory)
     moved = {part for part in PARTS if before[part] != during[part]}
     assert moved == {part for part in PARTS if before[part].startswith("b")}
@@ -47,7 +47,7 @@
 
 def test_an_entry_that_comes_while_its_zone_is_out_takes_no_work():
     directory = _directory()
-    directory.zone_out("b")
+    directory.zone_out("b", 0.0)
     directory.put(make_endpoint_entry("b9", zone="b"), 1.0)
     assert _zones(directory) == {"a", "c"}
     assert "b9" not in _homes(directory).values()
@@ -55,15 +55,15 @@
 
 def test_bans_of_all_others_do_not_open_a_zone_that_is_out():
     directory = _directory("ab", 1)
-    directory.zone_out("b")
+    directory.zone_out("b", 0.0)
     directory.failed(directory.get("a0"), 0.0)
     assert _zones(directory) == {"a"}
 
 
 def test_with_all_zones_out_there_is_no_endpoint_and_no_home():
     directory = _directory("ab")
-    directory.zone_out("a")
-    directory.zone_out("b")
+    directory.zone_out("a", 0.0)
+    directory.zone_out("b", 0.0)
     assert directory.ready("svc", 1.0) == []
     assert directory.home("svc", "p1") is None
 
@@ -71,7 +71,7 @@
 def test_a_zone_that_nobody_knows_and_twenty_at_once_do_no_harm():
     directory = _directory()
     for number in range(20):
-        directory.zone_out(f"z{number}")
+        directory.zone_out(f"z{number}", 0.0)
     assert _zones(directory) == {"a", "b", "c"}
     directory.put(make_endpoint_entry("late", zone="z7"), 1.0)
     assert "late" not in {each.entry.incarnation for each in directory.ready("svc", 1.0)}
@@ -79,8 +79,8 @@
 
 def test_out_twice_is_out_once_and_back_twice_is_back_once():
     directory = _directory()
-    assert directory.zone_out("a")
-    assert not directory.zone_out("a")
+    assert directory.zone_out("a", 0.0)
+    assert not directory.zone_out("a", 0.0)
     assert directory.zone_back("a", 1.0)
     assert not directory.zone_back("a", 1.0)
 
@@ -89,7 +89,7 @@
 def test_endpoints_of_a_zone_that_is_back_are_taken_for_cold(cold_start_s):
     directory = _directory("ab", 1)
     directory.take_cold_starts({"svc": cold_start_s})
-    directory.zone_out("b")
+    directory.zone_out("b", 0.0)
     directory.zone_back("b", 10.0)
     back, other = directory.get("b0"), directory.get("a0")
     assert back.is_cold(10.0 + 0.99 * cold_start_s) is (cold_start_s > 0)
@@ -100,7 +100,7 @@
 def test_a_warm_word_from_before_does_not_end_the_guard():
     directory = _directory("ab", 1)
     directory.take_cold_starts({"svc": 3.0})
-    directory.zone_out("b")
+    directory.zone_out("b", 0.0)
     directory.zone_back("b", 10.0)
     directory.put(make_endpoint_entry("b0", zone="b", cold_s=0.0), 10.1)
     assert directory.get("b0").is_cold(12.9)
@@ -108,7 +108,7 @@
 
 def test_what_drains_in_a_zone_that_is_out_is_no_home_when_that_is_back():
     directory = _directory("ab", 1)
-    directory.zone_out("b")
+    directory.zone_out("b", 0.0)
     directory.put(make_endpoint_entry("b0", zone="b", state=EndpointState.DRAINING), 1.0)
     directory.zone_back("b", 2.0)
     assert _zones(directory) == {"a"}
--- a/umberhitch/tasks/direct/store_view.py
+++ b/umberhitch/tasks/direct/store_view.py
@@ -156,7 +156,7 @@
 
     def _zone_out(self, key: str, zone: str) -> None:
         self._zones_out[key] = zone
-        if self.directory.zone_out(zone):
+        if self.directory.zone_out(zone, self.clock.seconds()):
             log.info("zone out of service", extra={"zone": zone})
 
     def _zone_back(self, key: str) -> None:
--- /dev/null
+++ b/umberhitch/tasks/direct/tests/test_zone_mutations.py
@@ -0,0 +1,111 @@
+"""Each part of what keeps zones out and cold endpoints safe is missed where it is switched off."""
+
+from collections.abc import Callable
+
+import pytest
+
+from umberhitch.core.direct import ColdShare, Directory, Endpoint
+from umberhitch.core.direct._directory import _Members
+from umberhitch.tasks.direct.choosing import Choosing
+from umberhitch.tasks.direct.membership import Membership
+from umberhitch.tasks.direct.store_view import StoreView
+from umberhitch.tasks.direct.tests import test_cold as cold
+from umberhitch.tasks.direct.tests import test_zones as zones
+
+Test = Callable[[], None]
+
+
+def nobody_is_out(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(_Members, "_is_listed", lambda self, endpoint: True)
+    return lambda: zones.test_no_kind_of_call_goes_to_a_zone_that_is_out(zones._first_choice)
+
+
+def homes_stay(patch: pytest.MonkeyPatch) -> Test:
+    """Homes are kept when a zone goes, and calls follow them."""
+
+    def keep_homes(self: _Members) -> None:
+        self.listed = None
+
+    patch.setattr(_Members, "zones_changed", keep_homes)
+
+    def known_homes_move() -> None:
+        world = zones._world()
+        zones._home_of_a_prompt(world)
+        before = zones._calls(world, "b")
+        world.take_out("b")
+        world.run(1.0)
+        zones._home_of_a_prompt(world)
+        assert zones._calls(world, "b") == before
+
+    return known_homes_move
+
+
+def whole_reads_mean_nothing(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(StoreView, "_take_all_orders", lambda s, batch: s._take_orders(batch, False))
+    return zones.test_a_record_that_is_gone_without_a_trace_means_back
+
+
+def every_router_sends(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(ColdShare, "_may_send", lambda self, lifetime, senders: True)
+    return cold.test_a_new_endpoint_beside_warm_ones_keeps_the_bound_and_is_used
+
+
+def nobody_counts(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(ColdShare, "note_sent", lambda self, endpoint, now_s: None)
+    return cold.test_who_finds_no_share_left_is_refused_at_once_and_told_when_to_come_back
+
+
+def all_are_settled_at_once(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(Membership, "is_settled", lambda self: self._joined_s is not None)
+    return cold.test_after_the_loss_of_all_routers_the_bound_is_kept
+
+
+def seats_last_for_ever(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(Membership, "is_settled", lambda self: True)
+    return cold.test_a_router_whose_seat_has_run_out_sends_nothing_to_a_cold_endpoint
+
+
+def entries_are_not_believed(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(Directory, "_note_cold", lambda self, endpoint, now_s: None)
+    return cold.test_a_new_endpoint_beside_warm_ones_keeps_the_bound_and_is_used
+
+
+def zones_return_warm(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(Endpoint, "guard", lambda self, until_s, source: None)
+    return cold.test_endpoints_of_a_zone_that_is_back_are_not_rushed
+
+
+def cold_endpoints_get_nothing(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(ColdShare, "wait_s", lambda self, endpoint, rate, now_s: float("inf"))
+    return cold.test_a_new_endpoint_beside_warm_ones_keeps_the_bound_and_is_used
+
+
+def the_choice_ignores_the_share(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(Choosing, "_bearing", lambda self, permit, found, now_s: found)
+    return cold.test_a_new_endpoint_beside_warm_ones_keeps_the_bound_and_is_used
+
+
+MUTATIONS = (
+    nobody_is_out,
+    homes_stay,
+    whole_reads_mean_nothing,
+    every_router_sends,
+    nobody_counts,
+    all_are_settled_at_once,
+    seats_last_for_ever,
+    entries_are_not_believed,
+    zones_return_warm,
+    cold_endpoints_get_nothing,
+    the_choice_ignores_the_share,
+)
+
+
+@pytest.mark.parametrize("mutate", MUTATIONS, ids=lambda mutate: mutate.__name__)
+def test_a_part_that_is_switched_off_is_missed(
+    mutate: Callable[[pytest.MonkeyPatch], Test], monkeypatch
+):
+    with monkeypatch.context() as patch:
+        test = mutate(patch)
+        with pytest.raises(AssertionError):
+            test()
+    test()
--- /dev/null
+++ b/umberhitch/tasks/direct/tests/test_zones.py
@@ -0,0 +1,334 @@
+"""Availability zones out of service: every router knows, and no kind of call goes there."""
+
+from collections.abc import Callable
+
+import pytest
+
+from umberhitch.core.direct import RouteKind
+from umberhitch.fakes import FakeEndpoint, Reply
+from umberhitch.ports.direct import CallFailure
+from umberhitch.tasks.direct.choosing import Choosing
+from umberhitch.testing import DirectRouter, DirectWorld, make_direct_document, make_route
+
+IN_FORCE_S = 5.0
+"""The platform's bound, from its word to when nothing new reaches the zone."""
+ERROR = Reply(status=500, body=b"error")
+STREAM = Reply(events=4)
+PROMPT = "shared:3000,own:10"
+MODELS = ("small", "large")
+
+
+def _world(routers: int = 1, **document: object) -> DirectWorld:
+    """Return a world with two endpoints in each of the zones a and b, and routers in c."""
+    world = DirectWorld()
+    for zone in "ab":
+        for number in (1, 2):
+            endpoint = world.add_endpoint(f"{zone}{number}", zone=zone)
+            endpoint.reply = Reply(delay_s=0.5)  # many are under way at once, so all are used
+    routes = (
+        make_route("look"),
+        make_route("order", RouteKind.NON_IDEMPOTENT),
+        make_route("draft", RouteKind.STREAM, models=MODELS),
+    )
+    world.operator.put("config", make_direct_document(routes=routes, **document))
+    for number in range(routers):
+        world.add_router(f"r{number}", zone="c")
+    world.run(0.3)
+    return world
+
+
+def _in_zone(world: DirectWorld, zone: str) -> list[FakeEndpoint]:
+    found = world.endpoints.by_address
+    return [each for address, each in found.items() if address.startswith(f"@{zone}")]
+
+
+def _calls(world: DirectWorld, zone: str) -> int:
+    return sum(len(each.calls) for each in _in_zone(world, zone))
+
+
+def _set_replies(world: DirectWorld, reply: Reply) -> None:
+    for each in world.endpoints.by_address.values():
+        each.reply = reply
+
+
+def _ask_many(world: DirectWorld, path: str, count: int = 40, **headers: str) -> list[int | None]:
+    names = list(world.routers)
+    asks = []
+    for number in range(count):
+        router = world.routers[names[number % len(names)]]
+        asks.append(world.ask(router, path, **headers))
+        world.run(0.02)
+    world.run(3.0)
+    return [ask.status for ask in asks]
+
+
+# Every kind of call
+
+
+def _first_choice(world: DirectWorld) -> None:
+    _ask_many(world, "/look/x")
+
+
+def _call_that_must_not_repeat(world: DirectWorld) -> None:
+    _ask_many(world, "/order/x")
+
+
+def _retry_after_failures(world: DirectWorld) -> None:
+    _set_replies(world, ERROR)
+    _ask_many(world, "/look/x")
+
+
+def _dial_after_dial(world: DirectWorld) -> None:
+    _set_replies(world, Reply(failure=CallFailure.NOT_SENT))
+    _ask_many(world, "/look/x")
+
+
+def _shed_and_again(world: DirectWorld) -> None:
+    _set_replies(world, Reply(status=503, not_run=True, is_signed=False))
+    _ask_many(world, "/look/x")
+
+
+def _silent_and_elsewhere(world: DirectWorld) -> None:
+    _set_replies(world, Reply(is_silent=True))
+    _ask_many(world, "/look/x", 8)
+
+
+def _resumed_stream(world: DirectWorld) -> None:
+    _set_replies(world, Reply(events=4, break_after=2))
+    _ask_many(world, "/draft/x", Prompt=PROMPT)
+
+
+def _larger_model(world: DirectWorld) -> None:
+    _set_replies(world, Reply(delay_s=0.3, events=4, confidence=1))
+    _ask_many(world, "/draft/x", Prompt=PROMPT, Any_Model="1")
+
+
+def _home_of_a_prompt(world: DirectWorld) -> None:
+    _set_replies(world, STREAM)
+    for number in range(30):
+        _ask_many(world, "/draft/x", 1, Prompt=f"part{number}:3000,own:10")
+
+
+def _roll_out_that_is_only_there(world: DirectWorld) -> None:
+    world.add_endpoint("b9", "v2", zone="b")
+    world.run(1.2)
+    world.roll_out("v2", 8.0)
+    _ask_many(world, "/look/x", 200)
+
+
+def _roll_out_everywhere(world: DirectWorld) -> None:
+    for zone in "ab":
+        world.add_endpoint(f"{zone}9", "v2", zone=zone)
+    world.run(1.2)
+    world.roll_out("v2", 8.0)
+    _ask_many(world, "/look/x", 300, Session_Name="s1")
+
+
+def _request_that_is_held(world: DirectWorld) -> None:
+    for each in world.endpoints.by_address.values():
+        each.crashing = {b"body": 0.3}
+    _ask_many(world, "/look/x", 10)
+
+
+KINDS = (
+    _first_choice,
+    _call_that_must_not_repeat,
+    _retry_after_failures,
+    _dial_after_dial,
+    _shed_and_again,
+    _silent_and_elsewhere,
+    _resumed_stream,
+    _larger_model,
+    _home_of_a_prompt,
+    _roll_out_that_is_only_there,
+    _roll_out_everywhere,
+    _request_that_is_held,
+)
+
+
+@pytest.mark.parametrize("send", KINDS, ids=lambda send: send.__name__.strip("_"))
+def test_each_kind_of_call_goes_there_while_it_is_in_service(send: Callable[[DirectWorld], None]):
+    """Else the next test would show nothing."""
+    world = _world(2)
+    send(world)
+    assert _calls(world, "b") > 0
+
+
+@pytest.mark.parametrize("send", KINDS, ids=lambda send: send.__name__.strip("_"))
+def test_no_kind_of_call_goes_to_a_zone_that_is_out(send: Callable[[DirectWorld], None]):
+    world = _world(2)
+    world.take_out("b")
+    world.run(1.0)
+    send(world)
+    assert _calls(world, "b") == 0
+    assert _calls(world, "a") > 0
+
+
+def test_all_calls_take_their_endpoints_from_one_place(monkeypatch):
+    """A call that found its endpoint elsewhere would be sent although nothing is offered there."""
+    world = _world()
+    monkeypatch.setattr(Choosing, "endpoint", lambda self, permit, model, tried: None)
+    for send in KINDS:
+        send(world)
+    assert _calls(world, "a") == _calls(world, "b") == 0
+
+
+# What is under way, and what is refused
+
+
+def test_a_stream_under_way_goes_on_to_its_end():
+    world = _world()
+    _set_replies(world, Reply(events=40, gap_s=0.1))
+    router = world.routers["r0"]
+    asks = [world.ask(router, "/draft/x", Prompt=f"p{n}:30,own:1") for n in range(8)]
+    world.run(0.5)
+    assert _calls(world, "b") > 0
+    world.take_out("b")
+    world.run(6.0)
+    assert all(ask.reply.is_complete for ask in asks)
+    assert all(not each.cancelled for each in world.endpoints.by_address.values())
+
+
+def test_with_all_zones_out_requests_are_refused_at_once_and_told_to_come_back_late():
+    world = _world()
+    world.take_out("a")
+    world.take_out("b")
+    world.run(1.0)
+    ask = world.ask(world.routers["r0"], "/look/x", Patience="9")
+    assert ask.status == 503
+    assert ask.reply.headers[b"Come-Back"] == b"3.000"
+    assert _calls(world, "a") == _calls(world, "b") == 0
+
+
+# How it is known
+
+
+def _is_out(router: DirectRouter, zone: str = "b") -> bool:
+    return zone in router.gateway.directory.zones_out
+
+
+def test_it_is_out_and_back_again():
+    world = _world()
+    world.take_out("b")
+    world.run(0.2)
+    assert _is_out(world.routers["r0"])
+    world.take_back("b")
+    world.run(0.2)
+    assert not _is_out(world.routers["r0"])
+    _set_replies(world, Reply(delay_s=1.0))
+    _ask_many(world, "/look/x")
+    assert _calls(world, "b") > 0
+
+
+def test_out_back_and_out_within_a_second_is_out():
+    world = _world(3)
+    for _ in range(3):
+        world.take_out("b")
+        world.run(0.1)
+        world.take_back("b")
+        world.run(0.1)
+    world.take_out("b")
+    world.run(1.0)
+    assert all(map(_is_out, world.routers.values()))
+
+
+def test_a_record_that_is_gone_without_a_trace_means_back():
+    """Its deletion was dropped with the history: a whole read has nothing of it."""
+    world = _world()
+    router = world.routers["r0"]
+    world.take_out("b")
+    world.run(0.2)
+    router.faults.is_down = True
+    world.run(2.5)  # a call that is held ends meanwhile
+    records = world.operator.records
+    world.operator.records = [each for each in records if each.key != "zone/b"]
+    world.operator.records += [records[0]] * 3
+    world.operator.forget_history()
+    router.faults.is_down = False
+    world.run(3.0)
+    assert not _is_out(router)
+
+
+def test_history_that_is_gone_alone_changes_nothing():
+    world = _world()
+    world.take_out("b")
+    world.run(0.2)
+    world.operator.put("config", make_direct_document(9))
+    world.operator.forget_history()
+    world.run(2.0)
+    assert _is_out(world.routers["r0"])
+
+
+def test_records_of_other_things_change_nothing():
+    world = _world()
+    world.take_out("b")
+    world.run(0.2)
+    world.take_back("nowhere")
+    world.operator.put("config", make_direct_document(9))
+    world.run(1.0)
+    assert _is_out(world.routers["r0"])
+
+
+def test_a_router_that_starts_knows_before_it_sends_anything():
+    world = _world()
+    world.take_out("b")
+    world.run(1.0)
+    late = world.add_router("late", zone="c")
+    asks = []
+    for _ in range(60):
+        asks.append(world.ask(late, "/look/x"))
+        world.run(0.01)
+    world.run(1.0)
+    assert 200 in {ask.status for ask in asks}
+    assert _calls(world, "b") == 0
+
+
+def test_routers_that_the_store_turns_away_are_told_by_peers():
+    world = _world(6)
+    world.run(2.0)
+    away = [world.routers[name] for name in ("r1", "r3", "r4")]
+    for router in away:
+        router.faults.is_down = True
+    world.run(3.0)
+    world.take_out("b")
+    world.run(IN_FORCE_S)
+    assert all(map(_is_out, away))
+    world.take_back("b")
+    world.run(IN_FORCE_S)
+    assert not any(map(_is_out, away))
+
+
+def test_a_router_that_stood_still_sends_nothing_there_when_it_wakes():
+    world = _world(2)
+    router = world.routers["r0"]
+    router.clock.is_paused = True
+    world.run(1.0)
+    world.take_out("b")
+    world.run(6.0)
+    before = _calls(world, "b")
+    router.clock.is_paused = False
+    for _ in range(40):
+        world.ask(router, "/look/x")
+        world.run(0.02)
+    assert _calls(world, "b") == before
+
+
+@pytest.mark.parametrize("routers", [6, 30, 100])
+def test_it_is_in_force_at_every_router_within_the_bound(routers):
+    """Also where messages are lost, come late, and a fifth of the routers is cut off from peers."""
+    world = _world(routers)
+    world.run(4.0)
+    world.network.faults.drop = 0.1
+    world.network.faults.late = 0.1
+    names = list(world.routers)
+    cut = names[: routers // 5]
+    for one in cut:
+        for other in names[routers // 5 :]:
+            world.network.cut(one, other)
+    for zone in ("b", "z"):
+        world.take_out(zone)
+    world.run(IN_FORCE_S)
+    assert all(_is_out(each) and _is_out(each, "z") for each in world.routers.values())
+    world.take_back("b")
+    world.run(IN_FORCE_S)
+    assert not any(map(_is_out, world.routers.values()))
