--- a/umberhitch/demo/_direct.py
+++ b/umberhitch/demo/_direct.py
@@ -1,13 +1,27 @@
 """The deployment on the users' platform: routers alone, on stand-ins of its store and endpoints."""
 
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
 from umberhitch.demo._checks import Check
-from umberhitch.platform.standins.client import EVENTS, KEY, LocalPlatform, eventually
+from umberhitch.platform.standins.client import (
+    EVENTS,
+    KEY,
+    LocalPlatform,
+    RouterProcess,
+    eventually,
+)
 
 __all__ = ["run_direct"]
 
+ZONE_A = ("e1", "e2")
+COLD_RATE = 2.0
+"""Requests a second that a cold endpoint bears; at 8 within one second it ends."""
+COLD_S = 30.0
+CROWD = 120
+CALLERS = 8
+
 NEW_KEY = "k2"
 ASKS = 20
 
@@ -59,8 +73,47 @@
     eventually(lambda: second.ask("/look/x", "look-store-back", NEW_KEY).status == 200)
     checks.append(Check("without proof of the keys nothing is passed on; with it, all is", True))
 
+    checks += _take_zone_out(platform, second)
+
     first.kill()
     answers = [second.ask("/look/x", f"look-alone-{number}", NEW_KEY) for number in range(ASKS)]
     done = sum(answer.status == 200 for answer in answers)
     checks.append(Check("a router that is lost takes nothing along", done == ASKS))
     return checks
+
+
+def _take_zone_out(platform: LocalPlatform, router: RouterProcess) -> list[Check]:
+    """Take zone a out of service under load, and back when its endpoints are cold."""
+    platform.publish(3, keys=(NEW_KEY,), cold_rate=COLD_RATE)
+    platform.add_endpoint("e3", zone="b")
+    eventually(lambda: router.status()["endpoints"] == 3 and not router.status()["cold"])
+    usual, served = _crowd(platform, router, "in")
+    print(f"  in service: {usual} calls to zone a, {served} of {CROWD} served")
+    platform.take_out("a")
+    eventually(lambda: "a" in router.status()["zones_out"])
+    during, served = _crowd(platform, router, "out")
+    print(f"  out of service: {during} calls to zone a, {served} of {CROWD} served")
+    holds = during == 0 and usual > 0 and served == CROWD
+    checks = [Check("nothing new goes to a zone out of service", holds)]
+
+    for name in ZONE_A:
+        platform.make_cold(name, COLD_S, COLD_RATE)
+    platform.take_back("a")
+    eventually(lambda: not router.status()["zones_out"])
+    after, served = _crowd(platform, router, "back")
+    print(f"  back, its endpoints cold: {after} calls to zone a, {served} of {CROWD} served")
+    has_ended = any(platform.has_ended(name) for name in ZONE_A)
+    return [*checks, Check("cold endpoints get no more than they bear", not has_ended)]
+
+
+def _crowd(platform: LocalPlatform, router: RouterProcess, name: str) -> tuple[int, int]:
+    """Let many callers come at once; return calls to zone a, and how many callers were served."""
+    before = sum(len(platform.runs(each)) for each in ZONE_A)
+
+    def ask(number: int) -> bool:
+        answer = router.ask("/draft/x", f"{name}-{number}", NEW_KEY, model="small")
+        return answer.status == 200 and answer.body == EVENTS
+
+    with ThreadPoolExecutor(CALLERS) as pool:
+        served = sum(pool.map(ask, range(CROWD)))
+    return sum(len(platform.runs(each)) for each in ZONE_A) - before, served
--- a/umberhitch/platform/standins/__main__.py
+++ b/umberhitch/platform/standins/__main__.py
@@ -6,6 +6,8 @@
 | --- | --- |
 | ``POST /operator/KEY`` | writes the body as an operator's document |
 | ``POST /endpoints/ID`` ``{"service", "version", "zone"}`` | starts an endpoint and registers it |
+| ``POST /endpoints/ID/cold`` ``{"seconds", "rate"}`` | registers it as cold; overrun, it ends |
+| ``GET /endpoints/ID/ended`` | whether its process has ended |
 | ``POST /endpoints/ID/state/STATE`` | registers a state: ``ready``, ``draining``, or ``gone`` |
 | ``POST /endpoints/ID/entry`` | changes fields of its entry |
 | ``POST /entries/ID`` | writes the body as the entry, as any other writer may |
@@ -18,6 +20,7 @@
 
 import sys
 from dataclasses import asdict
+from time import monotonic
 from typing import Any
 
 from absl import app as absl_app
@@ -56,19 +59,40 @@
     @app.route("/endpoints/<name>", methods=["POST"])
     def add_endpoint(self, request: Any, name: str) -> bytes:
         """Start an endpoint."""
+        asked = json.decode(request.content.read())
         endpoint = EndpointStandin(self._reactor, name)
         endpoint.port, address = listen_http(self._reactor, endpoint.app, ANY_PORT, MAX_BODY_BYTES)
         self._endpoints[name] = endpoint
         self._entries[name] = {
             "zone": "a",
             "slots": 8,
-            **json.decode(request.content.read()),
+            **asked,
             "address": address,
             "state": "ready",
         }
-        self._register(name)
+        self._set_cold(name, **asked.pop("cold", {}))
         return send_json(request, 200, {"address": address})
 
+    @app.route("/endpoints/<name>/cold", methods=["POST"])
+    def make_cold(self, request: Any, name: str) -> bytes:
+        """Let an endpoint be cold from now on, and say so."""
+        self._set_cold(name, **json.decode(request.content.read()))
+        return send_json(request, 200, {})
+
+    @app.route("/endpoints/<name>/ended", methods=["GET"])
+    def has_ended(self, request: Any, name: str) -> bytes:
+        """Return whether an endpoint's process has ended."""
+        return send_json(request, 200, self._endpoints[name].is_ended)
+
+    def _set_cold(self, name: str, seconds: float = 0.0, rate: float = 0.0) -> None:
+        endpoint, entry = self._endpoints[name], self._entries[name]
+        entry.pop("cold", None)
+        endpoint.cold_until_s, endpoint.cold_rate = monotonic() + seconds, rate
+        entry["coldRemainingMs"] = seconds * 1000
+        self._register(name)
+        if seconds:
+            self._reactor.callLater(seconds, self._set_cold, name)
+
     @app.route("/endpoints/<name>/state/<state>", methods=["POST"])
     def set_state(self, request: Any, name: str, state: str) -> bytes:
         """Register a state."""
--- a/umberhitch/platform/standins/_endpoint.py
+++ b/umberhitch/platform/standins/_endpoint.py
@@ -1,5 +1,6 @@
 """A stand-in of an endpoint of the users' platform: a model replica or a plain service."""
 
+from collections import deque
 from dataclasses import dataclass, field
 from time import monotonic
 from typing import Any
@@ -10,6 +11,9 @@
 __all__ = ["EndpointFaults", "EndpointStandin"]
 
 EVENTS = 4
+COLD_OVERRUN = 1.5
+COLD_SLACK = 5.0
+"""A cold endpoint ends by more within a second than its rate times the one, plus the other."""
 
 
 @dataclass
@@ -65,6 +69,10 @@
     port: Any = None
     """Where it listens."""
     is_ended: bool = False
+    cold_until_s: float = 0.0
+    """On the machine's steady clock."""
+    cold_rate: float = 0.0
+    _arrived_s: deque[float] = field(default_factory=deque)
     _transports: set[Any] = field(default_factory=set)
 
     app = Klein()
@@ -78,6 +86,15 @@
         for transport in self._transports:
             transport.abortConnection()
 
+    def _is_overrun(self) -> bool:
+        """Whether it is cold and has got more than it bears within the last second."""
+        now_s = monotonic()
+        self._arrived_s.append(now_s)
+        while self._arrived_s[0] <= now_s - 1.0:
+            self._arrived_s.popleft()
+        bound = self.cold_rate * COLD_OVERRUN + COLD_SLACK
+        return now_s < self.cold_until_s and len(self._arrived_s) > bound
+
     @app.route("/", branch=True)
     def run(self, request: Any) -> Any:
         """Run any request."""
@@ -92,6 +109,9 @@
             request.setHeader("Replica-Id", self.incarnation)
             request.setResponseCode(421)
             return b""
+        if self._is_overrun():
+            self.end()
+            return Deferred()
         if self.faults.is_shedding:
             request.setHeader("Not-Executed", "1")
             request.setResponseCode(503)
--- a/umberhitch/platform/standins/client.py
+++ b/umberhitch/platform/standins/client.py
@@ -38,6 +38,7 @@
 ]
 EVENTS = b"".join(b"id: %d\ndata: e%d\n\n" % (each, each) for each in range(1, 5))
 
+COLD_START_S = 3.0
 LIMIT_S = 40.0
 """Longest wait for anything; far more than it takes, so that a busy machine changes no verdict."""
 POLL_S = 0.05
@@ -175,19 +176,44 @@
         assert answer.status == 200, answer
         return json.decode(answer.body)
 
-    def publish(self, number: int, keys: tuple[str, ...] = (KEY,)) -> None:
-        """Publish a configuration with three routes, one of each kind, and one customer's keys."""
+    def publish(self, number: int, keys: tuple[str, ...] = (KEY,), cold_rate: float = 0.0) -> None:
+        """Publish a configuration with three routes, one of each kind, and one customer's keys.
+
+        With a ``cold_rate`` its endpoints may be cold, and bear so many requests a second then.
+        """
+        engine = {"slots": 8, "kvCapacityTokens": 10000}
+        cold = {"coldStartS": COLD_START_S, "coldPerS": cold_rate} if cold_rate else {}
         config = {
             "version": number,
             "routes": ROUTES,
-            "services": [{"name": "svc", "engine": {"slots": 8, "kvCapacityTokens": 10000}}],
+            "services": [{"name": "svc", "engine": engine, **cold}],
             "tenants": [{"name": "acme", "apiKeys": list(keys)}],
         }
         self.control("POST", "/operator/config", config)
 
-    def add_endpoint(self, name: str, version: str = "v1") -> None:
-        """Start an endpoint and register it."""
-        self.control("POST", f"/endpoints/{name}", {"service": "svc", "version": version})
+    def add_endpoint(
+        self, name: str, version: str = "v1", zone: str = "a", cold: dict[str, float] | None = None
+    ) -> None:
+        """Start an endpoint and register it; ``cold`` has its ``seconds`` and ``rate`` if it is."""
+        entry = {"service": "svc", "version": version, "zone": zone, "cold": cold or {}}
+        self.control("POST", f"/endpoints/{name}", entry)
+
+    def make_cold(self, name: str, seconds: float, rate: float) -> None:
+        """Let an endpoint be cold from now on, and say so."""
+        self.control("POST", f"/endpoints/{name}/cold", {"seconds": seconds, "rate": rate})
+
+    def has_ended(self, name: str) -> bool:
+        """Return whether an endpoint's process has ended."""
+        return bool(self.control("GET", f"/endpoints/{name}/ended"))
+
+    def take_out(self, zone: str) -> None:
+        """Take an availability zone out of service."""
+        self.control("POST", f"/operator/evacuate/{zone}", {})
+
+    def take_back(self, zone: str) -> None:
+        """Take it back into service."""
+        answer = call(self._control, "POST", f"/operator/evacuate/{zone}")
+        assert answer.status == 200, answer
 
     def drain_endpoint(self, name: str) -> None:
         """Let an endpoint say that it is leaving."""
--- a/umberhitch/soak/_checks.py
+++ b/umberhitch/soak/_checks.py
@@ -1,12 +1,20 @@
 """What has to hold, from what callers and endpoints saw alone."""
 
+from bisect import bisect_left
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from umberhitch.soak._records import Departure, Record, Revocation, RunSeen
+from umberhitch.soak._records import (
+    ColdStart,
+    Departure,
+    Record,
+    Revocation,
+    RunSeen,
+    ZoneOutage,
+)
 
-__all__ = ["Bounds", "Finding", "check_requests"]
+__all__ = ["Bounds", "Finding", "check_cold", "check_requests", "check_zones"]
 
 NOT_RUN = (408, 421, 429, 503)
 """Statuses that promise that nothing has run and nothing will."""
@@ -18,6 +26,7 @@
 
     revocation_s: float = float("inf")
     departure_s: float = float("inf")
+    zone_s: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,3 +108,32 @@
         if run.endpoint in since_s
         if run.at_s > since_s[run.endpoint] + bounds.departure_s
     ]
+
+
+def check_zones(
+    runs: Iterable[RunSeen], outages: Iterable[ZoneOutage], bounds: Bounds
+) -> list[Finding]:
+    """Return the calls that ran in a zone that was out of service for longer than the bound."""
+    runs = list(runs)
+    return [
+        Finding("nothing new goes to a zone out of service", f"{run.call_id} at {run.endpoint}")
+        for outage in outages
+        for run in runs
+        if run.endpoint in outage.endpoints
+        if outage.at_s + bounds.zone_s < run.at_s < outage.until_s
+    ]
+
+
+def check_cold(runs: Iterable[RunSeen], starts: Iterable[ColdStart], most: float) -> list[Finding]:
+    """Return the cold endpoints that got more than ``most`` calls within a second.
+
+    They said that they are cold with their first word, so nobody can have taken them for warm.
+    """
+    runs, found = list(runs), []
+    for start in starts:
+        times = sorted(run.at_s for run in runs if run.endpoint == start.endpoint)
+        times = [each for each in times if each < start.until_s]
+        worst = max((bisect_left(times, t + 1.0) - n for n, t in enumerate(times)), default=0)
+        if worst > most:
+            found.append(Finding("a cold endpoint is not rushed", f"{start.endpoint}: {worst}"))
+    return found
--- a/umberhitch/soak/_mutations.py
+++ b/umberhitch/soak/_mutations.py
@@ -74,12 +74,28 @@
     Directory.put = put_ready  # type: ignore[method-assign]
 
 
+def _ignore_zones() -> None:
+    """Zones that are out of service go on getting work."""
+    from umberhitch.core.direct import Directory
+
+    Directory.zone_out = lambda self, zone, now_s: False  # type: ignore[method-assign]
+
+
+def _rush_cold() -> None:
+    """Cold endpoints get what warm ones get."""
+    from umberhitch.core.direct import Endpoint
+
+    Endpoint.is_cold = lambda self, now_s: False  # type: ignore[method-assign]
+
+
 MUTATIONS: dict[str, Callable[[], None]] = {
     "repeat-all": _repeat_all,
     "promise-all": _promise_all,
     "end-broken": _end_broken,
     "keep-keys": _keep_keys,
     "ignore-leaving": _ignore_leaving,
+    "ignore-zones": _ignore_zones,
+    "rush-cold": _rush_cold,
 }
 
 
--- a/umberhitch/soak/_records.py
+++ b/umberhitch/soak/_records.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["Departure", "Record", "Revocation", "RunSeen"]
+__all__ = ["ColdStart", "Departure", "Record", "Revocation", "RunSeen", "ZoneOutage"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,3 +50,28 @@
 
     endpoint: str
     at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneOutage:
+    """A zone that was out of service from when the store confirmed it; its endpoints by then.
+
+    Attributes
+    ----------
+    until_s : float
+        When the operator began to take it back.
+    """
+
+    zone: str
+    endpoints: tuple[str, ...]
+    at_s: float
+    until_s: float = float("inf")
+
+
+@dataclass(frozen=True, slots=True)
+class ColdStart:
+    """An endpoint that came cold, and said so from the first."""
+
+    endpoint: str
+    at_s: float
+    until_s: float
--- a/umberhitch/soak/_run.py
+++ b/umberhitch/soak/_run.py
@@ -4,7 +4,7 @@
 import signal
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from pathlib import Path
 from threading import Lock
@@ -17,9 +17,9 @@
     eventually,
 )
 from umberhitch.soak._callers import Callers
-from umberhitch.soak._checks import Bounds, Finding, check_requests
+from umberhitch.soak._checks import Bounds, Finding, check_cold, check_requests, check_zones
 from umberhitch.soak._proxy import Proxy, Way
-from umberhitch.soak._records import Departure, Revocation, RunSeen
+from umberhitch.soak._records import ColdStart, Departure, Revocation, RunSeen, ZoneOutage
 from umberhitch.soak._schedule import Fault, SoakConfig, Step, make_schedule
 
 __all__ = ["Verdict", "play"]
@@ -29,6 +29,10 @@
 GROWTH_MB = 64.0
 """A router's memory may be so much larger at the end than after its start: caches fill."""
 MAX_DESCRIPTORS = 200
+ZONES = ("a", "b")
+COLD_RATE = 2.0
+MOST_COLD = 1.5 * COLD_RATE + 5.0
+"""Calls within a second that a cold endpoint bears."""
 WAYS = {
     Fault.LINK_DELAY: Way.DELAY,
     Fault.LINK_RESET: Way.RESET,
@@ -80,19 +84,28 @@
     started: int = 0
     revoked: list[Revocation] = field(default_factory=list)
     departed: list[Departure] = field(default_factory=list)
+    outages: dict[str, list[ZoneOutage]] = field(default_factory=dict)
+    """By zone, the latest last."""
+    cold: list[ColdStart] = field(default_factory=list)
+    zone_of: dict[str, str] = field(default_factory=dict)
     sound_s: float = 0.0
     """Bounds count from here at the earliest: the store's last fault was over then."""
     lock: Lock = field(default_factory=Lock)
 
     def publish(self) -> None:
         self.number += 1
-        self.platform.publish(self.number, tuple(self.keys))
+        self.platform.publish(self.number, tuple(self.keys), COLD_RATE)
 
-    def add_endpoint(self) -> None:
+    def add_endpoint(self, cold_s: float = 0.0) -> None:
         name = f"e{self.started}"
+        zone = self.zone_of[name] = ZONES[self.started % len(ZONES)]
         self.started += 1
-        self.platform.add_endpoint(name)
+        at_s = monotonic()
+        cold = {"seconds": cold_s, "rate": COLD_RATE} if cold_s else None
+        self.platform.add_endpoint(name, zone=zone, cold=cold)
         self.endpoints.append(name)
+        if cold_s:
+            self.cold.append(ColdStart(name, at_s, at_s + cold_s))
 
     def start(self, name: str, way: Proxy) -> _Router:
         process = self.platform.start_router(name, store=way.address, module=self.module)
@@ -242,6 +255,12 @@
         case Fault.BREAK:
             platform.break_streams(endpoint, 2)
             return lambda: platform.break_streams(endpoint, 0)
+        case Fault.ZONE_OUT:
+            zone = deployment.zone_of[endpoint]
+            _take_out(deployment, zone)
+            return lambda: _take_back(deployment, zone)
+        case Fault.COLD_START:
+            deployment.add_endpoint(step.for_s)
         case Fault.DEPART:
             _depart(deployment, endpoint)
         case Fault.REBORN:
@@ -295,6 +314,22 @@
     platform.control("POST", f"/endpoints/{endpoint}/entry", fields)
 
 
+def _take_out(deployment: _Deployment, zone: str) -> None:
+    outages = deployment.outages.setdefault(zone, [])
+    if outages and outages[-1].until_s == float("inf"):
+        return
+    deployment.platform.take_out(zone)
+    found = tuple(name for name, where in deployment.zone_of.items() if where == zone)
+    outages.append(ZoneOutage(zone, found, monotonic()))
+
+
+def _take_back(deployment: _Deployment, zone: str) -> None:
+    outages = deployment.outages[zone]
+    if outages[-1].until_s == float("inf"):
+        outages[-1] = replace(outages[-1], until_s=monotonic())
+        deployment.platform.take_back(zone)
+
+
 def _depart(deployment: _Deployment, endpoint: str) -> None:
     deployment.add_endpoint()
     deployment.endpoints.remove(endpoint)
@@ -321,7 +356,11 @@
     ]
     sound_s = deployment.sound_s
     departed = [Departure(e.endpoint, max(e.at_s, sound_s)) for e in deployment.departed]
-    return check_requests(records, runs, EVENTS, deployment.revoked, departed, bounds)
+    found = check_requests(records, runs, EVENTS, deployment.revoked, departed, bounds)
+    outages = [each for zone in deployment.outages.values() for each in zone]
+    outages = [replace(each, at_s=max(each.at_s, sound_s)) for each in outages]
+    found += check_zones(runs, outages, bounds)
+    return found + check_cold(runs, deployment.cold, MOST_COLD)
 
 
 def _await_normal(deployment: _Deployment) -> list[Finding]:
--- a/umberhitch/soak/_schedule.py
+++ b/umberhitch/soak/_schedule.py
@@ -29,6 +29,8 @@
     CHANGE = "configuration changes"
     REVOKE = "key taken away"
     RELOAD = "settings reloaded"
+    ZONE_OUT = "zone out of service"
+    COLD_START = "cold endpoint comes"
 
 
 TIMED = frozenset(
@@ -42,9 +44,15 @@
         Fault.SHED,
         Fault.BREAK,
         Fault.LOSE,
+        Fault.ZONE_OUT,
+        Fault.COLD_START,
     }
 )
 """Faults that last; the others are done at once."""
+ADDED = (Fault.ZONE_OUT, Fault.COLD_START)
+"""Drawn by a random source of their own, so that a seed's other faults stay what they were."""
+ADDED_SHARE = 0.25
+"""How often these come, for each time that one of the others does."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,14 +103,20 @@
     seed : int
     cfg : SoakConfig
     """
-    rng = Random(seed)
+    first = [each for each in Fault if each not in ADDED]
+    steps = _draw(Random(seed), cfg, first, cfg.every_s)
+    steps += _draw(Random(f"{seed} added"), cfg, list(ADDED), cfg.every_s / ADDED_SHARE)
+    return sorted(steps, key=lambda step: step.at_s)
+
+
+def _draw(rng: Random, cfg: SoakConfig, faults: list[Fault], every_s: float) -> list[Step]:
     steps: list[Step] = []
     at_s = 0.0
     while True:
-        at_s += rng.expovariate(1.0 / cfg.every_s)
+        at_s += rng.expovariate(1.0 / every_s)
         if at_s >= cfg.length_s:
             return steps
-        fault = rng.choice(list(Fault))
+        fault = rng.choice(faults)
         longest_s = min(cfg.longest_s, cfg.length_s - at_s)
         for_s = rng.uniform(0.3, 1.0) * longest_s if fault in TIMED else 0.0
         steps.append(Step(round(at_s, 3), fault, rng.randrange(1 << 16), round(for_s, 3)))
--- a/umberhitch/soak/tests/test_checks.py
+++ b/umberhitch/soak/tests/test_checks.py
@@ -3,7 +3,8 @@
 import pytest
 
 from umberhitch.soak import Departure, Record, Revocation, RunSeen, check_requests
-from umberhitch.soak._checks import Bounds
+from umberhitch.soak._checks import Bounds, check_cold, check_zones
+from umberhitch.soak._records import ColdStart, ZoneOutage
 
 STREAM = b"id: 1\ndata: e1\n\n"
 
@@ -47,3 +48,27 @@
     assert _checks(_record(), "e1", departed=[Departure("e1", 7.0)], bounds=bounds) == []
     assert _checks(_record(), "e1", departed=[Departure("e1", 6.0)], bounds=bounds) != []
     assert _checks(_record(), "e1", revoked=late) == []
+
+
+def test_a_call_in_a_zone_out_of_service_is_found_after_the_bound_and_before_it_is_back():
+    outage = ZoneOutage("b", ("e1",), 10.0, 20.0)
+    bounds = Bounds(zone_s=5.0)
+    for at_s, endpoint, count in (
+        (14.9, "e1", 0),
+        (15.1, "e1", 1),
+        (15.1, "e2", 0),
+        (19.9, "e1", 1),
+        (20.1, "e1", 0),
+    ):
+        assert len(check_zones([RunSeen("q1", endpoint, at_s)], [outage], bounds)) == count
+    assert check_zones([RunSeen("q1", "e1", 19.0)], [outage], Bounds()) == []
+
+
+def test_a_cold_endpoint_that_is_rushed_is_found():
+    start = ColdStart("e1", 10.0, 13.0)
+    runs = [RunSeen(f"q{number}", "e1", 11.0 + number * 0.1) for number in range(9)]
+    assert check_cold(runs, [start], 8.0) != []
+    assert check_cold(runs, [start], 9.0) == []
+    assert check_cold(runs, [ColdStart("e2", 10.0, 13.0)], 8.0) == []
+    late = [RunSeen(run.call_id, "e1", run.at_s + 2.5) for run in runs]
+    assert check_cold(late, [start], 8.0) == []
