--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -20,6 +20,7 @@
     "overload",
     "slopes",
     "capacity",
+    "start",
 )
 
 
--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -6,7 +6,6 @@
 from msgspec import json
 from twisted.internet.defer import ensureDeferred
 
-from umberhitch.adapters.burn_page import burn_row, render_burn
 from umberhitch.core.direct import IntakeLimits
 from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest, do_nothing
 from umberhitch.tasks.burn import BurnReport
@@ -90,6 +89,9 @@
         def send(report: BurnReport) -> None:
             if not wanted:
                 return
+            # Loaded when it is asked for: a router's start is short of time.
+            from umberhitch.adapters.burn_page import burn_row, render_burn
+
             if is_json:
                 rows = [burn_row(row) for row in report.rows]
                 body = {"rows": rows, "routers": report.routers, "missing": report.missing}
--- a/umberhitch/adapters/zmq_link.py
+++ b/umberhitch/adapters/zmq_link.py
@@ -16,7 +16,8 @@
 from zope.interface import implementer
 
 from umberhitch.errors import FrameError
-from umberhitch.ports import Clock, Receiver
+from umberhitch.ports.clock import Clock
+from umberhitch.ports.link import Receiver
 from umberhitch.wire import MAX_FRAME_BYTES, Message, decode_frame, encode_frame
 
 __all__ = ["CurveKeys", "LinkCounters", "ZmqLink", "make_context"]
--- a/umberhitch/cli/early.py
+++ b/umberhitch/cli/early.py
@@ -1,9 +1,9 @@
 """``umberhitchd`` for hosts on which a start must be short: listens for callers before all else.
 
 Callers that come while no one listens are turned away at once, and most come again only once. So a
-router of the direct path listens with the standard library alone; the daemon, whose libraries take
-most of a start to import, goes on from there. All problems with the settings are the daemon's to
-report: here a file that cannot be read just means that nothing listens early.
+router of the direct path listens with the standard library alone, and goes on with nothing that it
+does not need: no command line is read. All else, and all problems with the settings, are the
+daemon's: here a file that cannot be read just means that nothing listens early.
 """
 
 import os
@@ -27,17 +27,36 @@
 
 
 def run() -> None:
-    """Listen, then run the daemon; the settings' path is taken from the environment only."""
-    address = _callers_address(os.environ.get(SETTINGS_VARIABLE, ""))
-    if address is not None and len(sys.argv) == 1:
+    """Listen, then run the router; the settings' path is taken from the environment only."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    address = _callers_address(path) if len(sys.argv) == 1 else None
+    if address is not None:
         try:
             keep_early_socket(address)
         except (OSError, ValueError):
             pass  # the daemon tries again, and reports it
+        else:
+            _serve(path)
     from umberhitch.cli.daemon import run as run_daemon
 
     run_daemon()
 
 
+def _serve(path: str) -> None:
+    """Run the router; returns only where the settings are the daemon's to report."""
+    from pathlib import Path
+
+    from umberhitch.cli._gateway_process import serve_gateway
+    from umberhitch.errors import SettingsError
+    from umberhitch.gateway_settings import load_gateway_file
+
+    try:
+        settings = load_gateway_file(Path(path))
+    except SettingsError:
+        return
+    if settings is not None:
+        sys.exit(serve_gateway(settings, path))
+
+
 if __name__ == "__main__":
     run()
--- a/umberhitch/cli/tests/test_daemon.py
+++ b/umberhitch/cli/tests/test_daemon.py
@@ -88,13 +88,16 @@
     """It died of the signal until the reactor ran (CI beside load: exit -15)."""
     code = (
         "import os, signal, sys; sys.argv = ['d', sys.argv[1]]\n"
-        "from umberhitch.cli import daemon\n"
-        "told = daemon.log.info\n"
-        "def tell(message, **kwargs):\n"
-        "    told(message, **kwargs)\n"
-        "    if message == 'started':\n"
-        "        os.kill(os.getpid(), signal.SIGTERM)\n"
-        "daemon.log.info = tell\n"
+        "from umberhitch.cli import _gateway_process, daemon\n"
+        "def tell_and_end(log):\n"
+        "    told = log.info\n"
+        "    def tell(message, **kwargs):\n"
+        "        told(message, **kwargs)\n"
+        "        if message == 'started':\n"
+        "            os.kill(os.getpid(), signal.SIGTERM)\n"
+        "    log.info = tell\n"
+        "tell_and_end(daemon.log)\n"
+        "tell_and_end(_gateway_process.log)\n"
         "daemon.run()\n"
     )
     for settings in (AGENT, GATEWAY):
--- a/umberhitch/ports/__init__.py
+++ b/umberhitch/ports/__init__.py
@@ -1,20 +1,28 @@
-"""Interfaces to the world outside the core: log, host list, back ends, peers and time."""
+"""Interfaces to the world outside the core: log, host list, back ends, peers and time.
 
-from umberhitch.ports.clock import Clock, Timer
-from umberhitch.ports.engine import (
-    BackendCall,
-    BackendDone,
-    BackendEvent,
-    BackendFailed,
-    BackendLoad,
-    BackendPort,
-    BackendRefused,
-    BackendText,
-    EventSink,
-)
-from umberhitch.ports.hosts import Host, HostListPort, HostRole, HostState
-from umberhitch.ports.link import LinkPort, Receiver
-from umberhitch.ports.log import LogBatch, LogPort
+A name is loaded with its module when it is first asked for: a router of the direct path needs only
+the clock and the link, and what it does not load makes its start shorter.
+"""
+
+from importlib import import_module
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from umberhitch.ports.clock import Clock, Timer
+    from umberhitch.ports.engine import (
+        BackendCall,
+        BackendDone,
+        BackendEvent,
+        BackendFailed,
+        BackendLoad,
+        BackendPort,
+        BackendRefused,
+        BackendText,
+        EventSink,
+    )
+    from umberhitch.ports.hosts import Host, HostListPort, HostRole, HostState
+    from umberhitch.ports.link import LinkPort, Receiver
+    from umberhitch.ports.log import LogBatch, LogPort
 
 __all__ = [
     "BackendCall",
@@ -37,3 +45,15 @@
     "Receiver",
     "Timer",
 ]
+
+MODULES = ("clock", "engine", "hosts", "link", "log")
+
+
+def __getattr__(name: str) -> object:
+    """Load a name of ``__all__`` (PEP 562)."""
+    if name in __all__:
+        for each in MODULES:
+            module = import_module(f"{__name__}.{each}")
+            if hasattr(module, name):
+                return getattr(module, name)
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
