--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -21,6 +21,7 @@
     "slopes",
     "capacity",
     "start",
+    "zones",
 )
 
 
