--- a/umberhitch/platform/_documents.py
+++ b/umberhitch/platform/_documents.py
@@ -38,7 +38,7 @@
 """It is sent in a header."""
 ROLLOUT_PREFIX = "rollout/"
 ZONE_PREFIX = "evacuate/"
-LONGEST_COLD_MS = 3_600_000.0  # an hour covers any start
+LONGEST_COLD_MS = 3_600_000.0  # an hour: covers any start
 KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -125,7 +125,7 @@
     state: Literal["ready", "draining"]
     zone: _Text = ""
     born: Annotated[int, Meta(ge=0, le=LATEST_BORN_MS)] | None = None
-    cold_remaining_ms: Annotated[float, Meta(ge=0, le=LONGEST_COLD_MS)] | None = None
+    cold_remaining_ms: float | None = None
 
 
 class _Status(Struct):
@@ -216,10 +216,10 @@
             raise ValueError("no port - at `$.address`")
     except (ValueError, RecursionError) as exc:  # msgspec's errors are of these
         raise ConfigError([f"{key}: {exc}"]) from exc
-    state = EndpointState(raw.state)
-    where = (raw.service, raw.address, raw.zone)
-    cold_s = None if raw.cold_remaining_ms is None else raw.cold_remaining_ms / 1000
-    return EndpointEntry(key, *where, raw.version, raw.slots, state, raw.born, cold_s)
+    said = (raw.service, raw.address, raw.zone, raw.version, raw.slots, EndpointState(raw.state))
+    cold_ms = raw.cold_remaining_ms
+    cold_s = None if cold_ms is None else min(max(0.0, cold_ms), LONGEST_COLD_MS) / 1000
+    return EndpointEntry(key, *said, raw.born, cold_s)
 
 
 def decode_status(key: str, value: bytes) -> tuple[str, str, RolloutState] | None:
--- a/umberhitch/platform/tests/test_documents.py
+++ b/umberhitch/platform/tests/test_documents.py
@@ -3,7 +3,14 @@
 import pytest
 from msgspec import json
 
-from umberhitch.core.direct import EndpointState, RolloutOrder, RolloutState, RouteKind, RouteTable
+from umberhitch.core.direct import (
+    EndpointState,
+    RolloutOrder,
+    RolloutState,
+    RouteKind,
+    RouteTable,
+    ZoneOut,
+)
 from umberhitch.errors import ConfigError
 from umberhitch.platform._documents import (
     decode_endpoint,
@@ -75,3 +82,16 @@
     assert decode_status(key, value) == ("x", "v2", RolloutState.COMPLETED)
     with pytest.raises(ConfigError):
         decode_endpoint("i-1", b"{}")
+
+
+@pytest.mark.parametrize("value", [b"{}", b"\xff\xfe", b"[" * 5000, b"null", b"0"])
+def test_a_zones_record_says_that_it_is_out_whatever_is_in_it(value):
+    assert decode_operator("evacuate/suva-a", value) == ZoneOut("suva-a")
+
+
+def test_a_service_says_how_its_endpoints_start():
+    raw = json.decode(json.encode(CONFIG))
+    raw["services"][0] |= {"coldStartS": 3.0, "coldPerS": 14.0}
+    document = decode_operator("config", json.encode(raw))
+    service = document.services[raw["services"][0]["name"]]
+    assert (service.cold_start_s, service.cold_rate) == (3.0, 14.0)
--- a/umberhitch/platform/tests/test_entries.py
+++ b/umberhitch/platform/tests/test_entries.py
@@ -87,6 +87,22 @@
     assert decode_endpoint("i-1", json.encode(entry)).born is None
 
 
+@pytest.mark.parametrize(
+    ("said", "cold_s"),
+    [
+        ({}, None),
+        ({"coldRemainingMs": None}, None),
+        ({"coldRemainingMs": 0}, 0.0),
+        ({"coldRemainingMs": 2999.5}, 2.9995),
+        ({"coldRemainingMs": -3}, 0.0),
+        ({"coldRemainingMs": 1e300}, 3600.0),
+    ],
+)
+def test_an_entry_says_how_long_it_stays_cold_and_an_odd_word_takes_no_endpoint_away(said, cold_s):
+    entry = decode_endpoint("e1", json.encode({**GOOD, **said}))
+    assert entry.cold_s == cold_s
+
+
 @pytest.mark.parametrize("entry", BROKEN, ids=lambda each: str(sorted(each.items()))[:60])
 def test_an_entry_that_does_not_validate_is_reported_with_its_key(entry):
     with pytest.raises(ConfigError, match="i-1"):
