--- a/umberhitch/tasks/direct/presence.py
+++ b/umberhitch/tasks/direct/presence.py
@@ -32,6 +32,8 @@
     ----------
     others_return_s : callable
         Returns the time until a peer takes streams, 0 where one does.
+    hears_peers : callable
+        Whether any peer has been heard lately.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         self.is_noticed = False
         """Whether the balancer has noticed that it leaves."""
         self.others_return_s: Callable[[], float] = lambda: 0.0
+        self.hears_peers: Callable[[], bool] = lambda: False
 
     @property
     def is_ready(self) -> bool:
--- a/umberhitch/tasks/direct/tests/test_store.py
+++ b/umberhitch/tasks/direct/tests/test_store.py
@@ -338,3 +338,40 @@
     world.run(3.0)
     early = world.ask(router, "/look/x", Patience="12")
     assert (early.status, early.reply.headers[b"Come-Back"]) == (503, b"0.500")
+
+
+def _stale(world: DirectWorld, names: tuple[str, ...]) -> list[bytes | None]:
+    """Take the store away from routers until nothing proves their keys; return what they say."""
+    for name in names:
+        world.routers[name].faults.is_down = True
+    world.run(7.0)
+    found = []
+    for name in names:
+        ask = world.ask(world.routers[name], "/look/x", Patience="9")
+        assert ask.status == 503
+        found.append(ask.reply.headers.get(b"Come-Back"))
+    return found
+
+
+def test_without_a_store_for_anybody_callers_are_told_the_longest_time_that_they_honour():
+    """Of 2,300 refusals in the last 5 s of an outage most were of callers who came twice, 0.5 s
+    apart, and not again: those who come when the store is back are served."""
+    world = DirectWorld()
+    world.add_endpoint("e1")
+    world.ready_router()
+    world.add_router("r2")
+    world.run(4.0)
+    assert _stale(world, ("r1", "r2")) == [b"3.000", b"3.000"]
+
+
+def test_a_router_that_is_cut_off_by_itself_sends_callers_elsewhere_soon():
+    world = DirectWorld()
+    world.add_endpoint("e1")
+    world.ready_router()
+    world.add_router("r2")
+    world.run(4.0)
+    world.network.cut("r1", "r2")
+    assert _stale(world, ("r1",)) == [b"0.500"]
+    elsewhere = world.ask(world.routers["r2"], "/look/x")
+    world.run(0.1)
+    assert elsewhere.status == 200
