--- a/umberhitch/tasks/direct/intake.py
+++ b/umberhitch/tasks/direct/intake.py
@@ -140,13 +140,10 @@
         A router that starts while the store is away has nothing to serve by until that is back,
         which takes seconds, and callers come again once or a few times only: so they are told the
         longest time that they honour. With 0.5 s, 166 of 174 requests of the 2 s in which 32
-        routers were restarted without a store were refused twice, and lost. The same holds for one
-        that can prove nothing though it hears its peers: they cannot either, since they would tell.
-        One that hears nobody is cut off by itself, and another serves who comes again soon.
+        routers were restarted without a store were refused twice, and lost.
         """
         if self.presence.is_leaving:
             return self.presence.retry_s()
-        is_for_all = not self.view.is_loaded or self.presence.hears_peers()
-        if self.view.is_store_away and is_for_all:
+        if not self.view.is_loaded and self.view.is_store_away:
             return max(STARTING_RETRY_S, HONOURED_SHARE * ask.patience_s)
         return STARTING_RETRY_S
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -132,7 +132,6 @@
         gateway.choosing.follow(self._membership.is_settled)
         gateway.trials.old_running = self.old_running
         gateway.presence.others_return_s = self.return_s
-        gateway.presence.hears_peers = lambda: bool(self.live())
         gateway.crashes.sharing.peers = self.names
         gateway.crashes.sharing.send = link.send
         gateway.crashes.sharing.on_news = self._tell_news_soon
--- a/umberhitch/tasks/direct/presence.py
+++ b/umberhitch/tasks/direct/presence.py
@@ -32,8 +32,6 @@
     ----------
     others_return_s : callable
         Returns the time until a peer takes streams, 0 where one does.
-    hears_peers : callable
-        Whether any peer has been heard lately.
     """
 
     def __init__(
@@ -56,7 +54,6 @@
         self.is_noticed = False
         """Whether the balancer has noticed that it leaves."""
         self.others_return_s: Callable[[], float] = lambda: 0.0
-        self.hears_peers: Callable[[], bool] = lambda: False
 
     @property
     def is_ready(self) -> bool:
