--- a/umberhitch/soak/__main__.py
+++ b/umberhitch/soak/__main__.py
@@ -6,9 +6,11 @@
 
 import sys
 from dataclasses import asdict, replace
+from fcntl import LOCK_EX, LOCK_NB, flock
 from pathlib import Path
 from random import SystemRandom
 from time import monotonic
+from typing import TextIO
 
 from absl import app as absl_app
 from absl import flags
@@ -38,6 +40,25 @@
 def _play(seed: int, cfg: SoakConfig) -> Verdict:
     folder = Path(_FOLDER.value) / str(seed)
     folder.mkdir(parents=True, exist_ok=True)
+    with take_folder(folder):
+        return _play_in(folder, seed, cfg)
+
+
+def take_folder(folder: Path) -> TextIO:
+    """Return what keeps others out of a folder until it is closed.
+
+    Two runs in one folder write each other's settings: their routers serve from the other's store.
+    """
+    lock = (folder / "lock").open("w")
+    try:
+        flock(lock, LOCK_EX | LOCK_NB)
+    except OSError:
+        lock.close()
+        sys.exit(f"{folder}: another run is going on there; name another --folder")
+    return lock
+
+
+def _play_in(folder: Path, seed: int, cfg: SoakConfig) -> Verdict:
     schedule = json.encode([asdict(step) for step in make_schedule(seed, cfg)])
     (folder / "schedule.json").write_bytes(json.format(schedule))
     began_s = monotonic()
--- a/umberhitch/soak/_run.py
+++ b/umberhitch/soak/_run.py
@@ -360,7 +360,12 @@
     outages = [each for zone in deployment.outages.values() for each in zone]
     outages = [replace(each, at_s=max(each.at_s, sound_s)) for each in outages]
     found += check_zones(runs, outages, bounds)
-    return found + check_cold(runs, deployment.cold, MOST_COLD)
+    found += check_cold(runs, deployment.cold, MOST_COLD)
+    return found + [
+        Finding("a cold endpoint is not rushed", f"{start.endpoint} has ended")
+        for start in deployment.cold
+        if deployment.platform.has_ended(start.endpoint)
+    ]
 
 
 def _await_normal(deployment: _Deployment) -> list[Finding]:
--- a/umberhitch/soak/_schedule.py
+++ b/umberhitch/soak/_schedule.py
@@ -51,6 +51,8 @@
 """Faults that last; the others are done at once."""
 ADDED = (Fault.ZONE_OUT, Fault.COLD_START)
 """Drawn by a random source of their own, so that a seed's other faults stay what they were."""
+ZONE_FACTOR = 3.0
+"""A zone is out for so many times the longest fault: longer than it takes to be in force."""
 ADDED_SHARE = 0.25
 """How often these come, for each time that one of the others does."""
 
@@ -117,6 +119,7 @@
         if at_s >= cfg.length_s:
             return steps
         fault = rng.choice(faults)
-        longest_s = min(cfg.longest_s, cfg.length_s - at_s)
+        longest_s = cfg.longest_s * (ZONE_FACTOR if fault is Fault.ZONE_OUT else 1.0)
+        longest_s = min(longest_s, cfg.length_s - at_s)
         for_s = rng.uniform(0.3, 1.0) * longest_s if fault in TIMED else 0.0
         steps.append(Step(round(at_s, 3), fault, rng.randrange(1 << 16), round(for_s, 3)))
--- a/umberhitch/soak/tests/test_soak.py
+++ b/umberhitch/soak/tests/test_soak.py
@@ -6,6 +6,7 @@
 import pytest
 
 from umberhitch.soak import SoakConfig
+from umberhitch.soak.__main__ import take_folder
 from umberhitch.soak._run import play
 
 SHORT = SoakConfig(routers=2, endpoints=2, callers=2, length_s=5.0, every_s=0.7)
@@ -28,3 +29,10 @@
         if found:
             break
     assert "streams are whole" in {each.check for each in found}
+
+
+def test_two_runs_in_one_folder_are_not_let(tmp_path):
+    """Their routers served from each other's stores: answers that "ran nowhere" or ran twice."""
+    with take_folder(tmp_path), pytest.raises(SystemExit, match="another run"):
+        take_folder(tmp_path)
+    take_folder(tmp_path).close()
