--- a/umberhitch/core/direct/_types.py
+++ b/umberhitch/core/direct/_types.py
@@ -267,6 +267,10 @@
         Whether another incarnation has the address.
     confidence : int or None
         The model's own opinion of its answer, 0 to 100.
+    limit_rate : float or None
+        The requests a second that the endpoint names, which it takes from all routers together.
+    is_limit_unclear : bool
+        Whether it names something that is no rate: it says nothing, then.
     """
 
     status: int
@@ -277,6 +281,8 @@
     is_elsewhere: bool = False
     confidence: int | None = None
     load: ReportedLoad | None = None
+    limit_rate: float | None = None
+    is_limit_unclear: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/umberhitch/fakes/_direct_http.py
+++ b/umberhitch/fakes/_direct_http.py
@@ -54,6 +54,7 @@
     failure: CallFailure | None = None
     is_silent: bool = False
     load: ReportedLoad | None = None
+    is_limit_unclear: bool = False
 
 
 @dataclass
@@ -70,6 +71,8 @@
         Whether its connections hang when it ends, in place of being closed.
     on_crash : callable
         Called when it ends.
+    limit_rate : float or None
+        Requests a second that it names in each reply, whatever becomes of the call.
     """
 
     fails_over: int = 0
@@ -78,6 +81,7 @@
     crashes_silently: bool = False
     is_down: bool = False
     on_crash: Callable[["FakeEndpoint"], None] | None = None
+    limit_rate: float | None = None
 
     reply: Reply = field(default_factory=Reply)
     replies: list[Reply] = field(default_factory=list)
@@ -156,6 +160,8 @@
                 is_elsewhere=reply.is_elsewhere,
                 confidence=reply.confidence,
                 load=reply.load,
+                limit_rate=None if self._endpoint is None else self._endpoint.limit_rate,
+                is_limit_unclear=reply.is_limit_unclear,
             )
         )
         if reply.events and reply.status == 200:
--- a/umberhitch/platform/tests/test_headers.py
+++ b/umberhitch/platform/tests/test_headers.py
@@ -118,3 +118,57 @@
 )
 def test_only_a_promise_means_not_run(status: int, headers: list, not_run: bool):
     assert WIRE.read_reply(status, headers).not_run is not_run
+
+
+@pytest.mark.parametrize(
+    ("values", "rate"),
+    [
+        ([b"2.3"], 2.3),
+        ([b" 2 "], 2.0),
+        ([b"0"], 0.0),
+        ([b"0.0"], 0.0),
+        ([b".5"], 0.5),
+        ([b"7."], 7.0),
+        ([b"9" * 30], 1e6),
+        ([b"4", b"2.5"], 2.5),
+        ([b"4, 2.5"], 2.5),
+        ([b"many", b"2.5"], 2.5),
+    ],
+)
+def test_a_rate_that_an_endpoint_names_is_read_and_the_lowest_of_several_counts(values, rate):
+    head = WIRE.read_reply(200, [(b"server-LIMIT", value) for value in values])
+    assert (head.limit_rate, head.is_limit_unclear) == (rate, False)
+
+
+def test_a_reply_without_a_rate_names_none():
+    head = WIRE.read_reply(200, [(b"Attempt-Id", b"abc")])
+    assert (head.limit_rate, head.is_limit_unclear) == (None, False)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"-1",
+        b"+2",
+        b"1e3",
+        b"nan",
+        b"inf",
+        b"many",
+        b"2.3/s",
+        b"1 2",
+        b"0x10",
+        b"\xff\xfe",
+        "٣".encode(),
+        b"9" * 300,
+        b".",
+    ],
+)
+def test_an_odd_word_is_told_from_a_rate_and_from_none(value: bytes):
+    head = WIRE.read_reply(503, [(b"Server-Limit", value)])
+    assert (head.limit_rate, head.is_limit_unclear) == (None, True)
+
+
+def test_the_rate_goes_on_to_the_caller_as_it_came():
+    head = WIRE.read_reply(200, [(b"Server-Limit", b"2.3")])
+    assert head.headers == [(b"Server-Limit", b"2.3")]
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -328,11 +328,17 @@
         endpoint = self.directory.of_lifetime(placed.lifetime)
         if endpoint is not None and not head.is_elsewhere:
             self.directory.answered(endpoint, now_s)
+            self._log_limit(placed.lifetime, head)
         if head.load is not None and endpoint is not None:  # else its lifetime is over
             self.placement.report(placed.lifetime, head.load, now_s)
         if head.is_success:
             self.placement.began(placed, now_s)
 
+    def _log_limit(self, lifetime: str, head: ReplyHead) -> None:
+        if head.limit_rate is not None or head.is_limit_unclear:
+            facts = {"endpoint": lifetime, "rate": head.limit_rate, "status": head.status}
+            self.decisions.write("endpoint names a limit", head.call_id, False, **facts)
+
     def release(self, placed: Placed, is_failure: bool | None) -> None:
         """Count a call no more."""
         self.placement.release(placed, is_failure)
