--- a/umberhitch/testing/__init__.py
+++ b/umberhitch/testing/__init__.py
@@ -19,12 +19,14 @@
     make_endpoint_entry,
     make_route,
 )
+from umberhitch.testing._limited import LIMIT_SPAN_S, limit_bound, most_within
 from umberhitch.testing._oracle import check_world
 from umberhitch.testing._transports import FakeTransport, dial
 from umberhitch.testing._violation import Violation
 from umberhitch.testing._world import AskOptions, CallerRecord, World, WorldSettings
 
 __all__ = [
+    "LIMIT_SPAN_S",
     "SIGNING_SECRET",
     "AskOptions",
     "CallerRecord",
@@ -39,6 +41,7 @@
     "WorldSettings",
     "check_world",
     "dial",
+    "limit_bound",
     "make_change",
     "make_customer",
     "make_direct_document",
@@ -49,4 +52,5 @@
     "make_state_change",
     "make_version",
     "make_work",
+    "most_within",
 ]
