A rate that an endpoint names is kept by all routers together, at one place that every call passes

Callers' requests went on to endpoints in need at several times the rate that these named (12 to 52 in 4 s where 8 are allowed). Cause: nothing heard the limit, and each router sent by the load that it knew. Now each head of a reply is heard, peers are told at once and again by two a second, and a few routers by rendezvous hash share the rate, as cold endpoints do: one mechanism, FleetShare, for both (SendGate).

--- a/benchmarks/zones.py
+++ b/benchmarks/zones.py
@@ -8,8 +8,8 @@
 from random import Random
 from time import process_time
 
-from umberhitch.core.direct import ColdLimits, ColdShare, Endpoint
-from umberhitch.testing import DirectWorld, make_direct_document, make_endpoint_entry
+from umberhitch.core.direct import ColdLimits, FleetShare
+from umberhitch.testing import DirectWorld, make_direct_document
 
 __all__ = ["run"]
 
@@ -67,7 +67,7 @@
     rng, sent, worst = Random(1), [], []
     names = [f"r{number}" for number in range(routers)]
     for number in range(50):
-        endpoint = Endpoint(make_endpoint_entry(f"e{number}", cold_s=3.0))
+        endpoint = f"e{number}"
         sent.append(_crowd([names] * routers, names, endpoint))
         views = [rng.sample(names, max(1, len(names) * 9 // 10)) for _ in range(4)]
         chosen = [sorted({*rng.choice(views), name}) for name in names]
@@ -80,12 +80,13 @@
     }
 
 
-def _crowd(lists: list[list[str]], names: list[str], endpoint: Endpoint) -> int:
-    total = 0
+def _crowd(lists: list[list[str]], names: list[str], endpoint: str) -> int:
+    total, bound = 0, ColdLimits().bound(RATE)
     for name, known in zip(names, lists, strict=True):
-        share = ColdShare(name)
+        share = FleetShare(name)
         share.take_routers(known)
-        while share.allows(endpoint, RATE, 0.0):
+        share.look(True, 0.0)
+        while share.wait_s(endpoint, bound, 0.0) == 0.0:
             share.note_sent(endpoint, 0.0)
             total += 1
     return total
--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -134,6 +134,7 @@
             "held": sum(1 for _ in gateway.crashes.record.held(gateway.clock.seconds())),
             "zones_out": self._zones_out(),
             "cold": self._cold(),
+            "limited": self._limited(),
         }
 
     def _zones_out(self) -> dict[str, dict[str, float]]:
@@ -165,6 +166,27 @@
             for each in gateway.directory.cold(now_s)
         ]
 
+    def _limited(self) -> list[dict[str, object]]:
+        """Return the endpoints that name a limit, how that is known, and what of it is used."""
+        gate, now_s = self._gateway.gate, self._gateway.clock.seconds()
+        rows: list[dict[str, object]] = []
+        for lifetime, limit in gate.limits:
+            bound = gate.rules.bound(limit.rate)
+            share = gate.shares.most(lifetime, bound)
+            rows.append(
+                {
+                    "endpoint": lifetime,
+                    "rate": limit.rate,
+                    "age_s": round(now_s - limit.heard_s, 3),
+                    "known_for_s": round(now_s - limit.since_s, 3),
+                    "source": limit.source,
+                    "share": share,
+                    "share_window_s": round(gate.shares.window_s(bound), 3),
+                    "used": gate.shares.used(lifetime, bound, now_s),
+                }
+            )
+        return rows
+
     def _metrics(self) -> bytes:
         """Return what is counted, in the Prometheus text format."""
         gateway, count = self._gateway, self._gateway.counters
@@ -179,7 +201,9 @@
             f"umberhitch_requests_held {self._status()['held']}",
             f"umberhitch_zones_out {len(gateway.directory.zones_out)}",
             f"umberhitch_endpoints_cold {len(gateway.directory.cold(gateway.clock.seconds()))}",
-            f"umberhitch_cold_shares_used_up_total {gateway.cold.used_up}",
+            f"umberhitch_cold_shares_used_up_total {gateway.gate.cold_used_up}",
+            f"umberhitch_endpoints_limited {len(gateway.gate.limits)}",
+            f"umberhitch_limit_shares_used_up_total {gateway.gate.limit_used_up}",
         ]
         lines += [f"umberhitch_{name} {value}" for name, value in self._transport().items()]
         age_s = gateway.view.proof_age_s(gateway.clock.seconds())
--- a/umberhitch/adapters/h11_endpoints.py
+++ b/umberhitch/adapters/h11_endpoints.py
@@ -171,6 +171,8 @@
         self._is_foreign = head.call_id is not None and head.call_id != self._call.call.call_id
         if self._is_foreign:
             log.info("late reply to another call", extra={"endpoint": self.address})
+            if self._call.events is not None:
+                self._call.events.on_late_head(head)
             return
         self.keeps_s = _kept_s(headers)
         if self._call.events is not None:
--- a/umberhitch/adapters/h11_fetch.py
+++ b/umberhitch/adapters/h11_fetch.py
@@ -75,6 +75,9 @@
         self._timer.cancel()
         self._watch(STALL_S)
 
+    def on_late_head(self, head: ReplyHead) -> None:
+        """Pass it over: the platform's replies say nothing of later ones."""
+
     def on_data(self, data: bytes) -> None:
         self._body += data
         self._heard_s = self._clock.seconds()
--- a/umberhitch/adapters/tests/test_h11_endpoints.py
+++ b/umberhitch/adapters/tests/test_h11_endpoints.py
@@ -24,10 +24,14 @@
     body: bytes = b""
     is_ended: bool = False
     failure: CallFailure | None = None
+    late: list[int] = field(default_factory=list)
 
     def on_head(self, head: ReplyHead) -> None:
         self.statuses.append(head.status)
 
+    def on_late_head(self, head: ReplyHead) -> None:
+        self.late.append(head.status)
+
     def on_data(self, data: bytes) -> None:
         self.body += data
 
--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -3,13 +3,14 @@
 from umberhitch.core.direct._budget import BudgetLimits, RetryBudget
 from umberhitch.core.direct._cascade import Cascade, CascadeLimits
 from umberhitch.core.direct._change import DocumentChange, apply_change, change_between
-from umberhitch.core.direct._cold import ColdLimits, ColdShare
 from umberhitch.core.direct._crash_record import Crash, CrashLimits, CrashRecord, Hold
 from umberhitch.core.direct._directory import Directory, Endpoint
 from umberhitch.core.direct._engine_time import EngineDemand, EnginePrice, EngineTimeLimits
 from umberhitch.core.direct._events import EventCutter
 from umberhitch.core.direct._evidence import AnswerVerdict, Counts, EvidenceBar
+from umberhitch.core.direct._fleet_share import ColdLimits, FleetBound, FleetShare
 from umberhitch.core.direct._keys import key_digest
+from umberhitch.core.direct._named_limits import LimitChange, LimitRules, NamedLimit, NamedLimits
 from umberhitch.core.direct._pace import EventPace, Paces, PacesLimits
 from umberhitch.core.direct._placement import EngineWork, Offer, Placed, Placement, PlacementLimits
 from umberhitch.core.direct._readings import NO_READING, Readings
@@ -43,7 +44,6 @@
     "Cascade",
     "CascadeLimits",
     "ColdLimits",
-    "ColdShare",
     "Counts",
     "Crash",
     "CrashLimits",
@@ -62,8 +62,14 @@
     "EventCutter",
     "EventPace",
     "EvidenceBar",
+    "FleetBound",
+    "FleetShare",
     "Hold",
     "IntakeLimits",
+    "LimitChange",
+    "LimitRules",
+    "NamedLimit",
+    "NamedLimits",
     "Offer",
     "Paces",
     "PacesLimits",
--- a/umberhitch/core/direct/tests/test_cold.py
+++ b/umberhitch/core/direct/tests/test_cold.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from umberhitch.core.direct import ColdLimits, ColdShare, Directory, Endpoint
+from umberhitch.core.direct import ColdLimits, Directory, Endpoint, FleetShare
 from umberhitch.testing import make_endpoint_entry
 
 RATE = 14.0
@@ -23,25 +23,31 @@
     return Endpoint(make_endpoint_entry(name, cold_s=3.0))
 
 
-def _send_all(shares: list[ColdShare], endpoint: Endpoint, rate: float, now_s: float) -> int:
+def _share(name: str, names: list[str]) -> FleetShare:
+    """Return a router that has its seat on a list."""
+    share = FleetShare(name)
+    share.take_routers(names)
+    share.look(True, 0.0)
+    return share
+
+
+def _may_send(share: FleetShare, endpoint: Endpoint, rate: float, now_s: float) -> bool:
+    return share.wait_s(endpoint.lifetime, LIMITS.bound(rate), now_s) == 0.0
+
+
+def _send_all(shares: list[FleetShare], endpoint: Endpoint, rate: float, now_s: float) -> int:
     """Let each router send as often as it may, and return how many were sent."""
     sent = 0
     for share in shares:
-        while share.allows(endpoint, rate, now_s):
-            share.note_sent(endpoint, now_s)
+        while _may_send(share, endpoint, rate, now_s):
+            share.note_sent(endpoint.lifetime, now_s)
             sent += 1
     return sent
 
 
-def _shares(lists: list[list[str]]) -> list[ColdShare]:
+def _shares(lists: list[list[str]]) -> list[FleetShare]:
     """Return a router for each name in each list, which goes by that list."""
-    shares = []
-    for names in lists:
-        for name in names:
-            share = ColdShare(name, LIMITS)
-            share.take_routers(names)
-            shares.append(share)
-    return shares
+    return [_share(name, names) for names in lists for name in names]
 
 
 @pytest.mark.parametrize("routers", [1, 2, 3, 6, 30, 100, 370])
@@ -76,7 +82,7 @@
 def test_half_of_what_is_borne_is_used_at_least(rate, routers):
     shares = _shares([_names(routers)])
     sent = _send_all(shares, _endpoint(), rate, 0.0)
-    assert sent >= min(rate, shares[0].total(rate)) / 2
+    assert sent >= min(rate, shares[0].total(LIMITS.bound(rate))) / 2
 
 
 def test_many_changes_of_the_list_at_once_stay_within_the_bound_mostly():
@@ -94,11 +100,7 @@
             names.remove(rng.choice(names)) if step % 2 else names.append(f"n{number}.{step}")
             lists.append(list(names))
         views = {name: rng.choice([each for each in lists if name in each]) for name in names}
-        shares = []
-        for name, view in views.items():
-            share = ColdShare(name, LIMITS)
-            share.take_routers(view)
-            shares.append(share)
+        shares = [_share(name, view) for name, view in views.items()]
         sent = _send_all(shares, _endpoint(f"e{number}"), RATE, 0.0)
         assert sent <= BOUND
         over += sent > 20
@@ -106,44 +108,40 @@
 
 
 def test_a_router_that_knows_no_list_sends_nothing():
-    assert not ColdShare("r1", LIMITS).allows(_endpoint(), RATE, 0.0)
+    assert not _may_send(FleetShare("r1"), _endpoint(), RATE, 0.0)
 
 
 def test_a_share_comes_back_a_second_after_it_was_used():
-    share = ColdShare("r1", LIMITS)
-    share.take_routers(["r1"])
+    share = _share("r1", ["r1"])
     endpoint = _endpoint()
     assert _send_all([share], endpoint, RATE, 0.0) == 13
-    assert share.wait_s(endpoint, RATE, 0.25) == 0.75
-    assert not share.allows(endpoint, RATE, 0.99)
-    assert share.allows(endpoint, RATE, 1.0)
+    assert share.wait_s(endpoint.lifetime, LIMITS.bound(RATE), 0.25) == 0.75
+    assert not _may_send(share, endpoint, RATE, 0.99)
+    assert _may_send(share, endpoint, RATE, 1.0)
 
 
 def test_what_was_sent_while_it_was_warm_counts():
-    share = ColdShare("r1", LIMITS)
-    share.take_routers(["r1"])
+    share = _share("r1", ["r1"])
     endpoint = _endpoint()
     for _ in range(40):
-        share.note_sent(endpoint, 0.0)
-    assert not share.allows(endpoint, RATE, 0.5)
+        share.note_sent(endpoint.lifetime, 0.0)
+    assert not _may_send(share, endpoint, RATE, 0.5)
 
 
 def test_a_rate_of_less_than_one_a_second_lets_one_through_in_a_longer_time():
-    share = ColdShare("r1", LIMITS)
-    share.take_routers(["r1"])
+    share = _share("r1", ["r1"])
     endpoint = _endpoint()
-    share.note_sent(endpoint, 0.0)
-    assert share.wait_s(endpoint, 0.25, 1.0) == 3.0
+    share.note_sent(endpoint.lifetime, 0.0)
+    assert share.wait_s(endpoint.lifetime, LIMITS.bound(0.25), 1.0) == 3.0
 
 
 def test_nothing_is_kept_of_lifetimes_that_are_gone():
-    share = ColdShare("r1", LIMITS)
-    share.take_routers(["r1"])
+    share = _share("r1", ["r1"])
     endpoint = _endpoint()
     _send_all([share], endpoint, RATE, 0.0)
     share.forget([])
     assert not share._sent
-    assert not share._is_sender
+    assert not share._ranks
 
 
 # How a directory knows
--- a/umberhitch/ports/direct.py
+++ b/umberhitch/ports/direct.py
@@ -117,6 +117,10 @@
         """The head of the reply is there."""
         ...
 
+    def on_late_head(self, head: ReplyHead) -> None:
+        """The head of a reply to an earlier call is there, which nobody waits for any more."""
+        ...
+
     def on_data(self, data: bytes) -> None:
         """More of the body is there."""
         ...
--- a/umberhitch/tasks/direct/choosing.py
+++ b/umberhitch/tasks/direct/choosing.py
@@ -1,11 +1,9 @@
 """Chooses model and endpoint for each call of a request."""
 
-from collections.abc import Callable
 from random import Random
 
 from umberhitch.core.direct import (
     Cascade,
-    ColdShare,
     Endpoint,
     EngineDemand,
     EngineWork,
@@ -20,6 +18,7 @@
 from umberhitch.ports.clock import Clock
 from umberhitch.tasks.direct.admission import LIGHT_TOKENS
 from umberhitch.tasks.direct.come_back import HONOURED_SHARE, LEAST_RETRY_S
+from umberhitch.tasks.direct.send_gate import SendGate, Urgency
 from umberhitch.tasks.direct.services import Permit
 from umberhitch.tasks.direct.store_view import StoreView
 from umberhitch.tasks.direct.trials import Trials
@@ -41,7 +40,7 @@
     budget : RetryBudget
     cascade : Cascade
     demand : EngineDemand
-    cold : ColdShare
+    gate : SendGate
     worth : WorthLimits
     clock : Clock
     rng : Random
@@ -55,7 +54,7 @@
         budget: RetryBudget,
         cascade: Cascade,
         demand: EngineDemand,
-        cold: ColdShare,
+        gate: SendGate,
         worth: WorthLimits,
         clock: Clock,
         rng: Random,
@@ -66,8 +65,7 @@
         self._budget = budget
         self._cascade = cascade
         self._demand = demand
-        self._cold = cold
-        self._is_settled: Callable[[], bool] = lambda: False
+        self._gate = gate
         self._worth = worth
         self._clock = clock
         self._rng = rng
@@ -104,21 +102,18 @@
         assert self._view.table is not None
         return self._view.table.document.services.get(permit.service)
 
-    def follow(self, is_settled: Callable[[], bool]) -> None:
-        """Take whether this router's place among the others is sure."""
-        self._is_settled = is_settled
-
-    def _bearing(self, permit: Permit, found: list[Endpoint], now_s: float) -> list[Endpoint]:
-        """Return the endpoints that are not cold, or that bear one more request of this router."""
+    def _bearing(self, permit: Permit, found: list[Endpoint]) -> list[Endpoint]:
+        """Return the endpoints that bear one more call of this router."""
         service = self.service(permit)
-        if service is None or not service.cold_rate:
+        if not self._gate.has_bounds(service):
             return found
-        rate, is_settled = service.cold_rate, self._is_settled()
-        return [
-            each
-            for each in found
-            if not each.is_cold(now_s) or (is_settled and self._cold.allows(each, rate, now_s))
-        ]
+        return self._gate.bearing(service, found, self._urgency(permit))
+
+    def _urgency(self, permit: Permit) -> Urgency:
+        priority, customer = permit.route.priority, permit.customer
+        if customer is not None and customer.priority is not None:
+            priority = customer.priority
+        return priority, -self._stake(permit).worth
 
     def come_back_s(self, permit: Permit) -> float:
         """Return when a request for which there was no endpoint should come again.
@@ -127,10 +122,12 @@
         Else some are cold or failing, which passes, and other routers may have their share left.
         """
         now_s = self._clock.seconds()
-        if not self._view.directory.ready(permit.service, now_s):
-            left_s = permit.received_s + permit.ask.patience_s - now_s
+        left_s = permit.received_s + permit.ask.patience_s - now_s
+        ready = self._view.directory.ready(permit.service, now_s)
+        if not ready:
             return max(LEAST_RETRY_S, HONOURED_SHARE * left_s)
-        return max(LEAST_RETRY_S, SOON_OBJECTIVES * permit.route.objective_s)
+        soonest_s = max(LEAST_RETRY_S, SOON_OBJECTIVES * permit.route.objective_s)
+        return self._gate.come_back_s(permit.service, ready, soonest_s, left_s)
 
     def endpoint(self, permit: Permit, model: str | None, tried: set[str]) -> Offer | None:
         """Return where a call goes, or None where no endpoint takes work."""
@@ -143,7 +140,7 @@
             if home is not None and home.takes_work(now_s) and home not in ready:
                 ready.append(home)
         fresh = [each for each in ready if each.lifetime not in tried]
-        fresh = self._bearing(permit, fresh, now_s)
+        fresh = self._bearing(permit, fresh)
         is_light = permit.ask.prompt_tokens < LIGHT_TOKENS
         fresh = self._trials.allowed(permit.service, permit.wants_target, fresh, is_light)
         if not fresh:
--- a/umberhitch/tasks/direct/exchange.py
+++ b/umberhitch/tasks/direct/exchange.py
@@ -234,6 +234,11 @@
         else:
             self._on_error(head)
 
+    def on_late_head(self, head: ReplyHead) -> None:
+        """Take a reply to an earlier call: it tells of the endpoint all the same."""
+        assert self._endpoint is not None
+        self._svc.heard_late(self._endpoint, head)
+
     def _on_not_run(self, head: ReplyHead) -> None:
         assert self._endpoint is not None
         if head.is_elsewhere:
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -7,7 +7,6 @@
 from umberhitch.core.direct import (
     AnswerVerdict,
     Cascade,
-    ColdShare,
     Directory,
     Endpoint,
     EndpointEntry,
@@ -44,6 +43,7 @@
 from umberhitch.tasks.direct.gateway_limits import GatewayCounters, GatewaySettings
 from umberhitch.tasks.direct.intake import Intake
 from umberhitch.tasks.direct.presence import Presence
+from umberhitch.tasks.direct.send_gate import SendGate
 from umberhitch.tasks.direct.services import Permit, RequestState
 from umberhitch.tasks.direct.store_view import StoreView
 from umberhitch.tasks.direct.trials import Trials
@@ -88,7 +88,7 @@
         self.placement = Placement(settings.zone, settings.placement)
         self.budget = RetryBudget(settings.budget)
         self.demand = EngineDemand(settings.engine_time)
-        self.cold = ColdShare(settings.name, settings.cold)
+        self.gate = SendGate(settings.name, clock, settings.cold, settings.limit_rules)
         self.trials = trials
         self.decisions = DecisionLog(clock)
         self.running: set[RequestState] = set()
@@ -131,7 +131,7 @@
             self.budget,
             Cascade(settings.cascade),
             self.demand,
-            self.cold,
+            self.gate,
             settings.worth,
             clock,
             rng,
@@ -186,7 +186,7 @@
         for address in gone:
             self._endpoints.close_idle(address)
         self.placement.forget(self.directory.lifetimes())
-        self.cold.forget(self.directory.lifetimes())
+        self.gate.forget(self.directory.lifetimes())
 
     @property
     def directory(self) -> Directory:
@@ -249,8 +249,7 @@
         service = self.choosing.service(permit)
         now_s = self.clock.seconds()
         self.directory.tried(endpoint, now_s)
-        if service is not None and service.cold_rate:
-            self.cold.note_sent(endpoint, now_s)
+        self.gate.sent(endpoint, service)
         placed = self.placement.place(endpoint, ask, model or "", route.models, service, now_s)
         customer = permit.customer
         priority = route.priority
@@ -328,16 +327,16 @@
         endpoint = self.directory.of_lifetime(placed.lifetime)
         if endpoint is not None and not head.is_elsewhere:
             self.directory.answered(endpoint, now_s)
-            self._log_limit(placed.lifetime, head)
+            self.gate.heard(endpoint, head)
         if head.load is not None and endpoint is not None:  # else its lifetime is over
             self.placement.report(placed.lifetime, head.load, now_s)
         if head.is_success:
             self.placement.began(placed, now_s)
 
-    def _log_limit(self, lifetime: str, head: ReplyHead) -> None:
-        if head.limit_rate is not None or head.is_limit_unclear:
-            facts = {"endpoint": lifetime, "rate": head.limit_rate, "status": head.status}
-            self.decisions.write("endpoint names a limit", head.call_id, False, **facts)
+    def heard_late(self, endpoint: Endpoint, head: ReplyHead) -> None:
+        """Take note of a reply of an endpoint to a call that nobody waits for any more."""
+        if self.directory.of_lifetime(endpoint.lifetime) is not None:
+            self.gate.heard(endpoint, head)
 
     def release(self, placed: Placed, is_failure: bool | None) -> None:
         """Count a call no more."""
--- a/umberhitch/tasks/direct/gateway_limits.py
+++ b/umberhitch/tasks/direct/gateway_limits.py
@@ -7,6 +7,7 @@
     CascadeLimits,
     ColdLimits,
     EngineTimeLimits,
+    LimitRules,
     PlacementLimits,
     WorthLimits,
 )
@@ -62,6 +63,7 @@
     engine_time: EngineTimeLimits = EngineTimeLimits()
     placement: PlacementLimits = PlacementLimits()
     worth: WorthLimits = WorthLimits()
+    limit_rules: LimitRules = LimitRules()
     exchange: ExchangeLimits = ExchangeLimits()
 
 
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -22,6 +22,7 @@
     BurnReply,
     CrashNews,
     EndpointUse,
+    LimitNews,
     Message,
     PeerReport,
     ProbeAsk,
@@ -129,7 +130,8 @@
         self._is_stopped = False
         self._is_news_due = False
         gateway.trials.follow(self.rank, self._tell_news_soon)
-        gateway.choosing.follow(self._membership.is_settled)
+        gateway.gate.follow(self._membership.is_settled)
+        gateway.gate.on_news = self._tell_news_soon
         gateway.trials.old_running = self.old_running
         gateway.presence.others_return_s = self.return_s
         gateway.crashes.sharing.peers = self.names
@@ -159,7 +161,7 @@
             self._link.connect(name, address)
         came = found.keys() - self._known.keys()
         self._known = found
-        self._gateway.cold.take_routers([self._me.name, *found])
+        self._gateway.gate.shares.take_routers([self._me.name, *found])
         if came:
             self._introduce(came)
         self._is_listed = True
@@ -172,6 +174,7 @@
         itself for one, 25 reads a second of 80 routers that started together, else 7.
         """
         messages: list[Message] = [self._make_report(), *self._gateway.crashes.sharing.all_news()]
+        messages += self._gateway.gate.all_news()
         for name in names:
             for message in messages:
                 self._link.send(name, message)
@@ -206,10 +209,12 @@
         self._clock.callLater(self._report_s(), self._report)
 
     def _tell_again(self) -> None:
-        """Tell a few peers what is held: who lost the news has them from one or the other."""
+        """Tell a few peers what is held or limited: who lost the news has them from one of them."""
         if self._is_stopped:
             return
-        news = self._gateway.crashes.sharing.news_again()
+        self._gateway.gate.look()
+        news: list[Message] = [*self._gateway.crashes.sharing.news_again()]
+        news += self._gateway.gate.news_again()
         for name in self._rng.sample(list(self._known), min(AGAIN_PEERS, len(self._known))):
             for message in news:
                 self._link.send(name, message)
@@ -226,10 +231,11 @@
             self._clock.callLater(NEWS_S, self._tell_news)
 
     def _tell_news(self) -> None:
-        """Tell all peers what has just become known of roll-outs and crashes."""
+        """Tell all peers what has just become known of roll-outs, crashes and limits."""
         self._is_news_due = False
         messages: list[Message] = [*self._gateway.trials.take_news()]
         messages += self._gateway.crashes.sharing.take_news()
+        messages += self._gateway.gate.take_news()
         for message in messages:
             for name in self._known:
                 self._link.send(name, message)
@@ -336,6 +342,8 @@
                     self._gateway.trials.note_news(message)
                 case CrashNews() | ProbeAsk() | ProbeReply():
                     self._gateway.crashes.receive(sender, message)
+                case LimitNews():
+                    self._gateway.gate.receive(sender, message)
                 case ViewAsk() | ViewReply():
                     self._sharing.receive(sender, message)
                 case _:
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -258,6 +258,10 @@
         """Take note that a reply has begun."""
         ...
 
+    def heard_late(self, endpoint: Endpoint, head: ReplyHead) -> None:
+        """Take note of a reply of an endpoint to a call that nobody waits for any more."""
+        ...
+
     def release(self, placed: Placed, is_failure: bool | None) -> None:
         """Count a call no more."""
         ...
--- a/umberhitch/tasks/direct/tests/test_zone_fuzz.py
+++ b/umberhitch/tasks/direct/tests/test_zone_fuzz.py
@@ -14,7 +14,7 @@
     run_state_machine_as_test,
 )
 
-from umberhitch.core.direct import ColdShare
+from umberhitch.core.direct import FleetShare
 from umberhitch.core.direct._directory import _Members
 from umberhitch.fakes import Reply
 from umberhitch.testing import DirectWorld, make_direct_document
@@ -195,11 +195,11 @@
 
 
 def every_router_sends(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(ColdShare, "_may_send", lambda self, lifetime, senders: True)
+    patch.setattr(FleetShare, "_rank", lambda self, lifetime: 0)
 
 
 def nobody_counts(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(ColdShare, "note_sent", lambda self, endpoint, now_s: None)
+    patch.setattr(FleetShare, "note_sent", lambda self, lifetime, now_s: None)
 
 
 @pytest.mark.parametrize(
--- a/umberhitch/tasks/direct/tests/test_zone_mutations.py
+++ b/umberhitch/tasks/direct/tests/test_zone_mutations.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from umberhitch.core.direct import ColdShare, Directory, Endpoint
+from umberhitch.core.direct import Directory, Endpoint, FleetShare
 from umberhitch.core.direct._directory import _Members
 from umberhitch.tasks.direct.choosing import Choosing
 from umberhitch.tasks.direct.membership import Membership
@@ -46,12 +46,12 @@
 
 
 def every_router_sends(patch: pytest.MonkeyPatch) -> Test:
-    patch.setattr(ColdShare, "_may_send", lambda self, lifetime, senders: True)
+    patch.setattr(FleetShare, "_rank", lambda self, lifetime: 0)
     return cold.test_a_new_endpoint_beside_warm_ones_keeps_the_bound_and_is_used
 
 
 def nobody_counts(patch: pytest.MonkeyPatch) -> Test:
-    patch.setattr(ColdShare, "note_sent", lambda self, endpoint, now_s: None)
+    patch.setattr(FleetShare, "note_sent", lambda self, lifetime, now_s: None)
     return cold.test_who_finds_no_share_left_is_refused_at_once_and_told_when_to_come_back
 
 
@@ -76,12 +76,12 @@
 
 
 def cold_endpoints_get_nothing(patch: pytest.MonkeyPatch) -> Test:
-    patch.setattr(ColdShare, "wait_s", lambda self, endpoint, rate, now_s: float("inf"))
+    patch.setattr(FleetShare, "wait_s", lambda self, lifetime, bound, now_s: float("inf"))
     return cold.test_a_new_endpoint_beside_warm_ones_keeps_the_bound_and_is_used
 
 
 def the_choice_ignores_the_share(patch: pytest.MonkeyPatch) -> Test:
-    patch.setattr(Choosing, "_bearing", lambda self, permit, found, now_s: found)
+    patch.setattr(Choosing, "_bearing", lambda self, permit, found: found)
     return cold.test_a_new_endpoint_beside_warm_ones_keeps_the_bound_and_is_used
 
 
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -5,9 +5,9 @@
 """
 
 from enum import StrEnum
-from typing import Any
+from typing import Annotated, Any
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from umberhitch.core.direct import EndpointEntry
 
@@ -35,6 +35,8 @@
     "Finished",
     "HandOver",
     "Hello",
+    "LimitNews",
+    "LimitTold",
     "Message",
     "NeedConfig",
     "Order",
@@ -422,6 +424,21 @@
     probes: list[ProbeTold] = []
 
 
+class LimitTold(Struct, frozen=True, array_like=True):
+    """A rate that an endpoint named so long ago, or that it named none any more."""
+
+    lifetime: str
+    age_s: float
+    rate: Annotated[float, Meta(ge=0)] | None
+    """Requests a second from all routers together; None where the limit was over."""
+
+
+class LimitNews(Struct, frozen=True, array_like=True, tag="limit"):
+    """What routers tell each other of endpoints that name a limit; may come again, late, never."""
+
+    limits: list[LimitTold] = []
+
+
 class ProbeAsk(Struct, frozen=True, array_like=True, tag="probe?"):
     """May the sender run a request that is held?"""
 
@@ -528,6 +545,7 @@
     | PeerReport
     | TrialNews
     | CrashNews
+    | LimitNews
     | ProbeAsk
     | ProbeReply
     | ViewAsk
