Tests of named limits over the fleet; more routers share a rate, and one without a seat uses 0.6 of its share

The slack of the retry budget is not taken by a router that does not know the others yet (same cause; thirty that start took it thirty times).

--- a/umberhitch/core/direct/_budget.py
+++ b/umberhitch/core/direct/_budget.py
@@ -32,7 +32,8 @@
 
     def __init__(self, limits: BudgetLimits) -> None:
         self.limits = limits
-        self.routers = 1
+        self.routers: int | None = None
+        """Routers that share the slack; while it is not known how many, this one has none of it."""
         self._requests: dict[str, deque[float]] = {}
         self._repeats: dict[str, deque[float]] = {}
 
@@ -52,7 +53,8 @@
         requests = self._within(self._requests, service, now_s)
         repeats = self._within(self._repeats, service, now_s)
         limits = self.limits
-        allowed = limits.ratio * requests + limits.slack / max(1, self.routers)
+        slack = limits.slack / self.routers if self.routers else 0.0
+        allowed = limits.ratio * requests + slack
         return KEPT_BACK * allowed - repeats
 
     def _within(self, times: dict[str, deque[float]], service: str, now_s: float) -> int:
--- a/umberhitch/core/direct/_fleet_share.py
+++ b/umberhitch/core/direct/_fleet_share.py
@@ -19,11 +19,10 @@
 """Routers that send to one such endpoint, at least where there are so many. A loss of one of them
 takes a quarter of what it gets, and each may send several in a span, so that few of its share are
 lost to chance."""
-SENDER_RATE = 5.0
-"""Requests a second that one sender is relied on to have; of a higher rate there are more."""
 MOST_KEPT = 256
-"""Requests to one endpoint whose times are kept, and so the largest share."""
-LAPSED_SHARE = 0.8
+KEPT_S = 10.0
+"""Of the requests to one endpoint so many times are kept, and more only if they are no older."""
+LAPSED_SHARE = 0.6
 """Share of its share that a router without a seat uses: the others may go by a list without it."""
 LOOKED_S = 2.5
 """A router that has not looked at its seat for longer stood still: what it holds may be over."""
@@ -68,6 +67,9 @@
         and so many requests more.
     views : float
         The bound allows for so many lists of routers to be in force at once.
+    sender_rate : float
+        Requests a second that one router is relied on to have for the endpoint: for more there are
+        more routers.
     is_paced : bool
         Whether a router spreads what it sends over the span.
     """
@@ -77,6 +79,7 @@
     overrun: float
     slack: float
     views: float = 2.0
+    sender_rate: float = 5.0
     is_paced: bool = False
 
     @property
@@ -146,7 +149,7 @@
     def senders(self, bound: FleetBound) -> int:
         """Return how many routers may send to one endpoint."""
         total = self.total(bound)
-        wanted = max(SENDERS, ceil(total / self.window_s(bound) / SENDER_RATE))
+        wanted = max(SENDERS, ceil(total / self.window_s(bound) / bound.sender_rate))
         return max(1, min(wanted, len(self._routers), total))
 
     def most(self, lifetime: str, bound: FleetBound) -> int:
@@ -160,7 +163,7 @@
         if not self.is_settled:
             total = max(1, int(LAPSED_SHARE * total))
         share, rest = divmod(total, senders)
-        return min(MOST_KEPT, share + (rank < rest))
+        return share + (rank < rest)
 
     def _rank(self, lifetime: str) -> int:
         """Return this router's place among those that may send to an endpoint, 0 first."""
@@ -199,7 +202,10 @@
 
     def note_sent(self, lifetime: str, now_s: float) -> None:
         """Count a request that was sent to an endpoint that has a bound, or may have one."""
-        self._sent.setdefault(lifetime, deque(maxlen=MOST_KEPT)).append(now_s)
+        sent = self._sent.setdefault(lifetime, deque())
+        sent.append(now_s)
+        while len(sent) > MOST_KEPT and sent[0] < now_s - KEPT_S:
+            sent.popleft()
 
     def assume_used(self, lifetime: str, bound: FleetBound, now_s: float) -> None:
         """Take the share for used evenly until now, where nothing was counted.
--- a/umberhitch/core/direct/_named_limits.py
+++ b/umberhitch/core/direct/_named_limits.py
@@ -17,6 +17,9 @@
 endpoint which takes nothing takes work again."""
 VIEWS = 1.0 + LAPSED_SHARE
 """Lists in force at once: that of the routers that have their seats, and an older one of others."""
+SENDER_RATE = 0.5
+"""Requests a second of a router that go to one endpoint: two in a span, so that few of its share
+are lost to chance, also where many routers have little work each."""
 FALL = 0.8
 """A rate that has fallen below so much of what the peers were told is told at once."""
 LATE_S = 0.5
@@ -62,7 +65,9 @@
     def bound(self, rate: float) -> FleetBound:
         """Return the bound of an endpoint that names a rate."""
         rate = max(LEAST_RATE, rate)
-        return FleetBound(rate, self.span_s, self.overrun, self.slack, VIEWS, is_paced=True)
+        return FleetBound(
+            rate, self.span_s, self.overrun, self.slack, VIEWS, SENDER_RATE, is_paced=True
+        )
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/umberhitch/core/direct/tests/test_named_limits.py
@@ -0,0 +1,222 @@
+"""What is known of the rates that endpoints name, and the share that a router has of them."""
+
+from bisect import bisect_left
+from math import inf
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from umberhitch.core.direct import FleetBound, FleetShare, LimitChange, LimitRules, NamedLimits
+
+RULES = LimitRules()
+RATES = (0.0, 0.3, 0.45, 0.7, 1.6, 2.3, 10.0, 60.0, 300.0)
+SIZES = (1, 2, 6, 30, 100, 370)
+
+
+def _names(count: int, prefix: str = "r") -> list[str]:
+    return [f"{prefix}{number}" for number in range(count)]
+
+
+def _share(name: str, names: list[str], is_settled: bool = True) -> FleetShare:
+    share = FleetShare(name)
+    share.take_routers(names)
+    share.look(True, 0.0)
+    share.look(is_settled, 0.0)
+    return share
+
+
+def _sends(
+    shares: list[FleetShare], bound: FleetBound, seconds: float, lifetime: str = "e1"
+) -> list[float]:
+    """Let each router send whenever it may, looked at 50 times a second; return when."""
+    sent_s = []
+    for step in range(round(seconds * 50)):
+        now_s = step / 50
+        for share in shares:
+            while share.wait_s(lifetime, bound, now_s) == 0.0:
+                share.note_sent(lifetime, now_s)
+                sent_s.append(now_s)
+    return sent_s
+
+
+def _most_within(times: list[float], span_s: float) -> int:
+    return max((bisect_left(times, t + span_s) - n for n, t in enumerate(times)), default=0)
+
+
+# The share
+
+
+@pytest.mark.parametrize("routers", SIZES)
+@pytest.mark.parametrize("rate", RATES)
+def test_of_what_an_endpoint_takes_four_fifths_are_used_and_no_more_than_all(rate, routers):
+    bound = RULES.bound(rate)
+    names = _names(routers)
+    shares = [share for name in names if (share := _share(name, names)).most("e1", bound)]
+    times = _sends(shares, bound, 24.0)
+    assert _most_within(times, RULES.span_s) <= bound.rate * RULES.span_s + 1
+    wanted = min(bound.rate, 50.0 * len(shares)) * 24.0  # as often as is looked
+    assert len(times) >= 0.8 * wanted - 1
+
+
+@given(
+    st.floats(0.0, 200.0),
+    st.sets(st.integers(0, 60), min_size=1),
+    st.sets(st.integers(0, 60), min_size=1),
+    st.integers(0, 1000),
+)
+def test_routers_by_a_list_and_others_without_a_seat_by_an_older_one_stay_within_the_bound(
+    rate, one, other, seed
+):
+    """The lists may have no router in common: all that are cut off from the store, and all else."""
+    bound = RULES.bound(rate)
+    new = [f"r{each}" for each in sorted(one)]
+    old = [f"r{each}" for each in sorted(other)]
+    shares = [_share(name, new) for name in new] + [_share(name, old, False) for name in old]
+    for share in shares:
+        share.look(share.is_settled, 0.0)
+    times = _sends(shares, bound, 9.0, f"e{seed}")
+    assert _most_within(times, RULES.span_s) <= bound.most
+
+
+def test_a_share_counts_as_used_when_a_limit_is_first_heard():
+    """What was sent before is under way, and nobody counted it."""
+    share, bound = _share("r1", ["r1"]), RULES.bound(2.0)
+    share.assume_used("e1", bound, 10.0)
+    assert share.used("e1", bound, 10.0) == share.most("e1", bound)
+    assert 0.0 < share.wait_s("e1", bound, 10.0) <= 0.5
+
+
+def test_what_was_counted_is_not_taken_for_used_twice():
+    share, bound = _share("r1", ["r1"]), RULES.bound(2.0)
+    share.note_sent("e1", 9.0)
+    share.assume_used("e1", bound, 10.0)
+    assert share.used("e1", bound, 10.0) == 1
+
+
+def test_a_burst_is_spread_over_the_span():
+    share, bound = _share("r1", ["r1"]), RULES.bound(2.0)
+    share.note_sent("e1", 1.0)
+    assert share.wait_s("e1", bound, 1.0) == pytest.approx(0.25)
+
+
+def test_a_router_that_stood_still_has_no_list_until_it_has_its_seat():
+    share, bound = _share("r1", ["r1"]), RULES.bound(2.0)
+    share.look(True, 1.0)
+    assert share.knows_list(3.0)
+    assert not share.knows_list(4.0)
+    share.look(False, 9.0)
+    assert not share.knows_list(9.0)
+    share.look(True, 10.0)
+    assert share.knows_list(10.0)
+    assert share.wait_s("e1", bound, 10.0) == 0.0
+
+
+def test_a_router_without_a_seat_goes_by_its_last_list_for_a_minute_with_less():
+    share, bound = _share("r1", ["r1"]), RULES.bound(10.0)
+    whole = share.most("e1", bound)
+    for second in range(60):
+        share.look(False, float(second))
+    share.take_routers(["r1", "r2", "r3"])
+    share.look(False, 60.0)
+    assert share.knows_list(60.0)
+    assert share.routers == 1
+    assert 0.5 * whole <= share.most("e1", bound) <= 0.6 * whole
+    share.look(False, 60.5)
+    assert not share.knows_list(60.5)
+
+
+# What is known
+
+
+def test_an_answer_that_names_none_ends_it():
+    limits = NamedLimits()
+    assert limits.heard("e1", 2.0, 1.0) is LimitChange.BEGUN
+    assert limits.heard("e1", 2.0, 2.0) is LimitChange.NONE
+    assert limits.heard("e1", 1.0, 2.5) is LimitChange.FALLEN
+    assert limits.heard("e1", 3.0, 2.6) is LimitChange.NONE
+    assert limits.heard("e1", None, 3.0) is LimitChange.ENDED
+    assert limits.heard("e1", None, 3.5) is LimitChange.NONE
+    assert len(limits) == 0
+
+
+def test_a_peer_s_newer_word_wins_and_an_older_one_changes_nothing():
+    limits = NamedLimits()
+    limits.told("e1", 2.0, 1.0, "r2", 10.0)
+    limits.told("e1", 5.0, 3.0, "r3", 10.0)
+    assert limits.get("e1").rate == 2.0
+    limits.told("e1", 4.0, 0.5, "r3", 10.0)
+    assert (limits.get("e1").rate, limits.get("e1").source) == (4.0, "r3")
+
+
+def test_a_late_word_does_not_bring_back_what_has_ended():
+    limits = NamedLimits()
+    limits.heard("e1", 2.0, 1.0)
+    limits.heard("e1", None, 5.0)
+    assert limits.told("e1", 2.0, 3.0, "r2", 6.0) is LimitChange.NONE
+    assert limits.told("e1", 2.0, 0.1, "r2", 6.0) is LimitChange.BEGUN
+
+
+def test_a_word_that_it_is_over_counts_only_if_it_is_surely_newer():
+    limits = NamedLimits()
+    limits.heard("e1", 2.0, 10.0)
+    assert limits.told_over("e1", 0.0, 10.4) is LimitChange.NONE
+    assert limits.told_over("e1", 0.0, 10.6) is LimitChange.ENDED
+
+
+@given(st.lists(st.tuples(st.floats(0, 30), st.booleans()), min_size=1, max_size=12), st.data())
+def test_whatever_the_order_peers_end_up_with_the_newest_word(words, data):
+    """Words as (time, whether a rate is named), told in any order; ages are true."""
+    now_s = 40.0
+    limits = NamedLimits()
+    for at_s, is_named in data.draw(st.permutations(words)):
+        if is_named:
+            limits.told("e1", 2.0, now_s - at_s, "r2", now_s)
+        else:
+            limits.told_over("e1", now_s - at_s, now_s)
+    named = [at_s for at_s, is_named in words if is_named]
+    if not named:
+        assert limits.get("e1") is None
+    elif not [at_s for at_s, is_named in words if not is_named and at_s > max(named)]:
+        assert limits.get("e1") is not None
+
+
+def test_one_that_may_not_send_looks_for_itself_after_a_minute_and_not_with_all_others():
+    limits = NamedLimits()
+    limits.heard("e1", 2.0, 0.0)
+    limit = limits.get("e1")
+    assert not limits.may_look(limit, 6, 0.0, 59.0)
+    assert limits.may_look(limit, 6, 0.0, 61.0)
+    assert not limits.may_look(limit, 6, 0.5, 61.0)
+    assert not limits.may_look(limit, 370, 0.0, 739.0)
+    rng, looks = Random(1), []
+    for _ in range(370):
+        jitter = rng.random()
+        looks.append(740.0 * (1.0 + jitter))
+    assert _most_within(sorted(looks), RULES.span_s) <= RULES.slack + 3
+
+
+def test_times_are_kept_for_as_long_as_a_share_needs_them_and_no_longer():
+    share, bound = _share("r1", ["r1"]), RULES.bound(300.0)
+    for number in range(5000):
+        share.note_sent("e1", number / 500)
+    assert share.wait_s("e1", bound, 10.0) > 0.0
+    for second in range(20, 30):
+        for _ in range(100):
+            share.note_sent("e1", float(second))
+    assert len(share._sent["e1"]) <= 1000
+
+
+def test_nothing_is_kept_of_lifetimes_that_are_gone():
+    limits = NamedLimits()
+    limits.heard("e1", 2.0, 0.0)
+    limits.heard("e2", 2.0, 0.0)
+    limits.heard("e2", None, 1.0)
+    limits.forget(["e3"])
+    assert len(limits) == 0
+    assert limits.ended(1.0) == {}
+
+
+def test_a_router_without_a_list_sends_nothing():
+    assert FleetShare("r1").wait_s("e1", RULES.bound(5.0), 0.0) == inf
--- a/umberhitch/explain/_story.py
+++ b/umberhitch/explain/_story.py
@@ -14,6 +14,7 @@
         "draining",
         "endpoint ended",
         "history gone",
+        "named limit",
         "peers",
         "request held",
         "request held no more",
@@ -83,6 +84,11 @@
     )
 
 
+def _subject(line: Line) -> Any:
+    """Return what a belief is of, where a process holds several of its kind."""
+    return line.facts.get("endpoint" if line.message == "named limit" else "feed")
+
+
 def tell(lines: list[Line], request: str) -> list[Line]:
     """Return a request's lines in order of time, and before them what its routers believed.
 
@@ -100,7 +106,7 @@
         if line.node not in nodes or line.message not in BELIEFS:
             continue
         if line.at < first:
-            before[(line.node, line.message, line.facts.get("feed"))] = line
+            before[(line.node, line.message, _subject(line))] = line
         elif line.at <= last:
             during.append(line)
     return sorted([*before.values(), *during, *own], key=lambda line: line.at)
--- a/umberhitch/tasks/direct/choosing.py
+++ b/umberhitch/tasks/direct/choosing.py
@@ -25,6 +25,9 @@
 
 __all__ = ["Choosing"]
 
+NO_ENDPOINT = "no endpoint"
+NO_SHARE = "endpoints take no more"
+"""Reasons why there is nowhere to send a call: none takes work, or each has had its share."""
 SOON_OBJECTIVES = 0.2
 """Time to come back while the endpoints bear no more, in objectives: an answer is in time then."""
 
@@ -66,6 +69,8 @@
         self._cascade = cascade
         self._demand = demand
         self._gate = gate
+        self.reason = NO_ENDPOINT
+        """Why the last choice found no endpoint."""
         self._worth = worth
         self._clock = clock
         self._rng = rng
@@ -140,7 +145,9 @@
             if home is not None and home.takes_work(now_s) and home not in ready:
                 ready.append(home)
         fresh = [each for each in ready if each.lifetime not in tried]
-        fresh = self._bearing(permit, fresh)
+        bearing = self._bearing(permit, fresh)
+        self.reason = NO_SHARE if fresh and not bearing else NO_ENDPOINT
+        fresh = bearing
         is_light = permit.ask.prompt_tokens < LIGHT_TOKENS
         fresh = self._trials.allowed(permit.service, permit.wants_target, fresh, is_light)
         if not fresh:
--- a/umberhitch/tasks/direct/exchange.py
+++ b/umberhitch/tasks/direct/exchange.py
@@ -118,7 +118,7 @@
             return
         chosen = self._choose()
         if chosen is None:
-            self._give_up("no endpoint")
+            self._give_up(self._svc.choosing.reason)
             return
         if self._sends > 0 and not self._svc.may_repeat(self.permit.service):
             self._give_up("retry budget")
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -398,6 +398,9 @@
         """Write a decision to the log, with what it rests on."""
         endpoint = exchange.endpoint
         assert self.table is not None
+        limit = None if endpoint is None else self.gate.limits.get(endpoint.lifetime)
+        if limit is not None:
+            facts["limit_rate"] = limit.rate
         self.decisions.write(
             what,
             exchange.permit.ask.call_id,
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -165,6 +165,7 @@
         if came:
             self._introduce(came)
         self._is_listed = True
+        self._gateway.budget.routers = 1 + len(found)
         log.info("peers", extra={"names": sorted(found)})
 
     def _introduce(self, names: Iterable[str]) -> None:
@@ -325,7 +326,8 @@
             use = totals.get(lifetime, EndpointUse(lifetime, 0, 0.0))
             self._gateway.placement.others(lifetime, use.running, use.reading_s, use.rank, now_s)
         routers = 1 + max(len(reports), len(self._known))
-        self._gateway.budget.routers = routers
+        if self._is_listed:
+            self._gateway.budget.routers = routers
         self._gateway.demand.routers = routers
 
     def receive(self, sender: str, messages: list[Message]) -> None:
--- a/umberhitch/tasks/direct/send_gate.py
+++ b/umberhitch/tasks/direct/send_gate.py
@@ -234,11 +234,15 @@
 
     def _log(self, lifetime: str, change: LimitChange, source: str) -> None:
         limit = self.limits.get(lifetime)
-        facts: dict[str, object] = {"endpoint": lifetime, "source": source}
+        facts: dict[str, object] = {
+            "endpoint": lifetime,
+            "change": change.value,
+            "source": source,
+        }
         if limit is not None:
             facts["rate"] = limit.rate
             facts["share"] = self.shares.most(lifetime, self.rules.bound(limit.rate))
-        log.info(f"named limit {change.value}", extra=facts)
+        log.info("named limit", extra=facts)
 
     # Peers
 
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -145,7 +145,15 @@
 
 
 class ChoosingPort(Protocol):
-    """Chooses model and endpoint for each call of a request."""
+    """Chooses model and endpoint for each call of a request.
+
+    Attributes
+    ----------
+    reason : str
+        Why the last choice found no endpoint.
+    """
+
+    reason: str
 
     def first_model(self, permit: Permit) -> str | None:
         """Return the model to begin with."""
--- a/umberhitch/tasks/direct/tests/test_named_limits.py
+++ b/umberhitch/tasks/direct/tests/test_named_limits.py
@@ -7,11 +7,13 @@
 """
 
 from collections.abc import Callable
+from itertools import pairwise
 
 import pytest
 
-from umberhitch.core.direct import RouteKind
+from umberhitch.core.direct import ReplyHead, RouteKind
 from umberhitch.fakes import FakeEndpoint, Reply
+from umberhitch.tasks.direct.membership import MembershipLimits
 from umberhitch.tasks.direct.tests import test_zones as zones
 from umberhitch.testing import (
     DirectWorld,
@@ -20,6 +22,7 @@
     make_route,
     most_within,
 )
+from umberhitch.wire import LimitNews
 
 TOLD_S = 0.5
 """So long after a router has passed on an answer that names a limit, what it sends counts."""
@@ -99,3 +102,333 @@
         send(world)
     for each in limited:
         _assert_kept(world, each, rate, told_s)
+
+
+# How it is known
+
+
+def _one_router(reply: Reply, rate: float | None = 2.0) -> tuple[DirectWorld, FakeEndpoint]:
+    world, _ = _world(1, 0, 0, 0.0)
+    endpoint = world.add_endpoint("l0")
+    endpoint.reply, endpoint.limit_rate = reply, rate
+    world.run(1.2)
+    return world, endpoint
+
+
+def _known(world: DirectWorld, name: str = "r000") -> dict[str, float]:
+    limits = world.routers[name].gateway.gate.limits
+    return {lifetime: limit.rate for lifetime, limit in limits}
+
+
+@pytest.mark.parametrize(
+    ("path", "reply"),
+    [
+        ("/look/x", Reply()),
+        ("/look/x", Reply(status=500)),
+        ("/look/x", Reply(status=404)),
+        ("/look/x", Reply(status=503, not_run=True, is_signed=False)),
+        ("/look/x", Reply(status=421, not_run=True)),
+        ("/look/x", Reply(is_signed=False)),
+        ("/order/x", Reply()),
+        ("/draft/x", Reply(events=4)),
+        ("/draft/x", Reply(events=4, break_after=1)),
+    ],
+    ids=str,
+)
+def test_it_is_known_from_any_answer(path: str, reply: Reply):
+    world, _ = _one_router(reply)
+    world.ask(world.routers["r000"], path, Prompt="p:10,own:1")
+    world.run(0.05)
+    assert _known(world) == {"l0": 2.0}
+
+
+def test_it_is_known_as_the_head_of_a_stream_is_seen():
+    world, _ = _one_router(Reply(events=100, gap_s=0.1))
+    ask = world.ask(world.routers["r000"], "/draft/x", Prompt="p:10,own:1")
+    world.run(0.05)
+    assert _known(world) == {"l0": 2.0}
+    assert not ask.reply.is_over
+
+
+def test_it_is_known_from_a_late_reply_to_another_call():
+    world, _ = _one_router(Reply(is_silent=True))
+    world.ask(world.routers["r000"], "/order/x")
+    world.run(0.02)
+    (exchange,) = world.routers["r000"].gateway.running
+    exchange.on_late_head(ReplyHead(200, limit_rate=3.0))
+    assert _known(world) == {"l0": 3.0}
+
+
+def test_what_another_process_at_the_address_says_counts_for_nothing():
+    world, _ = _one_router(Reply(status=421, not_run=True, is_elsewhere=True))
+    world.ask(world.routers["r000"], "/look/x")
+    world.run(0.05)
+    assert _known(world) == {}
+
+
+def test_an_odd_word_neither_opens_nor_closes_an_endpoint():
+    odd = Reply(is_limit_unclear=True)
+    world, endpoint = _one_router(odd, None)
+    asks = [world.ask(world.routers["r000"], "/look/x") for _ in range(20)]
+    world.run(0.1)
+    assert [ask.status for ask in asks] == [200] * 20
+    assert _known(world) == {}
+    endpoint.limit_rate, endpoint.reply = 2.0, Reply()
+    world.ask(world.routers["r000"], "/look/x")
+    world.run(0.05)
+    endpoint.limit_rate, endpoint.reply = None, odd
+    world.run(4.0)
+    world.ask(world.routers["r000"], "/look/x")
+    world.run(0.05)
+    assert _known(world) == {"l0": 2.0}
+
+
+@pytest.mark.parametrize("rate", [0.0, 1e6])
+def test_an_endpoint_that_takes_nothing_is_asked_now_and_then_and_one_that_takes_all_always(rate):
+    world, endpoint = _one_router(Reply(), rate)
+    world.ask(world.routers["r000"], "/look/x")
+    world.run(0.1)
+    began_s = world.clock.seconds()
+    _crowd(world, 25.0, 20.0)
+    calls = sum(at_s > began_s for at_s in endpoint.called_s)
+    assert (2 <= calls <= 4) if rate == 0.0 else calls >= 490
+
+
+def test_it_ends_when_it_is_no_longer_named():
+    world, limited = _world(6, 1, 1, 2.0)
+    _crowd(world, 3.0, 40.0)
+    assert all(_known(world, name) == {"l0": 2.0} for name in world.routers)
+    limited[0].limit_rate = None
+    _crowd(world, 3.0, 40.0)
+    assert all(_known(world, name) == {} for name in world.routers)
+
+
+def test_a_new_lifetime_starts_without_one():
+    world, _ = _world(2, 1, 1, 2.0)
+    _crowd(world, 2.0, 40.0)
+    assert _known(world) == {"l0": 2.0}
+    world.add_endpoint("l0", born=5)
+    world.run(1.5)
+    assert _known(world) == {}
+
+
+def test_peers_know_it_at_once_and_who_lost_the_word_within_seconds():
+    world, _ = _world(20, 0, 1, 2.0)
+    world.network.drop_where(
+        lambda sender, receiver, message: isinstance(message, LimitNews) and receiver == "r007"
+    )
+    world.ask(world.routers["r000"], "/look/x")
+    world.run(0.3)
+    assert sum(bool(_known(world, name)) for name in world.routers) == 19
+    world.network.mend_all()
+    world.run(4.0)
+    assert _known(world, "r007") == {"l0": 2.0}
+
+
+def test_a_router_that_starts_is_told():
+    world, _ = _world(4, 1, 1, 2.0)
+    _crowd(world, 1.0, 40.0)
+    world.add_router("new")
+    world.run(MembershipLimits().catch_up_s + 0.1)
+    assert _known(world, "new") == {"l0": 2.0}
+
+
+# Over the fleet
+
+
+def _play(world: DirectWorld, limited: list[FakeEndpoint], rate: float, seconds: float) -> None:
+    """Let the limits be heard, then let a crowd come, and check the bound."""
+    _crowd(world, 0.6, 100.0)
+    told_s = world.clock.seconds()
+    _crowd(world, seconds, 100.0)
+    for each in limited:
+        _assert_kept(world, each, rate, told_s)
+
+
+@pytest.mark.parametrize("rate", [0.4, 2.3, 8.0])
+@pytest.mark.parametrize("routers", [1, 6, 30])
+def test_it_is_kept_and_used_by_any_number_of_routers(routers: int, rate: float):
+    world, limited = _world(routers, 2, 1, rate)
+    for each in world.endpoints.by_address.values():
+        each.reply = Reply(delay_s=0.5)
+    _crowd(world, 3.0, 100.0)
+    told_s = world.clock.seconds()
+    _crowd(world, 16.0, 100.0)
+    _assert_kept(world, limited[0], rate, told_s)
+    used = sum(at_s >= told_s for at_s in limited[0].called_s)
+    assert used >= 0.8 * rate * 16.0 - 1
+
+
+def test_routers_that_do_not_see_each_other_keep_it_together():
+    world, limited = _world(20, 1, 2, 1.6)
+    names = list(world.routers)
+    for number, one in enumerate(names):
+        for other in names[:number]:
+            world.network.cut(one, other)
+    _play(world, limited, 1.6, 12.0)
+
+
+def test_half_of_the_routers_without_the_store_keep_it_with_the_others():
+    world, limited = _world(20, 1, 2, 2.3)
+    names = list(world.routers)
+    for name in names[:10]:
+        world.routers[name].faults.is_down = True
+        world.members.drop(name)
+        for other in names[10:]:
+            world.network.cut(name, other)
+    world.run(3.0)
+    _play(world, limited, 2.3, 16.0)
+
+
+def test_without_the_store_half_of_it_is_still_used():
+    world, _ = _world(6, 1, 1, 8.0)
+    for each in world.endpoints.by_address.values():
+        each.reply = Reply(delay_s=0.5)
+    _crowd(world, 1.0, 100.0)
+    for router in world.routers.values():
+        router.faults.is_down = True
+    world.run(10.0)
+    gates = [router.gateway.gate for router in world.routers.values()]
+    bound = gates[0].rules.bound(8.0)
+    assert sum(gate.shares.most("l0", bound) for gate in gates) >= 0.5 * 8.0 * 4.0
+
+
+def test_routers_that_start_and_stop_keep_it():
+    world, limited = _world(12, 1, 2, 2.0)
+    _crowd(world, 0.6, 100.0)
+    told_s = world.clock.seconds()
+    for number in range(10):
+        world.kill_router(f"r{number:03d}")
+        world.add_router(f"n{number:03d}", zone="c")
+        _crowd(world, 1.5, 100.0)
+    for each in limited:
+        _assert_kept(world, each, 2.0, told_s)
+
+
+def test_after_the_loss_of_all_routers_it_is_kept():
+    """All hear it anew, each from its own first answers, and none has its seat for long."""
+    world, limited = _world(20, 2, 2, 2.0)
+    _crowd(world, 2.0, 100.0)
+    for name in list(world.routers):
+        world.kill_router(name)
+    world.run(1.0)
+    for number in range(20):
+        world.add_router(f"r{number:03d}", zone="c")
+    _crowd(world, 1.0, 100.0)
+    told_s = world.clock.seconds()
+    _crowd(world, 9.0, 100.0)
+    for each in limited:
+        _assert_kept(world, each, 2.0, told_s)
+
+
+def test_a_router_that_stood_still_sends_nothing_until_its_place_is_sure():
+    world, limited = _world(1, 1, 1, 4.0)
+    _crowd(world, 2.0, 40.0)
+    router = world.routers["r000"]
+    router.clock.is_paused = True
+    world.run(12.0)
+    router.clock.is_paused = False
+    calls = len(limited[0].calls)
+    asks = [world.ask(router, "/look/x") for _ in range(20)]
+    assert len(limited[0].calls) == calls
+    assert len(asks) == 20
+    router.clock.resume()
+
+
+@pytest.mark.parametrize("rates", [(8.0, 1.0), (1.0, 8.0), (4.0, None), (6.0, 4.0, 2.0, 0.5)])
+def test_a_rate_that_changes_each_second_is_kept_by_its_highest(rates: tuple):
+    """What is sent at a high rate is counted when it falls, so no span gets more than it allows."""
+    world, limited = _world(8, 2, 1, rates[0])
+    _crowd(world, 0.6, 100.0)
+    told_s = world.clock.seconds()
+    highest = max(rate for rate in rates if rate is not None)
+    for second in range(16):
+        limited[0].limit_rate = rates[second % len(rates)]
+        _crowd(world, 1.0, 60.0)
+    if None not in rates:
+        _assert_kept(world, limited[0], highest, told_s)
+
+
+def test_a_rate_that_has_fallen_is_kept_after_the_contact_time():
+    world, limited = _world(8, 2, 1, 10.0)
+    _crowd(world, 5.0, 100.0)
+    limited[0].limit_rate = 1.0
+    _crowd(world, 3.0, 100.0)
+    fallen_s = world.clock.seconds()
+    _crowd(world, 10.0, 100.0)
+    _assert_kept(world, limited[0], 1.0, fallen_s)
+
+
+def test_lost_and_late_messages_do_no_harm():
+    world, limited = _world(20, 1, 2, 2.0)
+    world.network.faults.drop = 0.3
+    world.network.faults.late = 0.3
+    world.network.faults.repeat = 0.1
+    _play(world, limited, 2.0, 12.0)
+
+
+# What callers see
+
+
+def test_what_nobody_can_take_is_refused_at_once_and_told_when_there_is_room():
+    world, _ = _world(1, 0, 1, 2.0)
+    _crowd(world, 4.0, 20.0)
+    router = world.routers["r000"]
+    asks = [world.ask(router, "/order/x", Patience="30") for _ in range(6)]
+    refused = [ask for ask in asks if ask.status == 503]
+    assert len(refused) >= 5
+    waits = [float(ask.reply.headers[b"Come-Back"]) for ask in refused]
+    assert all(later - sooner >= 0.4 for sooner, later in pairwise(waits) if later < 10.0)
+    assert waits[-1] <= 10.0
+
+
+def test_the_rest_goes_to_the_others():
+    world, _ = _world(6, 1, 1, 1.0)
+    asks = _crowd(world, 6.0, 60.0)
+    assert {ask.status for ask in asks[:-60]} == {200}
+
+
+def test_urgent_work_goes_first():
+    """Where more urgent work found no share, less urgent work leaves one to it."""
+    world = DirectWorld()
+    endpoint = world.add_endpoint("l0")
+    endpoint.limit_rate = 2.0
+    routes = (make_route("urgent", priority=0), make_route("later", priority=5))
+    world.operator.put("config", make_direct_document(routes=routes))
+    router = world.add_router("r000")
+    world.run(SETTLED_S)
+    served = {"urgent": [], "later": []}
+    for _ in range(200):
+        served["later"] += [world.ask(router, "/later/x") for _ in range(2)]
+        served["urgent"].append(world.ask(router, "/urgent/x"))
+        world.run(0.1)
+    done = {what: sum(ask.status == 200 for ask in asks) for what, asks in served.items()}
+    assert done["urgent"] + done["later"] >= 0.8 * 2.0 * 20.0
+    assert done["urgent"] >= 0.1 * (done["urgent"] + done["later"])
+
+
+def test_a_stream_that_may_go_on_elsewhere_does_not_wait_for_a_share():
+    world, _ = _world(1, 1, 1, 0.2)
+    _crowd(world, 1.0, 20.0)
+    for each in world.endpoints.by_address.values():
+        each.reply = Reply(events=6, gap_s=0.05)
+        each.replies = [Reply(events=6, gap_s=0.05, break_after=2)] * 3
+    ask = world.ask(world.routers["r000"], "/draft/x", Prompt="part:3000,own:10", Patience="4")
+    world.run(4.5)
+    assert ask.reply.is_over
+
+
+# No cost
+
+
+def test_where_nothing_names_a_limit_nothing_is_counted_or_told():
+    world, _ = _world(4, 2, 0, 0.0)
+    told = []
+    world.network.drop_where(
+        lambda sender, receiver, message: isinstance(message, LimitNews) and told.append(1) is None
+    )
+    _crowd(world, 2.0, 50.0)
+    assert told == []
+    for router in world.routers.values():
+        assert router.gateway.gate.shares._sent == {}
+        assert not router.gateway.gate.limits.ended(world.clock.seconds())
