A limit that goes and returns is told at once once a second at most

Each of up to 16 senders told each change to all: 16 x 369 messages a change at 370 routers (computed). Bound tested: 3 peers at once and 2 again, a router and second, over 10 s with a change each 0.1 s.

--- a/umberhitch/tasks/direct/send_gate.py
+++ b/umberhitch/tasks/direct/send_gate.py
@@ -34,6 +34,9 @@
 
 MAX_AGAIN = 12
 """Limits that are told again at a time, in turn: some 0.6 kB."""
+NEWS_EACH_S = 1.0
+"""A change of one endpoint's limit is told at once no more often: one that goes and returns each
+moment is told again with the others, and its senders hear it themselves."""
 MAX_TOLD = 2_000
 """Limits in one message, some 50 bytes each."""
 
@@ -90,6 +93,8 @@
         self._promised_s: dict[str, float] = {}
         """By service, the latest time to come back that a refusal has named."""
         self._news: set[str] = set()
+        self._told_s: dict[str, float] = {}
+        """By lifetime, when its last change was told at once."""
         self._turn = 0
 
     def follow(self, is_settled: Callable[[], bool]) -> None:
@@ -103,6 +108,7 @@
     def forget(self, lifetimes: Iterable[str]) -> None:
         """Keep only what concerns endpoints that are still known."""
         keep = set(lifetimes)
+        self._told_s = {name: at_s for name, at_s in self._told_s.items() if name in keep}
         self.shares.forget(keep)
         self.limits.forget(keep)
 
@@ -223,8 +229,10 @@
         if change is LimitChange.BEGUN:
             self._assume_used(lifetime, now_s)
         self._log(lifetime, change, "its answer")
-        self._news.add(lifetime)
-        self.on_news()
+        if now_s >= self._told_s.get(lifetime, -inf) + NEWS_EACH_S:
+            self._told_s[lifetime] = now_s
+            self._news.add(lifetime)
+            self.on_news()
 
     def _assume_used(self, lifetime: str, now_s: float) -> None:
         limit = self.limits.get(lifetime)
--- a/umberhitch/tasks/direct/tests/test_named_limits.py
+++ b/umberhitch/tasks/direct/tests/test_named_limits.py
@@ -225,6 +225,21 @@
     assert _known(world, "r007") == {"l0": 2.0}
 
 
+def test_one_that_goes_and_returns_each_moment_is_not_told_each_time():
+    world, limited = _world(4, 0, 1, 50.0)
+    told = []
+    world.network.drop_where(
+        lambda sender, receiver, message: isinstance(message, LimitNews) and told.append(1) is None
+    )
+    for number in range(100):
+        limited[0].limit_rate = None if number % 2 else 50.0
+        for router in world.routers.values():
+            world.ask(router, "/look/x")
+        world.run(0.1)
+    seconds, routers, at_once, again = 10, 4, 3, 2
+    assert len(told) <= (seconds + 1) * routers * (at_once + again)
+
+
 def test_a_router_that_starts_is_told():
     world, _ = _world(4, 1, 1, 2.0)
     _crowd(world, 1.0, 40.0)
