--- /dev/null
+++ b/umberhitch/tasks/direct/tests/test_limit_mutations.py
@@ -0,0 +1,163 @@
+"""Each part of what keeps a named limit is missed where it is switched off."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+
+from umberhitch.core.direct import FleetShare, LimitChange, LimitRules, NamedLimits
+from umberhitch.core.direct import _fleet_share as fleet_share
+from umberhitch.core.direct.tests import test_named_limits as core
+from umberhitch.tasks.direct.choosing import Choosing
+from umberhitch.tasks.direct.send_gate import SendGate
+from umberhitch.tasks.direct.tests import test_named_limits as limits
+
+Test = Callable[[], None]
+
+
+def nothing_is_heard(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(SendGate, "heard", lambda self, endpoint, head: None)
+    return lambda: limits.test_engines_that_name_a_limit_get_no_more_from_four_routers_together(1.6)
+
+
+def the_choice_ignores_it(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(Choosing, "_bearing", lambda self, permit, found: found)
+    return lambda: limits.test_no_kind_of_send_goes_past_a_named_limit(limits.zones.KINDS[0])
+
+
+def nobody_counts(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(FleetShare, "note_sent", lambda self, lifetime, now_s: None)
+    return lambda: limits.test_engines_that_name_a_limit_get_no_more_from_four_routers_together(1.6)
+
+
+def every_router_has_the_first_share(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(FleetShare, "_rank", lambda self, lifetime: 0)
+    return limits.test_routers_that_do_not_see_each_other_keep_it_together
+
+
+def nobody_is_told(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(SendGate, "_tell", lambda self, lifetimes: [])
+    return limits.test_peers_know_it_at_once_and_who_lost_the_word_within_seconds
+
+
+def nobody_is_told_again(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(SendGate, "news_again", lambda self: [])
+    return limits.test_peers_know_it_at_once_and_who_lost_the_word_within_seconds
+
+
+def new_routers_are_not_told(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(SendGate, "all_news", lambda self: [])
+    patch.setattr(SendGate, "news_again", lambda self: [])
+    return limits.test_a_router_that_starts_is_told
+
+
+def it_never_ends(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(NamedLimits, "_end", lambda self, lifetime, at_s: None)
+    return limits.test_it_ends_when_it_is_no_longer_named
+
+
+def peers_do_not_end_it(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(NamedLimits, "told_over", lambda self, name, age_s, now_s: LimitChange.NONE)
+    return limits.test_it_ends_when_it_is_no_longer_named
+
+
+def it_outlives_its_endpoint(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(NamedLimits, "forget", lambda self, known: None)
+    return limits.test_a_new_lifetime_starts_without_one
+
+
+def an_odd_word_ends_it(patch: pytest.MonkeyPatch) -> Test:
+    heard = SendGate.heard
+
+    def hear_all(self: SendGate, endpoint: object, head: object) -> None:
+        heard(self, endpoint, replace(head, is_limit_unclear=False))
+
+    patch.setattr(SendGate, "heard", hear_all)
+    return limits.test_an_odd_word_neither_opens_nor_closes_an_endpoint
+
+
+def nothing_is_taken_for_used(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(FleetShare, "assume_used", lambda self, lifetime, bound, now_s: None)
+    return limits.test_what_is_under_way_as_it_is_heard_counts
+
+
+def bursts_are_not_spread(patch: pytest.MonkeyPatch) -> Test:
+    bound = LimitRules.bound
+    patch.setattr(LimitRules, "bound", lambda s, rate: replace(bound(s, rate), is_paced=False))
+    return core.test_a_burst_is_spread_over_the_span
+
+
+def a_list_is_never_kept(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(FleetShare, "knows_list", lambda self, now_s: self.is_settled)
+    return limits.test_without_the_store_half_of_it_is_still_used
+
+
+def a_list_is_kept_for_ever(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(fleet_share, "KEPT_LIST_S", float("inf"))
+    return core.test_a_router_without_a_seat_goes_by_its_last_list_for_a_minute_with_less
+
+
+def a_lapsed_seat_counts_in_full(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(fleet_share, "LAPSED_SHARE", 1.0)
+    return core.test_a_router_without_a_seat_goes_by_its_last_list_for_a_minute_with_less
+
+
+def standing_still_is_not_noticed(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(fleet_share, "LOOKED_S", float("inf"))
+    return limits.test_a_router_that_stood_still_sends_nothing_until_its_place_is_sure
+
+
+def nobody_goes_first(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(SendGate, "_kept", lambda self, service, urgency, now_s: 0)
+    return limits.test_urgent_work_goes_first
+
+
+def all_are_told_to_come_at_once(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(SendGate, "come_back_s", lambda self, service, found, soonest_s, left_s: 0.1)
+    return limits.test_what_nobody_can_take_is_refused_at_once_and_told_when_there_is_room
+
+
+def a_limit_closes_the_endpoint(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(FleetShare, "wait_s", lambda self, lifetime, bound, now_s, kept=0: float("inf"))
+    return lambda: limits.test_it_is_kept_and_used_by_any_number_of_routers(6, 2.3)
+
+
+def nobody_looks_for_itself(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(NamedLimits, "may_look", lambda self, limit, routers, jitter, now_s: False)
+    return core.test_one_that_may_not_send_looks_for_itself_after_a_minute_and_not_with_all_others
+
+
+MUTATIONS = (
+    nothing_is_heard,
+    the_choice_ignores_it,
+    nobody_counts,
+    every_router_has_the_first_share,
+    nobody_is_told,
+    nobody_is_told_again,
+    new_routers_are_not_told,
+    it_never_ends,
+    peers_do_not_end_it,
+    it_outlives_its_endpoint,
+    an_odd_word_ends_it,
+    nothing_is_taken_for_used,
+    bursts_are_not_spread,
+    a_list_is_never_kept,
+    a_list_is_kept_for_ever,
+    a_lapsed_seat_counts_in_full,
+    standing_still_is_not_noticed,
+    nobody_goes_first,
+    all_are_told_to_come_at_once,
+    a_limit_closes_the_endpoint,
+    nobody_looks_for_itself,
+)
+
+
+@pytest.mark.parametrize("mutate", MUTATIONS, ids=lambda mutate: mutate.__name__)
+def test_a_part_that_is_switched_off_is_missed(
+    mutate: Callable[[pytest.MonkeyPatch], Test], monkeypatch
+):
+    with monkeypatch.context() as patch:
+        test = mutate(patch)
+        with pytest.raises(AssertionError):
+            test()
+    test()
--- a/umberhitch/tasks/direct/tests/test_named_limits.py
+++ b/umberhitch/tasks/direct/tests/test_named_limits.py
@@ -31,7 +31,9 @@
 STEP_S = 0.02
 
 
-def _world(routers: int, free: int, limited: int, rate: float) -> tuple[DirectWorld, list]:
+def _world(
+    routers: int, free: int, limited: int, rate: float, **settings: object
+) -> tuple[DirectWorld, list]:
     """Return a settled world, and those of its endpoints that name a limit from now on."""
     world = DirectWorld()
     limits = [world.add_endpoint(f"l{number}", zone="a") for number in range(limited)]
@@ -46,7 +48,7 @@
     )
     world.operator.put("config", make_direct_document(routes=routes))
     for number in range(routers):
-        world.add_router(f"r{number:03d}", zone="c")
+        world.add_router(f"r{number:03d}", zone="c", **settings)
     world.run(SETTLED_S)
     for each in limits:
         each.limit_rate = rate
@@ -296,16 +298,31 @@
 
 
 def test_without_the_store_half_of_it_is_still_used():
-    world, _ = _world(6, 1, 1, 8.0)
+    """Seats lapse 9 s after the last word of the store; the list that was known is kept."""
+    world, limited = _world(6, 1, 1, 8.0, is_strict=False)
     for each in world.endpoints.by_address.values():
         each.reply = Reply(delay_s=0.5)
     _crowd(world, 1.0, 100.0)
     for router in world.routers.values():
         router.faults.is_down = True
-    world.run(10.0)
-    gates = [router.gateway.gate for router in world.routers.values()]
-    bound = gates[0].rules.bound(8.0)
-    assert sum(gate.shares.most("l0", bound) for gate in gates) >= 0.5 * 8.0 * 4.0
+    world.run(12.0)
+    since_s = world.clock.seconds()
+    _crowd(world, 8.0, 100.0)
+    _assert_kept(world, limited[0], 8.0, since_s)
+    assert sum(at_s >= since_s for at_s in limited[0].called_s) >= 0.5 * 8.0 * 8.0
+
+
+def test_what_is_under_way_as_it_is_heard_counts():
+    """A burst was sent before: nothing more comes on top of it than the rate allows."""
+    world, limited = _world(1, 0, 1, 3.0)
+    router = world.routers["r000"]
+    for _ in range(30):
+        world.ask(router, "/look/x")
+    world.run(0.21)
+    assert _known(world) == {"l0": 3.0}
+    heard_s = world.clock.seconds()
+    _crowd(world, 1.0, 50.0)
+    assert sum(at_s >= heard_s for at_s in limited[0].called_s) <= 3.0 * 1.0
 
 
 def test_routers_that_start_and_stop_keep_it():
@@ -337,17 +354,18 @@
 
 
 def test_a_router_that_stood_still_sends_nothing_until_its_place_is_sure():
-    world, limited = _world(1, 1, 1, 4.0)
+    world, limited = _world(1, 1, 1, 4.0, is_strict=False)
     _crowd(world, 2.0, 40.0)
     router = world.routers["r000"]
     router.clock.is_paused = True
     world.run(12.0)
-    router.clock.is_paused = False
     calls = len(limited[0].calls)
     asks = [world.ask(router, "/look/x") for _ in range(20)]
     assert len(limited[0].calls) == calls
-    assert len(asks) == 20
+    router.clock.is_paused = False
     router.clock.resume()
+    world.run(1.0)
+    assert {ask.status for ask in asks} == {200}
 
 
 @pytest.mark.parametrize("rates", [(8.0, 1.0), (1.0, 8.0), (4.0, None), (6.0, 4.0, 2.0, 0.5)])
