--- /dev/null
+++ b/umberhitch/tasks/direct/tests/test_limit_fuzz.py
@@ -0,0 +1,238 @@
+"""Stateful fuzzing of named limits, against what endpoints named and got."""
+
+from bisect import bisect_left
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from umberhitch.core.direct import FleetShare
+from umberhitch.fakes import Reply
+from umberhitch.tasks.direct.send_gate import SendGate
+from umberhitch.testing import LIMIT_SPAN_S, DirectWorld, limit_bound, make_direct_document
+
+ROUTERS = tuple(f"r{number}" for number in range(10))
+"""More than the bound would allow if each had the first share."""
+LIMITED = ("l0", "l1")
+RATES = (0.5, 2.0, 6.0)
+REPLY_S = 0.05
+CONTACT_S = 3.0
+"""The bound holds from so long after an endpoint first names a limit."""
+TOLD_S = 0.5
+"""What a router sends counts from so long after it has passed on an answer that names one."""
+
+
+@dataclass
+class Named:
+    """What one endpoint has named, and which routers have passed that on.
+
+    Attributes
+    ----------
+    rates : list of (float, float or None)
+        When it began to name a rate, or none, in the order of time.
+    told_s : dict of str to float
+        By router, when it passed the first such answer on, of those since the limit began.
+    """
+
+    rates: list[tuple[float, float | None]] = field(default_factory=list)
+    told_s: dict[str, float] = field(default_factory=dict)
+    seen: int = 0
+    """Calls that were looked at."""
+    counted_s: list[float] = field(default_factory=list)
+    """Arrivals that count."""
+
+    @property
+    def since_s(self) -> float | None:
+        """Since when it has named some rate without a break."""
+        since_s = None
+        for at_s, rate in self.rates:
+            since_s = None if rate is None else at_s if since_s is None else since_s
+        return since_s
+
+    def highest(self, now_s: float) -> float:
+        """Return the highest rate of the last span and the contact time before it."""
+        begin_s = now_s - LIMIT_SPAN_S - CONTACT_S
+        standing = [rate for at_s, rate in self.rates if at_s <= begin_s][-1:]
+        later = [rate for at_s, rate in self.rates if at_s > begin_s]
+        return max((rate for rate in (*standing, *later) if rate is not None), default=0.0)
+
+
+class LimitMachine(RuleBasedStateMachine):
+    """Ten routers before endpoints whose limits come, change and go; all fails at any moment."""
+
+    @initialize()
+    def begin(self) -> None:
+        """Start a deployment."""
+        self.world = DirectWorld()
+        self.named = {name: Named() for name in LIMITED}
+        self.router_of: dict[str, str] = {}
+        for name in (*LIMITED, "f0"):
+            self.world.add_endpoint(name).reply = Reply(delay_s=REPLY_S)
+        self.number = 0
+        self.change()
+        for name in ROUTERS:
+            self.world.add_router(name, is_strict=False)
+        self.world.run(6.0)
+
+    @property
+    def now_s(self) -> float:
+        """Time of the virtual clock."""
+        return self.world.clock.seconds()
+
+    @rule(name=st.sampled_from(LIMITED), rate=st.sampled_from((None, *RATES)))
+    def name_rate(self, name: str, rate: float | None) -> None:
+        """Let an endpoint name a rate from now on, or none."""
+        self.look()
+        named = self.named[name]
+        if rate is None:
+            named.told_s.clear()
+        named.rates.append((self.now_s, rate))
+        self.world.endpoints.by_address[f"@{name}"].limit_rate = rate
+
+    @rule(names=st.sets(st.sampled_from(ROUTERS), min_size=1), count=st.integers(1, 12))
+    def crowd(self, names: set[str], count: int) -> None:
+        """Let callers come to routers in quick succession."""
+        for _ in range(count):
+            for name in sorted(names):
+                if not self.world.routers[name].clock.is_paused:
+                    ask = self.world.ask(self.world.routers[name], "/look/x")
+                    self.router_of[ask.call_id] = name
+            self.world.run(0.05)
+
+    @rule(rate=st.sampled_from(RATES), name=st.sampled_from(LIMITED))
+    def press(self, name: str, rate: float) -> None:
+        """Let a limit stand for longer than the contact time, and callers come to all routers."""
+        self.name_rate(name, rate)
+        for _ in range(4):
+            self.crowd(set(ROUTERS), 20)
+
+    @rule(name=st.sampled_from(ROUTERS), is_down=st.booleans())
+    def cut_store(self, name: str, is_down: bool) -> None:
+        """Cut a router off from the store, or mend that."""
+        self.world.routers[name].faults.is_down = is_down
+
+    @rule(one=st.sampled_from(ROUTERS), other=st.sampled_from(ROUTERS), is_cut=st.booleans())
+    def cut_peers(self, one: str, other: str, is_cut: bool) -> None:
+        """Cut two routers off from each other, or mend that."""
+        if is_cut:
+            self.world.network.cut(one, other)
+        else:
+            self.world.network.mend(one, other)
+
+    @rule(drop=st.sampled_from((0.0, 0.3)), late=st.sampled_from((0.0, 0.3)))
+    def lose_messages(self, drop: float, late: float) -> None:
+        """Let messages between routers be lost or late."""
+        self.world.network.faults.drop = drop
+        self.world.network.faults.late = late
+
+    @rule(name=st.sampled_from(ROUTERS))
+    def restart(self, name: str) -> None:
+        """Let a router lose power, and another start under its name."""
+        self.look()
+        self.world.kill_router(name)
+        self.world.run(0.5)
+        self.world.add_router(name, is_strict=False)
+        for named in self.named.values():
+            named.told_s.pop(name, None)
+
+    @rule()
+    def restart_all(self) -> None:
+        """Let all lose power at once."""
+        for name in ROUTERS:
+            self.restart(name)
+
+    @rule(name=st.sampled_from(ROUTERS), seconds=st.sampled_from((0.5, 4.0, 12.0)))
+    def freeze(self, name: str, seconds: float) -> None:
+        """Let a router stand still for a while."""
+        clock, link = self.world.routers[name].clock, self.world.network.links[name]
+        clock.is_paused = link.is_paused = True
+        self.world.run(seconds)
+        clock.resume()
+        link.resume()
+        clock.is_paused = link.is_paused = False
+
+    @rule()
+    def change(self) -> None:
+        """Write another configuration, and drop the history."""
+        self.number += 1
+        self.world.operator.put("config", make_direct_document(self.number))
+        self.world.operator.forget_history()
+        self.world.registry.forget_history()
+
+    @rule(seconds=st.sampled_from((0.1, 1.0, 6.0)))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.world.run(seconds)
+
+    def look(self) -> None:
+        """Take what endpoints got since the last look."""
+        for name, named in self.named.items():
+            endpoint = self.world.endpoints.by_address[f"@{name}"]
+            calls = list(zip(endpoint.calls, endpoint.called_s, strict=True))[named.seen :]
+            named.seen += len(calls)
+            for call, at_s in calls:
+                self.take(named, self.router_of.get(call.call_id, ""), at_s)
+
+    def take(self, named: Named, router: str, at_s: float) -> None:
+        """Count a call, if its router had been told."""
+        told_s = named.told_s.get(router)
+        if told_s is not None and at_s >= told_s + TOLD_S:
+            named.counted_s.append(at_s)
+        if told_s is None and named.since_s is not None:
+            named.told_s[router] = max(at_s, named.since_s) + REPLY_S
+
+    @invariant()
+    def limits_are_kept(self) -> None:
+        """By all routers together that know, whatever they see of each other."""
+        self.look()
+        for name, named in self.named.items():
+            since_s = named.since_s
+            if since_s is None:
+                continue
+            times = [at_s for at_s in named.counted_s if at_s >= since_s + CONTACT_S]
+            for index, first in enumerate(times):
+                got = bisect_left(times, first + LIMIT_SPAN_S) - index
+                assert got <= limit_bound(named.highest(first + LIMIT_SPAN_S)), name
+
+
+TestLimits = LimitMachine.TestCase
+TestLimits.settings = settings(max_examples=25, stateful_step_count=20, deadline=None)
+
+
+def every_router_has_the_first_share(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(FleetShare, "_rank", lambda self, lifetime: 0)
+
+
+def nobody_counts(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(FleetShare, "note_sent", lambda self, lifetime, now_s: None)
+
+
+def nothing_is_heard(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(SendGate, "heard", lambda self, endpoint, head: None)
+
+
+@pytest.mark.parametrize(
+    "mutate",
+    [every_router_has_the_first_share, nobody_counts, nothing_is_heard],
+    ids=lambda each: each.__name__,
+)
+def test_a_deliberate_break_is_caught(mutate: Callable[[pytest.MonkeyPatch], None], monkeypatch):
+    mutate(monkeypatch)
+    quick = settings(
+        max_examples=40,
+        stateful_step_count=12,
+        phases=(Phase.generate,),
+        deadline=None,
+        report_multiple_bugs=False,
+    )
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(LimitMachine, settings=quick)
