--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -15,6 +15,7 @@
     "appends",
     "recovery",
     "fleet",
+    "limits",
     "exposure",
     "crashing",
     "overload",
--- a/umberhitch/demo/_direct.py
+++ b/umberhitch/demo/_direct.py
@@ -3,6 +3,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from time import monotonic
 
 from umberhitch.demo._checks import Check
 from umberhitch.platform.standins.client import (
@@ -22,6 +23,10 @@
 CROWD = 120
 CALLERS = 8
 
+LIMIT_RATE = 2.0
+"""Requests a second that an endpoint in need names."""
+PRESS_S = 6.0
+
 NEW_KEY = "k2"
 ASKS = 20
 
@@ -73,6 +78,7 @@
     eventually(lambda: second.ask("/look/x", "look-store-back", NEW_KEY).status == 200)
     checks.append(Check("without proof of the keys nothing is passed on; with it, all is", True))
 
+    checks += _name_limit(platform, [first, second])
     checks += _take_zone_out(platform, second)
 
     first.kill()
@@ -106,6 +112,40 @@
     return [*checks, Check("cold endpoints get no more than they bear", not has_ended)]
 
 
+def _name_limit(platform: LocalPlatform, routers: list[RouterProcess]) -> list[Check]:
+    """Let one endpoint name a limit: the routers keep it together, and the rest goes elsewhere."""
+    platform.name_limit("e2", LIMIT_RATE)
+    eventually(lambda: _all_know(routers, True))
+    began_s, before = monotonic(), len(platform.arrivals("e2"))
+
+    def ask(number: int) -> bool:
+        router = routers[number % len(routers)]
+        return router.ask("/look/x", f"limit-{number}", NEW_KEY).status == 200
+
+    asked = served = 0
+    with ThreadPoolExecutor(CALLERS) as pool:
+        while monotonic() < began_s + PRESS_S:
+            served += sum(pool.map(ask, range(asked, asked + CROWD)))
+            asked += CROWD
+    arrived, lasted_s = len(platform.arrivals("e2")) - before, monotonic() - began_s
+    print(
+        f"  e2 takes {LIMIT_RATE:g} a second: {arrived} calls to it in {lasted_s:.1f} s,"
+        f" {served} of {asked} served"
+    )
+    platform.name_limit("e2", None)
+    eventually(lambda: _all_know(routers, False))
+    spans = 1 + lasted_s // 4.0
+    holds = 0 < arrived <= spans * (4.0 * 1.5 * LIMIT_RATE + 5.0) and served == asked
+    return [Check("an endpoint in need gets no more than it takes, from all routers", holds)]
+
+
+def _all_know(routers: list[RouterProcess], is_limited: bool) -> bool:
+    """Send some calls, and return whether all routers know whether an endpoint names a limit."""
+    for router in routers:
+        router.ask("/look/x", f"known-{monotonic()}", NEW_KEY)
+    return all(bool(router.status()["limited"]) == is_limited for router in routers)
+
+
 def _crowd(platform: LocalPlatform, router: RouterProcess, name: str) -> tuple[int, int]:
     """Let many callers come at once; return calls to zone a, and how many callers were served."""
     before = sum(len(platform.runs(each)) for each in ZONE_A)
--- a/umberhitch/platform/standins/__main__.py
+++ b/umberhitch/platform/standins/__main__.py
@@ -13,6 +13,7 @@
 | ``POST /entries/ID`` | writes the body as the entry, as any other writer may |
 | ``POST /endpoints/ID/faults`` | sets fields of `EndpointFaults` |
 | ``GET /endpoints/ID/runs`` | what has run there |
+| ``GET /endpoints/ID/arrivals`` | what has arrived there, refused or not |
 | ``POST /store/faults`` | sets fields of `StoreFaults` |
 | ``POST /store/forget`` | drops the history; the newest record of each key stays |
 | ``GET /status/KEY`` | what the system wrote |
@@ -140,6 +141,12 @@
         """Return what has run."""
         return send_json(request, 200, [asdict(run) for run in self._endpoints[name].runs])
 
+    @app.route("/endpoints/<name>/arrivals", methods=["GET"])
+    def arrivals(self, request: Any, name: str) -> bytes:
+        """Return what has arrived."""
+        found = [asdict(arrival) for arrival in self._endpoints[name].arrivals]
+        return send_json(request, 200, found)
+
     @app.route("/status/<path:key>", methods=["GET"])
     def status(self, request: Any, key: str) -> bytes:
         """Return what the system wrote."""
--- a/umberhitch/platform/standins/_endpoint.py
+++ b/umberhitch/platform/standins/_endpoint.py
@@ -36,6 +36,8 @@
         A request with this body ends the endpoint.
     confidence : int
         What its models declare.
+    limit_rate : float or None
+        Requests a second that it names in each reply.
     """
 
     status: int = 200
@@ -45,6 +47,16 @@
     break_after: int = 0
     event_s: float = 0.01
     confidence: int = 100
+    limit_rate: float | None = None
+
+
+@dataclass
+class Arrival:
+    """A request that arrived, whatever became of it."""
+
+    call_id: str
+    at_s: float
+    """On the machine's steady clock."""
 
 
 @dataclass
@@ -66,6 +78,7 @@
     incarnation: str
     faults: EndpointFaults = field(default_factory=EndpointFaults)
     runs: list[Run] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
     port: Any = None
     """Where it listens."""
     is_ended: bool = False
@@ -104,6 +117,9 @@
             return Deferred()
         head = request.requestHeaders
         call_id = head.getRawHeaders("Attempt-Id", [""])[0]
+        self.arrivals.append(Arrival(call_id, monotonic()))
+        if self.faults.limit_rate is not None:
+            request.setHeader("Server-Limit", f"{self.faults.limit_rate:g}")
         expected = head.getRawHeaders("Expect-Instance", [self.incarnation])[0]
         if expected != self.incarnation:
             request.setHeader("Replica-Id", self.incarnation)
--- a/umberhitch/platform/standins/client.py
+++ b/umberhitch/platform/standins/client.py
@@ -236,6 +236,14 @@
         """Return what has run on an endpoint."""
         return self.control("GET", f"/endpoints/{endpoint}/runs")
 
+    def arrivals(self, endpoint: str) -> list[dict[str, Any]]:
+        """Return what has arrived at an endpoint, refused or not."""
+        return self.control("GET", f"/endpoints/{endpoint}/arrivals")
+
+    def name_limit(self, endpoint: str, rate: float | None) -> None:
+        """Let an endpoint name the requests a second that it takes, or none any more."""
+        self.control("POST", f"/endpoints/{endpoint}/faults", {"limit_rate": rate})
+
     def start_router(
         self,
         name: str,
--- a/umberhitch/soak/_checks.py
+++ b/umberhitch/soak/_checks.py
@@ -8,18 +8,24 @@
 from umberhitch.soak._records import (
     ColdStart,
     Departure,
+    LimitNamed,
     Record,
     Revocation,
     RunSeen,
     ZoneOutage,
 )
 
-__all__ = ["Bounds", "Finding", "check_cold", "check_requests", "check_zones"]
+__all__ = ["Bounds", "Finding", "check_cold", "check_limits", "check_requests", "check_zones"]
 
 NOT_RUN = (408, 421, 429, 503)
 """Statuses that promise that nothing has run and nothing will."""
 
 
+CONTACT_S = 3.0
+"""A limit that is named holds from so much later on."""
+LIMIT_SPAN_S = 4.0
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Times in seconds within which a change has to be in effect; infinite where not checked."""
@@ -131,9 +137,35 @@
     """
     runs, found = list(runs), []
     for start in starts:
-        times = sorted(run.at_s for run in runs if run.endpoint == start.endpoint)
-        times = [each for each in times if each < start.until_s]
-        worst = max((bisect_left(times, t + 1.0) - n for n, t in enumerate(times)), default=0)
+        times = [run.at_s for run in runs if run.endpoint == start.endpoint]
+        worst = _most_within([each for each in times if each < start.until_s], 1.0)
         if worst > most:
             found.append(Finding("a cold endpoint is not rushed", f"{start.endpoint}: {worst}"))
     return found
+
+
+def check_limits(arrived: dict[str, list[float]], named: Iterable[LimitNamed]) -> list[Finding]:
+    """Return the endpoints that got more within a span than 1.5 times what they take, and 5.
+
+    Parameters
+    ----------
+    arrived : dict of str to list of float
+        By endpoint, when requests came, refused or not.
+    named : iterable
+    """
+    found = []
+    for limit in named:
+        begin_s = limit.at_s + CONTACT_S
+        times = [
+            at_s for at_s in arrived.get(limit.endpoint, ()) if begin_s <= at_s < limit.until_s
+        ]
+        worst = _most_within(times, LIMIT_SPAN_S)
+        if worst > 1.5 * limit.rate * LIMIT_SPAN_S + 5.0:
+            detail = f"{limit.endpoint}: {worst} in {LIMIT_SPAN_S:g} s at {limit.rate:g} a second"
+            found.append(Finding("a limit that is named is kept", detail))
+    return found
+
+
+def _most_within(times: Iterable[float], span_s: float) -> int:
+    times = sorted(times)
+    return max((bisect_left(times, t + span_s) - n for n, t in enumerate(times)), default=0)
--- a/umberhitch/soak/_mutations.py
+++ b/umberhitch/soak/_mutations.py
@@ -88,6 +88,13 @@
     Endpoint.is_cold = lambda self, now_s: False  # type: ignore[method-assign]
 
 
+def _ignore_limits() -> None:
+    """Endpoints that name a limit get what others get."""
+    from umberhitch.tasks.direct.send_gate import SendGate
+
+    SendGate._bears_limit = lambda self, endpoint, kept, now_s: True  # type: ignore[method-assign]
+
+
 MUTATIONS: dict[str, Callable[[], None]] = {
     "repeat-all": _repeat_all,
     "promise-all": _promise_all,
@@ -96,6 +103,7 @@
     "ignore-leaving": _ignore_leaving,
     "ignore-zones": _ignore_zones,
     "rush-cold": _rush_cold,
+    "ignore-limits": _ignore_limits,
 }
 
 
--- a/umberhitch/soak/_records.py
+++ b/umberhitch/soak/_records.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["ColdStart", "Departure", "Record", "Revocation", "RunSeen", "ZoneOutage"]
+__all__ = ["ColdStart", "Departure", "LimitNamed", "Record", "Revocation", "RunSeen", "ZoneOutage"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,3 +75,13 @@
     endpoint: str
     at_s: float
     until_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LimitNamed:
+    """A rate that an endpoint named in each answer, from all routers together."""
+
+    endpoint: str
+    rate: float
+    at_s: float
+    until_s: float = float("inf")
--- a/umberhitch/soak/_run.py
+++ b/umberhitch/soak/_run.py
@@ -17,9 +17,23 @@
     eventually,
 )
 from umberhitch.soak._callers import Callers
-from umberhitch.soak._checks import Bounds, Finding, check_cold, check_requests, check_zones
+from umberhitch.soak._checks import (
+    Bounds,
+    Finding,
+    check_cold,
+    check_limits,
+    check_requests,
+    check_zones,
+)
 from umberhitch.soak._proxy import Proxy, Way
-from umberhitch.soak._records import ColdStart, Departure, Revocation, RunSeen, ZoneOutage
+from umberhitch.soak._records import (
+    ColdStart,
+    Departure,
+    LimitNamed,
+    Revocation,
+    RunSeen,
+    ZoneOutage,
+)
 from umberhitch.soak._schedule import Fault, SoakConfig, Step, make_schedule
 
 __all__ = ["Verdict", "play"]
@@ -31,6 +45,8 @@
 MAX_DESCRIPTORS = 200
 ZONES = ("a", "b")
 COLD_RATE = 2.0
+LIMIT_RATES = (0.5, 2.0)
+"""Requests a second that endpoints name, in turn."""
 MOST_COLD = 1.5 * COLD_RATE + 5.0
 """Calls within a second that a cold endpoint bears."""
 WAYS = {
@@ -87,6 +103,8 @@
     outages: dict[str, list[ZoneOutage]] = field(default_factory=dict)
     """By zone, the latest last."""
     cold: list[ColdStart] = field(default_factory=list)
+    limits: dict[str, list[LimitNamed]] = field(default_factory=dict)
+    """By endpoint, the latest last."""
     zone_of: dict[str, str] = field(default_factory=dict)
     sound_s: float = 0.0
     """Bounds count from here at the earliest: the store's last fault was over then."""
@@ -261,6 +279,9 @@
             return lambda: _take_back(deployment, zone)
         case Fault.COLD_START:
             deployment.add_endpoint(step.for_s)
+        case Fault.LIMIT:
+            _name_limit(deployment, endpoint, LIMIT_RATES[step.target % len(LIMIT_RATES)])
+            return lambda: _end_limit(deployment, endpoint)
         case Fault.DEPART:
             _depart(deployment, endpoint)
         case Fault.REBORN:
@@ -330,6 +351,20 @@
         deployment.platform.take_back(zone)
 
 
+def _name_limit(deployment: _Deployment, endpoint: str, rate: float) -> None:
+    """Let an endpoint name a rate, which may replace the one that it named."""
+    _end_limit(deployment, endpoint)
+    deployment.platform.name_limit(endpoint, rate)
+    deployment.limits.setdefault(endpoint, []).append(LimitNamed(endpoint, rate, monotonic()))
+
+
+def _end_limit(deployment: _Deployment, endpoint: str) -> None:
+    named = deployment.limits.get(endpoint, [])
+    if named and named[-1].until_s == float("inf"):
+        named[-1] = replace(named[-1], until_s=monotonic())
+        deployment.platform.name_limit(endpoint, None)
+
+
 def _depart(deployment: _Deployment, endpoint: str) -> None:
     deployment.add_endpoint()
     deployment.endpoints.remove(endpoint)
@@ -361,6 +396,11 @@
     outages = [replace(each, at_s=max(each.at_s, sound_s)) for each in outages]
     found += check_zones(runs, outages, bounds)
     found += check_cold(runs, deployment.cold, MOST_COLD)
+    arrived = {
+        endpoint: [each["at_s"] for each in deployment.platform.arrivals(endpoint)]
+        for endpoint in deployment.limits
+    }
+    found += check_limits(arrived, [each for named in deployment.limits.values() for each in named])
     return found + [
         Finding("a cold endpoint is not rushed", f"{start.endpoint} has ended")
         for start in deployment.cold
--- a/umberhitch/soak/_schedule.py
+++ b/umberhitch/soak/_schedule.py
@@ -31,6 +31,7 @@
     RELOAD = "settings reloaded"
     ZONE_OUT = "zone out of service"
     COLD_START = "cold endpoint comes"
+    LIMIT = "endpoint names a limit"
 
 
 TIMED = frozenset(
@@ -46,13 +47,18 @@
         Fault.LOSE,
         Fault.ZONE_OUT,
         Fault.COLD_START,
+        Fault.LIMIT,
     }
 )
 """Faults that last; the others are done at once."""
 ADDED = (Fault.ZONE_OUT, Fault.COLD_START)
 """Drawn by a random source of their own, so that a seed's other faults stay what they were."""
-ZONE_FACTOR = 3.0
-"""A zone is out for so many times the longest fault: longer than it takes to be in force."""
+LATER_ADDED = (Fault.LIMIT,)
+"""The same, once more."""
+LONG_FACTOR = 3.0
+"""A zone is out, and a limit stands, for so many times the longest fault: longer than it takes to
+be in force."""
+LONG = frozenset({Fault.ZONE_OUT, Fault.LIMIT})
 ADDED_SHARE = 0.25
 """How often these come, for each time that one of the others does."""
 
@@ -105,9 +111,10 @@
     seed : int
     cfg : SoakConfig
     """
-    first = [each for each in Fault if each not in ADDED]
+    first = [each for each in Fault if each not in ADDED and each not in LATER_ADDED]
     steps = _draw(Random(seed), cfg, first, cfg.every_s)
     steps += _draw(Random(f"{seed} added"), cfg, list(ADDED), cfg.every_s / ADDED_SHARE)
+    steps += _draw(Random(f"{seed} later"), cfg, list(LATER_ADDED), cfg.every_s / ADDED_SHARE)
     return sorted(steps, key=lambda step: step.at_s)
 
 
@@ -119,7 +126,7 @@
         if at_s >= cfg.length_s:
             return steps
         fault = rng.choice(faults)
-        longest_s = cfg.longest_s * (ZONE_FACTOR if fault is Fault.ZONE_OUT else 1.0)
+        longest_s = cfg.longest_s * (LONG_FACTOR if fault in LONG else 1.0)
         longest_s = min(longest_s, cfg.length_s - at_s)
         for_s = rng.uniform(0.3, 1.0) * longest_s if fault in TIMED else 0.0
         steps.append(Step(round(at_s, 3), fault, rng.randrange(1 << 16), round(for_s, 3)))
--- a/umberhitch/soak/tests/test_checks.py
+++ b/umberhitch/soak/tests/test_checks.py
@@ -3,8 +3,8 @@
 import pytest
 
 from umberhitch.soak import Departure, Record, Revocation, RunSeen, check_requests
-from umberhitch.soak._checks import Bounds, check_cold, check_zones
-from umberhitch.soak._records import ColdStart, ZoneOutage
+from umberhitch.soak._checks import Bounds, check_cold, check_limits, check_zones
+from umberhitch.soak._records import ColdStart, LimitNamed, ZoneOutage
 
 STREAM = b"id: 1\ndata: e1\n\n"
 
@@ -72,3 +72,16 @@
     assert check_cold(runs, [ColdStart("e2", 10.0, 13.0)], 8.0) == []
     late = [RunSeen(run.call_id, "e1", run.at_s + 2.5) for run in runs]
     assert check_cold(late, [start], 8.0) == []
+
+
+def test_a_limit_that_is_not_kept_is_found():
+    """From the contact time on, in a span, refused or not; 8 are allowed at 0.5 a second."""
+    named = LimitNamed("e1", 0.5, 10.0, 30.0)
+    over = {"e1": [20.0 + 0.4 * number for number in range(9)]}
+    assert check_limits(over, [named]) != []
+    assert check_limits({"e1": over["e1"][1:]}, [named]) == []
+    assert check_limits({"e2": over["e1"]}, [named]) == []
+    early = {"e1": [10.0 + 0.1 * number for number in range(29)]}
+    assert check_limits(early, [named]) == []
+    late = {"e1": [30.0 + 0.1 * number for number in range(29)]}
+    assert check_limits(late, [named]) == []
