Callers refused for another reason are not told to come as late as a limit lets them

Where one endpoint named 0.2 a second and the other failed for a moment, refusals said 5.0 and 9.997 s instead of 0.1 s. Only where each endpoint that is listed names a limit are times to come back spread by the rates. Red before; not met where nothing names a limit.

--- a/umberhitch/core/direct/_directory.py
+++ b/umberhitch/core/direct/_directory.py
@@ -352,6 +352,11 @@
         """Return the endpoints in an availability zone."""
         return [each for each in self._endpoints.values() if each.entry.zone == zone]
 
+    def listed(self, service: str) -> list[Endpoint]:
+        """Return the endpoints of a service that are not leaving, those that fail included."""
+        members = self._by_service.get(service)
+        return [] if members is None else members.all()
+
     def ready(self, service: str, now_s: float, rng: Random | None = None) -> list[Endpoint]:
         """Return endpoints of a service that take new work.
 
--- a/umberhitch/tasks/direct/choosing.py
+++ b/umberhitch/tasks/direct/choosing.py
@@ -128,11 +128,12 @@
         """
         now_s = self._clock.seconds()
         left_s = permit.received_s + permit.ask.patience_s - now_s
-        ready = self._view.directory.ready(permit.service, now_s)
-        if not ready:
+        directory = self._view.directory
+        if not directory.ready(permit.service, now_s):
             return max(LEAST_RETRY_S, HONOURED_SHARE * left_s)
         soonest_s = max(LEAST_RETRY_S, SOON_OBJECTIVES * permit.route.objective_s)
-        return self._gate.come_back_s(permit.service, ready, soonest_s, left_s)
+        listed = directory.listed(permit.service)
+        return self._gate.come_back_s(permit.service, listed, soonest_s, left_s)
 
     def endpoint(self, permit: Permit, model: str | None, tried: set[str]) -> Offer | None:
         """Return where a call goes, or None where no endpoint takes work."""
--- a/umberhitch/tasks/direct/send_gate.py
+++ b/umberhitch/tasks/direct/send_gate.py
@@ -190,11 +190,11 @@
         """Return when a call that no endpoint of a service bears should come again.
 
         Callers come back to any router, so each router names times as far apart as the limits let
-        its part of the callers through. Without a limit that is known here it is ``soonest_s``.
+        its part of the callers through. Where any endpoint names no limit it is ``soonest_s``.
         """
         limited = [self.limits.get(each.lifetime) for each in endpoints]
         rates = [self.rules.bound(limit.rate).rate for limit in limited if limit is not None]
-        if not rates:
+        if len(rates) < len(endpoints):
             return soonest_s
         now_s = self._clock.seconds()
         gap_s = self.shares.routers / sum(rates)
--- a/umberhitch/tasks/direct/tests/test_named_limits.py
+++ b/umberhitch/tasks/direct/tests/test_named_limits.py
@@ -13,6 +13,7 @@
 
 from umberhitch.core.direct import ReplyHead, RouteKind
 from umberhitch.fakes import FakeEndpoint, Reply
+from umberhitch.ports.direct import CallFailure
 from umberhitch.tasks.direct.membership import MembershipLimits
 from umberhitch.tasks.direct.tests import test_zones as zones
 from umberhitch.testing import (
@@ -415,6 +416,18 @@
     assert waits[-1] <= 10.0
 
 
+def test_who_is_refused_for_another_reason_is_not_told_to_come_late():
+    """One endpoint names a limit; the other fails, and is back soon."""
+    world, _ = _world(1, 1, 1, 0.2)
+    _crowd(world, 2.0, 20.0)
+    world.endpoints.by_address["@f0"].reply = Reply(failure=CallFailure.NOT_SENT)
+    asks = [world.ask(world.routers["r000"], "/look/x", Patience="30") for _ in range(4)]
+    world.run(0.2)
+    refused = [ask for ask in asks if ask.status == 503]
+    assert len(refused) >= 3
+    assert {ask.reply.headers[b"Come-Back"] for ask in refused} == {b"0.100"}
+
+
 def test_the_rest_goes_to_the_others():
     world, _ = _world(6, 1, 1, 1.0)
     asks = _crowd(world, 6.0, 60.0)
