--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -12,10 +12,11 @@
 
 from benchmarks._fit import Fit
 
-__all__ = ["PAGE", "SLOPES", "make_page", "run"]
+__all__ = ["PAGE", "SLOPES", "SWEEP", "make_page", "run"]
 
 DOCS = Path(__file__).parents[1] / "docs"
 SLOPES = DOCS / "capacity" / "slopes.json"
+SWEEP = DOCS / "capacity" / "sweep.json"
 PAGE = DOCS / "CAPACITY.md"
 
 ROUTERS = 370
@@ -170,7 +171,26 @@
     )
 
 
-def make_page(slopes: dict[str, Any]) -> str:
+def _sweep_section(sweeps: list[dict[str, Any]]) -> str:
+    """Return the tables of what users' sweeps measured on the path that they run."""
+    return "\n\n".join(_sweep_table(sweep) for sweep in sweeps)
+
+
+def _sweep_table(sweep: dict[str, Any]) -> str:
+    sizes = " | ".join(f"{size} routers" for size in sweep["sizes"])
+    verdict = "a rule was broken" if sweep["rule_broken"] else "no rule broken"
+    lines = [
+        f"Sweep of the {sweep['deployment']} deployment, code {sweep['code']}; {verdict} at any size.",
+        "Middle / busiest router; the last column carries the power on, it is not played.",
+        "",
+        f"| what | {sizes} | power | at {sweep['target']:,} |",
+        "| --- |" + " --- |" * (len(sweep["sizes"]) + 2),
+    ]
+    lines += ["| " + " | ".join(row) + " |" for row in sweep["rows"]]
+    return "\n".join(lines)
+
+
+def make_page(slopes: dict[str, Any], sweeps: list[dict[str, Any]]) -> str:
     """Return docs/CAPACITY.md."""
     by_agents = slopes["router_by_agents"]["fits"]
     by_routers = slopes["agent_by_routers"]["fits"]
@@ -192,6 +212,16 @@
     ]  # fmt: skip
     return f"""# Capacity at the size to design for
 
+## The path that users run: slopes of the sweep
+
+{_sweep_section(sweeps)}
+
+**What breaks first there**: recovery. After the loss of all routers, or of a zone, the time to serve again grows with the
+fleet (powers 1.2 and 2.0); the bytes of the busiest router grow as the fleet does (power 1.0), the middle one's do not. Neither is mended or
+traced. What carries the rest, mechanism by mechanism: [the direct path](capacity/direct.md).
+
+## The path with agents
+
 Made by `python -m benchmarks capacity` from `docs/capacity/slopes.json`, which
 `python -m benchmarks slopes` measured on one machine of 8 cores; a test holds the page to it. The
 size is the letter's: {ROUTERS} nodes, {AGENTS:,} replicas, 3 regions, 8 availability zones,
@@ -269,6 +299,6 @@
 def run() -> dict[str, Any]:
     """Write the page and return its verdicts."""
     slopes = json.decode(SLOPES.read_bytes())
-    PAGE.write_text(make_page(slopes))
+    PAGE.write_text(make_page(slopes, json.decode(SWEEP.read_bytes())))
     lines = [*router_lines(slopes), *agent_lines(slopes), *log_lines()]
     return {"written": str(PAGE.relative_to(DOCS.parent)), "lines": [str(line) for line in lines]}
--- a/benchmarks/tests/test_capacity.py
+++ b/benchmarks/tests/test_capacity.py
@@ -3,11 +3,13 @@
 from msgspec import json
 
 from benchmarks._fit import fit_line
-from benchmarks.capacity import PAGE, SLOPES, make_page
+from benchmarks.capacity import PAGE, SLOPES, SWEEP, make_page
 
 
 def test_the_page_is_up_to_date() -> None:
-    assert PAGE.read_text() == make_page(json.decode(SLOPES.read_bytes()))
+    assert PAGE.read_text() == make_page(
+        json.decode(SLOPES.read_bytes()), json.decode(SWEEP.read_bytes())
+    )
 
 
 def test_a_line_is_fitted_with_its_error() -> None:
--- a/umberhitch/adapters/tests/test_h11_endpoints.py
+++ b/umberhitch/adapters/tests/test_h11_endpoints.py
@@ -7,7 +7,7 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
-from umberhitch.adapters.h11_endpoints import EndpointClient
+from umberhitch.adapters.h11_endpoints import EndpointClient, EndpointClientLimits
 from umberhitch.adapters.h11_fetch import NoReplyError, fetch
 from umberhitch.core.direct import ReplyHead
 from umberhitch.ports.direct import CallFailure, EndpointCall, HeaderList, Listening
@@ -276,3 +276,8 @@
     reactor.advance(4.0)
     protocol.dataReceived(b"x")
     assert done
+
+
+def test_a_call_leaves_soon_after_it_was_placed_or_not_at_all():
+    """What is sent half a second after a limit is known counts: none of it was placed before."""
+    assert EndpointClientLimits().connect_s < 0.5
--- a/umberhitch/platform/tests/test_processes.py
+++ b/umberhitch/platform/tests/test_processes.py
@@ -3,6 +3,7 @@
 import signal
 from collections.abc import Iterator
 from pathlib import Path
+from time import monotonic
 
 import pytest
 
@@ -209,3 +210,27 @@
     assert ran_in_all() <= known + 2
     assert statuses.count(503) >= 58
     eventually(lambda: routers[1].ask("/look/x", "fine", KEY).status == 200)
+
+
+def test_a_limit_that_an_endpoint_names_is_kept_by_all_routers_and_ends(platform):
+    """Counted by the endpoint; how many spans of 4 s pass depends on the machine."""
+    routers = [platform.start_router(f"r{number}") for number in range(2)]
+    for router in routers:
+        settle(router, 2)
+    platform.name_limit("e2", 1.0)
+    eventually(lambda: _knows_limit(routers, [1.0]))
+    began_s, before = monotonic(), len(platform.arrivals("e2"))
+    for number in range(60):
+        assert routers[number % 2].ask("/look/x", f"l{number}", KEY).status == 200
+    spans = 1 + (monotonic() - began_s) // 4.0
+    assert len(platform.arrivals("e2")) - before <= spans * (1.5 * 1.0 * 4.0 + 5.0)
+    platform.name_limit("e2", None)
+    eventually(lambda: _knows_limit(routers, []))
+
+
+def _knows_limit(routers: list[RouterProcess], rates: list[float]) -> bool:
+    """Send calls so that the endpoint is heard, and return whether all routers know its rate."""
+    for router in routers:
+        router.ask("/look/x", f"hear-{monotonic()}", KEY)
+        router.ask("/draft/x", f"hear-{monotonic()}", KEY, model="small")
+    return all([row["rate"] for row in each.status()["limited"]] == rates for each in routers)
