--- a/umberhitch/cli/explain.py
+++ b/umberhitch/cli/explain.py
@@ -4,18 +4,17 @@
 """
 
 import sys
-from pathlib import Path
 
 from absl import flags
 
-from umberhitch.explain import read_lines, tell
+from umberhitch.cli._log_files import read_files
+from umberhitch.explain import tell
 
 __all__ = ["run"]
 
 EXIT_OK = 0
 EXIT_UNKNOWN = 1
 EXIT_BAD_USAGE = 2
-STDIN = "-"
 
 
 def main(words: list[str]) -> int:
@@ -28,13 +27,10 @@
         return _usage(str(exc))
     if not files or not values["request"].value:
         return _usage("usage: umberhitch-explain FILE... --request ID (FILE - is standard input)")
-    lines = []
-    for name in files:
-        try:
-            text = sys.stdin.read() if name == STDIN else Path(name).read_text(errors="replace")
-        except OSError as exc:
-            return _usage(f"{name}: {exc.strerror}")
-        lines += read_lines(text.splitlines())
+    try:
+        lines = read_files(files)
+    except OSError as exc:
+        return _usage(f"{exc.filename}: {exc.strerror}")
     story = tell(lines, values["request"].value)
     for line in story:
         print(line)
