--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -217,8 +217,8 @@
 {_sweep_section(sweeps)}
 
 **What breaks first there**: recovery. After the loss of all routers, or of a zone, the time to serve again grows with the
-fleet (powers 1.2 and 2.0); the bytes of the busiest router grow as the fleet does (power 1.0), the middle one's do not. Neither is mended or
-traced. What carries the rest, mechanism by mechanism: [the direct path](capacity/direct.md).
+fleet (powers 1.2 and 2.0); the bytes of the busiest router grow as the fleet does (power 1.0), the middle one's do not. Neither is mended; what is
+suspected: [design note 19](design/0019-recovery-time.md). What carries the rest, mechanism by mechanism: [the direct path](capacity/direct.md).
 
 ## The path with agents
 
