--- a/umberhitch/soak/_run.py
+++ b/umberhitch/soak/_run.py
@@ -4,18 +4,12 @@
 import signal
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from functools import partial
 from pathlib import Path
-from threading import Lock
 from time import monotonic, sleep
 
-from umberhitch.platform.standins.client import (
-    EVENTS,
-    LocalPlatform,
-    RouterProcess,
-    eventually,
-)
+from umberhitch.platform.standins.client import EVENTS, LocalPlatform, RouterProcess, eventually
 from umberhitch.soak._callers import Callers
 from umberhitch.soak._checks import (
     Bounds,
@@ -25,16 +19,11 @@
     check_requests,
     check_zones,
 )
-from umberhitch.soak._proxy import Proxy, Way
-from umberhitch.soak._records import (
-    ColdStart,
-    Departure,
-    LimitNamed,
-    Revocation,
-    RunSeen,
-    ZoneOutage,
-)
-from umberhitch.soak._schedule import Fault, SoakConfig, Step, make_schedule
+from umberhitch.soak._deployment import COLD_RATE, Deployment, memory_mb
+from umberhitch.soak._faults import do_step
+from umberhitch.soak._proxy import Proxy
+from umberhitch.soak._records import Departure, RunSeen
+from umberhitch.soak._schedule import SoakConfig, Step, make_schedule
 
 __all__ = ["Verdict", "play"]
 
@@ -43,24 +32,8 @@
 GROWTH_MB = 64.0
 """A router's memory may be so much larger at the end than after its start: caches fill."""
 MAX_DESCRIPTORS = 200
-ZONES = ("a", "b")
-COLD_RATE = 2.0
-LIMIT_RATES = (0.5, 2.0)
-"""Requests a second that endpoints name, in turn."""
 MOST_COLD = 1.5 * COLD_RATE + 5.0
 """Calls within a second that a cold endpoint bears."""
-WAYS = {
-    Fault.LINK_DELAY: Way.DELAY,
-    Fault.LINK_RESET: Way.RESET,
-    Fault.LINK_SILENT: Way.SILENT,
-    Fault.LINK_ONE_WAY: Way.ONE_WAY,
-}
-BROKEN_ENTRIES = (
-    b"\xff\xfe",
-    b"[" * 5000,
-    b'{"service":"svc"}',
-    b'{"service":"svc","address":"x","version":"v1","slots":-1,"state":"ready","born":true}',
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,66 +47,6 @@
     findings: list[Finding]
 
 
-@dataclass
-class _Router:
-    """A router with its own way to the store."""
-
-    name: str
-    way: Proxy
-    process: RouterProcess
-    memory_mb: float
-
-
-@dataclass
-class _Deployment:
-    """Everything that runs."""
-
-    platform: LocalPlatform
-    module: tuple[str, ...]
-    routers: list[_Router] = field(default_factory=list)
-    endpoints: list[str] = field(default_factory=list)
-    gone: list[str] = field(default_factory=list)
-    keys: list[str] = field(default_factory=lambda: ["k0", "k1"])
-    """The first is the one that is taken away next."""
-    number: int = 1
-    born: int = 1
-    started: int = 0
-    revoked: list[Revocation] = field(default_factory=list)
-    departed: list[Departure] = field(default_factory=list)
-    outages: dict[str, list[ZoneOutage]] = field(default_factory=dict)
-    """By zone, the latest last."""
-    cold: list[ColdStart] = field(default_factory=list)
-    limits: dict[str, list[LimitNamed]] = field(default_factory=dict)
-    """By endpoint, the latest last."""
-    zone_of: dict[str, str] = field(default_factory=dict)
-    sound_s: float = 0.0
-    """Bounds count from here at the earliest: the store's last fault was over then."""
-    lock: Lock = field(default_factory=Lock)
-
-    def publish(self) -> None:
-        self.number += 1
-        self.platform.publish(self.number, tuple(self.keys), COLD_RATE)
-
-    def add_endpoint(self, cold_s: float = 0.0) -> None:
-        name = f"e{self.started}"
-        zone = self.zone_of[name] = ZONES[self.started % len(ZONES)]
-        self.started += 1
-        at_s = monotonic()
-        cold = {"seconds": cold_s, "rate": COLD_RATE} if cold_s else None
-        self.platform.add_endpoint(name, zone=zone, cold=cold)
-        self.endpoints.append(name)
-        if cold_s:
-            self.cold.append(ColdStart(name, at_s, at_s + cold_s))
-
-    def start(self, name: str, way: Proxy) -> _Router:
-        process = self.platform.start_router(name, store=way.address, module=self.module)
-        return _Router(name, way, process, memory_mb(process))
-
-    def live(self) -> list[RouterProcess]:
-        with self.lock:
-            return [each.process for each in self.routers]
-
-
 def play(
     seed: int,
     cfg: SoakConfig,
@@ -160,7 +73,7 @@
     module: tuple[str, ...] = ("umberhitch.cli.daemon",)
     if mutation is not None:
         module = ("umberhitch.soak._mutations", mutation)
-    deployment = _Deployment(LocalPlatform(folder), module)
+    deployment = Deployment(LocalPlatform(folder), module)
     try:
         return _play(seed, cfg, deployment, bounds or Bounds(), on_step)
     finally:
@@ -175,7 +88,7 @@
 def _play(
     seed: int,
     cfg: SoakConfig,
-    deployment: _Deployment,
+    deployment: Deployment,
     bounds: Bounds,
     on_step: Callable[[Step], None],
 ) -> Verdict:
@@ -200,7 +113,7 @@
     return Verdict(seed, len(records), done, len(steps), list(dict.fromkeys(findings)))
 
 
-def _keys(deployment: _Deployment) -> list[str]:
+def _keys(deployment: Deployment) -> list[str]:
     """Return keys that stand, and the one that was taken away last."""
     with deployment.lock:
         last = [each.key for each in deployment.revoked[-1:]]
@@ -209,7 +122,7 @@
 
 def _drive(
     steps: list[Step],
-    deployment: _Deployment,
+    deployment: Deployment,
     callers: Callers,
     bounds: Bounds,
     on_step: Callable[[Step], None],
@@ -232,157 +145,13 @@
             sleep(0.02)
         if step is not None:
             on_step(step)
-            end = _do(step, deployment)
+            end = do_step(step, deployment)
             if end is not None:
                 due.append((monotonic() + step.for_s, end))
     return []
 
 
-def _do(step: Step, deployment: _Deployment) -> Callable[[], None] | None:
-    """Do one step; returns what ends it, if it lasts."""
-    router = deployment.routers[step.target % len(deployment.routers)]
-    endpoint = deployment.endpoints[step.target % len(deployment.endpoints)]
-    platform = deployment.platform
-    match step.fault:
-        case Fault.KILL:
-            _replace(deployment, router, lambda: router.process.kill())
-        case Fault.TERMINATE:
-            _replace(deployment, router, lambda: _terminate(router))
-        case Fault.FREEZE:
-            pid = router.process.process.pid
-            os.kill(pid, signal.SIGSTOP)
-            return lambda: _wake(pid)
-        case Fault.RELOAD:
-            os.kill(router.process.process.pid, signal.SIGHUP)
-        case Fault.STORE_DOWN:
-            platform.take_store_away(True)
-            return lambda: _end_store_fault(deployment)
-        case Fault.STORE_LOSES:
-            platform.control("POST", "/store/faults", {"lose_answers": 3})
-        case Fault.STORE_FORGETS:
-            platform.control("POST", "/store/forget", {})
-        case Fault.LINK_DELAY | Fault.LINK_RESET | Fault.LINK_SILENT | Fault.LINK_ONE_WAY:
-            router.way.set_way(WAYS[step.fault])
-            return lambda: router.way.set_way(Way.OPEN)
-        case Fault.SHED:
-            _set_fault(platform, endpoint, {"is_shedding": True})
-            return lambda: _set_fault(platform, endpoint, {"is_shedding": False})
-        case Fault.LOSE:
-            _set_fault(platform, endpoint, {"loses_answers": True})
-            return lambda: _set_fault(platform, endpoint, {"loses_answers": False})
-        case Fault.BREAK:
-            platform.break_streams(endpoint, 2)
-            return lambda: platform.break_streams(endpoint, 0)
-        case Fault.ZONE_OUT:
-            zone = deployment.zone_of[endpoint]
-            _take_out(deployment, zone)
-            return lambda: _take_back(deployment, zone)
-        case Fault.COLD_START:
-            deployment.add_endpoint(step.for_s)
-        case Fault.LIMIT:
-            _name_limit(deployment, endpoint, LIMIT_RATES[step.target % len(LIMIT_RATES)])
-            return lambda: _end_limit(deployment, endpoint)
-        case Fault.DEPART:
-            _depart(deployment, endpoint)
-        case Fault.REBORN:
-            deployment.born += 1
-            _change_entry(platform, endpoint, {"born": deployment.born})
-        case Fault.BROKEN_ENTRY:
-            entry = BROKEN_ENTRIES[step.target % len(BROKEN_ENTRIES)]
-            platform.write_entry(f"other-{step.target % 8}", entry)
-        case Fault.CHANGE:
-            deployment.publish()
-        case Fault.REVOKE:
-            _revoke(deployment)
-    return None
-
-
-def _replace(deployment: _Deployment, router: _Router, end: Callable[[], None]) -> None:
-    """End a router, and start another under its name."""
-    with deployment.lock:
-        deployment.routers.remove(router)
-    _wake(router.process.process.pid)
-    end()
-    deployment.platform.routers.remove(router.process)
-    router.way.set_way(Way.OPEN)
-    deployment.platform.take_store_away(False)
-    started = deployment.start(router.name, router.way)
-    with deployment.lock:
-        deployment.routers.append(started)
-        deployment.routers.sort(key=lambda each: each.name)
-
-
-def _terminate(router: _Router) -> None:
-    router.process.process.terminate()
-    router.process.process.wait()
-
-
-def _wake(pid: int) -> None:
-    with suppress(ProcessLookupError):
-        os.kill(pid, signal.SIGCONT)
-
-
-def _end_store_fault(deployment: _Deployment) -> None:
-    deployment.platform.take_store_away(False)
-    deployment.sound_s = monotonic()
-
-
-def _set_fault(platform: LocalPlatform, endpoint: str, faults: dict[str, object]) -> None:
-    platform.control("POST", f"/endpoints/{endpoint}/faults", faults)
-
-
-def _change_entry(platform: LocalPlatform, endpoint: str, fields: dict[str, object]) -> None:
-    platform.control("POST", f"/endpoints/{endpoint}/entry", fields)
-
-
-def _take_out(deployment: _Deployment, zone: str) -> None:
-    outages = deployment.outages.setdefault(zone, [])
-    if outages and outages[-1].until_s == float("inf"):
-        return
-    deployment.platform.take_out(zone)
-    found = tuple(name for name, where in deployment.zone_of.items() if where == zone)
-    outages.append(ZoneOutage(zone, found, monotonic()))
-
-
-def _take_back(deployment: _Deployment, zone: str) -> None:
-    outages = deployment.outages[zone]
-    if outages[-1].until_s == float("inf"):
-        outages[-1] = replace(outages[-1], until_s=monotonic())
-        deployment.platform.take_back(zone)
-
-
-def _name_limit(deployment: _Deployment, endpoint: str, rate: float) -> None:
-    """Let an endpoint name a rate, which may replace the one that it named."""
-    _end_limit(deployment, endpoint)
-    deployment.platform.name_limit(endpoint, rate)
-    deployment.limits.setdefault(endpoint, []).append(LimitNamed(endpoint, rate, monotonic()))
-
-
-def _end_limit(deployment: _Deployment, endpoint: str) -> None:
-    named = deployment.limits.get(endpoint, [])
-    if named and named[-1].until_s == float("inf"):
-        named[-1] = replace(named[-1], until_s=monotonic())
-        deployment.platform.name_limit(endpoint, None)
-
-
-def _depart(deployment: _Deployment, endpoint: str) -> None:
-    deployment.add_endpoint()
-    deployment.endpoints.remove(endpoint)
-    deployment.gone.append(endpoint)
-    deployment.platform.drain_endpoint(endpoint)
-    deployment.departed.append(Departure(endpoint, monotonic()))
-
-
-def _revoke(deployment: _Deployment) -> None:
-    with deployment.lock:
-        key = deployment.keys.pop(0)
-        deployment.keys.append(f"k{deployment.number + 1}")
-    deployment.publish()
-    with deployment.lock:
-        deployment.revoked.append(Revocation(key, monotonic()))
-
-
-def _check(deployment: _Deployment, callers: Callers, bounds: Bounds) -> list[Finding]:
+def _check(deployment: Deployment, callers: Callers, bounds: Bounds) -> list[Finding]:
     records = callers.records()
     runs = [
         RunSeen(run["call_id"], endpoint, run["at_s"])
@@ -408,7 +177,7 @@
     ]
 
 
-def _await_normal(deployment: _Deployment) -> list[Finding]:
+def _await_normal(deployment: Deployment) -> list[Finding]:
     """Wait until every router serves every kind, has the newest configuration and all endpoints."""
     for router in deployment.live():
         try:
@@ -419,7 +188,7 @@
     return []
 
 
-def _is_normal(deployment: _Deployment, router: RouterProcess) -> bool:
+def _is_normal(deployment: Deployment, router: RouterProcess) -> bool:
     status = router.status()
     if status["configuration"] != deployment.number:
         return False
@@ -431,7 +200,7 @@
     return all(answer.status == 200 for answer in answers)
 
 
-def _check_growth(deployment: _Deployment) -> list[Finding]:
+def _check_growth(deployment: Deployment) -> list[Finding]:
     found = []
     for router in deployment.routers:
         pid = router.process.process.pid
@@ -441,10 +210,3 @@
         if count > MAX_DESCRIPTORS:
             found.append(Finding("descriptors do not grow", f"{router.name}: {count}"))
     return found
-
-
-def memory_mb(router: RouterProcess) -> float:
-    """Return what a router's process holds."""
-    status = Path(f"/proc/{router.process.pid}/status").read_text()
-    line = next(each for each in status.splitlines() if each.startswith("VmRSS"))
-    return int(line.split()[1]) / 1024
