--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -13,6 +13,7 @@
 from umberhitch.core.direct._named_limits import LimitChange, LimitRules, NamedLimit, NamedLimits
 from umberhitch.core.direct._pace import EventPace, Paces, PacesLimits
 from umberhitch.core.direct._placement import EngineWork, Offer, Placed, Placement, PlacementLimits
+from umberhitch.core.direct._rates import Rate, read_rate
 from umberhitch.core.direct._readings import NO_READING, Readings
 from umberhitch.core.direct._request_key import request_key
 from umberhitch.core.direct._routes import RouteTable
@@ -77,6 +78,7 @@
     "Placement",
     "PlacementLimits",
     "PromptPart",
+    "Rate",
     "Readings",
     "ReplyHead",
     "ReportedLoad",
@@ -96,5 +98,6 @@
     "change_between",
     "key_digest",
     "make_stake",
+    "read_rate",
     "request_key",
 ]
--- a/umberhitch/core/direct/_types.py
+++ b/umberhitch/core/direct/_types.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from umberhitch.core.direct._rates import Rate
+
 __all__ = [
     "Ask",
     "Customer",
@@ -267,10 +269,8 @@
         Whether another incarnation has the address.
     confidence : int or None
         The model's own opinion of its answer, 0 to 100.
-    limit_rate : float or None
-        The requests a second that the endpoint names, which it takes from all routers together.
-    is_limit_unclear : bool
-        Whether it names something that is no rate: it says nothing, then.
+    limit : Rate
+        The requests that the endpoint takes from all routers together, if it names that.
     """
 
     status: int
@@ -281,8 +281,7 @@
     is_elsewhere: bool = False
     confidence: int | None = None
     load: ReportedLoad | None = None
-    limit_rate: float | None = None
-    is_limit_unclear: bool = False
+    limit: Rate = Rate()
 
     @property
     def is_success(self) -> bool:
--- a/umberhitch/fakes/_direct_http.py
+++ b/umberhitch/fakes/_direct_http.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from umberhitch.core.direct import Ask, PromptPart, ReplyHead, ReportedLoad
+from umberhitch.core.direct import Ask, PromptPart, Rate, ReplyHead, ReportedLoad
 from umberhitch.errors import BadAskError
 from umberhitch.ports.clock import Clock, Timer
 from umberhitch.ports.direct import (
@@ -160,8 +160,10 @@
                 is_elsewhere=reply.is_elsewhere,
                 confidence=reply.confidence,
                 load=reply.load,
-                limit_rate=None if self._endpoint is None else self._endpoint.limit_rate,
-                is_limit_unclear=reply.is_limit_unclear,
+                limit=Rate(
+                    None if self._endpoint is None else self._endpoint.limit_rate,
+                    reply.is_limit_unclear,
+                ),
             )
         )
         if reply.events and reply.status == 200:
--- a/umberhitch/platform/_headers.py
+++ b/umberhitch/platform/_headers.py
@@ -5,10 +5,9 @@
 and ``Not-Executed`` is a promise, not a guess.
 """
 
-import re
 from urllib.parse import unquote
 
-from umberhitch.core.direct import Ask, PromptPart, ReplyHead, ReportedLoad
+from umberhitch.core.direct import Ask, PromptPart, ReplyHead, ReportedLoad, read_rate
 from umberhitch.errors import BadAskError
 from umberhitch.ports.direct import CallExtras, HeaderList, RawRequest
 
@@ -49,10 +48,6 @@
 )
 """Headers that a caller may not set for an endpoint, or that the router sets anew."""
 
-LIMIT = b"server-limit"
-RATE = re.compile(rb"[0-9]{1,40}(?:\.[0-9]{0,40})?|\.[0-9]{1,40}")
-HIGHEST_RATE = 1e6
-"""Requests a second; a higher one is as good as this: no endpoint gets so many."""
 ANY_MODEL = b"*"
 MAX_PRIORITY = 9
 DEFAULT_PATIENCE_S = 30.0
@@ -126,20 +121,17 @@
         for name, value in headers:
             first.setdefault(name.lower(), value)
         call_id = first.get(b"attempt-id")
-        connection = first.get(b"connection", b"")
         confidence = first.get(b"confidence", b"")
-        limit_rate, is_limit_unclear = _limit(headers)
         return ReplyHead(
             status,
-            _passed_on(headers, connection, frozenset()),
+            _passed_on(headers, first.get(b"connection", b""), frozenset()),
             None if call_id is None else call_id.decode("latin-1"),
             is_signed=b"response-signature" in first,
             not_run=b"not-executed" in first or status in NOT_RUN_STATUSES,
             is_elsewhere=status == 421 and b"replica-id" in first,
             confidence=int(confidence) if confidence.isdigit() else None,
             load=_load(first.get(b"replica-load")),
-            limit_rate=limit_rate,
-            is_limit_unclear=is_limit_unclear,
+            limit=read_rate([value for name, value in headers if name.lower() == b"server-limit"]),
         )
 
     def refusal_headers(self, call_id: str | None, retry_after_s: float | None) -> HeaderList:
@@ -198,14 +190,3 @@
 def _load(value: bytes | None) -> ReportedLoad | None:
     numbers = _numbers(value)
     return ReportedLoad(*numbers) if len(numbers) == 3 else None
-
-
-def _limit(headers: HeaderList) -> tuple[float | None, bool]:
-    """Return the rate that a reply names, and whether what it names is none.
-
-    Of several rates the lowest counts: an endpoint in need is not sent more than it may have meant.
-    """
-    said = [value for name, value in headers if name.lower() == LIMIT]
-    words = [word.strip(b" \t") for value in said for word in value.split(b",")]
-    rates = [min(HIGHEST_RATE, float(word)) for word in words if RATE.fullmatch(word)]
-    return (min(rates), False) if rates else (None, bool(words))
--- a/umberhitch/platform/tests/test_headers.py
+++ b/umberhitch/platform/tests/test_headers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from umberhitch.core.direct import PromptPart, ReportedLoad
+from umberhitch.core.direct import PromptPart, Rate, ReportedLoad
 from umberhitch.errors import BadAskError
 from umberhitch.platform import PlatformWire
 from umberhitch.ports.direct import CallExtras, RawRequest
@@ -137,12 +137,12 @@
 )
 def test_a_rate_that_an_endpoint_names_is_read_and_the_lowest_of_several_counts(values, rate):
     head = WIRE.read_reply(200, [(b"server-LIMIT", value) for value in values])
-    assert (head.limit_rate, head.is_limit_unclear) == (rate, False)
+    assert head.limit == Rate(rate)
 
 
 def test_a_reply_without_a_rate_names_none():
     head = WIRE.read_reply(200, [(b"Attempt-Id", b"abc")])
-    assert (head.limit_rate, head.is_limit_unclear) == (None, False)
+    assert head.limit == Rate()
 
 
 @pytest.mark.parametrize(
@@ -166,7 +166,7 @@
 )
 def test_an_odd_word_is_told_from_a_rate_and_from_none(value: bytes):
     head = WIRE.read_reply(503, [(b"Server-Limit", value)])
-    assert (head.limit_rate, head.is_limit_unclear) == (None, True)
+    assert head.limit == Rate(None, is_unclear=True)
 
 
 def test_the_rate_goes_on_to_the_caller_as_it_came():
--- a/umberhitch/tasks/direct/send_gate.py
+++ b/umberhitch/tasks/direct/send_gate.py
@@ -218,12 +218,13 @@
 
     def heard(self, endpoint: Endpoint, head: ReplyHead) -> None:
         """Take what the head of any reply of an endpoint says."""
-        if head.is_elsewhere or head.is_limit_unclear:
+        rate = head.limit.a_second
+        if head.is_elsewhere or head.limit.is_unclear:
             return
-        if head.limit_rate is None and not len(self.limits):
+        if rate is None and not len(self.limits):
             return
         lifetime, now_s = endpoint.lifetime, self._clock.seconds()
-        change = self.limits.heard(lifetime, head.limit_rate, now_s)
+        change = self.limits.heard(lifetime, rate, now_s)
         if change is LimitChange.NONE:
             return
         if change is LimitChange.BEGUN:
