A refusal that names no rate does not end the limit of its endpoint

An endpoint in need that is full may say only that it has not run the call: then the limit went with each refusal and came back with each answer, and what was sent between was not counted. Red before (known limits {} where 2.0 is). Only an answer of a run that names none ends it. Not met where nothing names a limit.

--- a/umberhitch/tasks/direct/send_gate.py
+++ b/umberhitch/tasks/direct/send_gate.py
@@ -221,8 +221,8 @@
         rate = head.limit.a_second
         if head.is_elsewhere or head.limit.is_unclear:
             return
-        if rate is None and not len(self.limits):
-            return
+        if rate is None and (head.not_run or not len(self.limits)):
+            return  # a refusal that names none may be in short; an answer tells that it is over
         lifetime, now_s = endpoint.lifetime, self._clock.seconds()
         change = self.limits.heard(lifetime, rate, now_s)
         if change is LimitChange.NONE:
--- a/umberhitch/tasks/direct/tests/test_named_limits.py
+++ b/umberhitch/tasks/direct/tests/test_named_limits.py
@@ -197,6 +197,22 @@
     assert (2 <= calls <= 4) if rate == 0.0 else calls >= 490
 
 
+def test_a_refusal_that_names_none_does_not_end_it():
+    """An endpoint that is full may say only that: the limit went and came with each of these."""
+    world, endpoint = _one_router(Reply())
+    world.ask(world.routers["r000"], "/look/x")
+    world.run(4.1)
+    endpoint.limit_rate, endpoint.reply = None, Reply(status=503, not_run=True, is_signed=False)
+    world.ask(world.routers["r000"], "/look/x")
+    world.run(0.1)
+    assert _known(world) == {"l0": 2.0}
+    endpoint.reply = Reply()
+    world.run(4.1)
+    world.ask(world.routers["r000"], "/look/x")
+    world.run(0.1)
+    assert _known(world) == {}
+
+
 def test_it_ends_when_it_is_no_longer_named():
     world, limited = _world(6, 1, 1, 2.0)
     _crowd(world, 3.0, 40.0)
