Routers decode and log that an endpoint leaves or wants nothing for a while, and see headers that nobody knows (sight; no change of logic)

One value holds what a head says of its endpoint; 50 cases of odd and good words at the border (seconds, dates in three forms, zero, negative, huge, several, none, bytes).

--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -135,6 +135,7 @@
             "zones_out": self._zones_out(),
             "cold": self._cold(),
             "limited": self._limited(),
+            "unknown_headers": gateway.gate.unknown.counts,
         }
 
     def _zones_out(self) -> dict[str, dict[str, float]]:
@@ -204,6 +205,7 @@
             f"umberhitch_cold_shares_used_up_total {gateway.gate.cold_used_up}",
             f"umberhitch_endpoints_limited {len(gateway.gate.limits)}",
             f"umberhitch_limit_shares_used_up_total {gateway.gate.limit_used_up}",
+            f"umberhitch_unknown_header_names {len(gateway.gate.unknown.counts)}",
         ]
         lines += [f"umberhitch_{name} {value}" for name, value in self._transport().items()]
         age_s = gateway.view.proof_age_s(gateway.clock.seconds())
--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -9,6 +9,14 @@
 from umberhitch.core.direct._events import EventCutter
 from umberhitch.core.direct._evidence import AnswerVerdict, Counts, EvidenceBar
 from umberhitch.core.direct._fleet_share import ColdLimits, FleetBound, FleetShare
+from umberhitch.core.direct._header_values import (
+    Backoff,
+    read_backoff,
+    read_flag,
+    read_load,
+    read_numbers,
+    read_prompt,
+)
 from umberhitch.core.direct._keys import key_digest
 from umberhitch.core.direct._named_limits import LimitChange, LimitRules, NamedLimit, NamedLimits
 from umberhitch.core.direct._pace import EventPace, Paces, PacesLimits
@@ -17,6 +25,7 @@
 from umberhitch.core.direct._readings import NO_READING, Readings
 from umberhitch.core.direct._request_key import request_key
 from umberhitch.core.direct._routes import RouteTable
+from umberhitch.core.direct._signals import HeadSignals, ReportedLoad
 from umberhitch.core.direct._trial import Trial, TrialLimits
 from umberhitch.core.direct._types import (
     Ask,
@@ -27,7 +36,6 @@
     IntakeLimits,
     PromptPart,
     ReplyHead,
-    ReportedLoad,
     RolloutOrder,
     RolloutState,
     Route,
@@ -41,6 +49,7 @@
     "NO_READING",
     "AnswerVerdict",
     "Ask",
+    "Backoff",
     "BudgetLimits",
     "Cascade",
     "CascadeLimits",
@@ -65,6 +74,7 @@
     "EvidenceBar",
     "FleetBound",
     "FleetShare",
+    "HeadSignals",
     "Hold",
     "IntakeLimits",
     "LimitChange",
@@ -98,6 +108,11 @@
     "change_between",
     "key_digest",
     "make_stake",
+    "read_backoff",
+    "read_flag",
+    "read_load",
+    "read_numbers",
+    "read_prompt",
     "read_rate",
     "request_key",
 ]
--- a/umberhitch/core/direct/_placement.py
+++ b/umberhitch/core/direct/_placement.py
@@ -13,7 +13,8 @@
 from umberhitch.core.direct._engine_time import EnginePrice
 from umberhitch.core.direct._reading_pace import ReadingPace
 from umberhitch.core.direct._readings import LONG_READING_S, NO_READING, Readings
-from umberhitch.core.direct._types import Ask, PromptPart, ReportedLoad, Service
+from umberhitch.core.direct._signals import ReportedLoad
+from umberhitch.core.direct._types import Ask, PromptPart, Service
 from umberhitch.core.direct._worth import Stake
 
 __all__ = ["EngineWork", "Offer", "Placed", "Placement", "PlacementLimits"]
--- a/umberhitch/core/direct/_types.py
+++ b/umberhitch/core/direct/_types.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from umberhitch.core.direct._rates import Rate
+from umberhitch.core.direct._signals import HeadSignals
 
 __all__ = [
     "Ask",
@@ -14,7 +14,6 @@
     "IntakeLimits",
     "PromptPart",
     "ReplyHead",
-    "ReportedLoad",
     "RolloutOrder",
     "RolloutState",
     "Route",
@@ -244,15 +243,6 @@
         return sum(part.tokens for part in self.prompt)
 
 
-@dataclass(frozen=True, slots=True)
-class ReportedLoad:
-    """Load as the endpoint itself reported it."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclass(frozen=True, slots=True)
 class ReplyHead:
     """The head of an endpoint's reply, decoded.
@@ -269,8 +259,8 @@
         Whether another incarnation has the address.
     confidence : int or None
         The model's own opinion of its answer, 0 to 100.
-    limit : Rate
-        The requests that the endpoint takes from all routers together, if it names that.
+    signals : HeadSignals
+        What the endpoint says of itself.
     """
 
     status: int
@@ -280,8 +270,7 @@
     not_run: bool = False
     is_elsewhere: bool = False
     confidence: int | None = None
-    load: ReportedLoad | None = None
-    limit: Rate = Rate()
+    signals: HeadSignals = HeadSignals()
 
     @property
     def is_success(self) -> bool:
--- a/umberhitch/fakes/_direct_http.py
+++ b/umberhitch/fakes/_direct_http.py
@@ -3,7 +3,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from umberhitch.core.direct import Ask, PromptPart, Rate, ReplyHead, ReportedLoad
+from umberhitch.core.direct import (
+    Ask,
+    HeadSignals,
+    PromptPart,
+    Rate,
+    ReplyHead,
+    ReportedLoad,
+)
 from umberhitch.errors import BadAskError
 from umberhitch.ports.clock import Clock, Timer
 from umberhitch.ports.direct import (
@@ -39,6 +46,8 @@
         No reply at all.
     is_silent : bool
         Nothing ever comes.
+    backoff_s : float or None
+        With 503, for how long the endpoint wants nothing.
     """
 
     status: int = 200
@@ -55,6 +64,7 @@
     is_silent: bool = False
     load: ReportedLoad | None = None
     is_limit_unclear: bool = False
+    backoff_s: float | None = None
 
 
 @dataclass
@@ -73,6 +83,8 @@
         Called when it ends.
     limit_rate : float or None
         Requests a second that it names in each reply, whatever becomes of the call.
+    is_draining : bool
+        Whether it says in each reply that it leaves.
     """
 
     fails_over: int = 0
@@ -82,6 +94,7 @@
     is_down: bool = False
     on_crash: Callable[["FakeEndpoint"], None] | None = None
     limit_rate: float | None = None
+    is_draining: bool = False
 
     reply: Reply = field(default_factory=Reply)
     replies: list[Reply] = field(default_factory=list)
@@ -159,11 +172,7 @@
                 not_run=reply.not_run,
                 is_elsewhere=reply.is_elsewhere,
                 confidence=reply.confidence,
-                load=reply.load,
-                limit=Rate(
-                    None if self._endpoint is None else self._endpoint.limit_rate,
-                    reply.is_limit_unclear,
-                ),
+                signals=self._signals(reply),
             )
         )
         if reply.events and reply.status == 200:
@@ -173,6 +182,17 @@
             self._events.on_data(reply.body)
             self._end()
 
+    def _signals(self, reply: Reply) -> HeadSignals:
+        endpoint = self._endpoint
+        if endpoint is None:
+            return HeadSignals()
+        return HeadSignals(
+            endpoint.is_draining,
+            reply.backoff_s if reply.status == 503 else None,
+            Rate(endpoint.limit_rate, reply.is_limit_unclear),
+            reply.load,
+        )
+
     def _event(self, reply: Reply, number: int, count: int) -> None:
         if self._events is None:
             return
--- a/umberhitch/platform/_headers.py
+++ b/umberhitch/platform/_headers.py
@@ -5,49 +5,28 @@
 and ``Not-Executed`` is a promise, not a guess.
 """
 
+from collections.abc import Callable
+from time import time
 from urllib.parse import unquote
 
-from umberhitch.core.direct import Ask, PromptPart, ReplyHead, ReportedLoad, read_rate
+from umberhitch.adapters.hop_by_hop import pass_on
+from umberhitch.core.direct import (
+    Ask,
+    HeadSignals,
+    ReplyHead,
+    read_backoff,
+    read_flag,
+    read_load,
+    read_numbers,
+    read_prompt,
+    read_rate,
+)
 from umberhitch.errors import BadAskError
+from umberhitch.platform._register import DROPPED_HEADERS, REPLY_HEADERS
 from umberhitch.ports.direct import CallExtras, HeaderList, RawRequest
 
 __all__ = ["PlatformWire"]
 
-ONE_CONNECTION = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
-"""Headers that concern one connection only (RFC 9110, 7.6.1)."""
-
-SET_BY_ROUTER = frozenset(
-    {
-        b"authorization",  # the key is not passed on
-        b"cache-hold",
-        b"content-length",  # set anew: bodies are sent whole
-        b"deadline-ms",
-        b"expect",
-        b"expect-instance",
-        b"expect-version",
-        b"kv-backup",
-        b"kv-fetch",
-        b"kv-from",
-        b"last-event-id",
-        b"pin-ms",
-        b"request-priority",
-        b"tenant",
-    }
-)
-"""Headers that a caller may not set for an endpoint, or that the router sets anew."""
-
 ANY_MODEL = b"*"
 MAX_PRIORITY = 9
 DEFAULT_PATIENCE_S = 30.0
@@ -57,7 +36,16 @@
 
 
 class PlatformWire:
-    """Decodes and encodes heads; decides nothing."""
+    """Decodes and encodes heads; decides nothing.
+
+    Parameters
+    ----------
+    time_of_day : callable
+        Returns the seconds since 1970.
+    """
+
+    def __init__(self, time_of_day: Callable[[], float] = time) -> None:
+        self._time_of_day = time_of_day
 
     def read_ask(self, raw: RawRequest) -> Ask:
         """Decode a request.
@@ -75,7 +63,7 @@
             raise BadAskError(400, "no attempt id")
         host = first.get(b"host", b"").decode("latin-1").partition(":")[0]
         path = raw.target.partition(b"?")[0].decode("latin-1")
-        tokens = _numbers(first.get(b"token-count"))
+        tokens = read_numbers(first.get(b"token-count"))
         session = first.get(b"session")
         return Ask(
             call_id,
@@ -83,11 +71,11 @@
             raw.target,
             host,
             unquote(path),
-            _passed_on(raw.headers, first.get(b"connection", b"")),
+            pass_on(raw.headers, first.get(b"connection", b""), DROPPED_HEADERS),
             _key(first.get(b"authorization")),
             _seconds(first.get(b"deadline-ms")),
             picks_model=first.get(b"model") == ANY_MODEL,
-            prompt=_prompt(first.get(b"prompt-prefix"), tokens[0] if tokens else 0),
+            prompt=read_prompt(first.get(b"prompt-prefix"), tokens[0] if tokens else 0),
             output_tokens=tokens[1] if len(tokens) > 1 else 0,
             last_event=first.get(b"last-event-id"),
             session=None if session is None else session.decode("latin-1"),
@@ -117,21 +105,37 @@
 
     def read_reply(self, status: int, headers: HeaderList) -> ReplyHead:
         """Decode the head of an endpoint's reply."""
-        first: dict[bytes, bytes] = {}
+        found: dict[bytes, list[bytes]] = {}
         for name, value in headers:
-            first.setdefault(name.lower(), value)
-        call_id = first.get(b"attempt-id")
-        confidence = first.get(b"confidence", b"")
+            found.setdefault(name.lower(), []).append(value)
+        call_id = found.get(b"attempt-id")
+        confidence = found.get(b"confidence", [b""])[0]
         return ReplyHead(
             status,
-            _passed_on(headers, first.get(b"connection", b""), frozenset()),
-            None if call_id is None else call_id.decode("latin-1"),
-            is_signed=b"response-signature" in first,
-            not_run=b"not-executed" in first or status in NOT_RUN_STATUSES,
-            is_elsewhere=status == 421 and b"replica-id" in first,
+            pass_on(headers, found.get(b"connection", [b""])[0]),
+            None if call_id is None else call_id[0].decode("latin-1"),
+            is_signed=b"response-signature" in found,
+            not_run=b"not-executed" in found or status in NOT_RUN_STATUSES,
+            is_elsewhere=status == 421 and b"replica-id" in found,
             confidence=int(confidence) if confidence.isdigit() else None,
-            load=_load(first.get(b"replica-load")),
-            limit=read_rate([value for name, value in headers if name.lower() == b"server-limit"]),
+            signals=self._read_signals(status, found),
+        )
+
+    def _read_signals(self, status: int, found: dict[bytes, list[bytes]]) -> HeadSignals:
+        """Return what an endpoint says of itself."""
+        limit = read_rate(found.get(b"server-limit", []))
+        is_draining, is_odd = read_flag(found.get(b"server-leaving", []))
+        times = found.get(b"retry-after", []) if status == 503 else []
+        backoff = read_backoff(times, found.get(b"date", [b""])[0], self._time_of_day)
+        odd = {"server-limit": limit.is_unclear, "server-leaving": is_odd}
+        odd["retry-after"] = backoff.is_unclear
+        return HeadSignals(
+            is_draining,
+            backoff.seconds,
+            limit,
+            read_load(found.get(b"replica-load", [None])[0]),
+            tuple(name for name, is_unclear in odd.items() if is_unclear),
+            tuple((name, found[name][0]) for name in found.keys() - REPLY_HEADERS),
         )
 
     def refusal_headers(self, call_id: str | None, retry_after_s: float | None) -> HeaderList:
@@ -144,18 +148,6 @@
         return headers
 
 
-def _passed_on(
-    headers: HeaderList, connection: bytes, dropped: frozenset[bytes] = SET_BY_ROUTER
-) -> HeaderList:
-    named = {item.strip().lower() for item in connection.split(b",")}
-    out = []
-    for name, value in headers:
-        lowered = name.lower()
-        if lowered not in ONE_CONNECTION and lowered not in named and lowered not in dropped:
-            out.append((name, value))
-    return out
-
-
 def _key(value: bytes | None) -> str | None:
     scheme, _, key = (value or b"").partition(b" ")
     return key.strip().decode("latin-1") if scheme.lower() == b"bearer" else None
@@ -167,26 +159,3 @@
     if not value.isdigit():
         raise BadAskError(400, "malformed deadline")
     return int(value) / 1000
-
-
-def _numbers(value: bytes | None) -> list[int]:
-    parts = [part.strip() for part in (value or b"").split(b",")]
-    return [int(part) for part in parts if part.isdigit()]
-
-
-def _prompt(value: bytes | None, tokens: int) -> tuple[PromptPart, ...]:
-    """Return the parts of a prompt; the last one is the request's own."""
-    if not value:
-        return (PromptPart("", tokens),) if tokens else ()
-    parts = []
-    for item in value.split(b","):
-        part_id, _, count = item.strip().partition(b":")
-        if not count.isdigit():
-            raise BadAskError(400, "malformed prompt")
-        parts.append(PromptPart(part_id.decode("latin-1"), int(count)))
-    return tuple(parts)
-
-
-def _load(value: bytes | None) -> ReportedLoad | None:
-    numbers = _numbers(value)
-    return ReportedLoad(*numbers) if len(numbers) == 3 else None
--- a/umberhitch/platform/tests/test_headers.py
+++ b/umberhitch/platform/tests/test_headers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from umberhitch.core.direct import PromptPart, Rate, ReportedLoad
+from umberhitch.core.direct import HeadSignals, PromptPart, Rate, ReportedLoad
 from umberhitch.errors import BadAskError
 from umberhitch.platform import PlatformWire
 from umberhitch.ports.direct import CallExtras, RawRequest
@@ -101,7 +101,7 @@
         ],
     )
     assert (head.call_id, head.is_signed, head.confidence) == ("abc", True, 62)
-    assert (head.load, head.not_run) == (ReportedLoad(3, 0, 8), False)
+    assert (head.signals.load, head.not_run) == (ReportedLoad(3, 0, 8), False)
     assert (b"Response-Signature", b"s") in head.headers
     assert all(name != b"Connection" for name, _ in head.headers)
 
@@ -137,12 +137,12 @@
 )
 def test_a_rate_that_an_endpoint_names_is_read_and_the_lowest_of_several_counts(values, rate):
     head = WIRE.read_reply(200, [(b"server-LIMIT", value) for value in values])
-    assert head.limit == Rate(rate)
+    assert head.signals.limit == Rate(rate)
 
 
 def test_a_reply_without_a_rate_names_none():
     head = WIRE.read_reply(200, [(b"Attempt-Id", b"abc")])
-    assert head.limit == Rate()
+    assert head.signals.limit == Rate()
 
 
 @pytest.mark.parametrize(
@@ -166,9 +166,109 @@
 )
 def test_an_odd_word_is_told_from_a_rate_and_from_none(value: bytes):
     head = WIRE.read_reply(503, [(b"Server-Limit", value)])
-    assert head.limit == Rate(None, is_unclear=True)
+    assert head.signals.limit == Rate(None, is_unclear=True)
 
 
 def test_the_rate_goes_on_to_the_caller_as_it_came():
     head = WIRE.read_reply(200, [(b"Server-Limit", b"2.3")])
     assert head.headers == [(b"Server-Limit", b"2.3")]
+
+
+@pytest.mark.parametrize(
+    ("values", "seconds"),
+    [
+        ([b"3"], 3.0),
+        ([b" 0.5 "], 0.5),
+        ([b".25"], 0.25),
+        ([b"0"], 0.0),
+        ([b"9" * 30], 86_400.0),
+        ([b"2", b"7.5"], 7.5),
+        ([b"2, 7.5"], 7.5),
+        ([b"soon", b"2"], 2.0),
+        ([b"Wed, 21 Oct 2015 07:28:05 GMT"], 5.0),
+        ([b"Wednesday, 21-Oct-15 07:28:05 GMT"], 5.0),
+        ([b"Wed Oct 21 07:28:05 2015"], 5.0),
+        ([b"Wed, 21 Oct 2015 07:27:00 GMT"], 0.0),
+        ([b"Wed, 21 Oct 2015 07:28:05 GMT, 9"], 9.0),
+    ],
+)
+def test_a_time_to_come_back_is_read_in_all_its_forms_and_the_longest_counts(values, seconds):
+    wire = PlatformWire(lambda: 1_445_412_480.0)  # 21 October 2015, 7:28:00
+    head = wire.read_reply(503, [(b"RETRY-after", value) for value in values])
+    assert head.signals.backoff_s == seconds
+    assert head.signals.unclear == ()
+
+
+def test_a_date_to_come_back_counts_from_when_the_reply_was_written_by_the_same_clock():
+    headers = [
+        (b"Date", b"Wed, 21 Oct 2015 09:00:00 GMT"),
+        (b"Retry-After", b"Wed, 21 Oct 2015 09:00:04 GMT"),
+    ]
+    assert PlatformWire(lambda: 0.0).read_reply(503, headers).signals.backoff_s == 4.0
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"-1",
+        b"+2",
+        b"1e3",
+        b"nan",
+        b"inf",
+        b"soon",
+        b"3 s",
+        b"0x10",
+        b"\xff\xfe",
+        "٣".encode(),
+        b"9" * 300,
+        b".",
+        b"Wed, 99 Oct 2015 07:28:05 GMT",
+        b"Wed, 21 Oct 2015",
+    ],
+)
+def test_an_odd_time_to_come_back_is_none(value: bytes):
+    signals = WIRE.read_reply(503, [(b"Retry-After", value)]).signals
+    assert signals.backoff_s is None
+    assert signals.unclear == ("retry-after",)
+
+
+@pytest.mark.parametrize("status", [200, 404, 429, 500, 502])
+def test_a_time_to_come_back_with_another_status_is_the_callers(status: int):
+    head = WIRE.read_reply(status, [(b"Retry-After", b"3")])
+    assert head.signals.backoff_s is None
+    assert head.headers == [(b"Retry-After", b"3")]
+
+
+def test_503_alone_asks_for_no_rest():
+    assert WIRE.read_reply(503, [(b"Not-Executed", b"1")]).signals == HeadSignals()
+
+
+@pytest.mark.parametrize(
+    ("values", "is_draining", "is_odd"),
+    [
+        ([], False, False),
+        ([b"1"], True, False),
+        ([b" 1 "], True, False),
+        ([b"0"], False, False),
+        ([b"0", b"1"], True, False),
+        ([b"1, 1"], True, False),
+        ([b"yes", b"1"], True, True),
+        ([b"yes"], False, True),
+        ([b"-1"], False, True),
+        ([b"1.0"], False, True),
+        ([b"11"], False, True),
+        ([b""], False, True),
+        ([b"\xff\xfe"], False, True),
+        ([b"1" * 300], False, True),
+    ],
+)
+def test_that_an_endpoint_leaves_is_read_in_all_its_forms(values, is_draining, is_odd):
+    signals = WIRE.read_reply(200, [(b"server-LEAVING", value) for value in values]).signals
+    assert signals.is_draining is is_draining
+    assert signals.unclear == (("server-leaving",) if is_odd else ())
+
+
+def test_headers_that_nobody_knows_are_told_from_those_of_the_register():
+    headers = [(b"Date", b"now"), (b"Server-Mood", b"low"), (b"Attempt-Id", b"a")]
+    assert WIRE.read_reply(200, headers).signals.unknown == ((b"server-mood", b"low"),)
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -328,8 +328,9 @@
         if endpoint is not None and not head.is_elsewhere:
             self.directory.answered(endpoint, now_s)
             self.gate.heard(endpoint, head)
-        if head.load is not None and endpoint is not None:  # else its lifetime is over
-            self.placement.report(placed.lifetime, head.load, now_s)
+        load = head.signals.load
+        if load is not None and endpoint is not None:  # else its lifetime is over
+            self.placement.report(placed.lifetime, load, now_s)
         if head.is_success:
             self.placement.began(placed, now_s)
 
--- a/umberhitch/tasks/direct/send_gate.py
+++ b/umberhitch/tasks/direct/send_gate.py
@@ -26,6 +26,7 @@
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import do_nothing
 from umberhitch.tasks.direct.come_back import HONOURED_SHARE, LEAST_RETRY_S
+from umberhitch.tasks.direct.unknown_headers import UnknownHeaders
 from umberhitch.wire import LimitNews, LimitTold
 
 __all__ = ["SendGate", "Urgency"]
@@ -65,6 +66,7 @@
     ----------
     shares : FleetShare
     limits : NamedLimits
+    unknown : UnknownHeaders
     on_news : callable
         Called when there is something that the peers are to be told at once.
     cold_used_up, limit_used_up : int
@@ -80,6 +82,7 @@
     ) -> None:
         self.shares = FleetShare(name)
         self.limits = NamedLimits()
+        self.unknown = UnknownHeaders()
         self.rules = rules or LimitRules()
         self.on_news: Callable[[], None] = do_nothing
         self.cold_used_up = 0
@@ -218,8 +221,11 @@
 
     def heard(self, endpoint: Endpoint, head: ReplyHead) -> None:
         """Take what the head of any reply of an endpoint says."""
-        rate = head.limit.a_second
-        if head.is_elsewhere or head.limit.is_unclear:
+        self._log_signals(endpoint.lifetime, head)
+        self.unknown.note(endpoint.lifetime, head.signals)
+        limit = head.signals.limit
+        rate = limit.a_second
+        if head.is_elsewhere or limit.is_unclear:
             return
         if rate is None and (head.not_run or not len(self.limits)):
             return  # a refusal that names none may be in short; an answer tells that it is over
@@ -235,6 +241,14 @@
             self._news.add(lifetime)
             self.on_news()
 
+    def _log_signals(self, lifetime: str, head: ReplyHead) -> None:
+        signals = head.signals
+        if signals.is_draining or signals.backoff_s is not None or signals.unclear:
+            facts: dict[str, object] = {"endpoint": lifetime, "status": head.status}
+            facts["is_draining"], facts["backoff_s"] = signals.is_draining, signals.backoff_s
+            facts["unclear"] = signals.unclear
+            log.info("endpoint signal", extra=facts)
+
     def _assume_used(self, lifetime: str, now_s: float) -> None:
         limit = self.limits.get(lifetime)
         assert limit is not None
--- a/umberhitch/tasks/direct/tests/test_limit_mutations.py
+++ b/umberhitch/tasks/direct/tests/test_limit_mutations.py
@@ -70,7 +70,8 @@
     heard = SendGate.heard
 
     def hear_all(self: SendGate, endpoint: object, head: object) -> None:
-        heard(self, endpoint, replace(head, limit=replace(head.limit, is_unclear=False)))
+        clear = replace(head.signals.limit, is_unclear=False)
+        heard(self, endpoint, replace(head, signals=replace(head.signals, limit=clear)))
 
     patch.setattr(SendGate, "heard", hear_all)
     return limits.test_an_odd_word_neither_opens_nor_closes_an_endpoint
--- a/umberhitch/tasks/direct/tests/test_named_limits.py
+++ b/umberhitch/tasks/direct/tests/test_named_limits.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from umberhitch.core.direct import Rate, ReplyHead, RouteKind
+from umberhitch.core.direct import HeadSignals, Rate, ReplyHead, RouteKind
 from umberhitch.fakes import FakeEndpoint, Reply
 from umberhitch.ports.direct import CallFailure
 from umberhitch.tasks.direct.membership import MembershipLimits
@@ -158,7 +158,7 @@
     world.ask(world.routers["r000"], "/order/x")
     world.run(0.02)
     (exchange,) = world.routers["r000"].gateway.running
-    exchange.on_late_head(ReplyHead(200, limit=Rate(3.0)))
+    exchange.on_late_head(ReplyHead(200, signals=HeadSignals(limit=Rate(3.0))))
     assert _known(world) == {"l0": 3.0}
 
 
