--- a/umberhitch/fakes/_direct_http.py
+++ b/umberhitch/fakes/_direct_http.py
@@ -1,7 +1,7 @@
 """Callers and endpoints around a router of the direct path, in memory and on any clock."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from umberhitch.core.direct import (
     Ask,
@@ -67,6 +67,10 @@
     backoff_s: float | None = None
 
 
+REFUSED = Reply(status=503, delay_s=0.002, is_signed=False, not_run=True)
+"""Of an endpoint that is full."""
+
+
 @dataclass
 class FakeEndpoint:
     """An endpoint; ``replies`` are used up one by one, then ``reply``.
@@ -85,6 +89,14 @@
         Requests a second that it names in each reply, whatever becomes of the call.
     is_draining : bool
         Whether it says in each reply that it leaves.
+    rests_s : float or None
+        It refuses everything, and wants nothing for so long.
+    arrivals : list of (str, float)
+        Who sent a call, and when.
+    drain_words : list of (str, float)
+        Who was told that it leaves, and when.
+    rest_words : list of (str, float, float)
+        Who was told that it wants nothing, when, and for how long.
     """
 
     fails_over: int = 0
@@ -95,6 +107,7 @@
     on_crash: Callable[["FakeEndpoint"], None] | None = None
     limit_rate: float | None = None
     is_draining: bool = False
+    rests_s: float | None = None
 
     reply: Reply = field(default_factory=Reply)
     replies: list[Reply] = field(default_factory=list)
@@ -103,6 +116,9 @@
     cancelled: list[str] = field(default_factory=list)
     ran: list[str] = field(default_factory=list)
     under_way: list["_FakeCall"] = field(default_factory=list)
+    arrivals: list[tuple[str, float]] = field(default_factory=list)
+    drain_words: list[tuple[str, float]] = field(default_factory=list)
+    rest_words: list[tuple[str, float, float]] = field(default_factory=list)
 
     def crash(self) -> None:
         """End at once, with all calls under way."""
@@ -119,9 +135,15 @@
     """A call that runs on a fake endpoint."""
 
     def __init__(
-        self, clock: Clock, endpoint: FakeEndpoint | None, call: EndpointCall, events: CallEvents
+        self,
+        clock: Clock,
+        endpoint: FakeEndpoint | None,
+        call: EndpointCall,
+        events: CallEvents,
+        sender: str = "",
     ) -> None:
         self._clock = clock
+        self._sender = sender
         self._endpoint = endpoint
         self._call = call
         self._events: CallEvents | None = events
@@ -145,8 +167,11 @@
             return Reply(failure=CallFailure.REFUSED)
         self._endpoint.calls.append(self._call)
         self._endpoint.called_s.append(self._clock.seconds())
+        self._endpoint.arrivals.append((self._sender, self._clock.seconds()))
         endpoint = self._endpoint
         reply = endpoint.replies.pop(0) if endpoint.replies else endpoint.reply
+        if endpoint.rests_s is not None:
+            reply = replace(REFUSED, backoff_s=endpoint.rests_s)
         if endpoint.fails_over and endpoint.active > endpoint.fails_over:
             reply = Reply(status=500, delay_s=reply.delay_s)
         endpoint.active += 1
@@ -163,6 +188,7 @@
         if reply.failure is not None:
             self._events.on_failure(reply.failure, "fake")
             return
+        self._note_words(reply)
         self._events.on_head(
             ReplyHead(
                 reply.status,
@@ -182,6 +208,16 @@
             self._events.on_data(reply.body)
             self._end()
 
+    def _note_words(self, reply: Reply) -> None:
+        """Keep whom the endpoint tells what."""
+        endpoint, now_s = self._endpoint, self._clock.seconds()
+        if endpoint is None or reply.is_elsewhere:
+            return
+        if endpoint.is_draining:
+            endpoint.drain_words.append((self._sender, now_s))
+        if reply.status == 503 and reply.backoff_s:
+            endpoint.rest_words.append((self._sender, now_s, reply.backoff_s))
+
     def _signals(self, reply: Reply) -> HeadSignals:
         endpoint = self._endpoint
         if endpoint is None:
@@ -254,9 +290,15 @@
         self.closed: list[str] = []
         """Addresses to which the kept connections were closed."""
 
-    def send(self, address: str, call: EndpointCall, events: CallEvents) -> _FakeCall:
+    def of(self, sender: str) -> "_SenderPort":
+        """Return the port of one router."""
+        return _SenderPort(self, sender)
+
+    def send(
+        self, address: str, call: EndpointCall, events: CallEvents, sender: str = ""
+    ) -> _FakeCall:
         """Send a call."""
-        running = _FakeCall(self._clock, self.by_address.get(address), call, events)
+        running = _FakeCall(self._clock, self.by_address.get(address), call, events, sender)
         self.running.append(running)
         return running
 
@@ -274,6 +316,23 @@
         self.closed.append(address)
 
 
+@dataclass(frozen=True)
+class _SenderPort:
+    """The `EndpointPort` of one router."""
+
+    endpoints: FakeEndpoints
+    sender: str
+
+    def send(self, address: str, call: EndpointCall, events: CallEvents) -> _FakeCall:
+        return self.endpoints.send(address, call, events, self.sender)
+
+    def check(self, address: str, on_found: Callable[[Listening], None]) -> None:
+        self.endpoints.check(address, on_found)
+
+    def close_idle(self, address: str) -> None:
+        self.endpoints.close_idle(address)
+
+
 class FakeReply:
     """A `CallerReply` that keeps what it got."""
 
--- a/umberhitch/testing/__init__.py
+++ b/umberhitch/testing/__init__.py
@@ -19,6 +19,7 @@
     make_endpoint_entry,
     make_route,
 )
+from umberhitch.testing._endpoint_words import sent_after_leaving, sent_while_resting
 from umberhitch.testing._limited import LIMIT_SPAN_S, limit_bound, most_within
 from umberhitch.testing._oracle import check_world
 from umberhitch.testing._transports import FakeTransport, dial
@@ -53,4 +54,6 @@
     "make_version",
     "make_work",
     "most_within",
+    "sent_after_leaving",
+    "sent_while_resting",
 ]
--- a/umberhitch/testing/_direct.py
+++ b/umberhitch/testing/_direct.py
@@ -190,7 +190,7 @@
             clock,
             Random(name),
             FakeWire(),
-            self.endpoints,
+            self.endpoints.of(name),
             operator_view,
             registry_view,
             trials,
