What an endpoint says of itself in an answer is heard and kept, at the one place that every call passes

Callers saw requests sent to an endpoint 10 s after it had said that it leaves, and endpoints that had asked for 3 s of rest get up to 31 a second, all refused; some callers' tries were spent on these. Cause: no answer was read for either word. Leaving stood in the registry only, and the registry may be away; a refusal counted for nothing, and an endpoint that refuses in 2 ms has nothing under way, so it was the next choice. Now each head is read (good, bad, refused, of a stream as it is seen, late to another call; not from another process at the address), a lifetime that leaves is left at once and the peers are told, and a rest is kept by the router that was asked for it, by its latest end, longer by this router's place among those that return; one call goes first then. Neither is dropped where all others are banned; where all rest, callers are refused at once and told when the first rest ends, urgent ones first. A lifetime that leaves by its own word is left also by cache homes and roll-outs, and calls that break as it ends are not blamed for its end: they were held.

--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -3,8 +3,10 @@
 from umberhitch.core.direct._budget import BudgetLimits, RetryBudget
 from umberhitch.core.direct._cascade import Cascade, CascadeLimits
 from umberhitch.core.direct._change import DocumentChange, apply_change, change_between
+from umberhitch.core.direct._closed import ClosedEndpoints, Leaving, Rest
 from umberhitch.core.direct._crash_record import Crash, CrashLimits, CrashRecord, Hold
-from umberhitch.core.direct._directory import Directory, Endpoint
+from umberhitch.core.direct._directory import Directory
+from umberhitch.core.direct._endpoint import Endpoint
 from umberhitch.core.direct._engine_time import EngineDemand, EnginePrice, EngineTimeLimits
 from umberhitch.core.direct._events import EventCutter
 from umberhitch.core.direct._evidence import AnswerVerdict, Counts, EvidenceBar
@@ -53,6 +55,7 @@
     "BudgetLimits",
     "Cascade",
     "CascadeLimits",
+    "ClosedEndpoints",
     "ColdLimits",
     "Counts",
     "Crash",
@@ -77,6 +80,7 @@
     "HeadSignals",
     "Hold",
     "IntakeLimits",
+    "Leaving",
     "LimitChange",
     "LimitRules",
     "NamedLimit",
@@ -92,6 +96,7 @@
     "Readings",
     "ReplyHead",
     "ReportedLoad",
+    "Rest",
     "RetryBudget",
     "RolloutOrder",
     "RolloutState",
--- a/umberhitch/core/direct/_directory.py
+++ b/umberhitch/core/direct/_directory.py
@@ -15,29 +15,22 @@
 """
 
 from collections import OrderedDict, deque
-from collections.abc import Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Container, Iterable
 from random import Random
 
 from xxhash import xxh3_64_intdigest
 
-from umberhitch.core.direct._types import EndpointEntry, EndpointState
+from umberhitch.core.direct._endpoint import Endpoint
+from umberhitch.core.direct._members import Members
+from umberhitch.core.direct._types import EndpointEntry
 
-__all__ = ["Directory", "Endpoint"]
+__all__ = ["Directory"]
 
 RETURN_S = 1.9
 """How long an entry that lapsed while the registry was away is kept: such entries are back about
 2 s after it (the platform's word), and an endpoint that left may get no call 2 s after that."""
 GONE_S = 1.85
 """So long after it surely was still there an entry is kept at most that went after that."""
-FIRST_BAN_S = 0.5
-LONGEST_BAN_S = 3.0
-"""An endpoint that cannot be reached is left alone so long, doubled at each failure in a row. Then
-one call at a time tries it, until one is answered."""
-TRY_S = 0.6
-"""Time after which a call that tries an endpoint again has told how it is."""
-
-
 ALL_LOOKED_AT = 48
 """Up to so many endpoints of a service, all are looked at; of more, a sample."""
 SAMPLE = 32
@@ -54,120 +47,24 @@
 """Replaced lifetimes that are remembered of each; late entries come within seconds."""
 
 
-@dataclass(slots=True)
-class Endpoint:
-    """One lifetime of an endpoint, with what this router has seen of it."""
-
-    entry: EndpointEntry
-    lapses_s: float | None = None
-    banned_until_s: float = 0.0
-    failures: int = 0
-    has_ended: bool = False
-    """Whether its process was seen to have ended; one that answers again has started again."""
-    cold_until_s: float = 0.0
-    """It is cold until then, by its own word, or"""
-    guarded_until_s: float = 0.0
-    """taken for cold, since it may have started again and not have said so yet."""
-    cold_source: str = ""
-    """How that is known."""
-    lifetime: str = ""
-    """Names it among all lifetimes, at every router."""
-
-    def __post_init__(self) -> None:
-        born = self.entry.born
-        name = self.entry.incarnation
-        self.lifetime = name if born is None else f"{name}@{born}"
-
-    def is_cold(self, now_s: float) -> bool:
-        """Whether it bears only so many requests a second."""
-        return now_s < self.cold_until_s or now_s < self.guarded_until_s
-
-    def guard(self, until_s: float, source: str) -> None:
-        """Take it for cold until then."""
-        if until_s > self.guarded_until_s:
-            self.guarded_until_s = until_s
-            self.cold_source = source
-
-    def takes_work(self, now_s: float) -> bool:
-        """Whether new work may be sent to it, as far as it is for itself."""
-        return (
-            self.entry.state is EndpointState.READY
-            and now_s >= self.banned_until_s
-            and (self.lapses_s is None or now_s < self.lapses_s)
-        )
-
-
-@dataclass(slots=True)
-class _Members:
-    """The endpoints of one service, with what is worked out from them when it is asked for."""
-
-    zones_out: dict[str, float]
-    """Of the directory."""
-    by_incarnation: dict[str, Endpoint] = field(default_factory=dict)
-    listed: list[Endpoint] | None = None
-    homes: dict[int, tuple[int, Endpoint]] = field(default_factory=dict)
-    """By bucket: the home's score, and the home."""
-
-    def put(self, endpoint: Endpoint) -> None:
-        """Take an endpoint, or a change of its entry; only homes that it wins or loses move."""
-        self.by_incarnation[endpoint.entry.incarnation] = endpoint
-        self.listed = None
-        self._give_up_homes(endpoint)
-        if self._is_listed(endpoint):
-            for bucket, (score, _) in self.homes.items():
-                own = _score(bucket, endpoint)
-                if own > score:
-                    self.homes[bucket] = (own, endpoint)
-
-    def remove(self, endpoint: Endpoint) -> None:
-        """Forget an endpoint."""
-        if self.by_incarnation.pop(endpoint.entry.incarnation, None) is not None:
-            self.listed = None
-            self._give_up_homes(endpoint)
-
-    def _give_up_homes(self, endpoint: Endpoint) -> None:
-        lost = [bucket for bucket, (_, home) in self.homes.items() if home is endpoint]
-        for bucket in lost:
-            del self.homes[bucket]
-
-    def home(self, bucket: int) -> Endpoint | None:
-        """Return the home of a bucket, worked out when it is first asked for."""
-        found = self.homes.get(bucket)
-        if found is None:
-            scored = [(_score(bucket, each), index) for index, each in enumerate(self.all())]
-            if not scored:
-                return None
-            score, index = max(scored)
-            found = self.homes[bucket] = (score, self.all()[index])
-        return found[1]
-
-    def all(self) -> list[Endpoint]:
-        """Return the endpoints that are not draining, of zones that are in service."""
-        if self.listed is None:
-            self.listed = [each for each in self.by_incarnation.values() if self._is_listed(each)]
-        return self.listed
-
-    def _is_listed(self, endpoint: Endpoint) -> bool:
-        entry = endpoint.entry
-        return entry.state is EndpointState.READY and entry.zone not in self.zones_out
-
-    def zones_changed(self) -> None:
-        """Work out anew what depends on the zones that are in service."""
-        self.listed = None
-        self.homes.clear()
-
-
 class Directory:
-    """The registry's entries as they reached this router."""
+    """The registry's entries as they reached this router.
+
+    Parameters
+    ----------
+    leaving : container of str
+        Lifetimes that are known to leave, whatever their entries say.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, leaving: Container[str] = ()) -> None:
+        self._leaving = leaving
         self._endpoints: dict[str, Endpoint] = {}
         self._lifetimes: dict[str, Endpoint] = {}
         self._replaced: OrderedDict[str, deque[int | None]] = OrderedDict()
         """Lifetimes by incarnation that came to their end when another one began."""
         self._doubted: dict[str, tuple[EndpointEntry, float]] = {}
         """Entries of replaced lifetimes, and since when they stand."""
-        self._by_service: dict[str, _Members] = {}
+        self._by_service: dict[str, Members] = {}
         self.is_loaded = False
         self.zones_out: dict[str, float] = {}
         """Availability zones that are out of service, and since when that is known here."""
@@ -212,6 +109,7 @@
         is_new = known is None
         if known is None:
             known = Endpoint(entry)
+            known.says_it_leaves = known.lifetime in self._leaving
             self._endpoints[entry.incarnation] = known
             self._lifetimes[known.lifetime] = known
         elif known.entry.service != entry.service:
@@ -221,7 +119,7 @@
         self._note_cold(known, now_s)
         if is_new and self.is_loaded and entry.cold_s is None:
             self._guard(known, now_s, "new, and does not say")
-        members = self._by_service.setdefault(entry.service, _Members(self.zones_out))
+        members = self._by_service.setdefault(entry.service, Members(self.zones_out))
         members.put(known)
         return ended
 
@@ -260,6 +158,13 @@
         self._zones_changed()
         return True
 
+    def withdraw(self, lifetime: str) -> None:
+        """Take that an endpoint leaves, though its entry does not say so yet."""
+        known = self._lifetimes.get(lifetime)
+        if known is not None:
+            known.says_it_leaves = True
+            self._by_service[known.entry.service].put(known)
+
     def _zones_changed(self) -> None:
         for members in self._by_service.values():
             members.zones_changed()
@@ -357,16 +262,29 @@
         members = self._by_service.get(service)
         return [] if members is None else members.all()
 
-    def ready(self, service: str, now_s: float, rng: Random | None = None) -> list[Endpoint]:
+    def ready(
+        self,
+        service: str,
+        now_s: float,
+        rng: Random | None = None,
+        is_open: Callable[[Endpoint], bool] | None = None,
+    ) -> list[Endpoint]:
         """Return endpoints of a service that take new work.
 
-        With a random source, those of a large service are a sample. Where all that are not leaving
-        are banned, the bans are not kept: trying beats refusing.
+        Where all that might take it are banned, the bans are not kept: trying beats refusing.
+
+        Parameters
+        ----------
+        service : str
+        now_s : float
+        rng : Random, optional
+            With it, the endpoints of a large service are a sample.
+        is_open : callable, optional
+            Whether an endpoint may be sent to at all, by its own word: that holds always.
         """
-        members = self._by_service.get(service)
-        if members is None:
-            return []
-        known = members.all()
+        known = self.listed(service)
+        if is_open is not None:
+            known = [each for each in known if is_open(each)]
         if rng is not None and len(known) > ALL_LOOKED_AT:
             known = rng.sample(known, SAMPLE)
         ready = [each for each in known if each.takes_work(now_s)]
@@ -382,26 +300,7 @@
             return None
         return members.home(xxh3_64_intdigest(part.encode()) % HOME_BUCKETS)
 
-    def tried(self, endpoint: Endpoint, now_s: float) -> None:
-        """Note that a call goes to an endpoint; after a failure the others wait for how it ends."""
-        if endpoint.failures:
-            endpoint.banned_until_s = max(endpoint.banned_until_s, now_s + TRY_S)
-
-    def failed(self, endpoint: Endpoint, now_s: float, is_ended: bool = False) -> None:
-        """Note that an endpoint could not be reached or broke off, perhaps since it has ended."""
-        endpoint.has_ended |= is_ended
-        ban_s = min(LONGEST_BAN_S, FIRST_BAN_S * 2**endpoint.failures)
-        endpoint.failures += 1
-        endpoint.banned_until_s = now_s + ban_s
-
     def answered(self, endpoint: Endpoint, now_s: float) -> None:
         """Note that an endpoint answered."""
-        if endpoint.has_ended:
-            endpoint.has_ended = False
+        if endpoint.answered():
             self._guard(endpoint, now_s, "its process had ended")
-        endpoint.failures = 0
-        endpoint.banned_until_s = 0.0
-
-
-def _score(bucket: int, endpoint: Endpoint) -> int:
-    return xxh3_64_intdigest(f"{bucket}|{endpoint.entry.incarnation}".encode())
--- a/umberhitch/core/direct/_placement.py
+++ b/umberhitch/core/direct/_placement.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from umberhitch.core.direct._directory import Endpoint
+from umberhitch.core.direct._endpoint import Endpoint
 from umberhitch.core.direct._engine_time import EnginePrice
 from umberhitch.core.direct._reading_pace import ReadingPace
 from umberhitch.core.direct._readings import LONG_READING_S, NO_READING, Readings
--- a/umberhitch/core/direct/tests/test_cold.py
+++ b/umberhitch/core/direct/tests/test_cold.py
@@ -199,7 +199,7 @@
     directory = _directory()
     directory.put(make_endpoint_entry("e1", cold_s=0.0), 5.0)
     endpoint = directory.get("e1")
-    directory.failed(endpoint, 6.0, is_ended=True)
+    endpoint.failed(6.0, is_ended=True)
     directory.answered(endpoint, 9.0)
     assert endpoint.is_cold(11.9)
     assert endpoint.cold_source == "its process had ended"
@@ -209,7 +209,7 @@
     directory = _directory()
     directory.put(make_endpoint_entry("e1", cold_s=0.0), 5.0)
     endpoint = directory.get("e1")
-    directory.failed(endpoint, 6.0)
+    endpoint.failed(6.0)
     directory.answered(endpoint, 9.0)
     assert not endpoint.is_cold(9.0)
 
--- a/umberhitch/core/direct/tests/test_lifetimes.py
+++ b/umberhitch/core/direct/tests/test_lifetimes.py
@@ -21,12 +21,12 @@
 def test_a_new_lifetime_knows_nothing_of_the_bans_of_the_one_before():
     directory = _directory(1000)
     before = directory.get("e1")
-    directory.failed(before, 0.0)
+    before.failed(0.0)
     ended = directory.put(make_endpoint_entry("e1", born=2000), 0.1)
     assert ended is before
     after = directory.get("e1")
     assert after.takes_work(0.1)
-    directory.failed(before, 0.2)  # a call to the one before ends late
+    before.failed(0.2)  # a call to the one before ends late
     assert after.takes_work(0.2)
     assert directory.of_lifetime(before.lifetime) is None
     assert directory.of_lifetime(after.lifetime) is after
--- a/umberhitch/core/direct/tests/test_zones.py
+++ b/umberhitch/core/direct/tests/test_zones.py
@@ -56,7 +56,7 @@
 def test_bans_of_all_others_do_not_open_a_zone_that_is_out():
     directory = _directory("ab", 1)
     directory.zone_out("b", 0.0)
-    directory.failed(directory.get("a0"), 0.0)
+    directory.get("a0").failed(0.0)
     assert _zones(directory) == {"a"}
 
 
--- a/umberhitch/explain/_story.py
+++ b/umberhitch/explain/_story.py
@@ -13,8 +13,8 @@
         "configuration in force",
         "draining",
         "endpoint ended",
+        "endpoint signal",
         "history gone",
-        "named limit",
         "peers",
         "request held",
         "request held no more",
@@ -86,7 +86,9 @@
 
 def _subject(line: Line) -> Any:
     """Return what a belief is of, where a process holds several of its kind."""
-    return line.facts.get("endpoint" if line.message == "named limit" else "feed")
+    if line.message == "endpoint signal":
+        return line.facts.get("endpoint"), line.facts.get("signal")
+    return line.facts.get("feed")
 
 
 def tell(lines: list[Line], request: str) -> list[Line]:
--- a/umberhitch/tasks/direct/choosing.py
+++ b/umberhitch/tasks/direct/choosing.py
@@ -124,7 +124,8 @@
         """Return when a request for which there was no endpoint should come again.
 
         Where the service has none at all, as late as callers honour: nothing tells when one comes.
-        Else some are cold or failing, which passes, and other routers may have their share left.
+        Else some are cold, failing, resting or limited, which passes, and other routers may have
+        their share left.
         """
         now_s = self._clock.seconds()
         left_s = permit.received_s + permit.ask.patience_s - now_s
@@ -133,24 +134,36 @@
             return max(LEAST_RETRY_S, HONOURED_SHARE * left_s)
         soonest_s = max(LEAST_RETRY_S, SOON_OBJECTIVES * permit.route.objective_s)
         listed = directory.listed(permit.service)
-        return self._gate.come_back_s(permit.service, listed, soonest_s, left_s)
+        urgency = self._urgency(permit)
+        return self._gate.come_back_s(permit.service, listed, urgency, soonest_s, left_s)
+
+    def _open(self, permit: Permit, home: Endpoint | None) -> list[Endpoint]:
+        """Return endpoints that take new work, among them the home of the prompt if it does."""
+        now_s = self._clock.seconds()
+        is_open = self._gate.opener()
+        ready = self._view.directory.ready(permit.service, now_s, self._rng, is_open)
+        if home is None or home in ready or not home.takes_work(now_s):
+            return ready
+        return [*ready, home] if is_open is None or is_open(home) else ready
+
+    def _home(self, permit: Permit) -> Endpoint | None:
+        prompt = permit.ask.prompt
+        if len(prompt) < 2:
+            return None
+        return self._view.directory.home(permit.service, prompt[-2].part_id)
 
     def endpoint(self, permit: Permit, model: str | None, tried: set[str]) -> Offer | None:
         """Return where a call goes, or None where no endpoint takes work."""
         now_s = self._clock.seconds()
-        directory = self._view.directory
-        ready = directory.ready(permit.service, now_s, self._rng)
-        home = None
-        if len(permit.ask.prompt) > 1:
-            home = directory.home(permit.service, permit.ask.prompt[-2].part_id)
-            if home is not None and home.takes_work(now_s) and home not in ready:
-                ready.append(home)
+        home = self._home(permit)
+        ready = self._open(permit, home)
         fresh = [each for each in ready if each.lifetime not in tried]
         bearing = self._bearing(permit, fresh)
-        self.reason = NO_SHARE if fresh and not bearing else NO_ENDPOINT
-        fresh = bearing
+        is_used_up = bool(fresh) and not bearing
+        is_closed = not ready and bool(self._view.directory.ready(permit.service, now_s))
+        self.reason = NO_SHARE if is_used_up or is_closed else NO_ENDPOINT
         is_light = permit.ask.prompt_tokens < LIGHT_TOKENS
-        fresh = self._trials.allowed(permit.service, permit.wants_target, fresh, is_light)
+        fresh = self._trials.allowed(permit.service, permit.wants_target, bearing, is_light)
         if not fresh:
             return None
         if not permit.ask.prompt:
--- a/umberhitch/tasks/direct/crash_watch.py
+++ b/umberhitch/tasks/direct/crash_watch.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from logging import getLogger
 
-from umberhitch.core.direct import AnswerVerdict, Crash, CrashRecord, Endpoint, EndpointState
+from umberhitch.core.direct import AnswerVerdict, Crash, CrashRecord, Endpoint
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import EndpointPort, Listening
 from umberhitch.tasks.direct.services import Run
@@ -163,7 +163,7 @@
             self._ended.popitem(last=False)
         oldest_s = self._clock.seconds() - BROKEN_S
         broken = [each for each in self._broken.pop(lifetime, []) if each.at_s > oldest_s]
-        if endpoint.entry.state is EndpointState.DRAINING or not broken:
+        if endpoint.is_leaving or not broken:
             return
         self.crashes += 1
         log.info(
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -116,7 +116,9 @@
             trials,
             self._on_endpoints,
             self.crashes.watch.ended,
+            self.gate.closed.leaving,
         )
+        self.gate.on_leaving = self.directory.withdraw
         self.presence = Presence(
             clock,
             settings.drain_s,
@@ -248,7 +250,7 @@
         ask, route = permit.ask, permit.route
         service = self.choosing.service(permit)
         now_s = self.clock.seconds()
-        self.directory.tried(endpoint, now_s)
+        endpoint.tried(now_s)
         self.gate.sent(endpoint, service)
         placed = self.placement.place(endpoint, ask, model or "", route.models, service, now_s)
         customer = permit.customer
@@ -310,7 +312,7 @@
 
     def unreachable(self, endpoint: Endpoint, is_ended: bool = False) -> None:
         """Take note that an endpoint could not be reached or went silent."""
-        self.directory.failed(endpoint, self.clock.seconds(), is_ended)
+        endpoint.failed(self.clock.seconds(), is_ended)
         if is_ended:
             self.crashes.watch.ended(endpoint)
 
@@ -324,10 +326,10 @@
     def began(self, placed: Placed, head: ReplyHead) -> None:
         """Take note that a reply has begun."""
         now_s = self.clock.seconds()
+        self.gate.heard(placed.lifetime, head)
         endpoint = self.directory.of_lifetime(placed.lifetime)
         if endpoint is not None and not head.is_elsewhere:
             self.directory.answered(endpoint, now_s)
-            self.gate.heard(endpoint, head)
         load = head.signals.load
         if load is not None and endpoint is not None:  # else its lifetime is over
             self.placement.report(placed.lifetime, load, now_s)
@@ -336,8 +338,7 @@
 
     def heard_late(self, endpoint: Endpoint, head: ReplyHead) -> None:
         """Take note of a reply of an endpoint to a call that nobody waits for any more."""
-        if self.directory.of_lifetime(endpoint.lifetime) is not None:
-            self.gate.heard(endpoint, head)
+        self.gate.heard(endpoint.lifetime, head)
 
     def release(self, placed: Placed, is_failure: bool | None) -> None:
         """Count a call no more."""
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -21,8 +21,8 @@
     BurnAsk,
     BurnReply,
     CrashNews,
+    EndpointNews,
     EndpointUse,
-    LimitNews,
     Message,
     PeerReport,
     ProbeAsk,
@@ -131,7 +131,7 @@
         self._is_news_due = False
         gateway.trials.follow(self.rank, self._tell_news_soon)
         gateway.gate.follow(self._membership.is_settled)
-        gateway.gate.on_news = self._tell_news_soon
+        gateway.gate.sharing.on_news = self._tell_news_soon
         gateway.trials.old_running = self.old_running
         gateway.presence.others_return_s = self.return_s
         gateway.crashes.sharing.peers = self.names
@@ -175,7 +175,7 @@
         itself for one, 25 reads a second of 80 routers that started together, else 7.
         """
         messages: list[Message] = [self._make_report(), *self._gateway.crashes.sharing.all_news()]
-        messages += self._gateway.gate.all_news()
+        messages += self._gateway.gate.sharing.all_news()
         for name in names:
             for message in messages:
                 self._link.send(name, message)
@@ -210,12 +210,12 @@
         self._clock.callLater(self._report_s(), self._report)
 
     def _tell_again(self) -> None:
-        """Tell a few peers what is held or limited: who lost the news has them from one of them."""
+        """Tell a few peers what stands: who lost the news has them from one of them."""
         if self._is_stopped:
             return
         self._gateway.gate.look()
         news: list[Message] = [*self._gateway.crashes.sharing.news_again()]
-        news += self._gateway.gate.news_again()
+        news += self._gateway.gate.sharing.news_again()
         for name in self._rng.sample(list(self._known), min(AGAIN_PEERS, len(self._known))):
             for message in news:
                 self._link.send(name, message)
@@ -236,7 +236,7 @@
         self._is_news_due = False
         messages: list[Message] = [*self._gateway.trials.take_news()]
         messages += self._gateway.crashes.sharing.take_news()
-        messages += self._gateway.gate.take_news()
+        messages += self._gateway.gate.sharing.take_news()
         for message in messages:
             for name in self._known:
                 self._link.send(name, message)
@@ -344,8 +344,8 @@
                     self._gateway.trials.note_news(message)
                 case CrashNews() | ProbeAsk() | ProbeReply():
                     self._gateway.crashes.receive(sender, message)
-                case LimitNews():
-                    self._gateway.gate.receive(sender, message)
+                case EndpointNews():
+                    self._gateway.gate.sharing.receive(sender, message)
                 case ViewAsk() | ViewReply():
                     self._sharing.receive(sender, message)
                 case _:
--- a/umberhitch/tasks/direct/send_gate.py
+++ b/umberhitch/tasks/direct/send_gate.py
@@ -13,6 +13,7 @@
 from xxhash import xxh3_64_intdigest
 
 from umberhitch.core.direct import (
+    ClosedEndpoints,
     ColdLimits,
     Endpoint,
     FleetShare,
@@ -24,22 +25,21 @@
     Service,
 )
 from umberhitch.ports.clock import Clock
-from umberhitch.ports.direct import do_nothing
 from umberhitch.tasks.direct.come_back import HONOURED_SHARE, LEAST_RETRY_S
+from umberhitch.tasks.direct.signal_sharing import SignalSharing
 from umberhitch.tasks.direct.unknown_headers import UnknownHeaders
-from umberhitch.wire import LimitNews, LimitTold
 
 __all__ = ["SendGate", "Urgency"]
 
 log = getLogger(__name__)
 
-MAX_AGAIN = 12
-"""Limits that are told again at a time, in turn: some 0.6 kB."""
-NEWS_EACH_S = 1.0
-"""A change of one endpoint's limit is told at once no more often: one that goes and returns each
-moment is told again with the others, and its senders hear it themselves."""
-MAX_TOLD = 2_000
-"""Limits in one message, some 50 bytes each."""
+OWN_WORD = "its answer"
+"""Source of what an endpoint said here."""
+
+RETURN_SPREAD_S = 1.0
+"""Callers that were refused since all endpoints rest come back within so long of the first end."""
+GOLDEN_SHARE = 0.618034
+"""Multiples of it, modulo 1, are spread evenly whatever their number."""
 
 Urgency = tuple[int, float]
 """Priority, 0 the most urgent, and worth as a negative number: the lowest goes first."""
@@ -66,9 +66,11 @@
     ----------
     shares : FleetShare
     limits : NamedLimits
+    closed : ClosedEndpoints
+    sharing : SignalSharing
     unknown : UnknownHeaders
-    on_news : callable
-        Called when there is something that the peers are to be told at once.
+    on_leaving : callable
+        Called with a lifetime that leaves by its own word.
     cold_used_up, limit_used_up : int
         How often an endpoint was passed over since this router's share was used up, or is none.
     """
@@ -84,7 +86,11 @@
         self.limits = NamedLimits()
         self.unknown = UnknownHeaders()
         self.rules = rules or LimitRules()
-        self.on_news: Callable[[], None] = do_nothing
+        self.closed = ClosedEndpoints(name)
+        self.sharing = SignalSharing(
+            clock, self.limits, self.closed, self._limit_changed, self._has_left
+        )
+        self.on_leaving: Callable[[str], None] = lambda lifetime: None
         self.cold_used_up = 0
         self.limit_used_up = 0
         self._cold = cold or ColdLimits()
@@ -93,12 +99,10 @@
         self._jitter = (xxh3_64_intdigest(name.encode()) % 1000) / 1000
         self._refused: dict[str, _Refused] = {}
         """By service, the most urgent call that found no share left of late."""
+        self._returning: dict[str, int] = {}
+        """By service, callers that were told to come when a rest ends."""
         self._promised_s: dict[str, float] = {}
         """By service, the latest time to come back that a refusal has named."""
-        self._news: set[str] = set()
-        self._told_s: dict[str, float] = {}
-        """By lifetime, when its last change was told at once."""
-        self._turn = 0
 
     def follow(self, is_settled: Callable[[], bool]) -> None:
         """Take whether this router's place among the others is sure."""
@@ -111,12 +115,20 @@
     def forget(self, lifetimes: Iterable[str]) -> None:
         """Keep only what concerns endpoints that are still known."""
         keep = set(lifetimes)
-        self._told_s = {name: at_s for name, at_s in self._told_s.items() if name in keep}
+        self.sharing.forget(keep)
         self.shares.forget(keep)
         self.limits.forget(keep)
+        self.closed.forget(keep, self._clock.seconds())
 
     # What may be sent
 
+    def opener(self) -> Callable[[Endpoint], bool] | None:
+        """Return what tells whether an endpoint is open by its own word; None where all are."""
+        if not self.closed:
+            return None
+        now_s = self._clock.seconds()
+        return lambda endpoint: self.closed.takes(endpoint.lifetime, now_s)
+
     def has_bounds(self, service: Service | None) -> bool:
         """Whether any endpoint of a service may have a bound."""
         return len(self.limits) > 0 or (service is not None and service.cold_rate > 0.0)
@@ -179,6 +191,7 @@
 
     def sent(self, endpoint: Endpoint, service: Service | None) -> None:
         """Count a call that is sent."""
+        self.closed.note_sent(endpoint.lifetime, self._clock.seconds())
         limit = self.limits.get(endpoint.lifetime)
         if limit is None and (service is None or not service.cold_rate):
             return
@@ -188,129 +201,105 @@
             limit.looked_s = now_s
 
     def come_back_s(
-        self, service: str, endpoints: list[Endpoint], soonest_s: float, left_s: float
+        self,
+        service: str,
+        endpoints: list[Endpoint],
+        urgency: Urgency,
+        soonest_s: float,
+        left_s: float,
     ) -> float:
-        """Return when a call that no endpoint of a service bears should come again.
+        """Return when a call that no endpoint of a service takes should come again.
 
         Callers come back to any router, so each router names times as far apart as the limits let
-        its part of the callers through. Where any endpoint names no limit it is ``soonest_s``.
+        its part of the callers through. Where all rest it is when the first rest ends, and urgent
+        calls come first. Where any endpoint neither rests nor names a limit it is ``soonest_s``.
         """
-        limited = [self.limits.get(each.lifetime) for each in endpoints]
-        rates = [self.rules.bound(limit.rate).rate for limit in limited if limit is not None]
-        if len(rates) < len(endpoints):
-            return soonest_s
         now_s = self._clock.seconds()
-        gap_s = self.shares.routers / sum(rates)
-        soonest_s = max(LEAST_RETRY_S, self._soonest_s(endpoints, now_s, gap_s))
-        at_s = max(now_s + soonest_s, self._promised_s.get(service, now_s) + gap_s)
+        rates, waits_s = [], []
+        for each in endpoints:
+            rest_s = self.closed.wait_s(each.lifetime, now_s)
+            limit = self.limits.get(each.lifetime)
+            if rest_s == 0.0 and limit is None:
+                return soonest_s
+            if rest_s == 0.0 and limit is not None:
+                rates.append(self.rules.bound(limit.rate).rate)
+                rest_s = self._limit_wait_s(each.lifetime, limit, 0, now_s)
+            waits_s.append(rest_s)
+        first_s = min(waits_s)
+        if rates:
+            at_s = self._limits_come_back_s(service, first_s, rates, now_s)
+        else:
+            self._note_refused(service, urgency, now_s)
+            at_s = now_s + first_s + self._spread_s(service, urgency)
         at_s = min(at_s, now_s + max(LEAST_RETRY_S, HONOURED_SHARE * left_s))
-        self._promised_s[service] = at_s
-        return at_s - now_s
+        if rates:
+            self._promised_s[service] = at_s
+        return max(LEAST_RETRY_S, at_s - now_s)
 
-    def _soonest_s(self, endpoints: list[Endpoint], now_s: float, gap_s: float) -> float:
-        """Return the time until this router may send to one of them, if it is a sender at all."""
-        waits = [
-            self._limit_wait_s(each.lifetime, limit, 0, now_s)
-            for each in endpoints
-            if (limit := self.limits.get(each.lifetime)) is not None
-        ]
-        soonest_s = min(waits, default=inf)
-        return gap_s if soonest_s == inf else soonest_s
+    def _limits_come_back_s(
+        self, service: str, first_s: float, rates: list[float], now_s: float
+    ) -> float:
+        """Return the next time at which the limits let a caller of this router through."""
+        gap_s = self.shares.routers / sum(rates)
+        first_s = max(LEAST_RETRY_S, gap_s if first_s == inf else first_s)
+        return max(now_s + first_s, self._promised_s.get(service, now_s) + gap_s)
+
+    def _spread_s(self, service: str, urgency: Urgency) -> float:
+        """Return how much later than the end of a rest a caller is to come: urgent ones first."""
+        number = self._returning[service] = self._returning.get(service, 0) + 1
+        share = (number * GOLDEN_SHARE) % 1.0
+        is_urgent = urgency <= self._refused[service].urgency
+        return RETURN_SPREAD_S * (share if is_urgent else 1.0 + share) / 2
 
     # What is known
 
-    def heard(self, endpoint: Endpoint, head: ReplyHead) -> None:
+    def heard(self, lifetime: str, head: ReplyHead) -> None:
         """Take what the head of any reply of an endpoint says."""
-        self._log_signals(endpoint.lifetime, head)
-        self.unknown.note(endpoint.lifetime, head.signals)
+        if head.is_elsewhere:
+            return
+        now_s = self._clock.seconds()
+        self.unknown.note(lifetime, head.signals)
+        if head.signals.is_draining and self.closed.take_leaving(lifetime, now_s, OWN_WORD, now_s):
+            self._has_left(lifetime, OWN_WORD)
+            self.sharing.has_left(lifetime)
+        self._hear_rest(lifetime, head, now_s)
+        self._hear_limit(lifetime, head, now_s)
+
+    def _has_left(self, lifetime: str, source: str) -> None:
+        self._log(lifetime, "leaving", "begun", source)
+        self.on_leaving(lifetime)
+
+    def _hear_rest(self, lifetime: str, head: ReplyHead, now_s: float) -> None:
+        rest_s = head.signals.backoff_s
+        if rest_s is not None:
+            if self.closed.take_rest(lifetime, rest_s, self.shares.routers, now_s):
+                self._log(lifetime, "rest", "begun", OWN_WORD, rest_s=rest_s)
+        elif not head.not_run and self.closed.answered(lifetime, now_s):
+            self._log(lifetime, "rest", "ended", OWN_WORD)
+
+    def _hear_limit(self, lifetime: str, head: ReplyHead, now_s: float) -> None:
         limit = head.signals.limit
         rate = limit.a_second
-        if head.is_elsewhere or limit.is_unclear:
-            return
-        if rate is None and (head.not_run or not len(self.limits)):
+        if limit.is_unclear or (rate is None and (head.not_run or not len(self.limits))):
             return  # a refusal that names none may be in short; an answer tells that it is over
-        lifetime, now_s = endpoint.lifetime, self._clock.seconds()
         change = self.limits.heard(lifetime, rate, now_s)
-        if change is LimitChange.NONE:
-            return
-        if change is LimitChange.BEGUN:
-            self._assume_used(lifetime, now_s)
-        self._log(lifetime, change, "its answer")
-        if now_s >= self._told_s.get(lifetime, -inf) + NEWS_EACH_S:
-            self._told_s[lifetime] = now_s
-            self._news.add(lifetime)
-            self.on_news()
-
-    def _log_signals(self, lifetime: str, head: ReplyHead) -> None:
-        signals = head.signals
-        if signals.is_draining or signals.backoff_s is not None or signals.unclear:
-            facts: dict[str, object] = {"endpoint": lifetime, "status": head.status}
-            facts["is_draining"], facts["backoff_s"] = signals.is_draining, signals.backoff_s
-            facts["unclear"] = signals.unclear
-            log.info("endpoint signal", extra=facts)
-
-    def _assume_used(self, lifetime: str, now_s: float) -> None:
-        limit = self.limits.get(lifetime)
-        assert limit is not None
-        self.look()
-        self.shares.assume_used(lifetime, self.rules.bound(limit.rate), now_s)
+        if change is not LimitChange.NONE:
+            self._limit_changed(lifetime, change, OWN_WORD)
+            self.sharing.limit_changed(lifetime)
 
-    def _log(self, lifetime: str, change: LimitChange, source: str) -> None:
+    def _limit_changed(self, lifetime: str, change: LimitChange, source: str) -> None:
         limit = self.limits.get(lifetime)
-        facts: dict[str, object] = {
-            "endpoint": lifetime,
-            "change": change.value,
-            "source": source,
-        }
-        if limit is not None:
-            facts["rate"] = limit.rate
-            facts["share"] = self.shares.most(lifetime, self.rules.bound(limit.rate))
-        log.info("named limit", extra=facts)
-
-    # Peers
-
-    def take_news(self) -> list[LimitNews]:
-        """Return what the peers are to be told at once, and were not."""
-        news, self._news = self._news, set()
-        return self._tell(sorted(news))
-
-    def news_again(self) -> list[LimitNews]:
-        """Return what is told again: some of the limits that stand or have ended, in turn."""
-        if not len(self.limits) and not self.limits.ended(self._clock.seconds()):
-            return []
-        known = self._known()
-        self._turn = (self._turn + MAX_AGAIN) % max(1, len(known))
-        return self._tell((known[self._turn :] + known[: self._turn])[:MAX_AGAIN])
-
-    def all_news(self) -> list[LimitNews]:
-        """Return what a router is told that is new here."""
-        return self._tell(self._known()[:MAX_TOLD])
-
-    def _known(self) -> list[str]:
-        ended = self.limits.ended(self._clock.seconds())
-        return [*(lifetime for lifetime, _ in self.limits), *ended]
-
-    def _tell(self, lifetimes: list[str]) -> list[LimitNews]:
-        now_s = self._clock.seconds()
-        ended = self.limits.ended(now_s)
-        told = []
-        for lifetime in lifetimes:
-            limit = self.limits.get(lifetime)
-            if limit is not None:
-                told.append(LimitTold(lifetime, round(now_s - limit.heard_s, 4), limit.rate))
-            elif lifetime in ended:
-                told.append(LimitTold(lifetime, round(now_s - ended[lifetime], 4), None))
-        return [LimitNews(told)] if told else []
-
-    def receive(self, sender: str, message: LimitNews) -> None:
-        """Take what a peer tells."""
-        now_s = self._clock.seconds()
-        for told in message.limits:
-            if told.rate is None:
-                change = self.limits.told_over(told.lifetime, told.age_s, now_s)
-            else:
-                change = self.limits.told(told.lifetime, told.rate, told.age_s, sender, now_s)
-                if change is LimitChange.BEGUN:
-                    self._assume_used(told.lifetime, now_s)
-            if change is not LimitChange.NONE:
-                self._log(told.lifetime, change, sender)
+        if limit is None:
+            self._log(lifetime, "limit", change.value, source)
+            return
+        bound = self.rules.bound(limit.rate)
+        if change is LimitChange.BEGUN:
+            self.look()
+            self.shares.assume_used(lifetime, bound, self._clock.seconds())
+        share = self.shares.most(lifetime, bound)
+        self._log(lifetime, "limit", change.value, source, rate=limit.rate, share=share)
+
+    def _log(self, lifetime: str, signal: str, change: str, source: str, **facts: object) -> None:
+        """Write the one line of a change of what an endpoint says."""
+        facts |= {"endpoint": lifetime, "signal": signal, "change": change, "source": source}
+        log.info("endpoint signal", extra=facts)
--- /dev/null
+++ b/umberhitch/tasks/direct/signal_sharing.py
@@ -0,0 +1,140 @@
+"""What routers tell each other of what endpoints say of themselves.
+
+A change is told to all at once, and what stands is told again in turn, so that lost and late
+messages do no harm. A rest is not told: it binds the router that was asked for it.
+"""
+
+from collections.abc import Callable, Iterable
+from logging import getLogger
+from math import inf
+
+from umberhitch.core.direct import ClosedEndpoints, LimitChange, NamedLimits
+from umberhitch.ports.clock import Clock
+from umberhitch.ports.direct import do_nothing
+from umberhitch.wire import EndpointNews, LeavingTold, LimitTold
+
+__all__ = ["SignalSharing"]
+
+log = getLogger(__name__)
+
+MAX_AGAIN = 12
+"""Endpoints that are told of again at a time, in turn: some 0.6 kB."""
+NEWS_EACH_S = 1.0
+"""A change of one endpoint's limit is told at once no more often: one that goes and returns each
+moment is told again with the others, and its senders hear it themselves."""
+MAX_TOLD = 2_000
+"""Endpoints in one message, some 50 bytes each."""
+
+OnLimit = Callable[[str, LimitChange, str], None]
+OnLeaving = Callable[[str, str], None]
+
+
+class SignalSharing:
+    """Tells what is known here, and takes what peers tell.
+
+    Parameters
+    ----------
+    clock : Clock
+    limits : NamedLimits
+    closed : ClosedEndpoints
+    on_limit : callable
+        Called with a lifetime, the change of its limit that a peer told, and the peer.
+    on_leaving : callable
+        Called with a lifetime that leaves, as a peer told, and the peer.
+
+    Attributes
+    ----------
+    on_news : callable
+        Called when there is something that the peers are to be told at once.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        limits: NamedLimits,
+        closed: ClosedEndpoints,
+        on_limit: OnLimit,
+        on_leaving: OnLeaving,
+    ) -> None:
+        self.on_news: Callable[[], None] = do_nothing
+        self._clock = clock
+        self._limits = limits
+        self._closed = closed
+        self._on_limit = on_limit
+        self._on_leaving = on_leaving
+        self._news: set[str] = set()
+        self._told_s: dict[str, float] = {}
+        """By lifetime, when the last change of its limit was told at once."""
+        self._turn = 0
+
+    def forget(self, known: set[str]) -> None:
+        """Keep only what concerns endpoints that are still known."""
+        self._told_s = {name: at_s for name, at_s in self._told_s.items() if name in known}
+
+    def limit_changed(self, lifetime: str) -> None:
+        """Take note that an answer has changed what is known of an endpoint's limit."""
+        now_s = self._clock.seconds()
+        if now_s >= self._told_s.get(lifetime, -inf) + NEWS_EACH_S:
+            self._told_s[lifetime] = now_s
+            self._tell_soon(lifetime)
+
+    def has_left(self, lifetime: str) -> None:
+        """Take note that an answer has said that an endpoint leaves."""
+        self._tell_soon(lifetime)
+
+    def _tell_soon(self, lifetime: str) -> None:
+        self._news.add(lifetime)
+        self.on_news()
+
+    def take_news(self) -> list[EndpointNews]:
+        """Return what the peers are to be told at once, and were not."""
+        news, self._news = self._news, set()
+        return self._tell(sorted(news))
+
+    def news_again(self) -> list[EndpointNews]:
+        """Return what is told again: some of what stands or has ended, in turn."""
+        known = self._known()
+        if not known:
+            return []
+        self._turn = (self._turn + MAX_AGAIN) % len(known)
+        return self._tell((known[self._turn :] + known[: self._turn])[:MAX_AGAIN])
+
+    def all_news(self) -> list[EndpointNews]:
+        """Return what a router is told that is new here."""
+        return self._tell(self._known()[-MAX_TOLD:])
+
+    def _known(self) -> list[str]:
+        if not len(self._limits) and not self._closed.leaving:
+            return list(self._limits.ended(self._clock.seconds()))
+        ended = self._limits.ended(self._clock.seconds())
+        limited = (lifetime for lifetime, _ in self._limits)
+        return list(dict.fromkeys([*self._closed.leaving, *limited, *ended]))
+
+    def _tell(self, lifetimes: Iterable[str]) -> list[EndpointNews]:
+        now_s = self._clock.seconds()
+        ended = self._limits.ended(now_s)
+        limits, leaving = [], []
+        for lifetime in lifetimes:
+            limit, word = self._limits.get(lifetime), self._closed.leaving.get(lifetime)
+            if limit is not None:
+                limits.append(LimitTold(lifetime, round(now_s - limit.heard_s, 4), limit.rate))
+            elif lifetime in ended:
+                limits.append(LimitTold(lifetime, round(now_s - ended[lifetime], 4), None))
+            if word is not None:
+                leaving.append(LeavingTold(lifetime, round(now_s - word.heard_s, 4)))
+        return [EndpointNews(limits, leaving)] if limits or leaving else []
+
+    def receive(self, sender: str, message: EndpointNews) -> None:
+        """Take what a peer tells."""
+        now_s = self._clock.seconds()
+        for told in message.limits:
+            if told.rate is None:
+                change = self._limits.told_over(told.lifetime, told.age_s, now_s)
+            else:
+                change = self._limits.told(told.lifetime, told.rate, told.age_s, sender, now_s)
+            if change is not LimitChange.NONE:
+                self._on_limit(told.lifetime, change, sender)
+        for left in message.leaving:
+            heard_s = now_s - max(0.0, left.age_s)
+            if self._closed.take_leaving(left.lifetime, heard_s, sender, now_s):
+                self._on_leaving(left.lifetime, sender)
--- a/umberhitch/tasks/direct/store_view.py
+++ b/umberhitch/tasks/direct/store_view.py
@@ -1,6 +1,6 @@
 """What a router of the direct path believes, as the platform's store told it."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from logging import getLogger
 from random import Random
 
@@ -41,6 +41,8 @@
         Called when endpoints have come or gone, with the addresses of those that are gone.
     on_restarted : callable
         Called with the lifetime that has ended where an endpoint started again.
+    leaving : container of str
+        Lifetimes that leave by their own word.
     """
 
     def __init__(
@@ -54,9 +56,10 @@
         trials: Trials,
         on_endpoints: Callable[[list[str]], None],
         on_restarted: Callable[[Endpoint], None],
+        leaving: Container[str] = (),
     ) -> None:
         self.clock = clock
-        self.directory = Directory()
+        self.directory = Directory(leaving)
         self.trials = trials
         self.table: RouteTable | None = None
         self._on_endpoints = on_endpoints
--- a/umberhitch/tasks/direct/tests/test_limit_mutations.py
+++ b/umberhitch/tasks/direct/tests/test_limit_mutations.py
@@ -10,6 +10,7 @@
 from umberhitch.core.direct.tests import test_named_limits as core
 from umberhitch.tasks.direct.choosing import Choosing
 from umberhitch.tasks.direct.send_gate import SendGate
+from umberhitch.tasks.direct.signal_sharing import SignalSharing
 from umberhitch.tasks.direct.tests import test_named_limits as limits
 
 Test = Callable[[], None]
@@ -36,18 +37,18 @@
 
 
 def nobody_is_told(patch: pytest.MonkeyPatch) -> Test:
-    patch.setattr(SendGate, "_tell", lambda self, lifetimes: [])
+    patch.setattr(SignalSharing, "_tell", lambda self, lifetimes: [])
     return limits.test_peers_know_it_at_once_and_who_lost_the_word_within_seconds
 
 
 def nobody_is_told_again(patch: pytest.MonkeyPatch) -> Test:
-    patch.setattr(SendGate, "news_again", lambda self: [])
+    patch.setattr(SignalSharing, "news_again", lambda self: [])
     return limits.test_peers_know_it_at_once_and_who_lost_the_word_within_seconds
 
 
 def new_routers_are_not_told(patch: pytest.MonkeyPatch) -> Test:
-    patch.setattr(SendGate, "all_news", lambda self: [])
-    patch.setattr(SendGate, "news_again", lambda self: [])
+    patch.setattr(SignalSharing, "all_news", lambda self: [])
+    patch.setattr(SignalSharing, "news_again", lambda self: [])
     return limits.test_a_router_that_starts_is_told
 
 
@@ -114,7 +115,7 @@
 
 
 def all_are_told_to_come_at_once(patch: pytest.MonkeyPatch) -> Test:
-    patch.setattr(SendGate, "come_back_s", lambda self, service, found, soonest_s, left_s: 0.1)
+    patch.setattr(SendGate, "come_back_s", lambda self, *args: 0.1)
     return limits.test_what_nobody_can_take_is_refused_at_once_and_told_when_there_is_room
 
 
--- a/umberhitch/tasks/direct/tests/test_mutations.py
+++ b/umberhitch/tasks/direct/tests/test_mutations.py
@@ -8,7 +8,7 @@
 from msgspec.structs import replace
 
 from umberhitch.core.direct import Endpoint, EventCutter, ReplyHead, Route
-from umberhitch.core.direct._directory import _Members
+from umberhitch.core.direct._members import Members
 from umberhitch.tasks.direct.exchange import Exchange
 from umberhitch.tasks.direct.gateway import Gateway
 from umberhitch.tasks.direct.shared_view import SharedView
@@ -68,7 +68,7 @@
 
 def send_to_draining_endpoints(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(Endpoint, "takes_work", lambda self, now_s: True)
-    patch.setattr(_Members, "all", lambda self: list(self.by_incarnation.values()))
+    patch.setattr(Members, "all", lambda self: list(self.by_incarnation.values()))
 
 
 def never_give_up(patch: pytest.MonkeyPatch) -> None:
--- a/umberhitch/tasks/direct/tests/test_zone_fuzz.py
+++ b/umberhitch/tasks/direct/tests/test_zone_fuzz.py
@@ -15,7 +15,7 @@
 )
 
 from umberhitch.core.direct import FleetShare
-from umberhitch.core.direct._directory import _Members
+from umberhitch.core.direct._members import Members
 from umberhitch.fakes import Reply
 from umberhitch.testing import DirectWorld, make_direct_document
 
@@ -191,7 +191,7 @@
 
 
 def nobody_is_out(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(_Members, "_is_listed", lambda self, endpoint: True)
+    patch.setattr(Members, "_is_listed", lambda self, endpoint: True)
 
 
 def every_router_sends(patch: pytest.MonkeyPatch) -> None:
--- a/umberhitch/tasks/direct/tests/test_zone_mutations.py
+++ b/umberhitch/tasks/direct/tests/test_zone_mutations.py
@@ -5,7 +5,7 @@
 import pytest
 
 from umberhitch.core.direct import Directory, Endpoint, FleetShare
-from umberhitch.core.direct._directory import _Members
+from umberhitch.core.direct._members import Members
 from umberhitch.tasks.direct.choosing import Choosing
 from umberhitch.tasks.direct.membership import Membership
 from umberhitch.tasks.direct.store_view import StoreView
@@ -16,17 +16,17 @@
 
 
 def nobody_is_out(patch: pytest.MonkeyPatch) -> Test:
-    patch.setattr(_Members, "_is_listed", lambda self, endpoint: True)
+    patch.setattr(Members, "_is_listed", lambda self, endpoint: True)
     return lambda: zones.test_no_kind_of_call_goes_to_a_zone_that_is_out(zones._first_choice)
 
 
 def homes_stay(patch: pytest.MonkeyPatch) -> Test:
     """Homes are kept when a zone goes, and calls follow them."""
 
-    def keep_homes(self: _Members) -> None:
+    def keep_homes(self: Members) -> None:
         self.listed = None
 
-    patch.setattr(_Members, "zones_changed", keep_homes)
+    patch.setattr(Members, "zones_changed", keep_homes)
 
     def known_homes_move() -> None:
         world = zones._world()
--- a/umberhitch/tasks/direct/unknown_headers.py
+++ b/umberhitch/tasks/direct/unknown_headers.py
@@ -1,4 +1,4 @@
-"""Counts headers of endpoints' replies that the product does not know.
+"""Counts headers of endpoints' replies that the product does not know, or cannot understand.
 
 An endpoint may say something of itself that matters; a name that nobody here knows is seen so, the
 first time in the log and from then on in the status.
@@ -29,10 +29,13 @@
     counts : dict of str to int
     others : int
         Headers whose names were too many to be kept.
+    unclear : dict of str to int
+        Known headers with values that are none, by name.
     """
 
     counts: dict[str, int] = field(default_factory=dict)
     others: int = 0
+    unclear: dict[str, int] = field(default_factory=dict)
 
     def note(self, lifetime: str, signals: HeadSignals) -> None:
         """Count what a reply of an endpoint has."""
@@ -47,3 +50,8 @@
                 log.warning("unknown header of an endpoint", extra=facts)
             else:
                 self.others += 1
+        for name in signals.unclear:
+            if name not in self.unclear:
+                facts = {"header": name, "endpoint": lifetime}
+                log.warning("unclear header of an endpoint", extra=facts)
+            self.unclear[name] = self.unclear.get(name, 0) + 1
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -26,6 +26,7 @@
     "CrashNews",
     "CrashTold",
     "EndTold",
+    "EndpointNews",
     "EndpointState",
     "EndpointUse",
     "EngineWork",
@@ -35,7 +36,7 @@
     "Finished",
     "HandOver",
     "Hello",
-    "LimitNews",
+    "LeavingTold",
     "LimitTold",
     "Message",
     "NeedConfig",
@@ -433,10 +434,18 @@
     """Requests a second from all routers together; None where the limit was over."""
 
 
-class LimitNews(Struct, frozen=True, array_like=True, tag="limit"):
-    """What routers tell each other of endpoints that name a limit; may come again, late, never."""
+class LeavingTold(Struct, frozen=True, array_like=True):
+    """That an endpoint said so long ago that it leaves."""
+
+    lifetime: str
+    age_s: float
+
+
+class EndpointNews(Struct, frozen=True, array_like=True, tag="limit"):
+    """What routers tell each other of what endpoints say; may come again, late, never."""
 
     limits: list[LimitTold] = []
+    leaving: list[LeavingTold] = []
 
 
 class ProbeAsk(Struct, frozen=True, array_like=True, tag="probe?"):
@@ -545,7 +554,7 @@
     | PeerReport
     | TrialNews
     | CrashNews
-    | LimitNews
+    | EndpointNews
     | ProbeAsk
     | ProbeReply
     | ViewAsk
