Routers do not all choose the same of endpoints that look alike, and one that refuses is chosen last

Cause: the first of equals was the first registered one at every router, and a refusal counted for nothing.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -23,6 +23,7 @@
     "capacity",
     "start",
     "zones",
+    "herd",
 )
 
 
--- a/umberhitch/core/direct/_directory.py
+++ b/umberhitch/core/direct/_directory.py
@@ -54,10 +54,13 @@
     ----------
     leaving : container of str
         Lifetimes that are known to leave, whatever their entries say.
+    router : str
+        Whose directory it is.
     """
 
-    def __init__(self, leaving: Container[str] = ()) -> None:
+    def __init__(self, leaving: Container[str] = (), router: str = "") -> None:
         self._leaving = leaving
+        self._router = router
         self._endpoints: dict[str, Endpoint] = {}
         self._lifetimes: dict[str, Endpoint] = {}
         self._replaced: OrderedDict[str, deque[int | None]] = OrderedDict()
@@ -119,7 +122,8 @@
         self._note_cold(known, now_s)
         if is_new and self.is_loaded and entry.cold_s is None:
             self._guard(known, now_s, "new, and does not say")
-        members = self._by_service.setdefault(entry.service, Members(self.zones_out))
+        fresh = Members(self._router, self.zones_out)
+        members = self._by_service.setdefault(entry.service, fresh)
         members.put(known)
         return ended
 
--- a/umberhitch/core/direct/_members.py
+++ b/umberhitch/core/direct/_members.py
@@ -13,6 +13,7 @@
 class Members:
     """The endpoints of one service, with what is worked out from them when it is asked for."""
 
+    router: str
     zones_out: dict[str, float]
     """Of the directory."""
     by_incarnation: dict[str, Endpoint] = field(default_factory=dict)
@@ -54,11 +55,18 @@
         return found[1]
 
     def all(self) -> list[Endpoint]:
-        """Return the endpoints that do not leave, of zones that are in service."""
+        """Return the endpoints that do not leave, of zones that are in service.
+
+        Each router has an order of its own: the first of equals is not the same at all of them.
+        """
         if self.listed is None:
-            self.listed = [each for each in self.by_incarnation.values() if self._is_listed(each)]
+            found = [each for each in self.by_incarnation.values() if self._is_listed(each)]
+            self.listed = sorted(found, key=self._place)
         return self.listed
 
+    def _place(self, endpoint: Endpoint) -> int:
+        return xxh3_64_intdigest(f"{self.router}|{endpoint.lifetime}".encode())
+
     def _is_listed(self, endpoint: Endpoint) -> bool:
         return not endpoint.is_leaving and endpoint.entry.zone not in self.zones_out
 
--- a/umberhitch/core/direct/_placement.py
+++ b/umberhitch/core/direct/_placement.py
@@ -44,12 +44,14 @@
         reading is worth the way. It halves the bytes between zones (measured: 0.046 to 0.026 of
         all worth) for 0.003 of worth served less.
     failing_s : float
-        Added in full for an endpoint whose every call fails.
+        Added in full for an endpoint whose every call fails, or that refuses every call.
+    refused_share : float
+        Share of an answer's worth that a refusal of an engine costs: it spends a try.
     hurry : float
         What a second of an engine's queue costs where the answer is in time all the same, as a
         share of what it costs where it is not: estimates err, and a queue is a risk.
     load_age_s : float
-        Time in which a reported load loses two thirds of its weight.
+        Time in which a reported load, or a refusal, loses two thirds of its weight.
     cached_share : float
         Share of an engine's memory taken to hold cached parts of prompts.
     home_share : float
@@ -66,6 +68,7 @@
     far_byte: float = 0.00003
     hurry: float = 0.05
     failing_s: float = 0.5
+    refused_share: float = 0.1
     load_age_s: float = 1.0
     cached_share: float = 0.5
     home_share: float = 0.8
@@ -73,7 +76,9 @@
 
 PACE_WEIGHT = 0.1
 FAILURE_WEIGHT = 0.2
-"""Weight of the newest reading in the running means."""
+REFUSAL_WEIGHT = 0.5
+"""Weight of the newest reading in the running means. A refusal tells more than a failure: one that
+is full, or sheds, refuses the next call as well, and fast."""
 SLOWEST = 8.0
 """An endpoint is taken to be at most so many times slower than usual."""
 LEAST_BASE_S = 0.02
@@ -150,6 +155,8 @@
     reading_s: float = 0.0
     slow: float = 1.0
     failing: float = 0.0
+    refusing: float = 0.0
+    refused_s: float = 0.0
     load: ReportedLoad | None = None
     load_at_s: float = 0.0
     others_running: int = 0
@@ -201,7 +208,7 @@
         """
         return min(
             (Offer(each, self._plain_wait_s(each, now_s)) for each in endpoints),
-            key=lambda offer: offer.wait_s + self._aversion_s(offer.endpoint),
+            key=lambda offer: offer.wait_s + self._aversion_s(offer.endpoint, now_s),
         )
 
     def choose_engine(self, endpoints: list[Endpoint], work: EngineWork, now_s: float) -> Offer:
@@ -213,12 +220,13 @@
             If there is no endpoint.
         """
         offers = (self._engine_offer(each, work, now_s) for each in endpoints)
-        return min(offers, key=lambda offer: self._cost(offer, work))
+        return min(offers, key=lambda offer: self._cost(offer, work, now_s))
 
-    def _cost(self, offer: Offer, work: EngineWork) -> float:
+    def _cost(self, offer: Offer, work: EngineWork, now_s: float) -> float:
         """Return what a call costs somewhere, in worth: its own lateness, others' delay, bytes."""
         limits, stake = self.limits, work.stake
         lost = stake.worth * (1.0 - stake.timely(work.waited_s + offer.wait_s))
+        lost += stake.worth * limits.refused_share * self._refusing(offer.endpoint, now_s)
         is_near = offer.endpoint.entry.zone == self._zone
         far = 0.0 if is_near else limits.far_byte * len(work.ask.body)
         hurry_s = offer.wait_s + self._failing_s(offer.endpoint)
@@ -263,9 +271,17 @@
         """Return the wait on an endpoint of usual pace."""
         return own_s + seen.reading_s + seen.others_reading_s + running * self.limits.running_s
 
-    def _aversion_s(self, endpoint: Endpoint) -> float:
+    def _aversion_s(self, endpoint: Endpoint, now_s: float) -> float:
         far_s = 0.0 if endpoint.entry.zone == self._zone else self.limits.far_s
-        return far_s + self._failing_s(endpoint)
+        refusing_s = self._refusing(endpoint, now_s) * self.limits.failing_s
+        return far_s + refusing_s + self._failing_s(endpoint)
+
+    def _refusing(self, endpoint: Endpoint, now_s: float) -> float:
+        """Return how surely an endpoint refuses the next call, from 0 to 1."""
+        seen = self._seen.get(endpoint.lifetime)
+        if seen is None or not seen.refusing:
+            return 0.0
+        return seen.refusing * self._age_weight(now_s - seen.refused_s)
 
     def _failing_s(self, endpoint: Endpoint) -> float:
         seen = self._seen.get(endpoint.lifetime)
@@ -328,6 +344,7 @@
         seen = self._finish_reading(placed)
         if seen is None:
             return
+        seen.refusing *= 1.0 - REFUSAL_WEIGHT
         if placed.work_s > LONG_READING_S:
             seen.readings.seen(placed.rank, now_s)
         taken_s = now_s - placed.at_s
@@ -337,6 +354,13 @@
         ratio = min(SLOWEST, taken_s / max(placed.base_s, LEAST_BASE_S))
         seen.slow = min(SLOWEST, max(0.5, seen.slow + PACE_WEIGHT * (ratio - seen.slow)))
 
+    def refused(self, placed: Placed, now_s: float) -> None:
+        """Note that an endpoint refuses a call: it is full, or sheds."""
+        seen = self._seen.get(placed.lifetime)
+        if seen is not None:
+            seen.refusing += REFUSAL_WEIGHT * (1.0 - seen.refusing)
+            seen.refused_s = now_s
+
     def _finish_reading(self, placed: Placed) -> _Seen | None:
         seen = self._seen.get(placed.lifetime)
         if placed.is_reading:
--- a/umberhitch/fakes/_direct_http.py
+++ b/umberhitch/fakes/_direct_http.py
@@ -93,6 +93,8 @@
         It refuses everything, and wants nothing for so long.
     arrivals : list of (str, float)
         Who sent a call, and when.
+    limit_words : list of (str, float)
+        Who was told a limit, and when.
     drain_words : list of (str, float)
         Who was told that it leaves, and when.
     rest_words : list of (str, float, float)
@@ -117,6 +119,7 @@
     ran: list[str] = field(default_factory=list)
     under_way: list["_FakeCall"] = field(default_factory=list)
     arrivals: list[tuple[str, float]] = field(default_factory=list)
+    limit_words: list[tuple[str, float]] = field(default_factory=list)
     drain_words: list[tuple[str, float]] = field(default_factory=list)
     rest_words: list[tuple[str, float, float]] = field(default_factory=list)
 
@@ -213,6 +216,8 @@
         endpoint, now_s = self._endpoint, self._clock.seconds()
         if endpoint is None or reply.is_elsewhere:
             return
+        if endpoint.limit_rate is not None:
+            endpoint.limit_words.append((self._sender, now_s))
         if endpoint.is_draining:
             endpoint.drain_words.append((self._sender, now_s))
         if reply.status == 503 and reply.backoff_s:
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -116,7 +116,7 @@
             trials,
             self._on_endpoints,
             self.crashes.watch.ended,
-            self.gate.closed.leaving,
+            Directory(self.gate.closed.leaving, settings.name),
         )
         self.gate.on_leaving = self.directory.withdraw
         self.presence = Presence(
@@ -335,6 +335,8 @@
             self.placement.report(placed.lifetime, load, now_s)
         if head.is_success:
             self.placement.began(placed, now_s)
+        elif head.not_run and not head.is_elsewhere:
+            self.placement.refused(placed, now_s)
 
     def heard_late(self, endpoint: Endpoint, head: ReplyHead) -> None:
         """Take note of a reply of an endpoint to a call that nobody waits for any more."""
--- a/umberhitch/tasks/direct/store_view.py
+++ b/umberhitch/tasks/direct/store_view.py
@@ -1,6 +1,6 @@
 """What a router of the direct path believes, as the platform's store told it."""
 
-from collections.abc import Callable, Container
+from collections.abc import Callable
 from logging import getLogger
 from random import Random
 
@@ -41,8 +41,8 @@
         Called when endpoints have come or gone, with the addresses of those that are gone.
     on_restarted : callable
         Called with the lifetime that has ended where an endpoint started again.
-    leaving : container of str
-        Lifetimes that leave by their own word.
+    directory : Directory
+        Is filled by what the registry says.
     """
 
     def __init__(
@@ -56,10 +56,10 @@
         trials: Trials,
         on_endpoints: Callable[[list[str]], None],
         on_restarted: Callable[[Endpoint], None],
-        leaving: Container[str] = (),
+        directory: Directory,
     ) -> None:
         self.clock = clock
-        self.directory = Directory(leaving)
+        self.directory = directory
         self.trials = trials
         self.table: RouteTable | None = None
         self._on_endpoints = on_endpoints
--- a/umberhitch/tasks/direct/tests/test_limit_pairs.py
+++ b/umberhitch/tasks/direct/tests/test_limit_pairs.py
@@ -12,6 +12,8 @@
 ROUTERS = 6
 PRESS_S = 12.0
 A_SECOND = 60.0
+SEATS_S = 8.0
+"""All routers have their seats again so long after the store is back."""
 
 Trouble = Callable[[DirectWorld, list[FakeEndpoint]], None]
 
@@ -59,6 +61,7 @@
     limits._crowd(world, 11.0, A_SECOND)
     for router in world.routers.values():
         router.faults.is_down = False
+    limits._crowd(world, SEATS_S, A_SECOND)  # until then each uses 0.6 of its share
 
 
 def _restarts(world: DirectWorld, limited: list[FakeEndpoint]) -> None:
--- a/umberhitch/testing/__init__.py
+++ b/umberhitch/testing/__init__.py
@@ -20,7 +20,7 @@
     make_route,
 )
 from umberhitch.testing._endpoint_words import sent_after_leaving, sent_while_resting
-from umberhitch.testing._limited import LIMIT_SPAN_S, limit_bound, most_within
+from umberhitch.testing._limited import LIMIT_SPAN_S, limit_bound, most_from_told, most_within
 from umberhitch.testing._oracle import check_world
 from umberhitch.testing._transports import FakeTransport, dial
 from umberhitch.testing._violation import Violation
@@ -53,6 +53,7 @@
     "make_state_change",
     "make_version",
     "make_work",
+    "most_from_told",
     "most_within",
     "sent_after_leaving",
     "sent_while_resting",
