Soak and stand-ins: endpoints say that they leave, or refuse and want rest; both promises are checked from what they saw

A router has heard a word when the caller of that call has its answer, so the checks go by no time: what was sent after that and reached the endpoint (within the rest) is found. New faults have a random source of their own, so the other faults of a seed stay what they were.

--- a/umberhitch/platform/standins/_endpoint.py
+++ b/umberhitch/platform/standins/_endpoint.py
@@ -38,6 +38,10 @@
         What its models declare.
     limit_rate : float or None
         Requests a second that it names in each reply.
+    is_leaving : bool
+        It says in each reply that it leaves.
+    rest_s : float or None
+        It refuses everything, and wants nothing for so long.
     """
 
     status: int = 200
@@ -48,6 +52,8 @@
     event_s: float = 0.01
     confidence: int = 100
     limit_rate: float | None = None
+    is_leaving: bool = False
+    rest_s: float | None = None
 
 
 @dataclass
@@ -57,6 +63,10 @@
     call_id: str
     at_s: float
     """On the machine's steady clock."""
+    is_leaving: bool = False
+    """Whether it was told that the endpoint leaves."""
+    rest_s: float = 0.0
+    """For how long it was told that the endpoint wants nothing."""
 
 
 @dataclass
@@ -117,7 +127,8 @@
             return Deferred()
         head = request.requestHeaders
         call_id = head.getRawHeaders("Attempt-Id", [""])[0]
-        self.arrivals.append(Arrival(call_id, monotonic()))
+        arrival = Arrival(call_id, monotonic())
+        self.arrivals.append(arrival)
         if self.faults.limit_rate is not None:
             request.setHeader("Server-Limit", f"{self.faults.limit_rate:g}")
         expected = head.getRawHeaders("Expect-Instance", [self.incarnation])[0]
@@ -128,7 +139,13 @@
         if self._is_overrun():
             self.end()
             return Deferred()
-        if self.faults.is_shedding:
+        if self.faults.is_leaving:
+            arrival.is_leaving = True
+            request.setHeader("Server-Leaving", "1")
+        if self.faults.rest_s is not None:
+            arrival.rest_s = self.faults.rest_s
+            request.setHeader("Retry-After", f"{arrival.rest_s:g}")
+        if self.faults.is_shedding or arrival.rest_s:
             request.setHeader("Not-Executed", "1")
             request.setResponseCode(503)
             return b""
--- a/umberhitch/platform/standins/client.py
+++ b/umberhitch/platform/standins/client.py
@@ -244,6 +244,14 @@
         """Let an endpoint name the requests a second that it takes, or none any more."""
         self.control("POST", f"/endpoints/{endpoint}/faults", {"limit_rate": rate})
 
+    def say_leaving(self, name: str) -> None:
+        """Let an endpoint say in its replies that it leaves; its entry stays as it is."""
+        self.control("POST", f"/endpoints/{name}/faults", {"is_leaving": True})
+
+    def ask_for_rest(self, name: str, rest_s: float | None) -> None:
+        """Let an endpoint refuse everything and want nothing for so long; None ends that."""
+        self.control("POST", f"/endpoints/{name}/faults", {"rest_s": rest_s})
+
     def start_router(
         self,
         name: str,
--- a/umberhitch/soak/_callers.py
+++ b/umberhitch/soak/_callers.py
@@ -81,4 +81,5 @@
             answer.status,
             answer.body,
             answer.is_whole,
+            router.process.pid,
         )
--- a/umberhitch/soak/_deployment.py
+++ b/umberhitch/soak/_deployment.py
@@ -39,6 +39,8 @@
     """The first is the one that is taken away next."""
     number: int = 1
     born: int = 1
+    reborn: set[str] = field(default_factory=set)
+    """Endpoints with more than one lifetime: what they said in one does not bind in the next."""
     started: int = 0
     revoked: list[Revocation] = field(default_factory=list)
     departed: list[Departure] = field(default_factory=list)
--- a/umberhitch/soak/_faults.py
+++ b/umberhitch/soak/_faults.py
@@ -15,6 +15,8 @@
 
 __all__ = ["do_step"]
 
+REST_S = (0.5, 2.0)
+"""For how long endpoints want nothing, in turn."""
 LIMIT_RATES = (0.5, 2.0)
 """Requests a second that endpoints name, in turn."""
 WAYS = {
@@ -75,10 +77,18 @@
         case Fault.LIMIT:
             _name_limit(deployment, endpoint, LIMIT_RATES[step.target % len(LIMIT_RATES)])
             return lambda: _end_limit(deployment, endpoint)
+        case Fault.SAYS_LEAVING:
+            _replace_endpoint(deployment, endpoint)
+            platform.say_leaving(endpoint)
+            return lambda: platform.drain_endpoint(endpoint)
+        case Fault.REST:
+            platform.ask_for_rest(endpoint, REST_S[step.target % len(REST_S)])
+            return lambda: platform.ask_for_rest(endpoint, None)
         case Fault.DEPART:
             _depart(deployment, endpoint)
         case Fault.REBORN:
             deployment.born += 1
+            deployment.reborn.add(endpoint)
             _change_entry(platform, endpoint, {"born": deployment.born})
         case Fault.BROKEN_ENTRY:
             entry = BROKEN_ENTRIES[step.target % len(BROKEN_ENTRIES)]
@@ -158,10 +168,14 @@
         deployment.platform.name_limit(endpoint, None)
 
 
-def _depart(deployment: Deployment, endpoint: str) -> None:
+def _replace_endpoint(deployment: Deployment, endpoint: str) -> None:
     deployment.add_endpoint()
     deployment.endpoints.remove(endpoint)
     deployment.gone.append(endpoint)
+
+
+def _depart(deployment: Deployment, endpoint: str) -> None:
+    _replace_endpoint(deployment, endpoint)
     deployment.platform.drain_endpoint(endpoint)
     deployment.departed.append(Departure(endpoint, monotonic()))
 
--- a/umberhitch/soak/_mutations.py
+++ b/umberhitch/soak/_mutations.py
@@ -95,6 +95,14 @@
     SendGate._bears_limit = lambda self, endpoint, kept, now_s: True  # type: ignore[method-assign]
 
 
+def _ignore_words() -> None:
+    """Endpoints that say that they leave, or want nothing for a while, get what others get."""
+    from umberhitch.core.direct import ClosedEndpoints
+
+    ClosedEndpoints.take_leaving = lambda self, *word: False  # type: ignore[method-assign]
+    ClosedEndpoints.take_rest = lambda self, *word: False  # type: ignore[method-assign]
+
+
 MUTATIONS: dict[str, Callable[[], None]] = {
     "repeat-all": _repeat_all,
     "promise-all": _promise_all,
@@ -104,6 +112,7 @@
     "ignore-zones": _ignore_zones,
     "rush-cold": _rush_cold,
     "ignore-limits": _ignore_limits,
+    "ignore-words": _ignore_words,
 }
 
 
--- a/umberhitch/soak/_records.py
+++ b/umberhitch/soak/_records.py
@@ -2,7 +2,16 @@
 
 from dataclasses import dataclass
 
-__all__ = ["ColdStart", "Departure", "LimitNamed", "Record", "Revocation", "RunSeen", "ZoneOutage"]
+__all__ = [
+    "ArrivalSeen",
+    "ColdStart",
+    "Departure",
+    "LimitNamed",
+    "Record",
+    "Revocation",
+    "RunSeen",
+    "ZoneOutage",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,6 +24,8 @@
         0 where the connection broke before an answer.
     is_whole : bool
         Whether the answer came to its end.
+    router : int
+        Process id of the router that was asked.
     """
 
     call_id: str
@@ -25,6 +36,7 @@
     status: int
     body: bytes
     is_whole: bool
+    router: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +48,25 @@
     at_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ArrivalSeen:
+    """A call that reached an endpoint, run or refused, and what the endpoint said to it.
+
+    Attributes
+    ----------
+    is_leaving : bool
+        That it leaves.
+    rest_s : float
+        That it wants nothing for so long; 0 where it did not say so.
+    """
+
+    call_id: str
+    endpoint: str
+    at_s: float
+    is_leaving: bool = False
+    rest_s: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Revocation:
     """A key that was taken away; confirmed by the store at a time."""
--- a/umberhitch/soak/_run.py
+++ b/umberhitch/soak/_run.py
@@ -22,8 +22,9 @@
 from umberhitch.soak._deployment import COLD_RATE, Deployment, memory_mb
 from umberhitch.soak._faults import do_step
 from umberhitch.soak._proxy import Proxy
-from umberhitch.soak._records import Departure, RunSeen
+from umberhitch.soak._records import ArrivalSeen, Departure, RunSeen
 from umberhitch.soak._schedule import SoakConfig, Step, make_schedule
+from umberhitch.soak._word_checks import check_leaving, check_rests
 
 __all__ = ["Verdict", "play"]
 
@@ -165,8 +166,15 @@
     outages = [replace(each, at_s=max(each.at_s, sound_s)) for each in outages]
     found += check_zones(runs, outages, bounds)
     found += check_cold(runs, deployment.cold, MOST_COLD)
+    arrivals = [
+        ArrivalSeen(endpoint=endpoint, **each)
+        for endpoint in (*deployment.endpoints, *deployment.gone)
+        for each in deployment.platform.arrivals(endpoint)
+    ]
+    said = [each for each in arrivals if each.endpoint not in deployment.reborn]
+    found += check_leaving(records, said) + check_rests(records, said)
     arrived = {
-        endpoint: [each["at_s"] for each in deployment.platform.arrivals(endpoint)]
+        endpoint: [each.at_s for each in arrivals if each.endpoint == endpoint]
         for endpoint in deployment.limits
     }
     found += check_limits(arrived, [each for named in deployment.limits.values() for each in named])
--- a/umberhitch/soak/_schedule.py
+++ b/umberhitch/soak/_schedule.py
@@ -32,6 +32,8 @@
     ZONE_OUT = "zone out of service"
     COLD_START = "cold endpoint comes"
     LIMIT = "endpoint names a limit"
+    SAYS_LEAVING = "endpoint says that it leaves, its entry does not"
+    REST = "endpoint refuses and wants rest"
 
 
 TIMED = frozenset(
@@ -48,6 +50,8 @@
         Fault.ZONE_OUT,
         Fault.COLD_START,
         Fault.LIMIT,
+        Fault.SAYS_LEAVING,
+        Fault.REST,
     }
 )
 """Faults that last; the others are done at once."""
@@ -55,10 +59,12 @@
 """Drawn by a random source of their own, so that a seed's other faults stay what they were."""
 LATER_ADDED = (Fault.LIMIT,)
 """The same, once more."""
+WORDS = (Fault.SAYS_LEAVING, Fault.REST)
+"""And again."""
 LONG_FACTOR = 3.0
 """A zone is out, and a limit stands, for so many times the longest fault: longer than it takes to
 be in force."""
-LONG = frozenset({Fault.ZONE_OUT, Fault.LIMIT})
+LONG = frozenset({Fault.ZONE_OUT, Fault.LIMIT, Fault.SAYS_LEAVING})
 ADDED_SHARE = 0.25
 """How often these come, for each time that one of the others does."""
 
@@ -111,10 +117,11 @@
     seed : int
     cfg : SoakConfig
     """
-    first = [each for each in Fault if each not in ADDED and each not in LATER_ADDED]
+    first = [each for each in Fault if each not in (*ADDED, *LATER_ADDED, *WORDS)]
     steps = _draw(Random(seed), cfg, first, cfg.every_s)
     steps += _draw(Random(f"{seed} added"), cfg, list(ADDED), cfg.every_s / ADDED_SHARE)
     steps += _draw(Random(f"{seed} later"), cfg, list(LATER_ADDED), cfg.every_s / ADDED_SHARE)
+    steps += _draw(Random(f"{seed} words"), cfg, list(WORDS), cfg.every_s / ADDED_SHARE)
     return sorted(steps, key=lambda step: step.at_s)
 
 
