--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -1,15 +1,17 @@
 """Pages of a router of the direct path: readiness for the balancer, metrics, status."""
 
+from collections import Counter
 from collections.abc import Callable
 from logging import getLogger
 
 from msgspec import json
 from twisted.internet.defer import ensureDeferred
 
-from umberhitch.core.direct import IntakeLimits
+from umberhitch.core.direct import IntakeLimits, SignalKind
 from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest, do_nothing
 from umberhitch.tasks.burn import BurnReport
 from umberhitch.tasks.direct.gateway import Gateway
+from umberhitch.tasks.direct.signal_table import StandingSignal, standing_signals
 
 __all__ = ["GatewayPages"]
 
@@ -130,12 +132,12 @@
             "running": len(gateway.running),
             "routers": gateway.budget.routers or 1,
             "outcomes": gateway.counters.outcomes,
-            "refused": gateway.counters.refused,
+            "refused": gateway.answers.refused,
             "held": sum(1 for _ in gateway.crashes.record.held(gateway.clock.seconds())),
             "zones_out": self._zones_out(),
-            "cold": self._cold(),
-            "limited": self._limited(),
+            "endpoint_signals": [_signal_row(each) for each in self._signals()],
             "unknown_headers": gateway.gate.unknown.counts,
+            "unclear_headers": gateway.gate.unknown.unclear,
         }
 
     def _zones_out(self) -> dict[str, dict[str, float]]:
@@ -153,40 +155,9 @@
             for zone, since_s in sorted(gateway.directory.zones_out.items())
         }
 
-    def _cold(self) -> list[dict[str, object]]:
-        """Return the cold endpoints, how long they stay so, and how that is known."""
+    def _signals(self) -> list[StandingSignal]:
         gateway = self._gateway
-        now_s = gateway.clock.seconds()
-        return [
-            {
-                "endpoint": each.lifetime,
-                "zone": each.entry.zone,
-                "left_s": round(max(each.cold_until_s, each.guarded_until_s) - now_s, 3),
-                "source": each.cold_source,
-            }
-            for each in gateway.directory.cold(now_s)
-        ]
-
-    def _limited(self) -> list[dict[str, object]]:
-        """Return the endpoints that name a limit, how that is known, and what of it is used."""
-        gate, now_s = self._gateway.gate, self._gateway.clock.seconds()
-        rows: list[dict[str, object]] = []
-        for lifetime, limit in gate.limits:
-            bound = gate.rules.bound(limit.rate)
-            share = gate.shares.most(lifetime, bound)
-            rows.append(
-                {
-                    "endpoint": lifetime,
-                    "rate": limit.rate,
-                    "age_s": round(now_s - limit.heard_s, 3),
-                    "known_for_s": round(now_s - limit.since_s, 3),
-                    "source": limit.source,
-                    "share": share,
-                    "share_window_s": round(gate.shares.window_s(bound), 3),
-                    "used": gate.shares.used(lifetime, bound, now_s),
-                }
-            )
-        return rows
+        return standing_signals(gateway.gate, gateway.directory, gateway.clock.seconds())
 
     def _metrics(self) -> bytes:
         """Return what is counted, in the Prometheus text format."""
@@ -201,22 +172,36 @@
             f"umberhitch_requests_suspect {len(gateway.crashes.record)}",
             f"umberhitch_requests_held {self._status()['held']}",
             f"umberhitch_zones_out {len(gateway.directory.zones_out)}",
-            f"umberhitch_endpoints_cold {len(gateway.directory.cold(gateway.clock.seconds()))}",
             f"umberhitch_cold_shares_used_up_total {gateway.gate.cold_used_up}",
-            f"umberhitch_endpoints_limited {len(gateway.gate.limits)}",
             f"umberhitch_limit_shares_used_up_total {gateway.gate.limit_used_up}",
             f"umberhitch_unknown_header_names {len(gateway.gate.unknown.counts)}",
         ]
+        kinds = Counter(each.kind for each in self._signals())
+        lines += [
+            f'umberhitch_endpoint_signals{{signal="{kind}"}} {kinds[kind]}' for kind in SignalKind
+        ]
         lines += [f"umberhitch_{name} {value}" for name, value in self._transport().items()]
         age_s = gateway.view.proof_age_s(gateway.clock.seconds())
         if age_s != float("inf"):
             lines.append(f"umberhitch_configuration_age_seconds {age_s:.3f}")
-        for name, by_label in (("outcomes", count.outcomes), ("refused", count.refused)):
+        for name, by_label in (("outcomes", count.outcomes), ("refused", gateway.answers.refused)):
             for label, value in sorted(by_label.items()):
                 lines.append(f'umberhitch_{name}_total{{reason="{label}"}} {value}')
         return ("\n".join(lines) + "\n").encode()
 
 
+def _signal_row(signal: StandingSignal) -> dict[str, object]:
+    age_s, left_s = signal.age_s, signal.left_s
+    return {
+        "endpoint": signal.lifetime,
+        "signal": signal.kind,
+        "source": signal.source,
+        "age_s": None if age_s is None else round(age_s, 3),
+        "left_s": None if left_s is None else round(left_s, 3),
+        **signal.details,
+    }
+
+
 def _send(reply: CallerReply, status: int, kind: bytes, body: bytes) -> None:
     reply.head(status, [(b"Content-Type", kind), (b"Content-Length", str(len(body)).encode())])
     reply.data(body)
--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -27,7 +27,7 @@
 from umberhitch.core.direct._readings import NO_READING, Readings
 from umberhitch.core.direct._request_key import request_key
 from umberhitch.core.direct._routes import RouteTable
-from umberhitch.core.direct._signals import HeadSignals, ReportedLoad
+from umberhitch.core.direct._signals import HeadSignals, ReportedLoad, SignalKind
 from umberhitch.core.direct._trial import Trial, TrialLimits
 from umberhitch.core.direct._types import (
     Ask,
@@ -104,6 +104,7 @@
     "RouteKind",
     "RouteTable",
     "Service",
+    "SignalKind",
     "Stake",
     "Trial",
     "TrialLimits",
--- a/umberhitch/core/direct/_signals.py
+++ b/umberhitch/core/direct/_signals.py
@@ -1,10 +1,20 @@
 """What endpoints say of themselves in the heads of their replies."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 from umberhitch.core.direct._rates import Rate
 
-__all__ = ["HeadSignals", "ReportedLoad"]
+__all__ = ["HeadSignals", "ReportedLoad", "SignalKind"]
+
+
+class SignalKind(StrEnum):
+    """What an endpoint may say of itself that binds routers."""
+
+    LEAVING = "leaving"
+    REST = "rest"
+    LIMIT = "limit"
+    COLD = "cold"
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberhitch/demo/_direct.py
+++ b/umberhitch/demo/_direct.py
@@ -92,7 +92,7 @@
     """Take zone a out of service under load, and back when its endpoints are cold."""
     platform.publish(3, keys=(NEW_KEY,), cold_rate=COLD_RATE)
     platform.add_endpoint("e3", zone="b")
-    eventually(lambda: router.status()["endpoints"] == 3 and not router.status()["cold"])
+    eventually(lambda: router.status()["endpoints"] == 3 and not router.signals("cold"))
     usual, served = _crowd(platform, router, "in")
     print(f"  in service: {usual} calls to zone a, {served} of {CROWD} served")
     platform.take_out("a")
@@ -143,7 +143,7 @@
     """Send some calls, and return whether all routers know whether an endpoint names a limit."""
     for router in routers:
         router.ask("/look/x", f"known-{monotonic()}", NEW_KEY)
-    return all(bool(router.status()["limited"]) == is_limited for router in routers)
+    return all(bool(router.signals("limit")) == is_limited for router in routers)
 
 
 def _crowd(platform: LocalPlatform, router: RouterProcess, name: str) -> tuple[int, int]:
--- a/umberhitch/platform/standins/client.py
+++ b/umberhitch/platform/standins/client.py
@@ -108,6 +108,10 @@
         """Return the router's status page."""
         return json.decode(self.page("/status"))
 
+    def signals(self, kind: str) -> list[dict[str, Any]]:
+        """Return what endpoints have said of one kind, as it stands at the router."""
+        return [each for each in self.status()["endpoint_signals"] if each["signal"] == kind]
+
     def burn(self) -> dict[str, Any]:
         """Return the burn report."""
         return json.decode(self.page("/burn.json"))
--- a/umberhitch/platform/tests/test_processes.py
+++ b/umberhitch/platform/tests/test_processes.py
@@ -233,4 +233,4 @@
     for router in routers:
         router.ask("/look/x", f"hear-{monotonic()}", KEY)
         router.ask("/draft/x", f"hear-{monotonic()}", KEY, model="small")
-    return all([row["rate"] for row in each.status()["limited"]] == rates for each in routers)
+    return all([row["rate"] for row in each.signals("limit")] == rates for each in routers)
--- a/umberhitch/tasks/direct/exchange.py
+++ b/umberhitch/tasks/direct/exchange.py
@@ -13,6 +13,7 @@
 from umberhitch.tasks.direct.judging import AnswerJudge
 from umberhitch.tasks.direct.relay import Relay
 from umberhitch.tasks.direct.services import Permit, Run, Services
+from umberhitch.tasks.direct.silence_watch import SilenceWatch
 
 __all__ = ["HELD", "REFUSED_BY_ENDPOINT", "Exchange"]
 
@@ -66,7 +67,7 @@
         self.answered_s: float | None = None
         """When the first event of a stream was passed on."""
         self._deadline: Timer | None = None
-        self._stall: Timer | None = None
+        self._silence = SilenceWatch(services.clock, self._on_stall)
 
     # Life
 
@@ -158,11 +159,11 @@
             self._call.pause()
         try_s = self._svc.limits.try_s(self.permit.route)
         if try_s is not None:
-            self._watch(try_s)
+            self._silence.begin(try_s)
 
     def _end_call(self, is_failure: bool | None) -> None:
         """Count the present call no more."""
-        self._unwatch()
+        self._silence.end()
         placed, self._placed = self._placed, None
         self._call = None
         if placed is not None:
@@ -176,18 +177,8 @@
 
     # Timers
 
-    def _watch(self, delay_s: float) -> None:
-        self._unwatch()
-        self._stall = self._clock.callLater(delay_s, self._on_stall)
-
-    def _unwatch(self) -> None:
-        stall, self._stall = self._stall, None
-        if stall is not None and stall.active():
-            stall.cancel()
-
     def _on_stall(self) -> None:
         """Try elsewhere what has been silent for too long, if that can be had."""
-        self._stall = None
         if self._is_paused or self._call is None:
             return
         can_repeat = self._sends < self.permit.route.max_attempts
@@ -340,7 +331,7 @@
 
     def _watch_gap(self) -> None:
         if self.permit.route.is_repeatable:
-            self._watch(self._svc.limits.gap_factor * self.permit.route.gap_s)
+            self._silence.begin(self._svc.limits.gap_factor * self.permit.route.gap_s)
 
     def on_end(self) -> None:
         """Take the end of the reply."""
@@ -424,7 +415,7 @@
 
     def _finish(self, outcome: str) -> None:
         self._is_over = True
-        self._unwatch()
+        self._silence.end()
         deadline, self._deadline = self._deadline, None
         if deadline is not None and deadline.active():
             deadline.cancel()
@@ -450,5 +441,5 @@
         self._is_paused = False
         if self._call is not None:
             self._call.resume()
-            if self._stall is None and self._relay.is_streaming:
+            if not self._silence.is_on and self._relay.is_streaming:
                 self._watch_gap()  # it ran out meanwhile
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -42,6 +42,7 @@
 from umberhitch.tasks.direct.exchange import HELD, REFUSED_BY_ENDPOINT, Exchange
 from umberhitch.tasks.direct.gateway_limits import GatewayCounters, GatewaySettings
 from umberhitch.tasks.direct.intake import Intake
+from umberhitch.tasks.direct.own_answers import OwnAnswers
 from umberhitch.tasks.direct.presence import Presence
 from umberhitch.tasks.direct.send_gate import SendGate
 from umberhitch.tasks.direct.services import Permit, RequestState
@@ -97,6 +98,7 @@
         self._paces = Paces()
         self._rng = rng
         self._wire = wire
+        self.answers = OwnAnswers(wire, self.decisions)
         self._endpoints = endpoints
         self.crashes = CrashGuard(
             settings.name,
@@ -155,7 +157,7 @@
             self.presence,
             self.choosing,
             self.crashes,
-            self._answer,
+            self.answers.send,
             self._begin,
         )
 
@@ -217,16 +219,7 @@
 
     def refuse_unread(self, status: int, problem: str) -> tuple[HeaderList, bytes]:
         """Return headers and body of an answer to a request that was not taken."""
-        retry_s = LEAST_RETRY_S if status in (408, 503) else None
-        return self._own_answer(None, problem, retry_s)
-
-    def _own_answer(
-        self, call_id: str | None, reason: str, retry_s: float | None
-    ) -> tuple[HeaderList, bytes]:
-        body = b'{"error":"' + reason.encode("ascii", "replace").replace(b'"', b"'") + b'"}'
-        headers = self._wire.refusal_headers(call_id, retry_s)
-        headers.append((b"Content-Length", str(len(body)).encode()))
-        return headers, body
+        return self.answers.to_unread(status, problem)
 
     def handle(self, raw: RawRequest, reply: CallerReply) -> Callable[[], None]:
         """Begin to answer a request; returns what is to be called if the caller leaves."""
@@ -353,22 +346,7 @@
             retry_s = max(LEAST_RETRY_S, self.crashes.retry_s(permit))
         elif status == 503:
             retry_s = self.choosing.come_back_s(permit)
-        self._answer(reply, permit.ask.call_id, status, reason, retry_s)
-
-    def _answer(
-        self,
-        reply: CallerReply,
-        call_id: str | None,
-        status: int,
-        reason: str,
-        retry_s: float | None,
-    ) -> None:
-        self.counters.refused[reason] = self.counters.refused.get(reason, 0) + 1
-        self.decisions.write("refused", call_id, True, status=status, reason=reason)
-        headers, body = self._own_answer(call_id, reason, retry_s)
-        reply.head(status, headers)
-        reply.data(body)
-        reply.end()
+        self.answers.send(reply, permit.ask.call_id, status, reason, retry_s)
 
     def finished(self, exchange: RequestState, outcome: str) -> None:
         """Take note that a request has its final answer."""
--- a/umberhitch/tasks/direct/gateway_limits.py
+++ b/umberhitch/tasks/direct/gateway_limits.py
@@ -74,4 +74,3 @@
     requests: int = 0
     calls: int = 0
     outcomes: dict[str, int] = field(default_factory=dict)
-    refused: dict[str, int] = field(default_factory=dict)
--- /dev/null
+++ b/umberhitch/tasks/direct/own_answers.py
@@ -0,0 +1,54 @@
+"""The answers of a router's own: requests that it refuses or gives up."""
+
+from umberhitch.ports.direct import CallerReply, HeaderList, WirePort
+from umberhitch.tasks.direct.come_back import LEAST_RETRY_S
+from umberhitch.tasks.direct.decisions import DecisionLog
+
+__all__ = ["OwnAnswers"]
+
+
+class OwnAnswers:
+    """Makes and sends them, and counts them by their reason.
+
+    Parameters
+    ----------
+    wire : WirePort
+    decisions : DecisionLog
+
+    Attributes
+    ----------
+    refused : dict of str to int
+    """
+
+    def __init__(self, wire: WirePort, decisions: DecisionLog) -> None:
+        self.refused: dict[str, int] = {}
+        self._wire = wire
+        self._decisions = decisions
+
+    def send(
+        self,
+        reply: CallerReply,
+        call_id: str | None,
+        status: int,
+        reason: str,
+        retry_s: float | None,
+    ) -> None:
+        """Send an answer whole."""
+        self.refused[reason] = self.refused.get(reason, 0) + 1
+        self._decisions.write("refused", call_id, True, status=status, reason=reason)
+        headers, body = self._make(call_id, reason, retry_s)
+        reply.head(status, headers)
+        reply.data(body)
+        reply.end()
+
+    def to_unread(self, status: int, problem: str) -> tuple[HeaderList, bytes]:
+        """Return headers and body of an answer to a request that was not taken."""
+        return self._make(None, problem, LEAST_RETRY_S if status in (408, 503) else None)
+
+    def _make(
+        self, call_id: str | None, reason: str, retry_s: float | None
+    ) -> tuple[HeaderList, bytes]:
+        body = b'{"error":"' + reason.encode("ascii", "replace").replace(b'"', b"'") + b'"}'
+        headers = self._wire.refusal_headers(call_id, retry_s)
+        headers.append((b"Content-Length", str(len(body)).encode()))
+        return headers, body
--- a/umberhitch/tasks/direct/send_gate.py
+++ b/umberhitch/tasks/direct/send_gate.py
@@ -23,6 +23,7 @@
     NamedLimits,
     ReplyHead,
     Service,
+    SignalKind,
 )
 from umberhitch.ports.clock import Clock
 from umberhitch.tasks.direct.come_back import HONOURED_SHARE, LEAST_RETRY_S
@@ -266,16 +267,16 @@
         self._hear_limit(lifetime, head, now_s)
 
     def _has_left(self, lifetime: str, source: str) -> None:
-        self._log(lifetime, "leaving", "begun", source)
+        self._log(lifetime, SignalKind.LEAVING, "begun", source)
         self.on_leaving(lifetime)
 
     def _hear_rest(self, lifetime: str, head: ReplyHead, now_s: float) -> None:
         rest_s = head.signals.backoff_s
         if rest_s is not None:
             if self.closed.take_rest(lifetime, rest_s, self.shares.routers, now_s):
-                self._log(lifetime, "rest", "begun", OWN_WORD, rest_s=rest_s)
+                self._log(lifetime, SignalKind.REST, "begun", OWN_WORD, rest_s=rest_s)
         elif not head.not_run and self.closed.answered(lifetime, now_s):
-            self._log(lifetime, "rest", "ended", OWN_WORD)
+            self._log(lifetime, SignalKind.REST, "ended", OWN_WORD)
 
     def _hear_limit(self, lifetime: str, head: ReplyHead, now_s: float) -> None:
         limit = head.signals.limit
@@ -290,16 +291,18 @@
     def _limit_changed(self, lifetime: str, change: LimitChange, source: str) -> None:
         limit = self.limits.get(lifetime)
         if limit is None:
-            self._log(lifetime, "limit", change.value, source)
+            self._log(lifetime, SignalKind.LIMIT, change.value, source)
             return
         bound = self.rules.bound(limit.rate)
         if change is LimitChange.BEGUN:
             self.look()
             self.shares.assume_used(lifetime, bound, self._clock.seconds())
         share = self.shares.most(lifetime, bound)
-        self._log(lifetime, "limit", change.value, source, rate=limit.rate, share=share)
+        self._log(lifetime, SignalKind.LIMIT, change.value, source, rate=limit.rate, share=share)
 
-    def _log(self, lifetime: str, signal: str, change: str, source: str, **facts: object) -> None:
+    def _log(
+        self, lifetime: str, signal: SignalKind, change: str, source: str, **facts: object
+    ) -> None:
         """Write the one line of a change of what an endpoint says."""
         facts |= {"endpoint": lifetime, "signal": signal, "change": change, "source": source}
         log.info("endpoint signal", extra=facts)
--- /dev/null
+++ b/umberhitch/tasks/direct/signal_table.py
@@ -0,0 +1,81 @@
+"""What endpoints have said of themselves, as it stands at one router: one table for operators.
+
+The load that an endpoint reports is not in it: it is an estimate that loses its weight with its
+age, stands for every endpoint, and binds nobody.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from umberhitch.core.direct import Directory, SignalKind
+from umberhitch.tasks.direct.send_gate import SendGate
+
+__all__ = ["StandingSignal", "standing_signals"]
+
+
+@dataclass(frozen=True, slots=True)
+class StandingSignal:
+    """One thing that one lifetime of an endpoint has said.
+
+    Attributes
+    ----------
+    lifetime : str
+    kind : SignalKind
+    source : str
+        How it is known.
+    age_s : float or None
+        Since it was said last, where that is known.
+    left_s : float or None
+        Until it ends, where it ends by itself.
+    details : dict of str to float
+        What belongs to its kind.
+    """
+
+    lifetime: str
+    kind: SignalKind
+    source: str
+    age_s: float | None = None
+    left_s: float | None = None
+    details: dict[str, float] = field(default_factory=dict)
+
+
+def standing_signals(gate: SendGate, directory: Directory, now_s: float) -> list[StandingSignal]:
+    """Return what stands now, by kind and endpoint."""
+    return [
+        *_leaving(gate, now_s),
+        *_rests(gate, now_s),
+        *_limits(gate, now_s),
+        *_cold(directory, now_s),
+    ]
+
+
+def _leaving(gate: SendGate, now_s: float) -> Iterator[StandingSignal]:
+    for lifetime, word in gate.closed.leaving.items():
+        yield StandingSignal(lifetime, SignalKind.LEAVING, word.source, now_s - word.heard_s)
+
+
+def _rests(gate: SendGate, now_s: float) -> Iterator[StandingSignal]:
+    for lifetime, rest in gate.closed.resting.items():
+        age_s, left_s = now_s - rest.heard_s, max(0.0, rest.until_s - now_s)
+        opens = {"opens_in_s": round(max(0.0, rest.opens_s - now_s), 3)}
+        yield StandingSignal(lifetime, SignalKind.REST, "its answer", age_s, left_s, opens)
+
+
+def _limits(gate: SendGate, now_s: float) -> Iterator[StandingSignal]:
+    for lifetime, limit in gate.limits:
+        bound = gate.rules.bound(limit.rate)
+        details = {
+            "rate": limit.rate,
+            "known_for_s": round(now_s - limit.since_s, 3),
+            "share": gate.shares.most(lifetime, bound),
+            "share_window_s": round(gate.shares.window_s(bound), 3),
+            "used": gate.shares.used(lifetime, bound, now_s),
+        }
+        age_s = now_s - limit.heard_s
+        yield StandingSignal(lifetime, SignalKind.LIMIT, limit.source, age_s, None, details)
+
+
+def _cold(directory: Directory, now_s: float) -> Iterator[StandingSignal]:
+    for each in directory.cold(now_s):
+        left_s = max(each.cold_until_s, each.guarded_until_s) - now_s
+        yield StandingSignal(each.lifetime, SignalKind.COLD, each.cold_source, None, left_s)
