--- a/umberhitch/tasks/direct/tests/test_herding.py
+++ b/umberhitch/tasks/direct/tests/test_herding.py
@@ -25,6 +25,18 @@
     assert sum(ask.status == 200 for ask in asks) >= 0.95 * len(asks)
 
 
+def test_callers_are_served_while_two_thirds_refuse_fast():
+    world, endpoints = limits._world(3, 0, 12, None)
+    for each in endpoints:
+        each.reply = Reply(delay_s=0.05)
+    for each in endpoints[:8]:
+        each.reply = REFUSED
+    limits._crowd(world, 1.0, CROWD)
+    asks = limits._crowd(world, 3.0, CROWD)
+    world.run(1.0)
+    assert sum(ask.status == 200 for ask in asks) >= 0.95 * len(asks)
+
+
 def test_the_usual_endpoints_of_routers_differ():
     world, endpoints = limits._world(6, 0, 12, None)
     for each in endpoints:
--- a/umberhitch/tasks/direct/tests/test_leaving_and_rest.py
+++ b/umberhitch/tasks/direct/tests/test_leaving_and_rest.py
@@ -28,6 +28,8 @@
 
 CROWD = 40.0
 """Requests a second."""
+PRESS = 200.0
+"""Requests a second, so many that an endpoint which refuses is tempting."""
 KINDS = limits.KINDS
 
 Say = Callable[[FakeEndpoint], None]
@@ -74,7 +76,7 @@
     _crowd(world, 2.0)
     for each in resting:
         each.rests_s = 3.0
-    asks = _crowd(world, 12.0)
+    asks = limits._crowd(world, 12.0, PRESS)
     world.run(1.0)
     for each in resting:
         assert set(sent_while_resting(each)) == {0}
