Demo and real processes: an endpoint that leaves and one that rests by their own word get nothing more, others serve

Calls that are to touch all endpoints are sent at the same time: each router has an order of its own.

--- a/umberhitch/demo/_direct.py
+++ b/umberhitch/demo/_direct.py
@@ -26,6 +26,8 @@
 LIMIT_RATE = 2.0
 """Requests a second that an endpoint in need names."""
 PRESS_S = 6.0
+REST_S = 30.0
+"""For how long an endpoint wants nothing: longer than the step takes."""
 
 NEW_KEY = "k2"
 ASKS = 20
@@ -80,6 +82,7 @@
 
     checks += _name_limit(platform, [first, second])
     checks += _take_zone_out(platform, second)
+    checks += _leave_and_rest(platform, [first, second])
 
     first.kill()
     answers = [second.ask("/look/x", f"look-alone-{number}", NEW_KEY) for number in range(ASKS)]
@@ -139,13 +142,55 @@
     return [Check("an endpoint in need gets no more than it takes, from all routers", holds)]
 
 
+def _leave_and_rest(platform: LocalPlatform, routers: list[RouterProcess]) -> list[Check]:
+    """Let one endpoint say that it leaves, and another want rest: the others serve."""
+    platform.add_endpoint("e5")
+    platform.add_endpoint("e6")
+    eventually(lambda: all(router.status()["endpoints"] == 5 for router in routers))
+    platform.say_leaving("e5")
+    platform.ask_for_rest("e6", REST_S)
+    eventually(lambda: _have_heard(routers, "leaving") and _have_heard(routers, "rest"))
+    before = len(platform.arrivals("e5")), len(platform.arrivals("e6"))
+    served = sum(
+        routers[number % len(routers)].ask("/look/x", f"words-{number}", NEW_KEY).status == 200
+        for number in range(CROWD)
+    )
+    leaving = len(platform.arrivals("e5")) - before[0]
+    resting = len(platform.arrivals("e6")) - before[1]
+    print(
+        f"  e5 says that it leaves, e6 wants {REST_S:g} s of rest: {leaving} and {resting} calls"
+        f" to them, {served} of {CROWD} served"
+    )
+    holds = leaving == resting == 0 and served == CROWD
+    platform.ask_for_rest("e6", None)
+    for name in ("e5", "e6"):
+        platform.drain_endpoint(name)
+    return [Check("nothing goes to endpoints that leave or rest, and others serve", holds)]
+
+
+def _have_heard(routers: list[RouterProcess], kind: str) -> bool:
+    """Send calls at the same time, and return whether all know of an endpoint that says this."""
+    _ask_together(routers, kind)
+    return all(router.signals(kind) for router in routers)
+
+
 def _all_know(routers: list[RouterProcess], is_limited: bool) -> bool:
-    """Send some calls, and return whether all routers know whether an endpoint names a limit."""
-    for router in routers:
-        router.ask("/look/x", f"known-{monotonic()}", NEW_KEY)
+    """Send calls at the same time, and return whether all know whether an endpoint is limited."""
+    _ask_together(routers, "known")
     return all(bool(router.signals("limit")) == is_limited for router in routers)
 
 
+def _ask_together(routers: list[RouterProcess], name: str) -> None:
+    """Send so many calls at the same time that each router uses all endpoints."""
+
+    def ask(number: int) -> None:
+        router = routers[number % len(routers)]
+        router.ask("/draft/x", f"{name}-{number}-{monotonic()}", NEW_KEY, model="small")
+
+    with ThreadPoolExecutor(4 * CALLERS) as pool:
+        list(pool.map(ask, range(4 * CALLERS)))
+
+
 def _crowd(platform: LocalPlatform, router: RouterProcess, name: str) -> tuple[int, int]:
     """Let many callers come at once; return calls to zone a, and how many callers were served."""
     before = sum(len(platform.runs(each)) for each in ZONE_A)
--- a/umberhitch/platform/tests/test_processes.py
+++ b/umberhitch/platform/tests/test_processes.py
@@ -2,6 +2,7 @@
 
 import signal
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from time import monotonic
 
@@ -234,3 +235,30 @@
         router.ask("/look/x", f"hear-{monotonic()}", KEY)
         router.ask("/draft/x", f"hear-{monotonic()}", KEY, model="small")
     return all([row["rate"] for row in each.signals("limit")] == rates for each in routers)
+
+
+def test_endpoints_that_leave_or_rest_by_their_own_word_get_nothing_more(platform):
+    """Their entries say nothing of it; both routers hear it from answers, or from peers."""
+    routers = [platform.start_router(f"r{number}") for number in range(2)]
+    for name in ("e3", "e4"):
+        platform.add_endpoint(name)
+    for router in routers:
+        settle(router, 4)
+    platform.say_leaving("e3")
+    platform.ask_for_rest("e4", 600.0)
+
+    def have_heard() -> bool:
+        with ThreadPoolExecutor(16) as pool:
+            list(pool.map(hear, range(32)))
+        return all(router.signals("leaving") and router.signals("rest") for router in routers)
+
+    def hear(number: int) -> None:
+        call_id = f"hear-{number}-{monotonic()}"
+        routers[number % 2].ask("/draft/x", call_id, KEY, model="small")
+
+    eventually(have_heard)
+    before = [len(platform.arrivals(name)) for name in ("e3", "e4")]
+    for number in range(60):
+        assert routers[number % 2].ask("/look/x", f"w{number}", KEY).status == 200
+    assert [len(platform.arrivals(name)) for name in ("e3", "e4")] == before
+    assert routers[0].status()["unknown_headers"] == {}
