--- a/umberhitch/tasks/direct/tests/test_limit_mutations.py
+++ b/umberhitch/tasks/direct/tests/test_limit_mutations.py
@@ -12,6 +12,7 @@
 from umberhitch.tasks.direct.send_gate import SendGate
 from umberhitch.tasks.direct.signal_sharing import SignalSharing
 from umberhitch.tasks.direct.tests import test_named_limits as limits
+from umberhitch.testing._mutations import Mutation, assert_missed
 
 Test = Callable[[], None]
 
@@ -155,11 +156,5 @@
 
 
 @pytest.mark.parametrize("mutate", MUTATIONS, ids=lambda mutate: mutate.__name__)
-def test_a_part_that_is_switched_off_is_missed(
-    mutate: Callable[[pytest.MonkeyPatch], Test], monkeypatch
-):
-    with monkeypatch.context() as patch:
-        test = mutate(patch)
-        with pytest.raises(AssertionError):
-            test()
-    test()
+def test_a_part_that_is_switched_off_is_missed(mutate: Mutation, monkeypatch):
+    assert_missed(mutate, monkeypatch)
--- a/umberhitch/tasks/direct/tests/test_word_mutations.py
+++ b/umberhitch/tasks/direct/tests/test_word_mutations.py
@@ -13,6 +13,7 @@
 from umberhitch.tasks.direct.tests import test_herding as herding
 from umberhitch.tasks.direct.tests import test_leaving_and_rest as words
 from umberhitch.tasks.direct.tests import test_word_pairs as pairs
+from umberhitch.testing._mutations import Mutation, assert_missed
 
 Test = Callable[[], None]
 
@@ -202,11 +203,5 @@
 
 
 @pytest.mark.parametrize("mutate", MUTATIONS, ids=lambda mutate: mutate.__name__)
-def test_a_part_that_is_switched_off_is_missed(
-    mutate: Callable[[pytest.MonkeyPatch], Test], monkeypatch
-):
-    with monkeypatch.context() as patch:
-        test = mutate(patch)
-        with pytest.raises(AssertionError):
-            test()
-    test()
+def test_a_part_that_is_switched_off_is_missed(mutate: Mutation, monkeypatch):
+    assert_missed(mutate, monkeypatch)
--- a/umberhitch/tasks/direct/tests/test_zone_mutations.py
+++ b/umberhitch/tasks/direct/tests/test_zone_mutations.py
@@ -11,6 +11,7 @@
 from umberhitch.tasks.direct.store_view import StoreView
 from umberhitch.tasks.direct.tests import test_cold as cold
 from umberhitch.tasks.direct.tests import test_zones as zones
+from umberhitch.testing._mutations import Mutation, assert_missed
 
 Test = Callable[[], None]
 
@@ -101,11 +102,5 @@
 
 
 @pytest.mark.parametrize("mutate", MUTATIONS, ids=lambda mutate: mutate.__name__)
-def test_a_part_that_is_switched_off_is_missed(
-    mutate: Callable[[pytest.MonkeyPatch], Test], monkeypatch
-):
-    with monkeypatch.context() as patch:
-        test = mutate(patch)
-        with pytest.raises(AssertionError):
-            test()
-    test()
+def test_a_part_that_is_switched_off_is_missed(mutate: Mutation, monkeypatch):
+    assert_missed(mutate, monkeypatch)
