--- a/umberhitch/fakes/__init__.py
+++ b/umberhitch/fakes/__init__.py
@@ -4,13 +4,8 @@
 """
 
 from umberhitch.fakes._clock import ProcessClock
-from umberhitch.fakes._direct_http import (
-    FakeEndpoint,
-    FakeEndpoints,
-    FakeReply,
-    FakeWire,
-    Reply,
-)
+from umberhitch.fakes._direct_callers import FakeReply, FakeWire
+from umberhitch.fakes._direct_endpoints import FakeEndpoint, FakeEndpoints, Reply
 from umberhitch.fakes._direct_store import (
     FakeFeed,
     FakeHolds,
