--- a/umberhitch/tasks/direct/tests/test_leaving_and_rest.py
+++ b/umberhitch/tasks/direct/tests/test_leaving_and_rest.py
@@ -490,3 +490,30 @@
     asks = [world.ask(world.routers["r000"], "/order/x") for _ in range(20)]
     world.run(1.0)
     assert {ask.status for ask in asks} == {200}
+
+
+@SAYS
+def test_a_session_goes_on_at_the_other_version_when_its_only_endpoint_waits(say: Say):
+    """As when that endpoint cannot be reached."""
+    world, _ = _world(2, 3, 0)
+    new = world.add_endpoint("n0", "v2")
+    new.reply = Reply(delay_s=0.05)
+    world.run(1.2)
+    world.roll_out("v2", 30.0)
+    world.run(8.0)
+    router = world.routers["r000"]
+    names = [f"s{number}" for number in range(60)]
+    for name in names:
+        world.ask(router, "/look/x", Session_Name=name)
+        world.run(0.05)
+    assert len(new.calls) > 0
+    say(new)
+    _crowd(world, 2.0)
+    calls = len(new.calls)
+    asks = []
+    for name in names:
+        asks.append(world.ask(router, "/look/x", Session_Name=name))
+        world.run(0.05)
+    world.run(1.0)
+    assert len(new.calls) == calls
+    assert {ask.status for ask in asks} == {200}
