Soak: an endpoint has said something to a router only if the router read that answer

Trace: the endpoint lost its answers just then (call broken, had_head false in the routers' logs), and the stand-in counted what it would have said. It counts now what it sends; a leaving word counts where that answer was passed on, as promised, and a rest where the call ended sooner than any call is given up unread.

--- a/umberhitch/platform/standins/_endpoint.py
+++ b/umberhitch/platform/standins/_endpoint.py
@@ -139,13 +139,8 @@
         if self._is_overrun():
             self.end()
             return Deferred()
-        if self.faults.is_leaving:
-            arrival.is_leaving = True
-            request.setHeader("Server-Leaving", "1")
-        if self.faults.rest_s is not None:
-            arrival.rest_s = self.faults.rest_s
-            request.setHeader("Retry-After", f"{arrival.rest_s:g}")
-        if self.faults.is_shedding or arrival.rest_s:
+        if self.faults.is_shedding or self.faults.rest_s is not None:
+            self._say(request, arrival)
             request.setHeader("Not-Executed", "1")
             request.setResponseCode(503)
             return b""
@@ -159,6 +154,7 @@
         if self.faults.loses_answers:
             request.transport.abortConnection()
             return Deferred()
+        self._say(request, arrival)
         request.setHeader("Attempt-Id", call_id)
         request.setHeader("Response-Signature", f"signed.{self.incarnation}.{call_id}")
         request.setResponseCode(self.faults.status)
@@ -169,6 +165,15 @@
         start = int(head.getRawHeaders("Last-Event-Id", ["0"])[0])
         return self._stream(request, start)
 
+    def _say(self, request: Any, arrival: Arrival) -> None:
+        """Say of itself what it has to, in an answer that is sent."""
+        if self.faults.is_leaving:
+            arrival.is_leaving = True
+            request.setHeader("Server-Leaving", "1")
+        if self.faults.rest_s is not None:
+            arrival.rest_s = self.faults.rest_s
+            request.setHeader("Retry-After", f"{arrival.rest_s:g}")
+
     def _stream(self, request: Any, start: int) -> Deferred[None]:
         done: Deferred[None] = Deferred()
         is_left: list[bool] = []
--- a/umberhitch/soak/_word_checks.py
+++ b/umberhitch/soak/_word_checks.py
@@ -1,7 +1,8 @@
 """What endpoints said of themselves to routers, and what they got from these afterwards.
 
-A router has heard what an endpoint said to a call when the caller has its answer. So nothing here
-goes by how fast anything is: what was sent after that must keep to what was said.
+A router has heard what an endpoint said to a call when the caller has that answer, or one that came
+too soon after it for the router to have given the call up unread. What was sent after that must
+keep to what was said, however slow anything is.
 """
 
 from collections.abc import Iterable
@@ -11,8 +12,8 @@
 
 __all__ = ["check_leaving", "check_rests"]
 
-MAY_BE_UNHEARD = (0, 504)
-"""Statuses of requests that may have ended before the last reply of an endpoint was read."""
+GIVEN_UP_S = 0.2
+"""No call is given up for its silence before 0.25 s."""
 
 
 def check_leaving(records: Iterable[Record], arrivals: Iterable[ArrivalSeen]) -> list[Finding]:
@@ -25,10 +26,11 @@
     """
     by_id = {record.call_id: record for record in records}
     arrivals = [each for each in arrivals if each.call_id in by_id]
+    last = {each.call_id: each for each in sorted(arrivals, key=lambda each: each.at_s)}
     told_s: dict[tuple[int, str], float] = {}
     for each in arrivals:
         record = by_id[each.call_id]
-        if each.is_leaving and record.status not in MAY_BE_UNHEARD:
+        if each.is_leaving and record.status == 200 and last[each.call_id] is each:
             key = record.router, each.endpoint
             told_s[key] = min(record.ended_s, told_s.get(key, record.ended_s))
     return [
@@ -46,7 +48,7 @@
     rests: dict[tuple[int, str], list[tuple[float, float]]] = {}
     for each in arrivals:
         record = by_id[each.call_id]
-        if each.rest_s and record.status not in MAY_BE_UNHEARD:
+        if each.rest_s and record.ended_s < each.at_s + GIVEN_UP_S:
             span = record.ended_s, each.at_s + each.rest_s
             rests.setdefault((record.router, each.endpoint), []).append(span)
     return [
