--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -218,7 +218,7 @@
 {_sweep_section(sweeps)}
 
 **What breaks first there**: recovery. After the loss of all routers the time to serve again grows with the fleet: at 300 routers 1.5 s on fast links (Cedarline,
-Tuul), 2.5 to 3.5 s where some links have 5 Mbit/s (large, Tuul grown, Cedarline grown), 8.5 s where endpoints are cold besides (shifted, also 5.5 s after a zone was
+Tuul), 2.5 to 3.5 s where some links have 5 Mbit/s (large, Tuul grown, Cedarline grown), 8.5 s on shifted, the only one with zones out and cold endpoints (and 5.5 s after a zone was
 lost). The bytes of the busiest router grow as the fleet does, the middle one's do not. Neither is mended; what is
 suspected: [design note 19](design/0019-recovery-time.md). What carries the rest, mechanism by mechanism: [the direct path](capacity/direct.md).
 
