--- a/umberhitch/fakes/_direct_store.py
+++ b/umberhitch/fakes/_direct_store.py
@@ -160,11 +160,18 @@
 
 
 class MemberRows:
-    """The members of a group, which its generation counts the changes of."""
+    """The members of a group, which its generation counts the changes of.
+
+    Attributes
+    ----------
+    seats : int or None
+        So many members are listed at most; further ones join, and nobody hears of them.
+    """
 
     def __init__(self) -> None:
         self.rows: dict[str, Member] = {}
         self.generation = 0
+        self.seats: int | None = None
 
     def put(self, member: Member) -> None:
         """Let a member join or stay."""
@@ -236,4 +243,4 @@
         self.lists += 1
         if self._faults.is_down:
             raise LogUnavailableError("down")
-        return list(self._group.rows.values())
+        return list(self._group.rows.values())[: self._group.seats]
