--- a/umberhitch/explain/tests/test_explain.py
+++ b/umberhitch/explain/tests/test_explain.py
@@ -92,3 +92,23 @@
     assert [row.split()[2] for row in out] == ["call", "request"]
     assert main([str(first), "--request", "none"]) == 1
     assert main([str(tmp_path / "missing"), "--request", "q1"]) == 2
+
+
+def test_a_request_stands_after_what_its_endpoints_had_said(stream):
+    world = DirectWorld()
+    left, rest = world.add_endpoint("e1"), world.add_endpoint("e2")
+    left.is_draining, rest.rests_s = True, 30.0
+    router = world.ready_router()
+    for _ in range(4):
+        world.ask(router, "/look/x")
+        world.run(0.1)
+    ask = world.ask(router, "/look/x")
+    told = tell(read_lines(stream.getvalue().splitlines()), ask.call_id)
+    said = {
+        line.facts["signal"]: line.facts["endpoint"]
+        for line in told
+        if line.message == "endpoint signal"
+    }
+    assert said == {"leaving": "e1", "rest": "e2"}
+    refused = next(line for line in told if line.message == "refused")
+    assert refused.facts["reason"] == "endpoints take no more"
--- a/umberhitch/platform/tests/test_pages.py
+++ b/umberhitch/platform/tests/test_pages.py
@@ -1,9 +1,11 @@
 """Pages of a router: readiness, status and metrics, as they come over the wire."""
 
+from msgspec import json
 from twisted.internet.task import Clock
 
 from umberhitch.adapters.gateway_pages import GatewayPages
 from umberhitch.adapters.h11_callers import CallerFactory
+from umberhitch.core.direct import HeadSignals, Rate, ReplyHead
 from umberhitch.fakes import Reply
 from umberhitch.testing import CrashingFleet, DirectWorld, FakeTransport
 
@@ -42,3 +44,29 @@
     assert get(pages, f"/held/release/{key}").startswith(b"HTTP/1.1 404")
     assert get(pages, f"/held/release/{key}", "POST").startswith(b"HTTP/1.1 200")
     assert b"umberhitch_requests_held 0\n" in get(pages, "/metrics")
+
+
+def test_what_endpoints_say_is_one_table_and_one_metric_by_kind():
+    world = DirectWorld()
+    names = ("left", "rest", "rate", "cold")
+    for name in names:
+        world.add_endpoint(name, cold_s=30.0 if name == "cold" else 0.0)
+    gateway = world.ready_router().gateway
+    said = {
+        "left": HeadSignals(is_draining=True),
+        "rest": HeadSignals(backoff_s=30.0),
+        "rate": HeadSignals(limit=Rate(2.0), unknown=((b"server-mood", b"low"),)),
+    }
+    for name, signals in said.items():
+        gateway.gate.heard(name, ReplyHead(503, not_run=True, signals=signals))
+    pages = GatewayPages(gateway, dict)
+    status = json.decode(get(pages, "/status").partition(b"\r\n\r\n")[2])
+    rows = {row["endpoint"]: row for row in status["endpoint_signals"]}
+    kinds = {name: row["signal"] for name, row in rows.items()}
+    assert kinds == {"left": "leaving", "rest": "rest", "rate": "limit", "cold": "cold"}
+    assert (rows["rest"]["left_s"], rows["left"]["left_s"]) == (30.0, None)
+    assert {row["source"] for row in rows.values()} == {"its answer", "its entry"}
+    assert status["unknown_headers"] == {"server-mood": 1}
+    metrics = get(pages, "/metrics")
+    for kind in kinds.values():
+        assert f'umberhitch_endpoint_signals{{signal="{kind}"}} 1\n'.encode() in metrics
--- a/umberhitch/tasks/direct/tests/test_leaving_and_rest.py
+++ b/umberhitch/tasks/direct/tests/test_leaving_and_rest.py
@@ -517,3 +517,26 @@
     world.run(1.0)
     assert len(new.calls) == calls
     assert {ask.status for ask in asks} == {200}
+
+
+def test_it_is_known_from_a_model_that_lost():
+    """The small model's answer is dropped; what its head said of the endpoint is kept."""
+    world, endpoint = _one_router(Reply(events=4, confidence=1), _leaves)
+    world.add_endpoint("e1").reply = Reply(events=4, confidence=99)
+    world.run(1.2)
+    for number in range(8):
+        prompt = f"p{number}:3000,own:10"
+        world.ask(world.routers["r000"], "/draft/x", Prompt=prompt, Any_Model="1")
+    world.run(1.0)
+    assert endpoint.cancelled
+    assert _knows(world) == {"l0"}
+
+
+def test_repeats_after_refusals_stay_within_the_budget_of_the_whole_fleet():
+    """All refuse without a time, and each request would be sent three times."""
+    world, endpoints = _world(6, 0, 12, slack=20.0)
+    for each in endpoints:
+        each.reply = Reply(status=503, delay_s=0.002, is_signed=False, not_run=True)
+    asks = limits._crowd(world, 10.0, PRESS)
+    calls = sum(len(each.calls) for each in endpoints)
+    assert 0.5 * len(asks) <= calls - len(asks) <= 0.9 * len(asks) + 20.0
