Sight: what becomes of a small model's answer that is dropped for a larger model's

Of the known failure (a ready answer lost, 502) three causes were open: the answer is cancelled before the larger model's call is known to run; the larger model's calls go to endpoints that are full while others are free; the attempts run out. No line or metric tied a lost request to the answer that it had had.

New: counter umberhitch_ready_answers_total (dropped, lost), the same in /status, and the log line "ready answer lost" with the outcome.

--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -132,6 +132,7 @@
             "running": len(gateway.running_requests),
             "routers": gateway.retry_budget.router_count or 1,
             "outcomes": gateway.counters.outcomes,
+            "ready_answers": gateway.counters.ready_answers,
             "refused": gateway.local_replies.refused,
             "held": sum(1 for _ in gateway.crash_guard.record.held(gateway.clock.seconds())),
             "zones_out": self._zones_out(),
@@ -186,6 +187,7 @@
             lines.append(f"umberhitch_configuration_age_seconds {age_s:.3f}")
         for name, by_label in (
             ("outcomes", count.outcomes),
+            ("ready_answers", count.ready_answers),
             ("refused", gateway.local_replies.refused),
         ):
             for label, value in sorted(by_label.items()):
--- a/umberhitch/platform/tests/test_pages.py
+++ b/umberhitch/platform/tests/test_pages.py
@@ -7,6 +7,7 @@
 from umberhitch.adapters.h11_callers import CallerFactory
 from umberhitch.core.direct import HeadSignals, Rate, ReplyHead
 from umberhitch.fakes import Reply
+from umberhitch.tasks.direct.services import ReadyAnswerFate
 from umberhitch.testing import CrashingFleet, DirectWorld, FakeTransport
 
 
@@ -33,6 +34,18 @@
     assert get(ready, "/other").startswith(b"HTTP/1.1 404")
 
 
+def test_the_fates_of_ready_answers_are_shown():
+    world = DirectWorld()
+    gateway = world.ready_router().gateway
+    for fate in (ReadyAnswerFate.DROPPED, ReadyAnswerFate.DROPPED, ReadyAnswerFate.LOST):
+        gateway.count_ready_answer(fate)
+    pages = GatewayPages(gateway, dict)
+    metrics = get(pages, "/metrics")
+    assert b'umberhitch_ready_answers_total{reason="dropped"} 2\n' in metrics
+    assert b'umberhitch_ready_answers_total{reason="lost"} 1\n' in metrics
+    assert b'"ready_answers":{"dropped":2,"lost":1}' in get(pages, "/status")
+
+
 def test_held_requests_are_shown_and_can_be_released():
     fleet = CrashingFleet(routers=1, reply=Reply(events=8))
     fleet.every(0.4, 2.0, lambda n: fleet.ask(n, "/draft/x"))
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -46,7 +46,7 @@
 from umberhitch.tasks.direct.proxied_request import HELD, REFUSED_BY_ENDPOINT, ProxiedRequest
 from umberhitch.tasks.direct.retry_after import MIN_RETRY_AFTER_S
 from umberhitch.tasks.direct.send_gate import SendGate
-from umberhitch.tasks.direct.services import AdmittedRequest, RequestState
+from umberhitch.tasks.direct.services import AdmittedRequest, ReadyAnswerFate, RequestState
 from umberhitch.tasks.direct.store_view import StoreView
 
 __all__ = ["Gateway"]
@@ -358,6 +358,11 @@
             retry_s = self.selector.retry_after_s(admitted)
         self.local_replies.send(reply, admitted.request.call_id, status, reason, retry_s)
 
+    def count_ready_answer(self, fate: ReadyAnswerFate) -> None:
+        """Count what became of a small model's answer for which a larger model was called."""
+        counts = self.counters.ready_answers
+        counts[fate] = counts.get(fate, 0) + 1
+
     def request_finished(self, proxied: RequestState, outcome: str) -> None:
         """Record the final outcome of a request."""
         self.running_requests.discard(proxied)
--- a/umberhitch/tasks/direct/gateway_limits.py
+++ b/umberhitch/tasks/direct/gateway_limits.py
@@ -79,3 +79,5 @@
     requests: int = 0
     calls: int = 0
     outcomes: dict[str, int] = field(default_factory=dict)
+    ready_answers: dict[str, int] = field(default_factory=dict)
+    """Small models' answers for which a larger model was called, by `ReadyAnswerFate`."""
--- a/umberhitch/tasks/direct/proxied_request.py
+++ b/umberhitch/tasks/direct/proxied_request.py
@@ -13,7 +13,7 @@
 from umberhitch.tasks.direct.answer_judge import AnswerJudge
 from umberhitch.tasks.direct.idle_timer import IdleTimer
 from umberhitch.tasks.direct.relay import Relay
-from umberhitch.tasks.direct.services import AdmittedRequest, Run, Services
+from umberhitch.tasks.direct.services import AdmittedRequest, ReadyAnswerFate, Run, Services
 
 __all__ = ["HELD", "REFUSED_BY_ENDPOINT", "ProxiedRequest"]
 
@@ -68,6 +68,7 @@
         self._relay = Relay(reply, req.last_event_id, self._pause, self._resume)
         self._is_paused = False
         self._is_finished = False
+        self._has_dropped_answer = False
         self.first_event_s: float | None = None
         """Time at which the first event of a stream was passed to the caller."""
         self._deadline: Timer | None = None
@@ -285,6 +286,8 @@
         self._svc.log_decision(
             self, "answer dropped", False, confidence=confidence, larger=larger_model
         )
+        self._svc.count_ready_answer(ReadyAnswerFate.DROPPED)
+        self._has_dropped_answer = True
         self._cancel_call()
         previous = self._model
         self._model = larger_model
@@ -428,6 +431,9 @@
         deadline, self._deadline = self._deadline, None
         if deadline is not None and deadline.active():
             deadline.cancel()
+        if self._has_dropped_answer and outcome not in ("done", "caller left"):
+            self._svc.count_ready_answer(ReadyAnswerFate.LOST)
+            self._svc.log_decision(self, "ready answer lost", True, outcome=outcome)
         self._svc.request_finished(self, outcome)
 
     def abort(self) -> None:
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -1,6 +1,7 @@
 """Interfaces between a proxied request on the direct path and its router."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Protocol
 
 from umberhitch.core.direct import (
@@ -22,6 +23,7 @@
     "CrashGuardPort",
     "EndpointSelectorPort",
     "ProxyTimeouts",
+    "ReadyAnswerFate",
     "RequestState",
     "Run",
     "Services",
@@ -62,6 +64,15 @@
         return None
 
 
+class ReadyAnswerFate(StrEnum):
+    """What became of a small model's answer for which a larger model was called."""
+
+    DROPPED = "dropped"
+    """Given up, since the larger model's answer was expected to be worth more."""
+    LOST = "lost"
+    """Dropped, and the request ended without any complete answer."""
+
+
 @dataclass(slots=True)
 class AdmittedRequest:
     """A request that the configuration admits, with the settings that apply to it."""
@@ -290,6 +301,10 @@
         """Record the final outcome of a request."""
         ...
 
+    def count_ready_answer(self, fate: ReadyAnswerFate) -> None:
+        """Count what became of a small model's answer for which a larger model was called."""
+        ...
+
     def log_decision(
         self, proxied: RequestState, message: str, is_failure: bool, **facts: object
     ) -> None:
