A small model's answer is kept until the larger model's has started

Cause: the answer was cancelled at the moment of the decision for the larger model, before anything was known of that call. Evidence: "answer dropped" at 10 ms, "call not run" at 12 ms, "ready answer lost" with 2 of 3 attempts used, all endpoints refusing; so neither the choice of endpoints nor the number of attempts.

Change: each call has an object of its own (ActiveCall), so that two can run. The first answer is kept (KeptAnswer) until the first event of the larger model, at most 0.25 s while it is incomplete; then it is dropped only if the larger model's call has found a connection and an attempt and a retry are left, reserved, to call the small model again (Escalation). The last attempt is then the small model's.

Why it works: whatever the larger model's call meets, a complete answer is at hand, or a running one, or a reserved call.

The fake endpoints no longer count refused calls as under way.

--- a/umberhitch/adapters/h11_endpoints.py
+++ b/umberhitch/adapters/h11_endpoints.py
@@ -64,6 +64,10 @@
         self.is_over = False
         self.is_paused = False
 
+    @property
+    def is_sent(self) -> bool:
+        return self.connection is not None
+
     def cancel(self) -> None:
         if self.is_over:
             return
--- a/umberhitch/adapters/tests/test_h11_endpoints.py
+++ b/umberhitch/adapters/tests/test_h11_endpoints.py
@@ -80,6 +80,13 @@
     assert transport.take().startswith(b"POST")
 
 
+def test_a_call_is_sent_as_soon_as_there_is_a_connection(reactor, client):
+    running = client.send(ADDRESS, make_call(), Events())
+    assert not running.is_sent
+    dial(reactor)
+    assert running.is_sent
+
+
 @pytest.mark.parametrize(
     ("error", "failure"),
     [(ConnectionRefusedError(), CallFailure.REFUSED), (TimeoutError(), CallFailure.NOT_SENT)],
--- a/umberhitch/core/direct/_retry_budget.py
+++ b/umberhitch/core/direct/_retry_budget.py
@@ -55,6 +55,12 @@
         self._retries.setdefault(service, deque()).append(now_s)
         return True
 
+    def give_back(self, service: str) -> None:
+        """Give back a retry that was taken and not used."""
+        retries = self._retries.get(service)
+        if retries:
+            retries.pop()
+
     def remaining(self, service: str, now_s: float) -> float:
         """Return the number of retries that may be sent now."""
         requests = self._count_recent(self._requests, service, now_s)
--- a/umberhitch/fakes/_direct_endpoints.py
+++ b/umberhitch/fakes/_direct_endpoints.py
@@ -71,6 +71,8 @@
 
     Attributes
     ----------
+    replies_by_model : dict of bytes to Reply
+        Replies to the calls of some models, which go before the others.
     fails_over : int
         With more calls than this under way, further ones fail; 0 for never.
     crashing : dict of bytes to float
@@ -107,6 +109,7 @@
 
     reply: Reply = field(default_factory=Reply)
     replies: list[Reply] = field(default_factory=list)
+    replies_by_model: dict[bytes, Reply] = field(default_factory=dict)
     calls: list[EndpointCall] = field(default_factory=list)
     called_s: list[float] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
@@ -147,6 +150,7 @@
         self._timer: Timer | None = None
         self.is_paused = False
         reply = self._reply()
+        self._failure = None if reply is None else reply.failure
         if reply is not None and not reply.is_silent:
             self._later(reply.delay_s, lambda: self._begin(reply))
         if endpoint is not None:
@@ -159,6 +163,21 @@
         """Return the body of the call."""
         return self._call.body
 
+    @property
+    def call_id(self) -> str:
+        """Return the id of the call's request."""
+        return self._call.call_id
+
+    @property
+    def model(self) -> bytes:
+        """Return the model of the call."""
+        return dict(self._call.headers).get(b"Model-Name", b"")
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether the call has reached the endpoint."""
+        return self._failure not in (CallFailure.NOT_SENT, CallFailure.REFUSED)
+
     def _reply(self) -> Reply | None:
         if self._endpoint is None:
             return Reply(failure=CallFailure.REFUSED)
@@ -166,7 +185,9 @@
         self._endpoint.called_s.append(self._clock.seconds())
         self._endpoint.arrivals.append((self._sender, self._clock.seconds()))
         endpoint = self._endpoint
-        reply = endpoint.replies.pop(0) if endpoint.replies else endpoint.reply
+        reply = endpoint.replies_by_model.get(self.model)
+        if reply is None:
+            reply = endpoint.replies.pop(0) if endpoint.replies else endpoint.reply
         if endpoint.rests_s is not None:
             reply = replace(REFUSED, backoff_s=endpoint.rests_s)
         if endpoint.fails_over and endpoint.active > endpoint.fails_over:
@@ -183,7 +204,9 @@
         if self._events is None:
             return
         if reply.failure is not None:
-            self._events.on_failure(reply.failure, "fake")
+            events = self._events
+            self._stop()
+            events.on_failure(reply.failure, "fake")
             return
         self._note_words(reply)
         self._events.on_head(
@@ -198,10 +221,12 @@
                 signals=self._signals(reply),
             )
         )
-        if reply.events and reply.status == 200:
+        if self._events is None:
+            self._stop()
+        elif reply.events and reply.status == 200:
             start = dict(self._call.headers).get(b"Last-Event", b"0")
             self._later(reply.gap_s, lambda: self._event(reply, int(start) + 1, 1))
-        elif self._events is not None:
+        else:
             self._events.on_data(reply.body)
             self._end()
 
--- a/umberhitch/platform/standins/_limited_link.py
+++ b/umberhitch/platform/standins/_limited_link.py
@@ -87,6 +87,11 @@
         self._events: CallEvents | None = events
         self._body = b""
 
+    @property
+    def is_sent(self) -> bool:
+        """Return True, since the link never fails to connect."""
+        return True
+
     def start_response(self, body: bytes) -> None:
         """Deliver the head, then the body in chunks."""
         if self._events is None:
--- a/umberhitch/ports/direct.py
+++ b/umberhitch/ports/direct.py
@@ -137,6 +137,11 @@
 class RunningCall(Protocol):
     """A call in progress at an endpoint."""
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether there was a connection on which to send the call."""
+        ...
+
     def cancel(self) -> None:
         """Abort the connection, so that the endpoint stops; no event follows."""
         ...
--- a/umberhitch/tasks/direct/answer_judge.py
+++ b/umberhitch/tasks/direct/answer_judge.py
@@ -1,4 +1,4 @@
-"""Verdicts on the answers of endpoints to one request: good, slow, failed or not timed."""
+"""Verdict on the answer of an endpoint to one call: good, slow, failed or not timed."""
 
 from umberhitch.core.direct import AnswerVerdict, Endpoint, InterTokenLatency
 from umberhitch.tasks.direct.services import AdmittedRequest, Services
@@ -7,29 +7,34 @@
 
 
 class AnswerJudge:
-    """Judges the calls of one request in sequence.
+    """Judges one call of a request.
 
     Parameters
     ----------
     services : Services
     admitted : AdmittedRequest
+    endpoint : Endpoint
+    model : str or None
     """
 
-    def __init__(self, services: Services, admitted: AdmittedRequest) -> None:
+    def __init__(
+        self,
+        services: Services,
+        admitted: AdmittedRequest,
+        endpoint: Endpoint,
+        model: str | None,
+    ) -> None:
         self._svc = services
         self._admitted = admitted
-        self._endpoint: Endpoint | None = None
-        self._model: str | None = None
-        self._sent_s = 0.0
+        self._endpoint = endpoint
+        self._model = model
+        self._sent_s = services.clock.seconds()
         self._event_latency = InterTokenLatency()
         self._has_verdict = False
 
-    def start_call(self, endpoint: Endpoint, model: str | None) -> None:
-        """Start judging a new call."""
-        self._endpoint, self._model = endpoint, model
-        self._sent_s = self._svc.clock.seconds()
-        self._event_latency = InterTokenLatency()
-        self._has_verdict = False
+    def skip(self) -> None:
+        """Give no verdict on the latency: the reply was kept, so that its events came at once."""
+        self._has_verdict = True
 
     def record_events(self, count: int) -> None:
         """Record that ``count`` events have arrived; judge the stream once its latency is known."""
@@ -56,7 +61,6 @@
     def _judge(self, latency_s: float | None, since_s: float) -> None:
         if latency_s is None or self._has_verdict:
             return
-        assert self._endpoint is not None
         verdict = self._svc.judge_latency(
             self._admitted, self._endpoint, self._model, latency_s, since_s
         )
@@ -64,7 +68,6 @@
 
     def _record_verdict(self, verdict: AnswerVerdict) -> None:
         """Record the verdict on a call: only the first one, and a failure that follows it."""
-        assert self._endpoint is not None
         if not self._has_verdict or verdict is AnswerVerdict.FAILED:
             self._svc.record_verdict(self._admitted, self._endpoint, verdict)
         self._has_verdict = True
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -23,6 +23,7 @@
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import (
     CallerReply,
+    CallEvents,
     CallMetadata,
     EndpointCall,
     EndpointPort,
@@ -43,7 +44,12 @@
 from umberhitch.tasks.direct.intake import Intake
 from umberhitch.tasks.direct.local_replies import LocalReplies
 from umberhitch.tasks.direct.presence import Presence
-from umberhitch.tasks.direct.proxied_request import HELD, REFUSED_BY_ENDPOINT, ProxiedRequest
+from umberhitch.tasks.direct.proxied_request import (
+    CALLER_LEFT,
+    HELD,
+    REFUSED_BY_ENDPOINT,
+    ProxiedRequest,
+)
 from umberhitch.tasks.direct.retry_after import MIN_RETRY_AFTER_S
 from umberhitch.tasks.direct.send_gate import SendGate
 from umberhitch.tasks.direct.services import AdmittedRequest, ReadyAnswerFate, RequestState
@@ -53,7 +59,7 @@
 
 log = getLogger(__name__)
 
-OUTCOMES_OF_CALLER = ("caller left", REFUSED_BY_ENDPOINT)
+OUTCOMES_OF_CALLER = (CALLER_LEFT, REFUSED_BY_ENDPOINT)
 """Outcomes that callers cause themselves; the burn report leaves them out."""
 
 
@@ -238,7 +244,12 @@
     # Services for proxied requests
 
     def send(
-        self, admitted: AdmittedRequest, endpoint: Endpoint, model: str | None, call: RequestState
+        self,
+        admitted: AdmittedRequest,
+        endpoint: Endpoint,
+        model: str | None,
+        proxied: RequestState,
+        events: CallEvents,
     ) -> tuple[RunningCall, PlacedCall]:
         """Send the request to an endpoint, and count the call as placed there."""
         self.counters.calls += 1
@@ -253,12 +264,12 @@
         if customer is not None and customer.priority is not None:
             priority = customer.priority
         extras = CallMetadata(
-            call.remaining_s,
+            proxied.remaining_s,
             endpoint.entry.incarnation,
             None if customer is None else customer.name,
             model,
             priority if req.prompt else None,
-            call.last_event,
+            proxied.last_event,
         )
         request = EndpointCall(
             req.call_id,
@@ -268,12 +279,16 @@
             req.body,
             is_non_repeatable=route.kind is RouteKind.NON_IDEMPOTENT,
         )
-        return self._endpoints.send(endpoint.entry.address, request, call), placed_call
+        return self._endpoints.send(endpoint.entry.address, request, events), placed_call
 
     def acquire_retry(self, service: str) -> bool:
         """Take one retry from the shared retry budget; return whether there was one."""
         return self.retry_budget.acquire(service, self.clock.seconds())
 
+    def give_back_retry(self, service: str) -> None:
+        """Give a retry back that was taken and not used."""
+        self.retry_budget.give_back(service)
+
     def judge_latency(
         self,
         admitted: AdmittedRequest,
--- a/umberhitch/tasks/direct/proxied_request.py
+++ b/umberhitch/tasks/direct/proxied_request.py
@@ -7,16 +7,19 @@
 
 from collections.abc import Callable
 
-from umberhitch.core.direct import Candidate, Endpoint, PlacedCall, ReplyHead, RouteKind
+from umberhitch.core.direct import Candidate, Endpoint, ReplyHead, RouteKind
 from umberhitch.ports.clock import Timer
-from umberhitch.ports.direct import CallerReply, CallFailure, RunningCall
-from umberhitch.tasks.direct.answer_judge import AnswerJudge
+from umberhitch.ports.direct import CallerReply, CallFailure
+from umberhitch.tasks.direct.active_call import ActiveCall
+from umberhitch.tasks.direct.escalation import Escalation
 from umberhitch.tasks.direct.idle_timer import IdleTimer
 from umberhitch.tasks.direct.relay import Relay
-from umberhitch.tasks.direct.services import AdmittedRequest, ReadyAnswerFate, Run, Services
+from umberhitch.tasks.direct.services import AdmittedRequest, Services
 
-__all__ = ["HELD", "REFUSED_BY_ENDPOINT", "ProxiedRequest"]
+__all__ = ["CALLER_LEFT", "HELD", "REFUSED_BY_ENDPOINT", "ProxiedRequest"]
 
+CALLER_LEFT = "caller left"
+"""Outcome of a request whose caller disconnected."""
 MAX_CONNECT_FAILURES = 6
 """Maximum number of endpoints that one request may fail to reach."""
 REFUSED_BY_ENDPOINT = "refused by the endpoint"
@@ -59,16 +62,12 @@
         self._may_have_run = False
         self._tried_lifetimes: set[str] = set()
         self._model: str | None = None
-        self._endpoint: Endpoint | None = None
-        self._placed_call: PlacedCall | None = None
-        self._call: RunningCall | None = None
-        self._run: Run | None = None
-        self._head: ReplyHead | None = None
-        self._judge = AnswerJudge(services, admitted)
+        self._call: ActiveCall | None = None
+        """The last call, which may have ended."""
+        self._escalation = Escalation(services, self, self._on_overlap_over)
         self._relay = Relay(reply, req.last_event_id, self._pause, self._resume)
         self._is_paused = False
         self._is_finished = False
-        self._has_dropped_answer = False
         self.first_event_s: float | None = None
         """Time at which the first event of a stream was passed to the caller."""
         self._deadline: Timer | None = None
@@ -107,7 +106,16 @@
     @property
     def endpoint(self) -> Endpoint | None:
         """Endpoint of the last call."""
-        return self._endpoint
+        return None if self._call is None else self._call.endpoint
+
+    @property
+    def _head(self) -> ReplyHead | None:
+        """Head of the reply to the last call."""
+        return None if self._call is None else self._call.head
+
+    @property
+    def _is_calling(self) -> bool:
+        return self._call is not None and self._call.is_active
 
     def _send_next(self) -> None:
         """Send the request to the next endpoint, or give up."""
@@ -122,15 +130,30 @@
         if self._is_held():
             self._give_up(HELD)
             return
-        candidate = self._select_candidate()
+        candidate = self._next_candidate()
         if candidate is None:
             self._give_up(self._svc.selector.failure_reason)
             return
-        if self._sends > 0 and not self._svc.acquire_retry(self.admitted.service):
+        if self._sends > 0 and not self._escalation.acquire_retry():
             self._give_up("retry budget")
             return
         self._start_call(candidate)
 
+    def _next_candidate(self) -> Candidate | None:
+        """Return the candidate for the next call, and choose its model.
+
+        If a small model's answer was dropped, the last attempt is one of the small model.
+        """
+        attempts_left = self.admitted.route.max_attempts - self._sends
+        small_model = None if self._relay.has_started else self._escalation.dropped_model
+        candidate = None
+        if small_model is None or attempts_left > 1:
+            candidate = self._select_candidate()
+        if candidate is None and small_model is not None:
+            self._model = small_model
+            candidate = self._select_candidate()
+        return candidate
+
     def _is_held(self) -> bool:
         """Whether the request is held, so that no further call may be sent."""
         if self._is_probe and self._sends == 0:
@@ -142,26 +165,26 @@
         return self._svc.selector.select_endpoint(self.admitted, self._model, self._tried_lifetimes)
 
     def _start_call(self, candidate: Candidate) -> None:
-        endpoint = self._endpoint = candidate.endpoint
-        self._judge.start_call(endpoint, self._model)
-        self._head = None
+        call = ActiveCall(
+            self._svc, self.admitted, candidate.endpoint, self._model, self._is_probe, self
+        )
+        self._call = call
         self._relay.start_call()
         self._sends += 1
-        self._tried_lifetimes.add(endpoint.lifetime)
-        self._run = self._svc.crash_guard.start_run(self.admitted, endpoint, self._is_probe)
-        self._call, self._placed_call = self._svc.send(self.admitted, endpoint, self._model, self)
+        self._tried_lifetimes.add(candidate.endpoint.lifetime)
+        call.send(self)
         self._svc.log_decision(
             self,
             "call sent",
             False,
-            version=endpoint.entry.version,
+            version=candidate.endpoint.entry.version,
             expected_s=round(candidate.wait_s, 4),
             delay_cost=round(candidate.delay_cost, 3),
             left_s=round(self.remaining_s, 3),
             after_event=None if self.last_event is None else self.last_event.decode("latin-1"),
         )
         if self._is_paused:
-            self._call.pause()
+            call.pause()
         timeout_s = self._svc.timeouts.attempt_timeout_s(self.admitted.route)
         if timeout_s is not None:
             self._idle_timer.restart(timeout_s)
@@ -169,39 +192,33 @@
     def _end_call(self, is_failure: bool | None) -> None:
         """Stop counting the current call as running."""
         self._idle_timer.stop()
-        placed_call, self._placed_call = self._placed_call, None
-        self._call = None
-        if placed_call is not None:
-            self._svc.release_call(placed_call, is_failure)
-
-    def _settle_run(self, report: Callable[[Run], None]) -> None:
-        """Report the outcome of the current call to the crash guard, once: the first one known."""
-        run, self._run = self._run, None
-        if run is not None:
-            report(run)
+        if self._call is not None:
+            self._call.release(is_failure)
 
     # Timers
 
     def _on_idle_timeout(self) -> None:
-        """Retry a call that timed out on another endpoint, if one is available."""
-        if self._is_paused or self._call is None:
+        """Replace a call that timed out by a kept answer, or by a call of another endpoint."""
+        if self._is_paused or not self._is_calling:
             return
         can_retry = self._sends < self.admitted.route.max_attempts
-        if not can_retry or self._select_candidate() is None:
+        if not self._escalation.is_kept and not (can_retry and self._select_candidate()):
             return
+        assert self._call is not None
         self._call.cancel()
-        self._broken("silent")
+        self._record_broken("silent")
+        if not self._deliver_kept_answer("silent"):
+            self._continue_after_break()
 
     def _cancel_call(self) -> None:
         """Cancel the current call."""
         assert self._call is not None
-        self._call.cancel()
-        self._settle_run(self._svc.crash_guard.record_cancelled)
-        self._end_call(None)
+        self._idle_timer.stop()
+        self._call.stop()
 
     def _on_deadline(self) -> None:
         self._deadline = None
-        if self._call is not None:
+        if self._is_calling:
             self._may_have_run = True
             self._cancel_call()
         self._give_up("deadline")
@@ -209,20 +226,31 @@
     def _on_caller_left(self) -> None:
         if self._is_finished:
             return
-        if self._call is not None:
+        if self._is_calling:
             self._cancel_call()
-        self._finish("caller left")
+        self._finish(CALLER_LEFT)
+
+    def _on_overlap_over(self) -> None:
+        """Give up a kept answer that is still incomplete, or the call of the larger model.
+
+        The answer is given up only if the larger model's call has reached its endpoint, and if the
+        small model can be called again.
+        """
+        assert self._call is not None
+        if self._head is not None:
+            self._escalation.replace()
+            return
+        has_attempt = self._sends < self.admitted.route.max_attempts
+        can_repeat = self.admitted.route.is_repeatable and has_attempt
+        if self._call.is_sent and can_repeat and self._escalation.drop():
+            return
+        self._cancel_call()
+        self._deliver_kept_answer("larger model's answer not safe to wait for")
 
     # Events of the call
 
     def on_head(self, head: ReplyHead) -> None:
         """Handle the head of the reply."""
-        assert self._endpoint is not None
-        assert self._placed_call is not None
-        self._head = head
-        self._svc.record_head(self._placed_call, head)
-        if self._run is not None and not head.is_wrong_incarnation:
-            self._svc.crash_guard.record_head(self._run)
         if head.not_run:
             self._on_not_run(head)
         elif head.is_success:
@@ -232,14 +260,14 @@
 
     def on_late_head(self, head: ReplyHead) -> None:
         """Handle the head of a reply to an earlier call, for what it says about the endpoint."""
-        assert self._endpoint is not None
-        self._svc.record_late_head(self._endpoint, head)
+        assert self._call is not None
+        self._call.on_late_head(head)
 
     def _on_not_run(self, head: ReplyHead) -> None:
-        assert self._endpoint is not None
+        assert self._call is not None
         if head.is_wrong_incarnation:
-            self._svc.mark_address_reused(self._endpoint)
-        self._settle_run(self._svc.crash_guard.record_not_run)
+            self._svc.mark_address_reused(self._call.endpoint)
+        self._call.settle_run(self._svc.crash_guard.record_not_run)
         self._svc.log_decision(self, "call not run", True, status=head.status)
         self._try_next(None)
 
@@ -259,56 +287,84 @@
         self._may_have_run = True
         if self._relay.is_streaming:
             self._restart_gap_timer()
+        elif not self._escalate(head):
+            self._start_answer(head)
+
+    def _start_answer(self, head: ReplyHead) -> None:
+        """Pass the reply on from now on."""
+        if self.admitted.route.kind is not RouteKind.STREAM:
             return
-        larger_model = None
-        if self._may_escalate():
-            assert self._model is not None
-            waited_s = self._clock.seconds() - self.admitted.received_s
-            larger_model = self._svc.selector.larger_model(
-                self.admitted, self._model, head.confidence, waited_s
-            )
-        if larger_model is not None and self._svc.acquire_retry(self.admitted.service):
-            self._escalate(larger_model)
-            return
-        if self.admitted.route.kind is RouteKind.STREAM:
+        if self._escalation.has_begun:
+            self._relay.await_first_event(head)
+        else:
             self._relay.start_stream(head)
-            self._restart_gap_timer()
-
-    def _may_escalate(self) -> bool:
-        has_attempts_left = self._sends < self.admitted.route.max_attempts
-        return self._model is not None and has_attempts_left and not self._is_held()
+        self._restart_gap_timer()
 
-    def _escalate(self, larger_model: str) -> None:
-        """Drop an answer of which nothing was passed on yet, and call the larger model instead."""
+    def _escalate(self, head: ReplyHead) -> bool:
+        """Keep an answer, and call a larger model if its answer is expected to be worth more."""
         assert self._call is not None
-        assert self._endpoint is not None
-        confidence = None if self._head is None else self._head.confidence
+        if not self._may_escalate():
+            return False
+        assert self._model is not None
+        waited_s = self._clock.seconds() - self.admitted.received_s
+        selector = self._svc.selector
+        larger_model = selector.larger_model(self.admitted, self._model, head.confidence, waited_s)
+        if larger_model is None:
+            return False
+        candidate = selector.select_endpoint(self.admitted, larger_model, set())
+        if candidate is None or not self._svc.acquire_retry(self.admitted.service):
+            return False
         self._svc.log_decision(
-            self, "answer dropped", False, confidence=confidence, larger=larger_model
+            self, "answer kept", False, confidence=head.confidence, larger=larger_model
         )
-        self._svc.count_ready_answer(ReadyAnswerFate.DROPPED)
-        self._has_dropped_answer = True
-        self._cancel_call()
-        previous = self._model
+        self._idle_timer.stop()
+        self._escalation.keep(self._call)
         self._model = larger_model
         self._tried_lifetimes.clear()
-        candidate = self._select_candidate()
-        if candidate is None:
-            self._model = previous
-            self._send_next()
-            return
         self._start_call(candidate)
+        return True
+
+    def _may_escalate(self) -> bool:
+        has_attempts_left = self._sends < self.admitted.route.max_attempts
+        has_escalated = self._escalation.has_begun
+        return (
+            self._model is not None
+            and has_attempts_left
+            and not has_escalated
+            and not self._is_held()
+        )
+
+    def _deliver_kept_answer(self, reason: str) -> bool:
+        """Pass on the kept answer, if there is one; return whether there was."""
+        if self._relay.has_started:
+            return False
+        kept = self._escalation.take(is_out_of_time=self.remaining_s < MIN_REMAINING_S)
+        if kept is None:
+            return False
+        self._call, self._model = kept.call, kept.call.model
+        self._svc.log_decision(self, "ready answer delivered", False, reason=reason)
+        self._relay.start_call()
+        assert kept.call.head is not None
+        self._start_answer(kept.call.head)
+        kept.hand_over(self)
+        return True
 
     def _on_error(self, head: ReplyHead) -> None:
         """Handle an error status from the endpoint, which ran the request."""
+        assert self._call is not None
         self._may_have_run = True
         is_server_side = head.status >= 500
         self._svc.log_decision(self, "endpoint failed", True, status=head.status)
-        self._settle_run(self._svc.crash_guard.record_completed)
+        self._call.settle_run(self._svc.crash_guard.record_completed)
         if is_server_side:
-            self._judge.record_failure()
-        if self._relay.is_streaming or (is_server_side and self._can_retry()):
+            self._call.judge.record_failure()
+        may_replace = is_server_side or self._escalation.dropped_model is not None
+        if self._relay.is_streaming or (may_replace and self._can_retry()):
             self._try_next(is_server_side)
+        elif self._escalation.is_kept:
+            self._call.detach()
+            self._end_call(is_server_side)
+            self._deliver_kept_answer(f"status {head.status}")
 
     def _can_retry(self) -> bool:
         route = self.admitted.route
@@ -322,7 +378,7 @@
     def on_data(self, data: bytes) -> None:
         """Handle a part of the body."""
         assert self._head is not None
-        if not self._relay.is_streaming:
+        if not self._relay.has_events:
             self._relay.plain_data(self._head, data)
             return
         self._restart_gap_timer()
@@ -334,9 +390,11 @@
             self._broken(str(exc))
             return
         if has_events:
+            assert self._call is not None
+            self._escalation.replace()
             if self.first_event_s is None:
                 self.first_event_s = self._clock.seconds()
-            self._judge.record_events(self._relay.event_count)
+            self._call.judge.record_events(self._relay.event_count)
 
     def _restart_gap_timer(self) -> None:
         if self.admitted.route.is_repeatable:
@@ -344,19 +402,20 @@
 
     def on_end(self) -> None:
         """Handle the end of the reply."""
+        assert self._call is not None
         assert self._head is not None
-        assert self._endpoint is not None
         if not self._relay.is_at_event_boundary:
             self._broken("ended within an event")
             return
-        self._settle_run(self._svc.crash_guard.record_completed)
+        self._call.settle_run(self._svc.crash_guard.record_completed)
         is_failure = self._head.status >= 500
         if not is_failure:
-            if self._relay.is_streaming:
-                self._judge.finish_stream()
+            if self._relay.has_events:
+                self._call.judge.finish_stream()
             else:
-                self._judge.finish_reply()
+                self._call.judge.finish_reply()
         self._end_call(is_failure)
+        self._escalation.replace()
         self._relay.end(self._head)
         if self._head.is_success:
             self._finish("done")
@@ -374,10 +433,10 @@
                 self._broken(detail)
 
     def _on_not_sent(self, detail: str, has_exited: bool) -> None:
-        assert self._endpoint is not None
+        assert self._call is not None
         self._svc.log_decision(self, "endpoint not reached", True, detail=detail)
-        self._svc.mark_unreachable(self._endpoint, has_exited)
-        self._settle_run(self._svc.crash_guard.record_not_sent)
+        self._svc.mark_unreachable(self._call.endpoint, has_exited)
+        self._call.settle_run(self._svc.crash_guard.record_not_sent)
         self._end_call(True)
         self._sends -= 1
         self._connect_failures += 1
@@ -388,20 +447,28 @@
 
     def _broken(self, detail: str) -> None:
         """Handle a call that was sent and whose outcome is unknown."""
-        assert self._endpoint is not None
+        self._record_broken(detail)
+        self._continue_after_break()
+
+    def _record_broken(self, detail: str) -> None:
+        assert self._call is not None
         self._svc.log_decision(
             self, "call broken", True, detail=detail, had_head=self._head is not None
         )
         self._may_have_run = True
         if self._head is None:
-            self._svc.mark_unreachable(self._endpoint)
-        self._settle_run(self._svc.crash_guard.record_broken)
+            self._svc.mark_unreachable(self._call.endpoint)
+        self._call.settle_run(self._svc.crash_guard.record_broken)
         self._end_call(True)
         self._relay.drop_partial_event()
+
+    def _continue_after_break(self) -> None:
+        """Retry or resume a call that broke, or give up."""
         if self._relay.is_streaming:
             # Part of the answer was passed on. Only the endpoint that has just failed is excluded;
             # those that failed earlier may resume the stream.
-            self._tried_lifetimes = {self._endpoint.lifetime}
+            assert self._call is not None
+            self._tried_lifetimes = {self._call.endpoint.lifetime}
         is_passing_through = self._relay.has_started and not self._relay.is_streaming
         if is_passing_through or not self.admitted.route.is_repeatable:
             self._give_up("unknown outcome")
@@ -412,7 +479,7 @@
 
     def _give_up(self, reason: str) -> None:
         """Send an error as the final answer, or abort an answer that has started."""
-        if self._is_finished:
+        if self._is_finished or self._deliver_kept_answer(reason):
             return
         if self._relay.has_started:
             self._relay.abort()
@@ -431,18 +498,18 @@
         deadline, self._deadline = self._deadline, None
         if deadline is not None and deadline.active():
             deadline.cancel()
-        if self._has_dropped_answer and outcome not in ("done", "caller left"):
-            self._svc.count_ready_answer(ReadyAnswerFate.LOST)
-            self._svc.log_decision(self, "ready answer lost", True, outcome=outcome)
+        self._escalation.finish(has_answer=outcome in ("done", CALLER_LEFT))
         self._svc.request_finished(self, outcome)
 
     def abort(self) -> None:
         """Abort the request because the process stops."""
         if self._is_finished:
             return
-        if self._call is not None:
+        if self._is_calling:
             self._may_have_run = True
             self._cancel_call()
+        if not self._escalation.is_complete:
+            self._escalation.discard()
         self._give_up("leaving")
 
     # Back-pressure
@@ -454,7 +521,7 @@
 
     def _resume(self) -> None:
         self._is_paused = False
-        if self._call is not None:
+        if self._call is not None and self._call.is_active:
             self._call.resume()
             if not self._idle_timer.is_running and self._relay.is_streaming:
                 self._restart_gap_timer()  # the timer expired during the pause
--- a/umberhitch/tasks/direct/relay.py
+++ b/umberhitch/tasks/direct/relay.py
@@ -40,6 +40,8 @@
         self._pause = pause
         self._resume = resume
         self._event_splitter = EventSplitter(last_event)
+        self._awaited_head: ReplyHead | None = None
+        """Head of a stream that starts with its first event."""
         self._buffered = bytearray()
         self._is_passing_through = False
 
@@ -48,6 +50,11 @@
         """Whether any part of a reply was passed to the caller."""
         return self.is_streaming or self._is_passing_through
 
+    @property
+    def has_events(self) -> bool:
+        """Whether the body of the current reply consists of events."""
+        return self.is_streaming or self._awaited_head is not None
+
     @property
     def is_at_event_boundary(self) -> bool:
         """Whether no partial event is buffered."""
@@ -66,6 +73,8 @@
     def start_call(self) -> None:
         """Discard what is buffered of the reply to an earlier call."""
         self._buffered.clear()
+        self._awaited_head = None
+        self._event_splitter.discard_partial()
 
     def drop_partial_event(self) -> None:
         """Discard the partial event that is buffered, since its call has failed."""
@@ -74,8 +83,13 @@
     def start_stream(self, head: ReplyHead) -> None:
         """Start a stream with the head that its first endpoint sent."""
         self.is_streaming = True
+        self._awaited_head = None
         self._start(head)
 
+    def await_first_event(self, head: ReplyHead) -> None:
+        """Start a stream when its first event arrives; until then, other replies may replace it."""
+        self._awaited_head = head
+
     def _start(self, head: ReplyHead) -> None:
         self._reply.set_flow_control(self._pause, self._resume)
         self._reply.head(head.status, head.headers)
@@ -89,6 +103,8 @@
             If an event exceeds the size limit.
         """
         events = self._event_splitter.feed(data)
+        if events and self._awaited_head is not None:
+            self.start_stream(self._awaited_head)
         if events:
             self._reply.data(events)
         return bool(events)
@@ -107,6 +123,8 @@
 
     def end(self, head: ReplyHead) -> None:
         """Finish the reply as complete."""
+        if self._awaited_head is not None:
+            self.start_stream(self._awaited_head)
         if not self.has_started:
             self._send_whole(head, bytes(self._buffered))
         self._reply.end()
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -67,10 +67,16 @@
 class ReadyAnswerFate(StrEnum):
     """What became of a small model's answer for which a larger model was called."""
 
+    REPLACED = "replaced"
+    """Given up when the larger model's answer started."""
+    DELIVERED = "delivered"
+    """Passed on after all, since the larger model's answer did not start."""
     DROPPED = "dropped"
-    """Given up, since the larger model's answer was expected to be worth more."""
+    """Given up before the larger model's answer started, so as not to run twice for long."""
+    BROKEN = "broken"
+    """Not completed by its endpoint, while the larger model was called."""
     LOST = "lost"
-    """Dropped, and the request ended without any complete answer."""
+    """The request ended without any complete answer; counted beside the other fates."""
 
 
 @dataclass(slots=True)
@@ -121,7 +127,7 @@
     return f"{endpoint.entry.service}/{endpoint.entry.version}"
 
 
-class RequestState(CallEvents, Protocol):
+class RequestState(Protocol):
     """A request in progress, as its router sees it."""
 
     admitted: AdmittedRequest
@@ -238,7 +244,12 @@
         ...
 
     def send(
-        self, admitted: AdmittedRequest, endpoint: Endpoint, model: str | None, call: RequestState
+        self,
+        admitted: AdmittedRequest,
+        endpoint: Endpoint,
+        model: str | None,
+        proxied: RequestState,
+        events: CallEvents,
     ) -> tuple[RunningCall, PlacedCall]:
         """Send the request to an endpoint, and count the call as placed there."""
         ...
@@ -247,6 +258,10 @@
         """Take one retry from the shared retry budget; return whether there was one."""
         ...
 
+    def give_back_retry(self, service: str) -> None:
+        """Give a retry back that was taken and not used."""
+        ...
+
     def judge_latency(
         self,
         admitted: AdmittedRequest,
