Routers that the store does not list take no part by the list

The same fault elsewhere: each use of the list took the own router for one that the others know of.

What was seen (12 routers, 4 places, test_unlisted.py, failing before): the slack of the retry budget was used 1.6 times (164 of 100), since each unlisted router divided it by the listed ones and itself; 7 routers read the stored holds where 2 should, as each had a low rank in its own list; a held request had 4 arbiters, so four probes could end an endpoint each; a router with a fast link that nobody asks chose itself as reader of the store for others, and read it for ever.

Change: without a place a router has no rank, no slack, is no candidate for arbiter (but of its own where it knows nobody), and once it has been left out for longer than it takes to get a place (the lease, 9 s) it is no reader either. Earlier than that it reads as before, so that routers that start together do not all ask the first one.

Why it works: what is shared by the list is shared by those that are on everybody's list.

--- a/umberhitch/tasks/direct/crash_sharing.py
+++ b/umberhitch/tasks/direct/crash_sharing.py
@@ -43,7 +43,9 @@
     Attributes
     ----------
     peers : callable
-        Returns the names of the other routers.
+        Returns the names of the other routers that the store lists.
+    is_listed : callable
+        Whether the store lists this router, so that the others may choose it as arbiter.
     send : callable
         Sends a message to one of the other routers.
     on_update : callable
@@ -57,6 +59,7 @@
     def __init__(self, name: str, clock: Clock, record: CrashRecord) -> None:
         self.record = record
         self.peers: Callable[[], list[str]] = list
+        self.is_listed: Callable[[], bool] = lambda: True
         self.send: Callable[[str, Message], None] = lambda peer, message: None
         self.on_update: Callable[[], None] = do_nothing
         self.on_held: Callable[[str], None] = lambda key: None
@@ -70,7 +73,9 @@
 
     def arbiter(self, key: str) -> str:
         """Return the router that admits probes of a request, by rendezvous hash."""
-        names = [self._name, *self.peers()]
+        names = self.peers()
+        if self.is_listed() or not names:
+            names = [self._name, *names]
         return max(names, key=lambda name: xxh3_64_intdigest(f"{key}|{name}".encode()))
 
     # Events at this router
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -142,7 +142,9 @@
         gateway.crash_guard.sharing.peers = self.peer_names
         gateway.crash_guard.sharing.send = link.send
         gateway.crash_guard.sharing.on_update = self._schedule_updates
+        gateway.crash_guard.sharing.is_listed = self._membership.is_listed
         sharing.peers = self.peer_names
+        sharing.is_left_out = self._membership.is_left_out
         sharing.link_mbps = self.link_mbps
 
     def start(self) -> None:
@@ -174,10 +176,18 @@
         if joined:
             self._send_full_state(joined)
         self._has_list = True
-        self._gateway.retry_budget.router_count = 1 + len(found)
+        self._share_retries(1 + len(found))
         is_listed = self._membership.is_listed()
         log.info("peers", extra={"names": sorted(found), "is_listed": is_listed})
 
+    def _share_retries(self, routers: int) -> None:
+        """Set how many routers share the slack of the retry budget.
+
+        An unlisted router gets none of it, since the listed ones share it among themselves.
+        """
+        is_listed = self._membership.is_listed()
+        self._gateway.retry_budget.router_count = routers if is_listed else None
+
     def _send_full_state(self, names: Iterable[str]) -> None:
         """Send the full state to new peers at once.
 
@@ -296,10 +306,11 @@
     def rank(self) -> int | None:
         """Return the rank of this router among the routers that the store lists, starting at 0.
 
-        The result is None before the list is known. The order is by digest, since routers with
-        adjacent names are in one zone and lose their connection together.
+        The result is None while the list is not known or does not name this router. The order is by
+        digest, since routers with adjacent names are in one zone and lose their connection
+        together.
         """
-        if not self._has_list:
+        if not self._has_list or not self._membership.is_listed():
             return None
         own = xxh3_64_intdigest(self._own_member.name.encode())
         return sum(xxh3_64_intdigest(name.encode()) < own for name in self._peers)
@@ -358,7 +369,7 @@
             )
         routers = 1 + max(len(reports), len(self._peers))
         if self._has_list:
-            self._gateway.retry_budget.router_count = routers
+            self._share_retries(routers)
         self._gateway.demand.router_count = routers
 
     def receive(self, sender: str, messages: list[Message]) -> None:
--- a/umberhitch/tasks/direct/read_sharing.py
+++ b/umberhitch/tasks/direct/read_sharing.py
@@ -67,6 +67,8 @@
         Sends a message to a peer.
     peers : callable
         Returns the names of the peers that the store lists.
+    is_left_out : callable
+        Whether the store does not list this router, so that no peer sends its requests here.
     link_mbps : callable
         Returns the bandwidth of a router's link, 0 if it is not known.
     """
@@ -77,6 +79,7 @@
     rng: Random
     send: Callable[[str, Message], None]
     peers: Callable[[], list[str]] = list
+    is_left_out: Callable[[], bool] = lambda: False
     link_mbps: Callable[[str], float] = lambda name: 0.0
     handlers: dict[str, ViewRequestHandler] = field(default_factory=dict)
     """Handlers of requests by stream."""
@@ -104,8 +107,8 @@
         excludes_self : bool
             Whether this router is not a candidate.
         """
-        own = set() if excludes_self else {self.name}
-        names = sorted({self.name, *self.peers()} - excluded | own)
+        own = set() if excludes_self or self.is_left_out() else {self.name}
+        names = sorted({*self.peers()} - excluded - {self.name} | own)
         if not names:
             return None
         fastest = sorted(names, key=lambda name: (-self.link_mbps(name), name))
--- a/umberhitch/tasks/direct/tests/test_unlisted.py
+++ b/umberhitch/tasks/direct/tests/test_unlisted.py
@@ -84,6 +84,40 @@
     assert world.clock.seconds() >= listed_s + PROPAGATION_S - 0.02
 
 
+def test_the_slack_of_the_retry_budget_is_shared_once():
+    world = _world()
+    world.run(12.0)  # requests of the budget's window count no more
+    now_s = world.clock.seconds()
+    left = [r.gateway.retry_budget.remaining("svc", now_s) for r in world.routers.values()]
+    assert sum(left) <= 100.0  # the slack of each router of the fake world
+
+
+def test_held_requests_are_read_by_two_routers_of_those_listed():
+    world = _world(run_s=LEFT_OUT_S)
+    assert sum(router.holds_port.calls for router in world.routers.values()) == 2
+
+
+def test_all_routers_choose_the_same_arbiter():
+    world = _world()
+    for number in range(20):
+        key = f"key{number}"
+        arbiters = {r.gateway.crash_guard.sharing.arbiter(key) for r in world.routers.values()}
+        assert len(arbiters) == 1
+        assert arbiters <= _listed(world)
+
+
+def test_a_router_that_stays_unlisted_sends_its_requests_to_a_listed_reader():
+    world = _world(run_s=LEFT_OUT_S)
+    listed = _listed(world)
+    for name, router in world.routers.items():
+        if name not in listed:
+            assert router.peers._sharing.choose_reader(set()) in listed
+    before = {name: router.registry.calls for name, router in world.routers.items()}
+    world.run(4.0)
+    reading = {name for name, r in world.routers.items() if r.registry.calls > before[name] + 1}
+    assert reading <= listed
+
+
 @pytest.mark.parametrize("seats", [SEATS, None])
 def test_only_a_router_without_a_place_counts_itself_as_unlisted(seats: int | None):
     world = DirectWorld()
