Routers without a place in the store's group hear what their peers hear

What was seen: routers that the store does not list send to the listed ones, and get nothing back but answers. They did not hear of an endpoint that drains or names a limit, of requests that end endpoints, of roll-outs' evidence, nor of the others' calls under way.

Cause: updates and reports went to the list only. (The link can reach such a router over the connection that it has made; replies already went that way.)

Change: a peer that reports and is not listed is a contact until it falls silent: it gets the whole state once, then reports and updates like all others. What is shared by the list is not shared with it. Two unlisted routers hear of each other through the listed ones, which resend to two contacts a second.

No call to the store is added.

--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -125,6 +125,9 @@
         self._last_reports: dict[str, _ReceivedReport] = {}
         """The last reports of peers that have drained."""
         self._peers: dict[str, str] = {}
+        self._guests: set[str] = set()
+        """Peers that are not listed and send reports: those without a place in the store's group.
+        Each can be reached over the connection that it has made."""
         self._link_mbps = {own_member.name: gateway.settings.link_mbps}
         self._seq = 0
         self._rounds = 0
@@ -170,8 +173,9 @@
             self._link_mbps.pop(name, None)
         for name, address in found.items():
             self._link.connect(name, address)
-        joined = found.keys() - self._peers.keys()
+        joined = found.keys() - self._peers.keys() - self._guests
         self._peers = found
+        self._guests -= found.keys()
         self._gateway.gate.shares.set_routers(member.name for member in members)
         if joined:
             self._send_full_state(joined)
@@ -231,7 +235,7 @@
             self._gateway.canary_controller.is_any_in_progress()
             or self._rounds % self._remote_report_every() == 0
         )
-        for name in self._peers:
+        for name in self._contacts():
             if is_for_all or not self._is_remote(name):
                 self._link.send(name, report)
         self._clock.callLater(self._report_interval_s(), self._report)
@@ -243,7 +247,8 @@
         self._gateway.gate.refresh_shares()
         updates: list[Message] = [*self._gateway.crash_guard.sharing.updates_to_resend()]
         updates += self._gateway.gate.sharing.updates_to_resend()
-        for name in self._rng.sample(list(self._peers), min(RESEND_PEERS, len(self._peers))):
+        contacts = self._contacts()
+        for name in self._rng.sample(contacts, min(RESEND_PEERS, len(contacts))):
             for message in updates:
                 self._link.send(name, message)
         self._clock.callLater(RESEND_INTERVAL_S, self._resend)
@@ -264,8 +269,9 @@
         messages: list[Message] = [*self._gateway.canary_controller.pop_updates()]
         messages += self._gateway.crash_guard.sharing.pop_updates()
         messages += self._gateway.gate.sharing.pop_updates()
+        contacts = self._contacts()
         for message in messages:
-            for name in self._peers:
+            for name in contacts:
                 self._link.send(name, message)
 
     def _remote_report_every(self) -> int:
@@ -288,10 +294,15 @@
         """Return the newest reports of the peers that were not silent."""
         for name in [n for n, received in self._received.items() if self._is_silent(received)]:
             received = self._received.pop(name)
+            self._guests.discard(name)
             if received.report.retry_after_s:
                 self._last_reports[name] = received
         return [received.report for received in self._received.values()]
 
+    def _contacts(self) -> list[str]:
+        """Return the names of all peers to send to: the listed ones and the guests."""
+        return [*self._peers, *self._guests]
+
     def peer_names(self) -> list[str]:
         """Return the names of the peers that the store lists.
 
@@ -399,6 +410,9 @@
         if known is not None and order <= (known.report.incarnation, known.report.seq):
             return
         self._received[report.router] = _ReceivedReport(report, self._clock.seconds())
+        if report.router not in self._peers and report.router not in self._guests:
+            self._guests.add(report.router)
+            self._send_full_state([report.router])
         self._link_mbps[report.router] = report.link_mbps
         self._last_reports.pop(report.router, None)
         self._gateway.canary_controller.apply_reports(
--- a/umberhitch/tasks/direct/tests/test_unlisted.py
+++ b/umberhitch/tasks/direct/tests/test_unlisted.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from umberhitch.core.direct import HeadSignals, Rate, ReplyHead
 from umberhitch.fakes import Reply
 from umberhitch.tasks.direct.membership import MembershipLimits
 from umberhitch.tasks.direct.tests import test_cold as cold
@@ -118,6 +119,59 @@
     assert reading <= listed
 
 
+def test_an_unlisted_router_learns_what_a_listed_one_is_told():
+    """Without this it goes on to use an endpoint that drains or has a limit."""
+    world = _world()
+    listed, unlisted = world.routers["r000"], world.routers["r010"]
+    gate = listed.gateway.gate
+    gate.apply_head("w0", ReplyHead(200, signals=HeadSignals(limit=Rate(2.0))))
+    gate.apply_head("w1", ReplyHead(200, signals=HeadSignals(is_draining=True)))
+    world.run(0.2)
+    assert [name for name, _ in unlisted.gateway.gate.limits] == ["w0"]
+    assert "w1" in unlisted.gateway.gate.closed.draining
+
+
+def test_a_listed_router_learns_what_an_unlisted_one_is_told_and_the_others_too():
+    world = _world()
+    gate = world.routers["r010"].gateway.gate
+    gate.apply_head("w1", ReplyHead(200, signals=HeadSignals(is_draining=True)))
+    world.run(0.2)
+    assert all("w1" in world.routers[n].gateway.gate.closed.draining for n in _listed(world))
+    world.run(6.0)  # the listed ones send it to two peers a second
+    assert all("w1" in r.gateway.gate.closed.draining for r in world.routers.values())
+
+
+def test_an_unlisted_router_that_joins_late_gets_the_state():
+    world = _world()
+    gate = world.routers["r000"].gateway.gate
+    gate.apply_head("w1", ReplyHead(200, signals=HeadSignals(is_draining=True)))
+    world.run(0.2)
+    late = world.add_router("r900")
+    world.run(1.0)
+    assert "w1" in late.gateway.gate.closed.draining
+
+
+def test_an_unlisted_router_that_is_lost_is_forgotten():
+    world = _world()
+    assert "r010" in world.routers["r000"].peers._contacts()
+    world.kill_router("r010")
+    world.run(10.0)
+    assert "r010" not in world.routers["r000"].peers._contacts()
+
+
+def test_loads_are_told_to_and_by_unlisted_routers():
+    world = _world()
+    for each in world.endpoints.by_address.values():
+        each.reply = Reply(delay_s=5.0)
+    for name in ("r000", "r010"):
+        for _ in range(3):
+            world.ask(world.routers[name], "/look/x")
+    world.run(1.0)
+    for name in ("r001", "r000", "r010"):
+        placement = world.routers[name].gateway.placement
+        assert sum(placement.all_running_calls(f"w{n}") for n in range(2)) == 6
+
+
 @pytest.mark.parametrize("seats", [SEATS, None])
 def test_only_a_router_without_a_place_counts_itself_as_unlisted(seats: int | None):
     world = DirectWorld()
