Sight: where an attempt that timed out has stayed

New: the warning "attempt timed out" (so that pytest prints it with the failure), with whether the agent had accepted, the age of its last reply and heartbeat, how often the router has asked, the attempts at the agent against its slots, and by how much the router's own check was late.

--- a/umberhitch/tasks/attempts.py
+++ b/umberhitch/tasks/attempts.py
@@ -32,6 +32,8 @@
 
 log = getLogger(__name__)
 
+TIMEOUTS = (Reason.DEADLINE, Reason.NO_ANSWER, Reason.AGENT_LOST)
+"""Reasons of outcomes that say only that something took too long."""
 TextSink = Callable[[str], None]
 """Receives the text of an answer piece by piece, in order."""
 
@@ -80,6 +82,10 @@
         Time of the last message from the agent.
     last_request_s : float
         Time at which a start, cancel or fetch was last sent.
+    request_count : int
+        Number of these messages so far.
+    is_accepted : bool
+        Whether the agent has said that it has the attempt.
     cancelled_s : float
         Time at which the first cancel was sent.
     waiters : list of Deferred
@@ -101,10 +107,17 @@
     sent_s: float = 0.0
     last_reply_s: float = 0.0
     last_request_s: float = 0.0
+    request_count: int = 1
+    is_accepted: bool = False
     cancelled_s: float = 0.0
     cancel_reason: Reason = Reason.CANCELLED
     waiters: list[Deferred[Outcome]] = field(default_factory=list)
 
+    def note_request(self, now_s: float) -> None:
+        """Record that a start, cancel or fetch is sent."""
+        self.last_request_s = now_s
+        self.request_count += 1
+
 
 class Attempts:
     """Sends the attempts of one router incarnation and tracks them to their outcomes.
@@ -137,6 +150,10 @@
         self._seq = 0
         self._open_attempts: dict[AttemptId, OpenAttempt] = {}
         self._is_stopped = False
+        self._next_check_s: float | None = None
+        self._max_lateness_s = 0.0
+        """Largest delay of the periodic check since the last attempt that timed out: a process that
+        gets no processor time checks late."""
 
     def __len__(self) -> int:
         return len(self._open_attempts)
@@ -247,7 +264,7 @@
         return open_attempt
 
     def _send_cancel(self, open_attempt: OpenAttempt) -> None:
-        open_attempt.last_request_s = self._clock.seconds()
+        open_attempt.note_request(self._clock.seconds())
         self._link.send(
             open_attempt.endpoint, Cancel(open_attempt.attempt, open_attempt.agent_incarnation)
         )
@@ -255,6 +272,8 @@
     def _end(self, open_attempt: OpenAttempt, outcome: Outcome) -> None:
         if open_attempt.phase is AttemptPhase.ENDED:
             return
+        if not isinstance(outcome, Done) and outcome.reason in TIMEOUTS:
+            self._log_timeout(open_attempt, outcome.reason)
         open_attempt.phase = AttemptPhase.ENDED
         self._open_attempts.pop(open_attempt.attempt, None)
         known = self._fleet.get(open_attempt.endpoint)
@@ -266,6 +285,34 @@
         for waiter in open_attempt.waiters:
             waiter.callback(outcome)
 
+    def _log_timeout(self, open_attempt: OpenAttempt, reason: Reason) -> None:
+        """Log where an attempt that timed out has stayed.
+
+        Not accepted, with fresh heartbeats: the start or its acceptance was lost. Accepted, and the
+        agent has more attempts than slots: it waits in the agent's queue. Accepted, and the agent
+        has free slots: the engine is silent. Late checks or old heartbeats: a process got no
+        processor time.
+        """
+        now = self._clock.seconds()
+        endpoint = self._fleet.get(open_attempt.endpoint)
+        log.warning(
+            "attempt timed out",
+            extra={
+                "attempt": str(open_attempt.attempt),
+                "endpoint": open_attempt.endpoint,
+                "reason": reason.value,
+                "is_accepted": open_attempt.is_accepted or open_attempt.answer.length > 0,
+                "age_s": round(now - open_attempt.sent_s, 3),
+                "reply_age_s": round(now - open_attempt.last_reply_s, 3),
+                "request_age_s": round(now - open_attempt.last_request_s, 3),
+                "requests": open_attempt.request_count,
+                "text": open_attempt.answer.length,
+                "max_lateness_s": round(self._max_lateness_s, 3),
+                **_heartbeat_facts(endpoint, now),
+            },
+        )
+        self._max_lateness_s = 0.0
+
     # Messages
 
     def handle(self, message: AttemptAccepted | Chunk | Finished | Refused | Failed) -> None:
@@ -278,6 +325,7 @@
             case Chunk(offset=offset, text=text):
                 self._on_text(open_attempt, offset, text)
             case AttemptAccepted():
+                open_attempt.is_accepted = True
                 if open_attempt.phase is AttemptPhase.SENT:
                     open_attempt.phase = AttemptPhase.ACCEPTED
             case Finished():
@@ -339,8 +387,11 @@
         if self._is_stopped:
             return
         now = self._clock.seconds()
+        if self._next_check_s is not None:
+            self._max_lateness_s = max(self._max_lateness_s, now - self._next_check_s)
         for open_attempt in list(self._open_attempts.values()):
             self._check(open_attempt, now)
+        self._next_check_s = now + self._timing.check_interval_s
         self._clock.callLater(self._timing.check_interval_s, self._check_all)
 
     def _check(self, open_attempt: OpenAttempt, now: float) -> None:
@@ -377,7 +428,7 @@
             now - open_attempt.last_request_s >= self._timing.resend_interval_s
             and open_attempt.start is not None
         ):
-            open_attempt.last_request_s = now
+            open_attempt.note_request(now)
             self._link.send(open_attempt.endpoint, open_attempt.start)
 
     def _check_accepted(self, open_attempt: OpenAttempt, now: float) -> None:
@@ -394,8 +445,19 @@
                 self._end(open_attempt, Unknown(Reason.AGENT_LOST))
 
     def _send_fetch(self, open_attempt: OpenAttempt) -> None:
-        open_attempt.last_request_s = self._clock.seconds()
+        open_attempt.note_request(self._clock.seconds())
         self._link.send(
             open_attempt.endpoint,
             Fetch(open_attempt.attempt, open_attempt.answer.length, open_attempt.customer),
         )
+
+
+def _heartbeat_facts(endpoint: Endpoint | None, now_s: float) -> dict[str, object]:
+    """Return what the last heartbeat of an endpoint's agent tells."""
+    if endpoint is None:
+        return {"agent": "unknown"}
+    return {
+        "heartbeat_age_s": round(now_s - endpoint.last_heartbeat_s, 3),
+        "agent_attempts": endpoint.reported_attempts,
+        "agent_slots": endpoint.slots,
+    }
