--- a/umberhitch/core/direct/_fleet_share.py
+++ b/umberhitch/core/direct/_fleet_share.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from math import ceil, inf
+from typing import Any
 
 from xxhash import xxh3_64_intdigest
 
@@ -285,10 +286,14 @@
     def forget(self, known: Iterable[str]) -> None:
         """Remove the state of lifetimes that aren't among the known ones."""
         keep = set(known)
-        ranks = (each.ranks for each in (self._current, *self._former))
-        for counted in (self._send_times, *ranks):
-            for lifetime in [lifetime for lifetime in counted if lifetime not in keep]:
-                del counted[lifetime]
+        _keep_only(self._send_times, keep)
+        for routers in (self._current, *self._former):
+            _keep_only(routers.ranks, keep)
+
+
+def _keep_only(by_lifetime: dict[str, Any], keep: set[str]) -> None:
+    for lifetime in [lifetime for lifetime in by_lifetime if lifetime not in keep]:
+        del by_lifetime[lifetime]
 
 
 def _score(lifetime: str, router: str) -> int:
--- a/umberhitch/tasks/direct/proxied_request.py
+++ b/umberhitch/tasks/direct/proxied_request.py
@@ -11,6 +11,7 @@
 from umberhitch.ports.clock import Timer
 from umberhitch.ports.direct import CallerReply, CallFailure
 from umberhitch.tasks.direct.active_call import ActiveCall
+from umberhitch.tasks.direct.attempt_plan import AttemptPlan
 from umberhitch.tasks.direct.escalation import Escalation
 from umberhitch.tasks.direct.idle_timer import IdleTimer
 from umberhitch.tasks.direct.relay import Relay
@@ -20,8 +21,6 @@
 
 CALLER_LEFT = "caller left"
 """Outcome of a request whose caller disconnected."""
-MAX_CONNECT_FAILURES = 6
-"""Maximum number of endpoints that one request may fail to reach."""
 REFUSED_BY_ENDPOINT = "refused by the endpoint"
 """Outcome of a request that the endpoint rejected because of an error of the caller."""
 HELD = "endpoints ended under it"
@@ -57,11 +56,8 @@
         self._clock = services.clock
         req, route = admitted.request, admitted.route
         self._deadline_s = admitted.received_s + min(req.patience_s, route.timeout_s)
-        self._sends = 0
-        self._connect_failures = 0
+        self._plan = AttemptPlan(services, admitted)
         self._may_have_run = False
-        self._tried_lifetimes: set[str] = set()
-        self._model: str | None = None
         self._call: ActiveCall | None = None
         """The last call, which may have ended."""
         self._escalation = Escalation(services, self, self._on_overlap_over)
@@ -79,7 +75,7 @@
         """Send the first call; return the function to call if the caller disconnects."""
         left_s = self._deadline_s - self._clock.seconds()
         self._deadline = self._clock.callLater(max(0.0, left_s), self._on_deadline)
-        self._model = self._svc.selector.first_model(self.admitted)
+        self._plan.start()
         self._send_next()
         return self._on_caller_left
 
@@ -96,12 +92,12 @@
     @property
     def sends(self) -> int:
         """Number of calls so far that reached an endpoint or may have reached one."""
-        return self._sends
+        return self._plan.sends
 
     @property
     def model(self) -> str | None:
         """Model of the last call."""
-        return self._model
+        return self._plan.model
 
     @property
     def endpoint(self) -> Endpoint | None:
@@ -124,54 +120,35 @@
         if self.remaining_s < MIN_REMAINING_S:
             self._give_up("deadline")
             return
-        if self._sends >= self.admitted.route.max_attempts:
+        if self._plan.attempts_left <= 0:
             self._give_up("attempts")
             return
         if self._is_held():
             self._give_up(HELD)
             return
-        candidate = self._next_candidate()
+        small_model = None if self._relay.has_started else self._escalation.dropped_model
+        candidate = self._plan.next_candidate(small_model)
         if candidate is None:
             self._give_up(self._svc.selector.failure_reason)
             return
-        if self._sends > 0 and not self._escalation.acquire_retry():
+        if self._plan.sends > 0 and not self._escalation.acquire_retry():
             self._give_up("retry budget")
             return
         self._start_call(candidate)
 
-    def _next_candidate(self) -> Candidate | None:
-        """Return the candidate for the next call, and choose its model.
-
-        If a small model's answer was dropped, the last attempt is one of the small model.
-        """
-        attempts_left = self.admitted.route.max_attempts - self._sends
-        small_model = None if self._relay.has_started else self._escalation.dropped_model
-        candidate = None
-        if small_model is None or attempts_left > 1:
-            candidate = self._select_candidate()
-        if candidate is None and small_model is not None:
-            self._model = small_model
-            candidate = self._select_candidate()
-        return candidate
-
     def _is_held(self) -> bool:
         """Whether the request is held, so that no further call may be sent."""
-        if self._is_probe and self._sends == 0:
+        if self._is_probe and self._plan.sends == 0:
             return False
         return self._is_probe or self._svc.crash_guard.is_held(self.admitted)
 
-    def _select_candidate(self) -> Candidate | None:
-        """Return a candidate that has not been tried yet, or None."""
-        return self._svc.selector.select_endpoint(self.admitted, self._model, self._tried_lifetimes)
-
     def _start_call(self, candidate: Candidate) -> None:
         call = ActiveCall(
-            self._svc, self.admitted, candidate.endpoint, self._model, self._is_probe, self
+            self._svc, self.admitted, candidate.endpoint, self.model, self._is_probe, self
         )
         self._call = call
         self._relay.start_call()
-        self._sends += 1
-        self._tried_lifetimes.add(candidate.endpoint.lifetime)
+        self._plan.note_call(candidate.endpoint)
         call.send(self)
         self._svc.log_decision(
             self,
@@ -201,8 +178,8 @@
         """Replace a call that timed out by a kept answer, or by a call of another endpoint."""
         if self._is_paused or not self._is_calling:
             return
-        can_retry = self._sends < self.admitted.route.max_attempts
-        if not self._escalation.is_kept and not (can_retry and self._select_candidate()):
+        can_retry = self._plan.attempts_left > 0 and self._plan.select_candidate() is not None
+        if not can_retry and not self._escalation.is_kept:
             return
         assert self._call is not None
         self._call.cancel()
@@ -240,8 +217,7 @@
         if self._head is not None:
             self._escalation.replace()
             return
-        has_attempt = self._sends < self.admitted.route.max_attempts
-        can_repeat = self.admitted.route.is_repeatable and has_attempt
+        can_repeat = self.admitted.route.is_repeatable and self._plan.attempts_left > 0
         if self._call.is_sent and can_repeat and self._escalation.drop():
             return
         self._cancel_call()
@@ -305,10 +281,10 @@
         assert self._call is not None
         if not self._may_escalate():
             return False
-        assert self._model is not None
+        assert self.model is not None
         waited_s = self._clock.seconds() - self.admitted.received_s
         selector = self._svc.selector
-        larger_model = selector.larger_model(self.admitted, self._model, head.confidence, waited_s)
+        larger_model = selector.larger_model(self.admitted, self.model, head.confidence, waited_s)
         if larger_model is None:
             return False
         candidate = selector.select_endpoint(self.admitted, larger_model, set())
@@ -319,18 +295,15 @@
         )
         self._idle_timer.stop()
         self._escalation.keep(self._call)
-        self._model = larger_model
-        self._tried_lifetimes.clear()
+        self._plan.change_model(larger_model)
         self._start_call(candidate)
         return True
 
     def _may_escalate(self) -> bool:
-        has_attempts_left = self._sends < self.admitted.route.max_attempts
-        has_escalated = self._escalation.has_begun
         return (
-            self._model is not None
-            and has_attempts_left
-            and not has_escalated
+            self.model is not None
+            and self._plan.attempts_left > 0
+            and not self._escalation.has_begun
             and not self._is_held()
         )
 
@@ -341,7 +314,7 @@
         kept = self._escalation.take(is_out_of_time=self.remaining_s < MIN_REMAINING_S)
         if kept is None:
             return False
-        self._call, self._model = kept.call, kept.call.model
+        self._call, self._plan.model = kept.call, kept.call.model
         self._svc.log_decision(self, "ready answer delivered", False, reason=reason)
         self._relay.start_call()
         assert kept.call.head is not None
@@ -370,9 +343,9 @@
         route = self.admitted.route
         return (
             route.is_repeatable
-            and self._sends < route.max_attempts
+            and self._plan.attempts_left > 0
             and self.remaining_s > MIN_REMAINING_S
-            and self._select_candidate() is not None
+            and self._plan.select_candidate() is not None
         )
 
     def on_data(self, data: bytes) -> None:
@@ -438,9 +411,7 @@
         self._svc.mark_unreachable(self._call.endpoint, has_exited)
         self._call.settle_run(self._svc.crash_guard.record_not_sent)
         self._end_call(True)
-        self._sends -= 1
-        self._connect_failures += 1
-        if self._connect_failures >= MAX_CONNECT_FAILURES:
+        if not self._plan.note_not_sent():
             self._give_up("no endpoint reached")
             return
         self._send_next()
@@ -468,7 +439,7 @@
             # Part of the answer was passed on. Only the endpoint that has just failed is excluded;
             # those that failed earlier may resume the stream.
             assert self._call is not None
-            self._tried_lifetimes = {self._call.endpoint.lifetime}
+            self._plan.exclude_only(self._call.endpoint)
         is_passing_through = self._relay.has_started and not self._relay.is_streaming
         if is_passing_through or not self.admitted.route.is_repeatable:
             self._give_up("unknown outcome")
--- a/umberhitch/tasks/direct/tests/test_kept_answers.py
+++ b/umberhitch/tasks/direct/tests/test_kept_answers.py
@@ -10,6 +10,7 @@
 from umberhitch.fakes import FakeEndpoint, Reply
 from umberhitch.ports.direct import CallFailure
 from umberhitch.tasks.direct.active_call import ActiveCall
+from umberhitch.tasks.direct.attempt_plan import AttemptPlan
 from umberhitch.tasks.direct.kept_answer import MAX_OVERLAP_S
 from umberhitch.tasks.direct.proxied_request import ProxiedRequest
 from umberhitch.tasks.direct.tests import test_zones as zones
@@ -218,7 +219,7 @@
 
 
 def _no_second_call(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(ProxiedRequest, "_next_candidate", ProxiedRequest._select_candidate)
+    patch.setattr(AttemptPlan, "next_candidate", lambda self, small_model: self.select_candidate())
 
 
 def _no_look_at_the_connection(patch: pytest.MonkeyPatch) -> None:
