--- a/umberhitch/platform/_store.py
+++ b/umberhitch/platform/_store.py
@@ -17,16 +17,8 @@
 ENDPOINT_TOPIC = "keyed.servers"
 STATUS_TOPIC = "keyed.status"
 GROUP = "umberhitch-routers"
-GROUP_TOPIC = "umberhitch-seats-{}"
-"""Used for its partitions only: a member without a partition is missing from the owners."""
-FIRST_TOPICS = 3
-TOPICS_GROWTH = 4
-"""Factor by which a member that gets no partition extends its topics."""
-MAX_TOPICS = 90
-"""The store has a hundred topics at most, a few of them for other purposes."""
-PATIENT_JOINS = 7
-"""Replies without a partition, one after the other, before the topics are extended. A partition
-that another member holds is free only after two renewals of that member, about 7 s."""
+GROUP_TOPICS = ["umberhitch-seats-1", "umberhitch-seats-2", "umberhitch-seats-3"]
+"""Used for their partitions only: a member without a partition is missing from the owners."""
 
 
 class Statuses:
@@ -66,35 +58,20 @@
     def __init__(self, store: StoreClient) -> None:
         self._store = store
         self._generation = 0
-        self._topic_count = FIRST_TOPICS
-        self._empty_joins = 0
 
     async def join(self, member: Member, ttl_s: float) -> int:
         """Join, or renew the membership; return a number that changes with the list of members."""
         body = {
             "group": GROUP,
             "member": _label(member),
-            "topics": [GROUP_TOPIC.format(number + 1) for number in range(self._topic_count)],
+            "topics": GROUP_TOPICS,
             "ttlMs": int(ttl_s * 1000),
             "generation": self._generation,
         }
         reply = await self._store.post_json("/-/log-join", body)
         self._generation = int(reply["generation"])
-        self._extend_topics(has_partition=bool(reply.get("parts")))
         return self._generation
 
-    def _extend_topics(self, has_partition: bool) -> None:
-        """Take part in more topics if those so far have no partition for this member.
-
-        Only members that need them do so: with few routers, the list of owners stays short.
-        """
-        self._empty_joins = 0 if has_partition else self._empty_joins + 1
-        if self._empty_joins < PATIENT_JOINS or self._topic_count == MAX_TOPICS:
-            return
-        self._empty_joins = 0
-        self._topic_count = min(MAX_TOPICS, TOPICS_GROWTH * self._topic_count)
-        log.info("group extended", extra={"topics": self._topic_count})
-
     async def leave(self, member: Member) -> None:
         """Remove a member."""
         await self._store.post_json("/-/log-leave", {"group": GROUP, "member": _label(member)})
--- a/umberhitch/platform/standins/_store.py
+++ b/umberhitch/platform/standins/_store.py
@@ -51,8 +51,7 @@
     generation: int = 0
     last_seen_s: dict[str, float] = field(default_factory=dict)
     ttl_s: dict[str, float] = field(default_factory=dict)
-    topics: dict[str, list[str]] = field(default_factory=dict)
-    """Topics of each member."""
+    topics: list[str] = field(default_factory=list)
 
 
 class StoreStandin:
@@ -184,7 +183,7 @@
         group = self._groups.setdefault(body["group"], _Group())
         if body["member"] not in self._members(group):
             group.generation += 1
-        group.topics[body["member"]] = body["topics"]
+        group.topics = body["topics"]
         group.last_seen_s[body["member"]] = self._reactor.seconds()
         group.ttl_s[body["member"]] = body["ttlMs"] / 1000
         rows = [[t, n, 0] for t, n, member, _ in self._owners(group) if member == body["member"]]
@@ -221,21 +220,15 @@
         return sorted(group.last_seen_s)
 
     def _owners(self, group: _Group) -> list[list[Any]]:
-        """Return rows of topic, partition, owner and offset; each topic is shared by its members.
-
-        A partition goes to the member of its topic that has the fewest so far, so that some members
-        have none where there are too few partitions.
-        """
-        held = dict.fromkeys(self._members(group), 0)
-        topics = sorted({topic for member in held for topic in group.topics[member]})
-        rows = []
-        for topic in topics:
-            members = [member for member in held if topic in group.topics[member]]
-            for number in range(PARTITION_COUNT):
-                owner = min(members, key=lambda member: (held[member], member))
-                held[owner] += 1
-                rows.append([topic, number, owner, 0])
-        return rows
+        members = self._members(group)
+        partition_ids = [
+            (topic, number) for topic in group.topics for number in range(PARTITION_COUNT)
+        ]
+        return [
+            [topic, number, members[index % len(members)], 0]
+            for index, (topic, number) in enumerate(partition_ids)
+            if members
+        ]
 
 
 def _topic_and_number(request: Any) -> tuple[str, int]:
