Unlisted routers share the retry slack by the number they are told, and hear their peers after 9 s

A peer is counted as unlisted only when it has reported for the lease of a membership, 9 s, without being listed, so that starting up is as it was; the reports to such peers go in turn, as many in a round as to listed ones. Listed routers tell how many they know, and unlisted ones divide the slack by that; before they are told they have none.

--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -17,6 +17,7 @@
 from umberhitch.tasks.direct.gateway import Gateway
 from umberhitch.tasks.direct.membership import Membership, MembershipLimits
 from umberhitch.tasks.direct.read_sharing import ReadSharing
+from umberhitch.tasks.direct.unlisted_peers import UnlistedPeers
 from umberhitch.wire import (
     BurnReply,
     BurnRequest,
@@ -125,9 +126,7 @@
         self._last_reports: dict[str, _ReceivedReport] = {}
         """The last reports of peers that have drained."""
         self._peers: dict[str, str] = {}
-        self._guests: set[str] = set()
-        """Peers that are not listed and send reports: those without a place in the store's group.
-        Each can be reached over the connection that it has made."""
+        self._guests = UnlistedPeers(self._limits.membership.ttl_s)
         self._link_mbps = {own_member.name: gateway.settings.link_mbps}
         self._seq = 0
         self._rounds = 0
@@ -173,9 +172,9 @@
             self._link_mbps.pop(name, None)
         for name, address in found.items():
             self._link.connect(name, address)
-        joined = found.keys() - self._peers.keys() - self._guests
+        joined = found.keys() - self._peers.keys()
         self._peers = found
-        self._guests -= found.keys()
+        self._guests.forget(found)
         self._gateway.gate.shares.set_routers(member.name for member in members)
         if joined:
             self._send_full_state(joined)
@@ -187,10 +186,12 @@
     def _share_retries(self, routers: int) -> None:
         """Set how many routers share the slack of the retry budget.
 
-        An unlisted router gets none of it, since the listed ones share it among themselves.
+        The listed routers know all others by the list or by reports. An unlisted one knows only the
+        listed ones, so it goes by the number that they tell, and has no slack before.
         """
+        told = max((each.report.routers for each in self._received.values()), default=0)
         is_listed = self._membership.is_listed()
-        self._gateway.retry_budget.router_count = routers if is_listed else None
+        self._gateway.retry_budget.router_count = routers if is_listed else told or None
 
     def _send_full_state(self, names: Iterable[str]) -> None:
         """Send the full state to new peers at once.
@@ -223,8 +224,13 @@
             round(self._gateway.presence.available_in_s(), 2),
             self._gateway.settings.zone,
             self._gateway.settings.link_mbps,
+            self._known_routers() if self._membership.is_listed() else 0,
         )
 
+    def _known_routers(self) -> int:
+        """Return the number of routers that are listed or report here, including this one."""
+        return 1 + len({*self._peers, *self._received})
+
     def _report(self) -> None:
         if self._is_stopped:
             return
@@ -235,9 +241,11 @@
             self._gateway.canary_controller.is_any_in_progress()
             or self._rounds % self._remote_report_every() == 0
         )
-        for name in self._contacts():
+        for name in self._peers:
             if is_for_all or not self._is_remote(name):
                 self._link.send(name, report)
+        for name in self._guests.next_names(len(self._peers)):
+            self._link.send(name, report)
         self._clock.callLater(self._report_interval_s(), self._report)
 
     def _resend(self) -> None:
@@ -294,14 +302,14 @@
         """Return the newest reports of the peers that were not silent."""
         for name in [n for n, received in self._received.items() if self._is_silent(received)]:
             received = self._received.pop(name)
-            self._guests.discard(name)
+            self._guests.forget([name])
             if received.report.retry_after_s:
                 self._last_reports[name] = received
         return [received.report for received in self._received.values()]
 
     def _contacts(self) -> list[str]:
         """Return the names of all peers to send to: the listed ones and the guests."""
-        return [*self._peers, *self._guests]
+        return [*self._peers, *self._guests.names]
 
     def peer_names(self) -> list[str]:
         """Return the names of the peers that the store lists.
@@ -378,7 +386,7 @@
             self._gateway.placement.update_peer_load(
                 lifetime, use.running, use.reading_s, use.rank, now_s
             )
-        routers = 1 + max(len(reports), len(self._peers))
+        routers = self._known_routers()
         if self._has_list:
             self._share_retries(routers)
         self._gateway.demand.router_count = routers
@@ -410,8 +418,8 @@
         if known is not None and order <= (known.report.incarnation, known.report.seq):
             return
         self._received[report.router] = _ReceivedReport(report, self._clock.seconds())
-        if report.router not in self._peers and report.router not in self._guests:
-            self._guests.add(report.router)
+        is_unlisted = report.router not in self._peers
+        if is_unlisted and self._guests.note_report(report.router, self._clock.seconds()):
             self._send_full_state([report.router])
         self._link_mbps[report.router] = report.link_mbps
         self._last_reports.pop(report.router, None)
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -530,6 +530,8 @@
     zone: str = ""
     link_mbps: float = 0.0
     """Bandwidth of the router's link in megabits per second; 0 if unknown."""
+    routers: int = 0
+    """Number of routers that the sender knows of if it is listed itself, else 0."""
 
 
 Message = (
