--- a/umberhitch/tasks/tests/test_timeouts.py
+++ b/umberhitch/tasks/tests/test_timeouts.py
@@ -4,11 +4,14 @@
 
 import pytest
 
+from umberhitch.core.outcome import Done
 from umberhitch.fakes import EnginePace
 from umberhitch.testing import AskOptions, World, WorldSettings, make_change
-from umberhitch.wire import AttemptAccepted, Chunk, Finished, Start
+from umberhitch.wire import AttemptAccepted, Chunk, Finished, Heartbeat, Hello, Start
 
 TIMEOUT_S = 6.0
+REPAIRED_S = 3.0
+"""A running attempt that is silent for 2 s is fetched; 12 words take 0.3 s."""
 
 
 def _world(pace: EnginePace | None = None, slots: int = 4) -> World:
@@ -86,6 +89,25 @@
     assert max(each.max_lateness_s for each in _timeouts(caplog)) > 2.0
 
 
+@pytest.mark.parametrize("kind", [Start, AttemptAccepted, Chunk, Finished, Hello, Heartbeat])
+@pytest.mark.parametrize("nth", [1, 2])
+def test_one_lost_message_costs_no_more_than_seconds(kind, nth, caplog):
+    """Guards against a request that waits for its deadline as one message is lost."""
+    world = _world()
+    seen = []
+
+    def is_lost(sender: str, receiver: str, message: object) -> bool:
+        if isinstance(message, kind):
+            seen.append(message)
+        return isinstance(message, kind) and len(seen) == nth
+
+    world.network.drop_where(is_lost)
+    record = world.ask("hello", options=AskOptions(klass="renewal", deadline_s=TIMEOUT_S))
+    world.advance(REPAIRED_S)
+    assert isinstance(record.outcome, Done)
+    assert not _timeouts(caplog)
+
+
 def test_attempts_that_end_in_time_are_not_logged(caplog):
     world = _world()
     _ask(world)
