A kept answer that is delivered is not judged, and the small model is tried last whenever it was given up

Found while reading the change. Two faults of the keeping of answers, neither seen by callers yet:

- The events of a delivered answer that came while it was kept are passed on at once, and made its endpoint look faster than it is; learned latencies would fall, and good versions count as slow.
The method to skip the verdict was there and not called.
Test: no latency is judged; it fails without the call (a first form of it, with an answer that was complete, did not, so the case was changed).
- Where the larger model's stream had a head at the end of the overlap and broke before its first event, the small model was not tried again.
Test with heads at 0.20 and 0.24 s.

The unlisted peers are named as such in DirectPeers ("guests" before).

Measured: test_kept_answers.py and test_ready_answers.py pass.

--- a/umberhitch/tasks/direct/attempt_plan.py
+++ b/umberhitch/tasks/direct/attempt_plan.py
@@ -48,7 +48,7 @@
         Parameters
         ----------
         small_model : str or None
-            Model whose answer was dropped; the last attempt is one of this model.
+            Model whose answer was given up; the last attempt is one of this model.
         """
         candidate = None
         if small_model is None or self.attempts_left > 1:
--- a/umberhitch/tasks/direct/escalation.py
+++ b/umberhitch/tasks/direct/escalation.py
@@ -26,7 +26,7 @@
     has_begun : bool
         Whether a larger model was called in place of an answer.
     dropped_model : str or None
-        The small model, if its answer was given up before the larger model's answer started.
+        The small model, once its answer was given up.
     """
 
     def __init__(
@@ -68,10 +68,7 @@
 
     def replace(self) -> None:
         """Give the answer up, since the larger model's answer has started."""
-        kept, self._kept = self._kept, None
-        if kept is not None:
-            fate = ReadyAnswerFate.BROKEN if kept.has_failed else ReadyAnswerFate.REPLACED
-            self._give_up(kept, fate)
+        self._discard(ReadyAnswerFate.REPLACED)
 
     def drop(self) -> bool:
         """Give the answer up if a retry is left to call the small model again."""
@@ -84,11 +81,13 @@
 
     def discard(self) -> None:
         """Give the answer up before the larger model's answer has started."""
+        self._discard(ReadyAnswerFate.DROPPED)
+
+    def _discard(self, fate: ReadyAnswerFate) -> None:
         kept, self._kept = self._kept, None
         if kept is not None:
             self.dropped_model = kept.call.model
-            fate = ReadyAnswerFate.BROKEN if kept.has_failed else ReadyAnswerFate.DROPPED
-            self._give_up(kept, fate)
+            self._give_up(kept, ReadyAnswerFate.BROKEN if kept.has_failed else fate)
 
     def _give_up(self, kept: KeptAnswer, fate: ReadyAnswerFate) -> None:
         kept.discard()
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -126,7 +126,7 @@
         self._last_reports: dict[str, _ReceivedReport] = {}
         """The last reports of peers that have drained."""
         self._peers: dict[str, str] = {}
-        self._guests = UnlistedPeers(self._limits.membership.ttl_s)
+        self._unlisted_peers = UnlistedPeers(self._limits.membership.ttl_s)
         self._link_mbps = {own_member.name: gateway.settings.link_mbps}
         self._seq = 0
         self._rounds = 0
@@ -174,7 +174,7 @@
             self._link.connect(name, address)
         joined = found.keys() - self._peers.keys()
         self._peers = found
-        self._guests.forget(found)
+        self._unlisted_peers.forget(found)
         self._gateway.gate.shares.set_routers(member.name for member in members)
         if joined:
             self._send_full_state(joined)
@@ -244,7 +244,7 @@
         for name in self._peers:
             if is_for_all or not self._is_remote(name):
                 self._link.send(name, report)
-        for name in self._guests.next_names(len(self._peers)):
+        for name in self._unlisted_peers.next_names(len(self._peers)):
             self._link.send(name, report)
         self._clock.callLater(self._report_interval_s(), self._report)
 
@@ -302,14 +302,14 @@
         """Return the newest reports of the peers that were not silent."""
         for name in [n for n, received in self._received.items() if self._is_silent(received)]:
             received = self._received.pop(name)
-            self._guests.forget([name])
+            self._unlisted_peers.forget([name])
             if received.report.retry_after_s:
                 self._last_reports[name] = received
         return [received.report for received in self._received.values()]
 
     def _contacts(self) -> list[str]:
-        """Return the names of all peers to send to: the listed ones and the guests."""
-        return [*self._peers, *self._guests.names]
+        """Return the names of all peers to send to: the listed ones and the unlisted ones."""
+        return [*self._peers, *self._unlisted_peers.names]
 
     def peer_names(self) -> list[str]:
         """Return the names of the peers that the store lists.
@@ -419,7 +419,7 @@
             return
         self._received[report.router] = _ReceivedReport(report, self._clock.seconds())
         is_unlisted = report.router not in self._peers
-        if is_unlisted and self._guests.note_report(report.router, self._clock.seconds()):
+        if is_unlisted and self._unlisted_peers.note_report(report.router, self._clock.seconds()):
             self._send_full_state([report.router])
         self._link_mbps[report.router] = report.link_mbps
         self._last_reports.pop(report.router, None)
--- a/umberhitch/tasks/direct/proxied_request.py
+++ b/umberhitch/tasks/direct/proxied_request.py
@@ -316,6 +316,7 @@
             return False
         self._call, self._plan.model = kept.call, kept.call.model
         self._svc.log_decision(self, "ready answer delivered", False, reason=reason)
+        kept.call.judge.skip()
         self._relay.start_call()
         assert kept.call.head is not None
         self._start_answer(kept.call.head)
--- a/umberhitch/tasks/direct/tests/test_kept_answers.py
+++ b/umberhitch/tasks/direct/tests/test_kept_answers.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from umberhitch.core.direct import RouteKind
+from umberhitch.core.direct import AnswerVerdict, RouteKind
 from umberhitch.fakes import FakeEndpoint, Reply
 from umberhitch.ports.direct import CallFailure
 from umberhitch.tasks.direct.active_call import ActiveCall
@@ -151,6 +151,31 @@
     assert scene.fates() == {"delivered": 1}
 
 
+def test_a_kept_answer_tells_nothing_of_its_endpoints_latency():
+    """Its events are passed on at once, and would count as those of a very fast endpoint."""
+    scene = Scene(LONG, Reply(status=503, is_signed=False, not_run=True, delay_s=0.1))
+    gateway = scene.router.gateway
+    judged = []
+
+    def judge(*args: object) -> AnswerVerdict:
+        judged.append(args)
+        return AnswerVerdict.GOOD
+
+    gateway.judge_latency = judge
+    assert _is_whole(scene.ask(), LONG.events)
+    assert scene.fates() == {"delivered": 1}
+    assert not judged
+
+
+@pytest.mark.parametrize("head_s", [0.2, 0.24])
+def test_the_small_model_is_called_again_if_the_larger_ones_stream_breaks_before_its_first_event(
+    head_s: float,
+):
+    scene = Scene(LONG, Reply(events=5, confidence=90, delay_s=head_s, gap_s=0.2, break_after=0))
+    assert _is_whole(scene.ask(), LONG.events)
+    assert scene.models() == [b"large", b"small", b"small"]
+
+
 def test_a_kept_answer_that_breaks_is_none():
     scene = Scene(
         Reply(events=40, confidence=1, break_after=2), Reply(status=503, not_run=True, delay_s=0.2)
