--- a/umberhitch/core/direct/_header_values.py
+++ b/umberhitch/core/direct/_header_values.py
@@ -105,7 +105,7 @@
 def parse_load(value: bytes | None) -> ReportedLoad | None:
     """Return the load in a list of running requests, waiting requests and slots, if valid."""
     numbers = parse_ints(value)
-    return ReportedLoad(*numbers) if len(numbers) == 3 else None
+    return ReportedLoad(*numbers[:3]) if len(numbers) == 3 else None
 
 
 def parse_prompt(value: bytes | None, tokens: int) -> tuple[PromptPart, ...]:
--- a/umberhitch/core/direct/_placement.py
+++ b/umberhitch/core/direct/_placement.py
@@ -266,8 +266,9 @@
         if observed.load is None:
             return running, 0.0
         weight = self._age_weight(now_s - observed.load_at_s)
-        running += weight * max(0, observed.load.running + observed.load.waiting - running)
-        return running, weight * max(0, observed.load.waiting)
+        waiting = observed.load.waiting or 0
+        running += weight * max(0, (observed.load.running or 0) + waiting - running)
+        return running, weight * waiting
 
     def _engine_candidate(self, endpoint: Endpoint, call: EngineCall, now_s: float) -> Candidate:
         lifetime, req = endpoint.lifetime, call.request
--- a/umberhitch/core/direct/_signals.py
+++ b/umberhitch/core/direct/_signals.py
@@ -19,11 +19,20 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
-    """Load of an endpoint as reported by itself."""
+    """Load of an endpoint as reported by itself; None for a figure that is not known.
 
-    running: int
-    waiting: int
-    slots: int
+    Attributes
+    ----------
+    running, waiting, slots : int or None
+    pace : float or None
+        Factor by which work takes longer than usual on the endpoint's host at the moment, 1.0 as
+        usual; None if not reported.
+    """
+
+    running: int | None
+    waiting: int | None
+    slots: int | None
+    pace: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberhitch/core/direct/_types.py
+++ b/umberhitch/core/direct/_types.py
@@ -109,10 +109,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Customer:
-    """The customer who is billed for a request; the document has the digests of the API keys."""
+    """The customer who is billed for a request; the document has the digests of the API keys.
+
+    Attributes
+    ----------
+    priority : int or None
+        Priority of the customer's requests; that of their routes if None.
+    share : float
+        Weight of the customer where customers compete for the same endpoints.
+    """
 
     name: str
     priority: int | None = None
+    share: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -21,6 +21,7 @@
     Members,
     PlatformWire,
     Statuses,
+    calls_for_admission_control,
     make_endpoint_feed,
     make_operator_feed,
     make_store_client,
@@ -124,6 +125,9 @@
     epochs = StoreEpoch()
     store = make_store_client(client, reactor, settings.store, epochs)
     bounds = settings.bounds
+    has_admission_control = settings.admission_control
+    if has_admission_control is None:
+        has_admission_control = calls_for_admission_control(settings.terms)
     trial_limits = CanaryLimits(
         exposure_share=bounds.exposure_share,
         exposure_slack=bounds.exposure_slack,
@@ -145,6 +149,7 @@
             drain_s=settings.drain_s,
             drain_notice_s=settings.drain_notice_s,
             good_share=settings.good_share,
+            has_admission_control=has_admission_control,
             budget=RetryBudgetLimits(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s),
             cold=ColdLimits(bounds.cold_overrun, bounds.cold_slack),
         ),
--- a/umberhitch/gateway_settings.py
+++ b/umberhitch/gateway_settings.py
@@ -83,6 +83,11 @@
     bounds: Bounds = Bounds()
     good_share: Annotated[float, Meta(gt=0, lt=1)] = 0.99
     """Share of a route's requests to be done within its objective; for the burn report."""
+    admission_control: bool | None = None
+    """Whether requests for which there is no room wait in order, or are rejected at once; if not
+    set, as the platform's terms call for it."""
+    terms: tuple[str, ...] = ()
+    """Terms of the platform that are in force for the deployment."""
 
 
 def parse_gateway_file(data: bytes) -> GatewayFile:
--- a/umberhitch/platform/__init__.py
+++ b/umberhitch/platform/__init__.py
@@ -7,6 +7,7 @@
 from umberhitch.platform._feed import KeyedFeed, LargeRecords, append_record, newest_records
 from umberhitch.platform._headers import PlatformWire, read_store_epoch
 from umberhitch.platform._store import ENDPOINT_TOPIC, OPERATOR_TOPIC, Members, Statuses
+from umberhitch.platform._terms import calls_for_admission_control
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import OperatorValue
 
@@ -15,6 +16,7 @@
     "PlatformWire",
     "Statuses",
     "append_record",
+    "calls_for_admission_control",
     "make_endpoint_feed",
     "make_operator_feed",
     "make_store_client",
--- a/umberhitch/tasks/direct/gateway_limits.py
+++ b/umberhitch/tasks/direct/gateway_limits.py
@@ -42,6 +42,9 @@
     good_share : float
         Target share of a route's requests that succeed within its latency objective; the burn
         report uses it.
+    has_admission_control : bool
+        Whether requests for which there is no room wait in the order of their urgency and their
+        customers' shares, or are rejected.
     """
 
     name: str
@@ -53,6 +56,7 @@
     drain_s: float = 8.0
     drain_notice_s: float = 2.6
     good_share: float = 0.99
+    has_admission_control: bool = False
     operator_polling: FeedTiming = field(
         default_factory=lambda: FeedTiming(wait_s=1.6, pause_s=0.05)
     )
--- a/umberhitch/testing/__init__.py
+++ b/umberhitch/testing/__init__.py
@@ -23,6 +23,7 @@
 )
 from umberhitch.testing._endpoint_words import sent_after_leaving, sent_while_resting
 from umberhitch.testing._limited import LIMIT_SPAN_S, limit_bound, most_from_told, most_within
+from umberhitch.testing._load import LoadRecord, LoadWorld, Stream, make_load_document
 from umberhitch.testing._oracle import check_world
 from umberhitch.testing._transports import FakeTransport, dial
 from umberhitch.testing._violation import Violation
@@ -39,8 +40,11 @@
     "DirectRouter",
     "DirectWorld",
     "FakeTransport",
+    "LoadRecord",
+    "LoadWorld",
     "LostRecords",
     "StoreCopy",
+    "Stream",
     "Violation",
     "World",
     "WorldSettings",
@@ -52,6 +56,7 @@
     "make_direct_document",
     "make_document",
     "make_endpoint_entry",
+    "make_load_document",
     "make_route",
     "make_start",
     "make_state_change",
