A kept answer is delivered within the objective, whatever the larger model's call does

Callers lost answers that were whole at their router: a small model's run ended after 0.6 s, the larger model's call reached an endpoint and never began there, and the deadline passed with the answer in hand. Cause: a complete answer waited for the larger model's first event, its failure, its idle timeout (twice the objective) or the deadline, whichever came first; an incomplete one was dropped after 0.25 s for a call that had not begun.

Now one timer a request ends the wait. It is set by value (core, _escalation_rules): at the latest so that the caller has the first event within min(objective, deadline), less a margin of 0.15 s. An incomplete answer gives way without a head of the larger model only where estimates hold, the call is expected to begin in time, and the small model can still be called again in time; that call is made when the larger one has no event by then. How much longer than expected larger models' calls take is learned by service and model and added to the wait in the choice; a larger model that is expected to begin after the latest delivery is not called. Where the chosen first model would begin too late a cheaper one is called. A larger plain answer beyond 1 MB that had started to pass through left the kept answer behind it, whose overlap timer then cancelled the call and delivered nothing: it is given up at that point. Second runs and prompt tokens read again are counted by service.

The second selection of an endpoint on escalation is gone: the candidate that was valued is called.

--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -135,6 +135,8 @@
             "routers": gateway.retry_budget.router_count or 1,
             "outcomes": gateway.counters.outcomes,
             "ready_answers": gateway.counters.ready_answers,
+            "second_runs": gateway.counters.second_runs.rows(),
+            "larger_model_waits": gateway.selector.larger_waits.rows(gateway.clock.seconds()),
             "refused": gateway.local_replies.refused,
             "held": sum(1 for _ in gateway.crash_guard.record.held(gateway.clock.seconds())),
             "zones_out": self._zones_out(),
@@ -181,6 +183,7 @@
             f"umberhitch_store_returns_total {gateway.view.epochs.returns}",
             f"umberhitch_unknown_header_names {len(gateway.gate.unknown_headers.counts)}",
         ]
+        lines += count.second_runs.metrics()
         kinds = Counter(each.kind for each in self._signals())
         lines += [
             f'umberhitch_endpoint_signals{{signal="{kind}"}} {kinds[kind]}' for kind in SignalKind
--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -11,13 +11,22 @@
 )
 from umberhitch.core.direct._answer_value import AnswerValue, AnswerValueLimits, make_answer_value
 from umberhitch.core.direct._canary import Canary, CanaryLimits
-from umberhitch.core.direct._cascade import Cascade, CascadeLimits
+from umberhitch.core.direct._cascade import Cascade, CascadeLimits, LargerChoice
 from umberhitch.core.direct._change import DocumentChange, apply_change, diff_documents
 from umberhitch.core.direct._closed import ClosedEndpoints, Draining, EndpointBackoff
 from umberhitch.core.direct._crash_record import Crash, CrashLimits, CrashRecord, Hold
 from umberhitch.core.direct._directory import Directory
 from umberhitch.core.direct._endpoint import Endpoint
 from umberhitch.core.direct._engine_time import EngineDemand, EnginePrice, EngineTimeLimits
+from umberhitch.core.direct._escalation_rules import (
+    LargerWait,
+    LargerWaits,
+    ModelValues,
+    WaitSample,
+    give_up_s,
+    is_worth_calling,
+    latest_delivery_s,
+)
 from umberhitch.core.direct._events import EventSplitter
 from umberhitch.core.direct._evidence import AnswerCounts, AnswerVerdict, EvidenceThreshold
 from umberhitch.core.direct._fleet_share import ColdLimits, FleetBound, FleetShare
@@ -132,8 +141,12 @@
     "InterTokenLatency",
     "KeepS",
     "KeptValue",
+    "LargerChoice",
+    "LargerWait",
+    "LargerWaits",
     "LimitChange",
     "LimitRules",
+    "ModelValues",
     "PlacedCall",
     "Placement",
     "PlacementLimits",
@@ -156,14 +169,18 @@
     "StoreEpoch",
     "TokenLatencies",
     "TokenLatencyLimits",
+    "WaitSample",
     "ZoneOut",
     "apply_change",
     "diff_documents",
     "epoch_of",
+    "give_up_s",
     "is_superseded",
+    "is_worth_calling",
     "keep_endpoint_s",
     "keep_operator_value_s",
     "key_digest",
+    "latest_delivery_s",
     "make_answer_value",
     "make_position",
     "offset_of",
--- a/umberhitch/core/direct/_cascade.py
+++ b/umberhitch/core/direct/_cascade.py
@@ -7,13 +7,14 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from math import exp
+from math import exp, inf
 
 from umberhitch.core.direct._answer_value import AnswerValue
+from umberhitch.core.direct._escalation_rules import LargerWait, ModelValues, is_worth_calling
 from umberhitch.core.direct._placement import Candidate
 from umberhitch.core.direct._types import CallerRequest, Route
 
-__all__ = ["Cascade", "CascadeLimits"]
+__all__ = ["Cascade", "CascadeLimits", "LargerChoice"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +37,24 @@
     price: float = 0.3
 
 
+@dataclass(frozen=True, slots=True)
+class LargerChoice:
+    """A larger model that is worth calling in place of an answer.
+
+    Attributes
+    ----------
+    model : str
+    candidate : Candidate
+        Endpoint for its first call.
+    values : ModelValues
+        Value of either model's answer.
+    """
+
+    model: str
+    candidate: Candidate
+    values: ModelValues
+
+
 class Cascade:
     """Chooses models; has no state.
 
@@ -65,8 +84,10 @@
         prices: Mapping[str, float],
         waited_s: float,
         candidate: Candidate,
-    ) -> str | None:
-        """Return the model to call instead, or None to keep the answer that has started.
+        learned_s: float = 0.0,
+        latest_s: float = inf,
+    ) -> LargerChoice | None:
+        """Return the larger model to call instead, or None to keep the answer that has started.
 
         Parameters
         ----------
@@ -83,21 +104,42 @@
             Seconds since the request arrived.
         candidate : Candidate
             Endpoint for the larger model, with the expected wait and its cost to other requests.
+        learned_s : float
+            What larger models' calls have taken longer than expected of late.
+        latest_s : float
+            Time until which the answer is kept; the larger model is not called to begin later.
         """
+        values = self._values(route, req, answer_value, model, confidence, prices, candidate)
+        if values is None:
+            return None
+        wait = LargerWait(waited_s, candidate.wait_s, learned_s)
+        if not is_worth_calling(values, wait, waited_s, latest_s):
+            return None
+        return LargerChoice(route.models[-1], candidate, values)
+
+    def _values(
+        self,
+        route: Route,
+        req: CallerRequest,
+        answer_value: AnswerValue,
+        model: str,
+        confidence: int | None,
+        prices: Mapping[str, float],
+        candidate: Candidate,
+    ) -> ModelValues | None:
+        """Return the value of either model's answer, or None where there is no choice."""
         largest = route.models[-1]
         if confidence is None or model == largest:
             return None
         limits = self.limits
         prompt, output = req.prompt_tokens / 1000, req.output_tokens / 1000
-        good = 1.0 / (1.0 + exp(-(confidence - limits.middle) / limits.width))
-        kept = good * answer_value.value * answer_value.value_fraction(waited_s)
-        # Keeping the answer costs the small model's remaining output, dropping it the large one's.
-        kept -= answer_value.priority_weight * prices.get(model, limits.price) * output
-        other = (
-            answer_value.value * answer_value.value_fraction(waited_s + candidate.wait_s)
-            - candidate.delay_cost
-        )
-        other -= (
-            answer_value.priority_weight * prices.get(largest, limits.price) * (prompt / 4 + output)
+        weight = answer_value.priority_weight
+        return ModelValues(
+            answer_value,
+            1.0 / (1.0 + exp(-(confidence - limits.middle) / limits.width)),
+            # Keeping the answer costs the small model's remaining output, dropping it the large
+            # one's.
+            weight * prices.get(model, limits.price) * output,
+            weight * prices.get(largest, limits.price) * (prompt / 4 + output),
+            candidate.delay_cost,
         )
-        return largest if other > kept else None
--- a/umberhitch/core/direct/tests/test_cascade.py
+++ b/umberhitch/core/direct/tests/test_cascade.py
@@ -35,9 +35,10 @@
     req = req or make_request()
     answer_value = make_answer_value(ROUTE, req, AnswerValueLimits())
     candidate = Candidate(ENDPOINT, wait_s, delay_cost)
-    return Cascade().next_model(
+    choice = Cascade().next_model(
         ROUTE, req, answer_value, "small", confidence, PRICES, 0.05, candidate
     )
+    return None if choice is None else choice.model
 
 
 def test_the_smallest_model_is_tried_first_where_attempts_remain_for_another():
--- a/umberhitch/tasks/direct/active_call.py
+++ b/umberhitch/tasks/direct/active_call.py
@@ -46,6 +46,7 @@
         self.handler = handler
         self.head: ReplyHead | None = None
         self.judge = AnswerJudge(services, admitted, endpoint, model)
+        self._sent_s = services.clock.seconds()
         self._svc = services
         self._admitted = admitted
         self._run: Run | None = services.crash_guard.start_run(admitted, endpoint, is_probe)
@@ -63,6 +64,11 @@
         """Whether the call still runs."""
         return self._running is not None
 
+    @property
+    def age_s(self) -> float:
+        """Seconds since the call was sent."""
+        return self._svc.clock.seconds() - self._sent_s
+
     @property
     def is_sent(self) -> bool:
         """Whether the call is under way to its endpoint, which may have started to run it."""
--- a/umberhitch/tasks/direct/endpoint_selector.py
+++ b/umberhitch/tasks/direct/endpoint_selector.py
@@ -10,9 +10,12 @@
     Endpoint,
     EngineCall,
     EngineDemand,
+    LargerChoice,
+    LargerWaits,
     Placement,
     RetryBudget,
     Service,
+    WaitSample,
     make_answer_value,
 )
 from umberhitch.ports.clock import Clock
@@ -72,6 +75,8 @@
         self._gate = gate
         self.failure_reason = NO_ENDPOINT
         """Why the last selection found no endpoint."""
+        self.larger_waits = LargerWaits()
+        """How much longer than expected larger models' calls take."""
         self._answer_value_limits = answer_value
         self._clock = clock
         self._rng = rng
@@ -86,29 +91,52 @@
 
     def larger_model(
         self, admitted: AdmittedRequest, model: str, confidence: int | None, waited_s: float
-    ) -> str | None:
+    ) -> LargerChoice | None:
         """Return the larger model to call instead, or None to keep the answer."""
         if not admitted.request.picks_model:
             return None
         if self._budget.remaining(admitted.service, self._clock.seconds()) < 1.0:
             return None
-        candidate = self.select_endpoint(admitted, admitted.route.models[-1], set())
+        largest = admitted.route.models[-1]
+        candidate = self.select_endpoint(admitted, largest, set())
         if candidate is None:
             return None
         service = self.service(admitted)
-        prices = service.prices if service is not None else {}
-        answer_value = self._answer_value(admitted)
         return self._cascade.next_model(
             admitted.route,
             admitted.request,
-            answer_value,
+            self._answer_value(admitted),
             model,
             confidence,
-            prices,
+            service.prices if service is not None else {},
             waited_s,
             candidate,
+            self.learned_wait_s(admitted, largest),
+            admitted.latest_delivery_s,
         )
 
+    def learned_wait_s(self, admitted: AdmittedRequest, model: str) -> float:
+        """Return what a model's calls have taken longer than expected of late."""
+        return self.larger_waits.excess_s(admitted.service, model, self._clock.seconds())
+
+    def record_larger_wait(
+        self,
+        admitted: AdmittedRequest,
+        model: str,
+        expected_s: float,
+        waited_s: float,
+        has_begun: bool,
+    ) -> None:
+        """Learn from a larger model's call that has begun, or was given up before it began."""
+        on_time_s = self._answer_value(admitted).on_time_s
+        sample = WaitSample(expected_s, waited_s, has_begun, on_time_s, admitted.timeout_s)
+        self.larger_waits.record(admitted.service, model, sample, self._clock.seconds())
+
+    def is_in_time(self, admitted: AdmittedRequest, model: str, candidate: Candidate) -> bool:
+        """Whether a call's first event is expected within the objective."""
+        begins_s = self._clock.seconds() + candidate.wait_s + self.learned_wait_s(admitted, model)
+        return begins_s - admitted.received_s < admitted.latest_delivery_s
+
     def _answer_value(self, admitted: AdmittedRequest) -> AnswerValue:
         return make_answer_value(admitted.route, admitted.request, self._answer_value_limits)
 
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -52,8 +52,14 @@
     ProxiedRequest,
 )
 from umberhitch.tasks.direct.retry_after import MIN_RETRY_AFTER_S
+from umberhitch.tasks.direct.second_runs import tokens_read_again
 from umberhitch.tasks.direct.send_gate import SendGate
-from umberhitch.tasks.direct.services import AdmittedRequest, ReadyAnswerFate, RequestState
+from umberhitch.tasks.direct.services import (
+    AdmittedRequest,
+    ReadyAnswerFate,
+    RequestState,
+    RunCause,
+)
 from umberhitch.tasks.direct.store_view import StoreView
 
 __all__ = ["Gateway"]
@@ -264,6 +270,10 @@
         now_s = self.clock.seconds()
         endpoint.note_call_sent(now_s)
         self.gate.record_sent(endpoint, service)
+        if req.prompt:
+            self.counters.second_runs.prompt_tokens[admitted.service] += tokens_read_again(
+                self.placement, self.directory, admitted.service, endpoint, model or "", req
+            )
         placed_call = self.placement.place(endpoint, req, model or "", route.models, service, now_s)
         customer = admitted.customer
         priority = route.priority
@@ -379,6 +389,10 @@
             retry_s = self.selector.retry_after_s(admitted)
         self.local_replies.send(reply, admitted.request.call_id, status, reason, retry_s)
 
+    def count_second_run(self, service: str, cause: RunCause) -> None:
+        """Count a call of a request that may have run before."""
+        self.counters.second_runs.calls[service, cause] += 1
+
     def count_ready_answer(self, fate: ReadyAnswerFate) -> None:
         """Count what became of a small model's answer for which a larger model was called."""
         counts = self.counters.ready_answers
--- a/umberhitch/tasks/direct/gateway_limits.py
+++ b/umberhitch/tasks/direct/gateway_limits.py
@@ -12,6 +12,7 @@
     RetryBudgetLimits,
 )
 from umberhitch.tasks.direct.feeds import FeedTiming
+from umberhitch.tasks.direct.second_runs import SecondRuns
 from umberhitch.tasks.direct.services import ProxyTimeouts
 
 __all__ = ["GatewayCounters", "GatewaySettings"]
@@ -85,3 +86,4 @@
     outcomes: dict[str, int] = field(default_factory=dict)
     ready_answers: dict[str, int] = field(default_factory=dict)
     """Small models' answers for which a larger model was called, by `ReadyAnswerFate`."""
+    second_runs: SecondRuns = field(default_factory=SecondRuns)
--- a/umberhitch/tasks/direct/proxied_request.py
+++ b/umberhitch/tasks/direct/proxied_request.py
@@ -12,6 +12,11 @@
 from umberhitch.ports.direct import CallerReply, CallFailure
 from umberhitch.tasks.direct.active_call import ActiveCall
 from umberhitch.tasks.direct.attempt_plan import AttemptPlan
+from umberhitch.tasks.direct.escalating_request import (
+    MIN_REMAINING_S,
+    NOT_IN_TIME,
+    EscalatingRequest,
+)
 from umberhitch.tasks.direct.escalation import Escalation
 from umberhitch.tasks.direct.idle_timer import IdleTimer
 from umberhitch.tasks.direct.relay import Relay
@@ -25,11 +30,9 @@
 """Outcome of a request that the endpoint rejected because of an error of the caller."""
 HELD = "endpoints ended under it"
 """Refusal reason of a request that is held."""
-MIN_REMAINING_S = 0.02
-"""No call is started with less time than this before the deadline."""
 
 
-class ProxiedRequest:
+class ProxiedRequest(EscalatingRequest):
     """A caller's request that is proxied to endpoints, with its retries and resumptions.
 
     Parameters
@@ -54,14 +57,14 @@
         self._svc = services
         self._caller_reply = reply
         self._clock = services.clock
-        req, route = admitted.request, admitted.route
-        self._deadline_s = admitted.received_s + min(req.patience_s, route.timeout_s)
+        self._deadline_s = admitted.received_s + admitted.timeout_s
         self._plan = AttemptPlan(services, admitted)
         self._may_have_run = False
-        self._call: ActiveCall | None = None
-        """The last call, which may have ended."""
-        self._escalation = Escalation(services, self, self._on_overlap_over)
-        self._relay = Relay(reply, req.last_event_id, self._pause, self._resume)
+        self._call = None
+        self._escalation = Escalation(
+            services, self, self._on_overlap_over, self._on_larger_overdue
+        )
+        self._relay = Relay(reply, admitted.request.last_event_id, self._pause, self._resume)
         self._is_paused = False
         self._is_finished = False
         self.first_event_s: float | None = None
@@ -104,15 +107,6 @@
         """Endpoint of the last call."""
         return None if self._call is None else self._call.endpoint
 
-    @property
-    def _head(self) -> ReplyHead | None:
-        """Head of the reply to the last call."""
-        return None if self._call is None else self._call.head
-
-    @property
-    def _is_calling(self) -> bool:
-        return self._call is not None and self._call.is_active
-
     def _send_next(self) -> None:
         """Send the request to the next endpoint, or give up."""
         if self._is_finished:
@@ -131,6 +125,9 @@
         if candidate is None:
             self._give_up(self._svc.selector.failure_reason)
             return
+        if not self._escalation.is_worth_calling(candidate):
+            self._give_up(NOT_IN_TIME)
+            return
         if self._plan.sends > 0 and not self._escalation.acquire_retry():
             self._give_up("retry budget")
             return
@@ -148,14 +145,17 @@
         )
         self._call = call
         self._relay.start_call()
+        self._count_second_run()
         self._plan.note_call(candidate.endpoint)
         call.send(self)
+        self._escalation.start_call(candidate, self.model)
         self._svc.log_decision(
             self,
             "call sent",
             False,
             version=candidate.endpoint.entry.version,
             expected_s=round(candidate.wait_s, 4),
+            **self._plan.facts(),
             delay_cost=round(candidate.delay_cost, 3),
             left_s=round(self.remaining_s, 3),
             after_event=None if self.last_event is None else self.last_event.decode("latin-1"),
@@ -169,6 +169,7 @@
     def _end_call(self, is_failure: bool | None) -> None:
         """Stop counting the current call as running."""
         self._idle_timer.stop()
+        self._escalation.end_call()
         if self._call is not None:
             self._call.release(is_failure)
 
@@ -191,6 +192,7 @@
         """Cancel the current call."""
         assert self._call is not None
         self._idle_timer.stop()
+        self._escalation.end_call()
         self._call.stop()
 
     def _on_deadline(self) -> None:
@@ -207,22 +209,6 @@
             self._cancel_call()
         self._finish(CALLER_LEFT)
 
-    def _on_overlap_over(self) -> None:
-        """Give up a kept answer that is still incomplete, or the call of the larger model.
-
-        The answer is given up only if the larger model's call has reached its endpoint, and if the
-        small model can be called again at another one.
-        """
-        assert self._call is not None
-        can_repeat = self._can_retry()
-        if can_repeat and self._head is not None:
-            self._escalation.replace()
-            return
-        if can_repeat and self._call.is_sent and self._escalation.drop():
-            return
-        self._cancel_call()
-        self._deliver_kept_answer("larger model's answer not safe to wait for")
-
     # Events of the call
 
     def on_head(self, head: ReplyHead) -> None:
@@ -276,53 +262,6 @@
             self._relay.start_stream(head)
         self._restart_gap_timer()
 
-    def _escalate(self, head: ReplyHead) -> bool:
-        """Keep an answer, and call a larger model if its answer is expected to be worth more."""
-        assert self._call is not None
-        if not self._may_escalate():
-            return False
-        assert self.model is not None
-        waited_s = self._clock.seconds() - self.admitted.received_s
-        selector = self._svc.selector
-        larger_model = selector.larger_model(self.admitted, self.model, head.confidence, waited_s)
-        if larger_model is None:
-            return False
-        candidate = selector.select_endpoint(self.admitted, larger_model, set())
-        if candidate is None or not self._svc.acquire_retry(self.admitted.service):
-            return False
-        self._svc.log_decision(
-            self, "answer kept", False, confidence=head.confidence, larger=larger_model
-        )
-        self._idle_timer.stop()
-        self._escalation.keep(self._call)
-        self._plan.change_model(larger_model)
-        self._start_call(candidate)
-        return True
-
-    def _may_escalate(self) -> bool:
-        return (
-            self.model is not None
-            and self._plan.attempts_left > 0
-            and not self._escalation.has_begun
-            and not self._is_held()
-        )
-
-    def _deliver_kept_answer(self, reason: str) -> bool:
-        """Pass on the kept answer, if there is one; return whether there was."""
-        if self._relay.has_started:
-            return False
-        kept = self._escalation.take(is_out_of_time=self.remaining_s < MIN_REMAINING_S)
-        if kept is None:
-            return False
-        self._call, self._plan.model = kept.call, kept.call.model
-        self._svc.log_decision(self, "ready answer delivered", False, reason=reason)
-        kept.call.judge.skip()
-        self._relay.start_call()
-        assert kept.call.head is not None
-        self._start_answer(kept.call.head)
-        kept.hand_over(self)
-        return True
-
     def _on_error(self, head: ReplyHead) -> None:
         """Handle an error status from the endpoint, which ran the request."""
         assert self._call is not None
@@ -354,6 +293,8 @@
         assert self._head is not None
         if not self._relay.has_events:
             self._relay.plain_data(self._head, data)
+            if self._relay.has_started:
+                self._escalation.replace()
             return
         self._restart_gap_timer()
         try:
@@ -388,8 +329,8 @@
                 self._call.judge.finish_stream()
             else:
                 self._call.judge.finish_reply()
-        self._end_call(is_failure)
         self._escalation.replace()
+        self._end_call(is_failure)
         self._relay.end(self._head)
         if self._head.is_success:
             self._finish("done")
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -10,10 +10,12 @@
     Candidate,
     Customer,
     Endpoint,
+    LargerChoice,
     PlacedCall,
     ReplyHead,
     Route,
     RouteKind,
+    latest_delivery_s,
 )
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import CallerReply, CallEvents, RunningCall
@@ -26,6 +28,7 @@
     "ReadyAnswerFate",
     "RequestState",
     "Run",
+    "RunCause",
     "Services",
     "service_version_of",
 ]
@@ -79,6 +82,17 @@
     """The request ended without any complete answer; counted beside the other fates."""
 
 
+class RunCause(StrEnum):
+    """Why a request that may have run before is sent again."""
+
+    ESCALATED = "escalated"
+    """A larger model is called in place of an answer."""
+    RETRIED = "retried"
+    """The earlier call failed, or its answer was given up."""
+    RESUMED = "resumed"
+    """The stream broke after a part of it was passed on."""
+
+
 @dataclass(slots=True)
 class AdmittedRequest:
     """A request that the configuration admits, with the settings that apply to it."""
@@ -93,6 +107,16 @@
     request_key: str = ""
     """Identifies the request when a caller retries it; see `core.direct.request_key`."""
 
+    @property
+    def timeout_s(self) -> float:
+        """Seconds from the request's arrival to the deadline of the final answer."""
+        return min(self.request.patience_s, self.route.timeout_s)
+
+    @property
+    def latest_delivery_s(self) -> float:
+        """Seconds from the request's arrival until an answer at hand must be passed on."""
+        return latest_delivery_s(self.route.objective_s, self.timeout_s)
+
 
 @dataclass(slots=True)
 class Run:
@@ -180,10 +204,29 @@
 
     def larger_model(
         self, admitted: AdmittedRequest, model: str, confidence: int | None, waited_s: float
-    ) -> str | None:
+    ) -> LargerChoice | None:
         """Return the larger model to call instead, or None to keep the answer."""
         ...
 
+    def learned_wait_s(self, admitted: AdmittedRequest, model: str) -> float:
+        """Return what a model's calls have taken longer than expected of late."""
+        ...
+
+    def record_larger_wait(
+        self,
+        admitted: AdmittedRequest,
+        model: str,
+        expected_s: float,
+        waited_s: float,
+        has_begun: bool,
+    ) -> None:
+        """Learn from a larger model's call that has begun, or was given up before it began."""
+        ...
+
+    def is_in_time(self, admitted: AdmittedRequest, model: str, candidate: Candidate) -> bool:
+        """Whether a call's first event is expected within the objective."""
+        ...
+
     def select_endpoint(
         self, admitted: AdmittedRequest, model: str | None, tried: set[str]
     ) -> Candidate | None:
@@ -316,6 +359,10 @@
         """Record the final outcome of a request."""
         ...
 
+    def count_second_run(self, service: str, cause: RunCause) -> None:
+        """Count a call of a request that may have run before."""
+        ...
+
     def count_ready_answer(self, fate: ReadyAnswerFate) -> None:
         """Count what became of a small model's answer for which a larger model was called."""
         ...
--- a/umberhitch/tasks/direct/tests/test_kept_answers.py
+++ b/umberhitch/tasks/direct/tests/test_kept_answers.py
@@ -50,7 +50,7 @@
             endpoint = self.world.add_endpoint(f"e{number}")
             endpoint.replies_by_model = {b"small": small, b"large": large}
             self.endpoints.append(endpoint)
-        settings = {"models": zones.MODELS, "objective_s": 0.5, **route}
+        settings = {"models": zones.MODELS, "objective_s": 2.0, **route}
         routes = (zones.make_route("draft", RouteKind.STREAM, **settings),)
         self.router: DirectRouter = self.world.ready_router(
             zones.make_direct_document(routes=routes)
@@ -84,13 +84,16 @@
     return req.status == 200 and req.reply.is_complete and req.reply.body == body
 
 
+@pytest.mark.parametrize("objective_s", [0.5, 2.0])
 @pytest.mark.parametrize("at_s", MOMENTS_S)
 @pytest.mark.parametrize("failure", FAILURES)
 @pytest.mark.parametrize("small", [SHORT, LONG], ids=["short", "long"])
-def test_the_answer_is_delivered_however_and_whenever_the_larger_model_fails(small, failure, at_s):
+def test_the_answer_is_delivered_however_and_whenever_the_larger_model_fails(
+    small, failure, at_s, objective_s
+):
     large = FAILURES[failure]
     large = Reply(**{**_fields(large), "delay_s": at_s})
-    scene = Scene(small, large)
+    scene = Scene(small, large, objective_s=objective_s)
     req = scene.ask()
     assert b"large" in scene.models()
     assert _is_whole(req, small.events)
@@ -120,6 +123,14 @@
     assert scene.fates() == {"replaced": 1}
 
 
+@pytest.mark.parametrize("small", [SHORT, LONG], ids=["short", "long"])
+def test_a_larger_model_that_is_slower_than_the_objective_is_not_waited_for(small: Reply):
+    scene = Scene(small, Reply(**{**_fields(GOOD), "delay_s": 0.9}), objective_s=0.5)
+    assert _is_whole(scene.ask(), small.events)
+    assert scene.fates() == {"delivered": 1}
+    assert not any(each.under_way for each in scene.endpoints)
+
+
 def test_a_reserved_retry_that_is_not_used_is_given_back():
     scene = Scene(LONG, Reply(**{**_fields(GOOD), "delay_s": 0.9}))
     before = _retries_left(scene)
@@ -266,7 +277,7 @@
         for name in ("refused", "silent", "not sent"):
             try:
                 test_the_answer_is_delivered_however_and_whenever_the_larger_model_fails(
-                    LONG, name, at_s
+                    LONG, name, at_s, 2.0
                 )
             except AssertionError:
                 broken.append((name, at_s))
