--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -7,6 +7,7 @@
 from msgspec import json
 from twisted.internet.defer import ensureDeferred
 
+from umberhitch.adapters.escalation_pages import escalation_metrics, escalation_status
 from umberhitch.core.direct import IntakeLimits, SignalKind
 from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest, do_nothing
 from umberhitch.tasks.burn import BurnReport
@@ -134,9 +135,7 @@
             "running": len(gateway.running_requests),
             "routers": gateway.retry_budget.router_count or 1,
             "outcomes": gateway.counters.outcomes,
-            "ready_answers": gateway.counters.ready_answers,
-            "second_runs": gateway.counters.second_runs.rows(),
-            "larger_model_waits": gateway.selector.larger_waits.rows(gateway.clock.seconds()),
+            **escalation_status(gateway),
             "refused": gateway.local_replies.refused,
             "held": sum(1 for _ in gateway.crash_guard.record.held(gateway.clock.seconds())),
             "zones_out": self._zones_out(),
@@ -183,7 +182,7 @@
             f"umberhitch_store_returns_total {gateway.view.epochs.returns}",
             f"umberhitch_unknown_header_names {len(gateway.gate.unknown_headers.counts)}",
         ]
-        lines += count.second_runs.metrics()
+        lines += escalation_metrics(gateway)
         kinds = Counter(each.kind for each in self._signals())
         lines += [
             f'umberhitch_endpoint_signals{{signal="{kind}"}} {kinds[kind]}' for kind in SignalKind
--- a/umberhitch/platform/tests/test_pages.py
+++ b/umberhitch/platform/tests/test_pages.py
@@ -5,9 +5,9 @@
 
 from umberhitch.adapters.gateway_pages import GatewayPages
 from umberhitch.adapters.h11_callers import CallerFactory
-from umberhitch.core.direct import HeadSignals, Rate, ReplyHead
+from umberhitch.core.direct import HeadSignals, Rate, ReplyHead, WaitSample
 from umberhitch.fakes import Reply
-from umberhitch.tasks.direct.services import ReadyAnswerFate
+from umberhitch.tasks.direct.services import ReadyAnswerFate, RunCause
 from umberhitch.testing import CrashingFleet, DirectWorld, FakeTransport
 
 
@@ -46,6 +46,23 @@
     assert b'"ready_answers":{"dropped":2,"lost":1}' in get(pages, "/status")
 
 
+def test_work_that_is_done_twice_and_learned_waits_are_shown():
+    world = DirectWorld()
+    gateway = world.ready_router().gateway
+    gateway.count_second_run("svc", RunCause.ESCALATED)
+    gateway.counters.second_runs.prompt_tokens["svc"] += 700
+    sample = WaitSample(0.1, 3.1, True, 1.0, 12.0)
+    gateway.selector.larger_waits.record("svc", "large", sample, world.clock.seconds())
+    pages = GatewayPages(gateway, dict)
+    metrics = get(pages, "/metrics")
+    assert b'umberhitch_second_runs_total{service="svc",cause="escalated"} 1\n' in metrics
+    assert b'umberhitch_prompt_tokens_read_again_total{service="svc"} 700\n' in metrics
+    assert b'larger_model_excess_seconds{service="svc",model="large"} 1.5\n' in metrics
+    status = json.decode(get(pages, "/status").partition(b"\r\n\r\n")[2])
+    assert status["second_runs"] == {"svc": {"escalated": 1, "prompt_tokens_read_again": 700}}
+    assert status["larger_model_waits"] == {"svc": {"large": {"excess_s": 1.5, "age_s": 0.0}}}
+
+
 def test_held_requests_are_shown_and_can_be_released():
     fleet = CrashingFleet(routers=1, reply=Reply(events=8))
     fleet.every(0.4, 2.0, lambda n: fleet.ask(n, "/draft/x"))
--- a/umberhitch/tasks/direct/tests/test_escalation_under_load.py
+++ b/umberhitch/tasks/direct/tests/test_escalation_under_load.py
@@ -5,6 +5,8 @@
 requests that were lost ended at the deadline, many of them like this.
 """
 
+from dataclasses import replace
+
 import pytest
 
 from umberhitch.core.direct import RouteKind
@@ -225,7 +227,7 @@
     before = dict(scene.router.gateway.counters.ready_answers)
     scene.ask(1)
     after = scene.router.gateway.counters.ready_answers
-    assert after["delivered"] == before.get("delivered", 0) + 1
+    assert after.get("delivered", 0) == before.get("delivered", 0) + 1
     assert after.get("dropped", 0) == before.get("dropped", 0)
 
 
@@ -242,8 +244,6 @@
     select = selector.select_endpoint
 
     def select_slow(admitted, wanted, tried):
-        from dataclasses import replace
-
         found = select(admitted, wanted, tried)
         return found if found is None or wanted != model else replace(found, wait_s=wait_s)
 
@@ -296,3 +296,34 @@
     scene.ask(1)
     assert counts.prompt_tokens["svc"] == 3000
     assert 'umberhitch_prompt_tokens_read_again_total{service="svc"} 3000' in counts.metrics()
+
+
+def _log_of(small: str, larger: str) -> dict[str, dict[str, object]]:
+    """Return the facts of each kind of line that a request writes."""
+    scene = TimedScene(SMALL[small], LARGER[larger], 2.0, 6.0)
+    lines: dict[str, dict[str, object]] = {}
+
+    def write(message: str, call_id: str, is_failure: bool, **facts: object) -> None:
+        lines[message] = facts
+
+    scene.router.gateway.decisions.write = write
+    scene.ask()
+    return lines
+
+
+def test_the_log_tells_why_a_kept_answer_was_delivered():
+    facts = _log_of("whole", "connected and silent")["ready answer delivered"]
+    assert facts["reason"] == "larger model's answer not in time"
+    assert facts["was_complete"] is True
+    assert facts["larger_learned_s"] == 0.0
+    assert facts["larger_expected_s"] < 0.1
+    assert 1.7 < facts["larger_waited_s"] < 1.9
+    assert 0.1 < facts["objective_left_s"] < 0.2
+
+
+def test_the_log_tells_why_a_kept_answer_was_dropped():
+    facts = _log_of("incomplete", "connected and silent")["answer dropped"]
+    assert facts["fate"] == "dropped"
+    assert facts["was_complete"] is False
+    assert 0.2 < facts["larger_waited_s"] < 0.3
+    assert 1.6 < facts["objective_left_s"] < 1.8
