Prompt tokens read again: bounded work in large fleets; quiet times shown unchanged

Each call of a prompt looked at all endpoints of its service. Now a call whose endpoint has all shared parts looks at none, and of more than 48 endpoints only the one that probably has the parts is looked at.

--- a/umberhitch/tasks/direct/second_runs.py
+++ b/umberhitch/tasks/direct/second_runs.py
@@ -8,6 +8,9 @@
 
 __all__ = ["SecondRuns", "tokens_read_again"]
 
+MAX_ENDPOINTS = 48
+"""Maximum number of endpoints that are all looked at, as in a selection."""
+
 
 @dataclass(slots=True)
 class SecondRuns:
@@ -54,16 +57,19 @@
     model: str,
     req: CallerRequest,
 ) -> int:
-    """Return the prompt tokens that an endpoint must read though another one has them cached."""
-    if len(req.prompt) < 2:
-        return 0
+    """Return the prompt tokens that an endpoint must read though another one has them cached.
+
+    Of many endpoints only the one that probably has the shared parts is looked at.
+    """
     own = placement.cached_tokens(endpoint.lifetime, model, req)
+    if len(req.prompt) < 2 or own == req.prompt_tokens - req.prompt[-1].tokens:
+        return 0
+    others = directory.listed(service)
+    if len(others) > MAX_ENDPOINTS:
+        affinity_endpoint = directory.affinity_endpoint(service, req.prompt[-2].part_id)
+        others = [] if affinity_endpoint is None else [affinity_endpoint]
     most = max(
-        (
-            placement.cached_tokens(each.lifetime, model, req)
-            for each in directory.listed(service)
-            if each is not endpoint
-        ),
+        (placement.cached_tokens(each.lifetime, model, req) for each in others),
         default=0,
     )
     return max(0, most - own)
--- a/umberhitch/tasks/direct/tests/test_escalation_under_load.py
+++ b/umberhitch/tasks/direct/tests/test_escalation_under_load.py
@@ -9,10 +9,11 @@
 
 import pytest
 
-from umberhitch.core.direct import RouteKind
+from umberhitch.core.direct import CallerRequest, PromptPart, RouteKind
 from umberhitch.fakes import FakeEndpoint, Reply
 from umberhitch.ports.direct import CallFailure
 from umberhitch.tasks.direct.kept_answer import MAX_OVERLAP_S
+from umberhitch.tasks.direct.second_runs import tokens_read_again
 from umberhitch.tasks.direct.tests import test_kept_answers as kept
 from umberhitch.tasks.direct.tests import test_zones as zones
 from umberhitch.testing import DirectAsk, DirectRouter, DirectWorld, make_direct_document
@@ -327,3 +328,24 @@
     assert facts["was_complete"] is False
     assert 0.2 < facts["larger_waited_s"] < 0.3
     assert 1.6 < facts["objective_left_s"] < 1.8
+
+
+def test_prompt_tokens_read_again_are_counted_among_many_endpoints():
+    """Only the endpoint that probably has the shared parts is looked at there."""
+    world = DirectWorld()
+    for number in range(60):
+        world.add_endpoint(f"e{number}")
+    gateway = world.ready_router(make_direct_document()).gateway
+    world.run(1.2)
+    world.ask(world.routers["r1"], "/draft/x", Prompt=zones.PROMPT)
+    world.run(1.0)
+    first = gateway.directory.affinity_endpoint("svc", "shared")
+    assert first is not None
+    other = next(each for each in gateway.directory.listed("svc") if each is not first)
+    parts = (PromptPart("shared", 3000), PromptPart("own", 10))
+    req = CallerRequest("a", b"POST", b"/", "h", "/", [], None, 9.0, prompt=parts)
+    args = (gateway.placement, gateway.directory, "svc")
+    placed = gateway.placement.cached_tokens(first.lifetime, "", req)
+    assert placed == 3000
+    assert tokens_read_again(*args, other, "", req) == placed
+    assert tokens_read_again(*args, first, "", req) == 0
--- a/umberhitch/tasks/direct/tests/test_kept_answers_under_load.py
+++ b/umberhitch/tasks/direct/tests/test_kept_answers_under_load.py
@@ -1,14 +1,16 @@
 """At more load than engines can take, answers that are whole at a router are on time."""
 
+import math
 from collections.abc import Callable
 from random import Random
 
 import pytest
 
-from umberhitch.core.direct import RouteKind, latest_delivery_s
+from umberhitch.core.direct import LargerWaits, RouteKind, latest_delivery_s
 from umberhitch.platform.standins import LoadedEndpoint
 from umberhitch.tasks.direct.kept_answer import KeptAnswer
 from umberhitch.tasks.direct.larger_call import LargerCall
+from umberhitch.tasks.direct.services import AdmittedRequest
 from umberhitch.testing import LoadRecord, LoadWorld, Stream, make_load_document, make_route
 
 ENGINES = 4
@@ -147,6 +149,21 @@
         assert router.gateway.selector.larger_waits.rows(0.0) == {}
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_in_quiet_times_calls_and_answers_are_the_same_without_the_rules(seed: int, monkeypatch):
+    played = []
+    for _ in range(2):
+        scene = EscalatingLoad(seed, 0.15, 5.0, 8.0)
+        records = scene.run()
+        began = [each.began for each in scene.engines]
+        played.append((began, [(each.call_id, each.answered_s) for each in records]))
+        monkeypatch.setattr(LargerCall, "wait_until", lambda self, until_s: None)
+        monkeypatch.setattr(LargerCall, "is_expected_by", lambda self, until_s: True)
+        monkeypatch.setattr(LargerWaits, "excess_s", lambda self, *key: 0.0)
+        monkeypatch.setattr(AdmittedRequest, "latest_delivery_s", math.inf)
+    assert played[0] == played[1]
+
+
 def test_without_the_timer_whole_answers_are_late(whole_s, monkeypatch):
     monkeypatch.setattr(LargerCall, "wait_until", lambda self, until_s: None)
     with pytest.raises(AssertionError):
