--- a/umberhitch/adapters/escalation_pages.py
+++ b/umberhitch/adapters/escalation_pages.py
@@ -22,5 +22,7 @@
     for service, by_model in waits.items():
         for model, row in by_model.items():
             labels = f'service="{service}",model="{model}"'
-            lines.append(f"umberhitch_larger_model_excess_seconds{{{labels}}} {row['excess_s']}")
+            lines.append(
+                f"umberhitch_larger_model_in_time_share{{{labels}}} {row['in_time_share']}"
+            )
     return lines
--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -19,6 +19,7 @@
 from umberhitch.core.direct._endpoint import Endpoint
 from umberhitch.core.direct._engine_time import EngineDemand, EnginePrice, EngineTimeLimits
 from umberhitch.core.direct._escalation_rules import (
+    MIN_IN_TIME_SHARE,
     LargerWait,
     LargerWaits,
     ModelValues,
@@ -95,6 +96,7 @@
 
 __all__ = [
     "KEPT_S",
+    "MIN_IN_TIME_SHARE",
     "NO_POSITION",
     "NO_PREFILL",
     "ActivePrefills",
--- a/umberhitch/core/direct/_cascade.py
+++ b/umberhitch/core/direct/_cascade.py
@@ -84,7 +84,7 @@
         prices: Mapping[str, float],
         waited_s: float,
         candidate: Candidate,
-        learned_s: float = 0.0,
+        in_time_share: float = 1.0,
         latest_s: float = inf,
     ) -> LargerChoice | None:
         """Return the larger model to call instead, or None to keep the answer that has started.
@@ -104,15 +104,15 @@
             Seconds since the request arrived.
         candidate : Candidate
             Endpoint for the larger model, with the expected wait and its cost to other requests.
-        learned_s : float
-            What larger models' calls have taken longer than expected of late.
+        in_time_share : float
+            Share of larger models' calls that began in time of late.
         latest_s : float
             Time until which the answer is kept; the larger model is not called to begin later.
         """
         values = self._values(route, req, answer_value, model, confidence, prices, candidate)
         if values is None:
             return None
-        wait = LargerWait(waited_s, candidate.wait_s, learned_s)
+        wait = LargerWait(waited_s, candidate.wait_s, in_time_share)
         if not is_worth_calling(values, wait, waited_s, latest_s):
             return None
         return LargerChoice(route.models[-1], candidate, values)
--- a/umberhitch/core/direct/_escalation_rules.py
+++ b/umberhitch/core/direct/_escalation_rules.py
@@ -28,10 +28,10 @@
 MARGIN_SHARE = 0.25
 """Upper bound of the margin as a share of the objective: more would leave a short objective too
 little time for the larger model."""
-RAISE_WEIGHT = 0.5
-LOWER_WEIGHT = 0.2
-"""Weights of the newest sample. A wait that is underestimated costs the caller's objective, one
-that is overestimated only the better answer."""
+SAMPLE_WEIGHT = 0.2
+"""Weight of the newest call in what is learned."""
+MIN_IN_TIME_SHARE = 0.5
+"""A larger model is not called, or waited for, that is more likely late than not."""
 MIN_WAIT_S = 0.001
 """Shorter waits are taken as this long."""
 BISECTIONS = 16
@@ -94,18 +94,18 @@
         Time at which the call was sent.
     expected_s : float
         Wait that was expected of its endpoint.
-    learned_s : float
-        What such calls have taken longer than expected of late.
+    in_time_share : float
+        Share of such calls that began in time of late.
     """
 
     sent_s: float
     expected_s: float
-    learned_s: float
+    in_time_share: float = 1.0
 
     @property
     def due_s(self) -> float:
         """Time at which the first event is expected when the call is sent."""
-        return self.sent_s + self.expected_s + self.learned_s
+        return self.sent_s + self.expected_s
 
     def arrival_s(self, now_s: float) -> float:
         """Return when the first event is expected, given that it has not come yet.
@@ -117,9 +117,17 @@
 
 
 def is_worth_calling(values: ModelValues, wait: LargerWait, now_s: float, latest_s: float) -> bool:
-    """Whether the larger model's answer is expected in time and to be worth more."""
+    """Whether the larger model's answer is expected in time and to be worth more.
+
+    Where the call does not begin in time, the answer at hand is passed on, and the call has cost
+    its price and delayed others for nothing.
+    """
     arrival_s = wait.arrival_s(now_s)
-    return arrival_s < latest_s and values.larger(arrival_s) > values.kept(now_s)
+    share = wait.in_time_share
+    if arrival_s >= latest_s or share < MIN_IN_TIME_SHARE:
+        return False
+    gain = values.larger(arrival_s) - values.kept(now_s)
+    return share * gain > (1.0 - share) * (values.larger_price + values.delay_cost)
 
 
 def is_worth_waiting(values: ModelValues, wait: LargerWait, now_s: float) -> bool:
@@ -154,63 +162,56 @@
 
     Attributes
     ----------
-    expected_s : float
-        Wait that was expected of its endpoint.
     waited_s : float
         Time to its first event, or for which it was waited for in vain.
     has_begun : bool
         Whether the first event came.
     on_time_s : float
-        Shorter waits are certainly on time, so that they tell of no load.
+        A call that ends earlier than this without an event shows nothing about waits.
+    limit_s : float
+        Wait up to which a call is in time.
     memory_s : float
         Time after which the sample has lost two thirds of its weight.
     """
 
-    expected_s: float
     waited_s: float
     has_begun: bool
     on_time_s: float
+    limit_s: float
     memory_s: float
 
     @property
-    def excess_s(self) -> float:
-        """How much longer than expected the wait is, if that matters.
-
-        A call that was given up would have taken longer: it is taken to need as long again.
-        """
-        if self.waited_s <= self.on_time_s:
-            return 0.0
-        whole_s = self.waited_s if self.has_begun else 2.0 * self.waited_s
-        return max(0.0, whole_s - self.expected_s)
+    def is_in_time(self) -> bool | None:
+        """Whether the call began in time; None if that is not known."""
+        if self.has_begun:
+            return self.waited_s <= max(self.limit_s, self.on_time_s)
+        return None if self.waited_s <= self.on_time_s else False
 
 
 @dataclass(slots=True)
 class _Learned:
-    excess_s: float
+    late_share: float
     at_s: float
     memory_s: float
 
-    def decayed_s(self, now_s: float) -> float:
-        return self.excess_s * exp(min(0.0, self.at_s - now_s) / self.memory_s)
+    def decayed(self, now_s: float) -> float:
+        return self.late_share * exp(min(0.0, self.at_s - now_s) / self.memory_s)
 
 
 class LargerWaits:
-    """How much longer than expected larger models' calls take, by service and model.
+    """What share of larger models' calls begins in time, by service and model.
 
-    The excess is a time and not a ratio: what is not known of an engine is its queue for slots,
-    which does not grow with the prompt of the call that waits in it.
+    Estimated waits lack an engine's queue for slots. A share needs no model of that queue, and it
+    is known as soon as a call is given up.
     """
 
     def __init__(self) -> None:
         self._learned: dict[tuple[str, str], _Learned] = {}
 
-    def excess_s(self, service: str, model: str, now_s: float) -> float:
-        """Return what is to be added to an expected wait; 0 while waits are as expected."""
+    def in_time_share(self, service: str, model: str, now_s: float) -> float:
+        """Return the share of calls that began in time of late; 1.0 while nothing is known."""
         learned = self._learned.get((service, model))
-        if learned is None:
-            return 0.0
-        excess_s = learned.decayed_s(now_s)
-        return 0.0 if excess_s < MARGIN_S else excess_s  # the margin covers less
+        return 1.0 if learned is None else 1.0 - learned.decayed(now_s)
 
     def age_s(self, service: str, model: str, now_s: float) -> float | None:
         """Return the age of what was learned, or None if nothing was."""
@@ -221,22 +222,19 @@
         """Learn from a call that has begun, or that was given up before it began."""
         key = (service, model)
         before = self._learned.get(key)
-        before_s = 0.0 if before is None else before.decayed_s(now_s)
-        excess_s = sample.excess_s
-        if excess_s > before_s:
-            now_excess_s = before_s + RAISE_WEIGHT * (excess_s - before_s)
-        elif sample.has_begun and before is not None:
-            now_excess_s = before_s + LOWER_WEIGHT * (excess_s - before_s)
-        else:
-            return  # a call that was given up early does not show that waits are shorter now
-        self._learned[key] = _Learned(now_excess_s, now_s, max(MARGIN_S, sample.memory_s))
+        is_in_time = sample.is_in_time
+        if is_in_time is None or (is_in_time and before is None):
+            return
+        late_share = 0.0 if before is None else before.decayed(now_s)
+        late_share += SAMPLE_WEIGHT * (float(not is_in_time) - late_share)
+        self._learned[key] = _Learned(late_share, now_s, max(MARGIN_S, sample.memory_s))
 
     def rows(self, now_s: float) -> dict[str, dict[str, dict[str, float]]]:
         """Return what is known, by service and model, for operators."""
         rows: dict[str, dict[str, dict[str, float]]] = {}
         for (service, model), learned in sorted(self._learned.items()):
             rows.setdefault(service, {})[model] = {
-                "excess_s": round(self.excess_s(service, model, now_s), 3),
+                "in_time_share": round(self.in_time_share(service, model, now_s), 3),
                 "age_s": round(now_s - learned.at_s, 3),
             }
         return rows
--- a/umberhitch/tasks/direct/endpoint_selector.py
+++ b/umberhitch/tasks/direct/endpoint_selector.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from umberhitch.core.direct import (
+    MIN_IN_TIME_SHARE,
     AnswerValue,
     AnswerValueLimits,
     Candidate,
@@ -111,30 +112,28 @@
             service.prices if service is not None else {},
             waited_s,
             candidate,
-            self.learned_wait_s(admitted, largest),
+            self.in_time_share(admitted, largest),
             admitted.latest_delivery_s,
         )
 
-    def learned_wait_s(self, admitted: AdmittedRequest, model: str) -> float:
-        """Return what a model's calls have taken longer than expected of late."""
-        return self.larger_waits.excess_s(admitted.service, model, self._clock.seconds())
+    def in_time_share(self, admitted: AdmittedRequest, model: str) -> float:
+        """Return the share of a larger model's calls that began in time of late."""
+        return self.larger_waits.in_time_share(admitted.service, model, self._clock.seconds())
 
     def record_larger_wait(
-        self,
-        admitted: AdmittedRequest,
-        model: str,
-        expected_s: float,
-        waited_s: float,
-        has_begun: bool,
+        self, admitted: AdmittedRequest, model: str, sent_s: float, waited_s: float, has_begun: bool
     ) -> None:
         """Learn from a larger model's call that has begun, or was given up before it began."""
         on_time_s = self._answer_value(admitted).on_time_s
-        sample = WaitSample(expected_s, waited_s, has_begun, on_time_s, admitted.timeout_s)
+        limit_s = admitted.latest_delivery_s - sent_s
+        sample = WaitSample(waited_s, has_begun, on_time_s, limit_s, admitted.timeout_s)
         self.larger_waits.record(admitted.service, model, sample, self._clock.seconds())
 
     def is_in_time(self, admitted: AdmittedRequest, model: str, candidate: Candidate) -> bool:
         """Whether a call's first event is expected within the objective."""
-        begins_s = self._clock.seconds() + candidate.wait_s + self.learned_wait_s(admitted, model)
+        if self.in_time_share(admitted, model) < MIN_IN_TIME_SHARE:
+            return False
+        begins_s = self._clock.seconds() + candidate.wait_s
         return begins_s - admitted.received_s < admitted.latest_delivery_s
 
     def _answer_value(self, admitted: AdmittedRequest) -> AnswerValue:
--- a/umberhitch/tasks/direct/larger_call.py
+++ b/umberhitch/tasks/direct/larger_call.py
@@ -58,8 +58,8 @@
         return self._svc.clock.seconds() - self._admitted.received_s
 
     def _make_wait(self, candidate: Candidate) -> LargerWait:
-        learned_s = self._svc.selector.learned_wait_s(self._admitted, self.model)
-        return LargerWait(self._now_s, candidate.wait_s, learned_s)
+        share = self._svc.selector.in_time_share(self._admitted, self.model)
+        return LargerWait(self._now_s, candidate.wait_s, share)
 
     def is_worth_it(self, candidate: Candidate) -> bool:
         """Whether a kept answer should wait for a call to a candidate."""
@@ -86,16 +86,11 @@
         self._timer.restart(max(0.0, until_s - self._now_s))
 
     def is_expected_by(self, until_s: float) -> bool:
-        """Whether the estimates hold and the call is expected to begin by a time.
-
-        Estimates that were wrong of late say nothing about when a call in a queue will begin.
-        """
+        """Whether the call is expected to begin by a time, and to be worth more."""
         wait, now_s = self._wait, self._now_s
-        if wait is None or wait.learned_s > 0.0:
+        if wait is None or wait.arrival_s(now_s) >= until_s:
             return False
-        return wait.arrival_s(now_s) < until_s and is_worth_calling(
-            self._values, wait, now_s, self.latest_s
-        )
+        return is_worth_calling(self._values, wait, now_s, self.latest_s)
 
     def is_later_than(self, wait_s: float) -> bool:
         """Whether the call is expected to begin later than another one that is sent now."""
@@ -108,7 +103,7 @@
         self._is_open = False
         waited_s = self._now_s - self._wait.sent_s
         self._svc.selector.record_larger_wait(
-            self._admitted, self.model, self._wait.expected_s, waited_s, has_begun
+            self._admitted, self.model, self._wait.sent_s, waited_s, has_begun
         )
 
     def stop(self) -> None:
@@ -121,6 +116,6 @@
         facts: dict[str, object] = {"objective_left_s": round(objective_s - self._now_s, 3)}
         if self._wait is not None:
             facts["larger_expected_s"] = round(self._wait.expected_s, 3)
-            facts["larger_learned_s"] = round(self._wait.learned_s, 3)
+            facts["larger_in_time_share"] = round(self._wait.in_time_share, 3)
             facts["larger_waited_s"] = round(self._now_s - self._wait.sent_s, 3)
         return facts
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -208,19 +208,24 @@
         """Return the larger model to call instead, or None to keep the answer."""
         ...
 
-    def learned_wait_s(self, admitted: AdmittedRequest, model: str) -> float:
-        """Return what a model's calls have taken longer than expected of late."""
+    def in_time_share(self, admitted: AdmittedRequest, model: str) -> float:
+        """Return the share of a larger model's calls that began in time of late."""
         ...
 
     def record_larger_wait(
-        self,
-        admitted: AdmittedRequest,
-        model: str,
-        expected_s: float,
-        waited_s: float,
-        has_begun: bool,
+        self, admitted: AdmittedRequest, model: str, sent_s: float, waited_s: float, has_begun: bool
     ) -> None:
-        """Learn from a larger model's call that has begun, or was given up before it began."""
+        """Learn from a larger model's call that has begun, or was given up before it began.
+
+        Parameters
+        ----------
+        admitted : AdmittedRequest
+        model : str
+        sent_s : float
+            Time at which the call was sent, in seconds since the request's arrival.
+        waited_s : float
+        has_begun : bool
+        """
         ...
 
     def is_in_time(self, admitted: AdmittedRequest, model: str, candidate: Candidate) -> bool:
