--- a/umberhitch/core/direct/_escalation_rules.py
+++ b/umberhitch/core/direct/_escalation_rules.py
@@ -6,7 +6,7 @@
 """
 
 from dataclasses import dataclass
-from math import exp
+from math import exp, inf
 
 from umberhitch.core.direct._answer_value import AnswerValue
 
@@ -32,6 +32,8 @@
 """Weight of the newest call in what is learned."""
 MIN_IN_TIME_SHARE = 0.5
 """A larger model is not called, or waited for, that is more likely late than not."""
+LEARNED_S = 60.0
+"""Time after which what was learned has lost two thirds of its weight."""
 MIN_WAIT_S = 0.001
 """Shorter waits are taken as this long."""
 BISECTIONS = 16
@@ -170,15 +172,12 @@
         A call that ends earlier than this without an event shows nothing about waits.
     limit_s : float
         Wait up to which a call is in time.
-    memory_s : float
-        Time after which the sample has lost two thirds of its weight.
     """
 
     waited_s: float
     has_begun: bool
     on_time_s: float
     limit_s: float
-    memory_s: float
 
     @property
     def is_in_time(self) -> bool | None:
@@ -192,17 +191,19 @@
 class _Learned:
     late_share: float
     at_s: float
-    memory_s: float
+    probed_s: float = -inf
+    """Time of the last call that was sent although most are late."""
 
     def decayed(self, now_s: float) -> float:
-        return self.late_share * exp(min(0.0, self.at_s - now_s) / self.memory_s)
+        return self.late_share * exp(min(0.0, self.at_s - now_s) / LEARNED_S)
 
 
 class LargerWaits:
     """What share of larger models' calls begins in time, by service and model.
 
     Estimated waits lack an engine's queue for slots. A share needs no model of that queue, and it
-    is known as soon as a call is given up.
+    is known as soon as a call is given up. While most calls are late, one at a time probes whether
+    they still are.
     """
 
     def __init__(self) -> None:
@@ -227,7 +228,22 @@
             return
         late_share = 0.0 if before is None else before.decayed(now_s)
         late_share += SAMPLE_WEIGHT * (float(not is_in_time) - late_share)
-        self._learned[key] = _Learned(late_share, now_s, max(MARGIN_S, sample.memory_s))
+        # A call that began in time makes room for the next probe.
+        probed_s = -inf if before is None or is_in_time else before.probed_s
+        self._learned[key] = _Learned(late_share, now_s, probed_s)
+
+    def may_probe(self, service: str, model: str, now_s: float, limit_s: float) -> bool:
+        """Whether to probe, as most calls are late and no probe was sent for ``limit_s``."""
+        learned = self._learned.get((service, model))
+        if learned is None or 1.0 - learned.decayed(now_s) >= MIN_IN_TIME_SHARE:
+            return False
+        return now_s >= learned.probed_s + limit_s
+
+    def note_sent(self, service: str, model: str, now_s: float) -> None:
+        """Record that a call was sent, which is a probe while most calls are late."""
+        learned = self._learned.get((service, model))
+        if learned is not None:
+            learned.probed_s = now_s
 
     def rows(self, now_s: float) -> dict[str, dict[str, dict[str, float]]]:
         """Return what is known, by service and model, for operators."""
--- a/umberhitch/tasks/direct/endpoint_selector.py
+++ b/umberhitch/tasks/direct/endpoint_selector.py
@@ -103,7 +103,7 @@
         if candidate is None:
             return None
         service = self.service(admitted)
-        return self._cascade.next_model(
+        choice = self._cascade.next_model(
             admitted.route,
             admitted.request,
             self._answer_value(admitted),
@@ -112,9 +112,20 @@
             service.prices if service is not None else {},
             waited_s,
             candidate,
-            self.in_time_share(admitted, largest),
+            self._share_with_probes(admitted, largest),
             admitted.latest_delivery_s,
         )
+        if choice is not None:
+            self.larger_waits.note_sent(admitted.service, largest, self._clock.seconds())
+        return choice
+
+    def _share_with_probes(self, admitted: AdmittedRequest, model: str) -> float:
+        """Return the share of a larger model's calls in time, 1.0 for a call that probes it."""
+        now_s = self._clock.seconds()
+        limit_s = admitted.latest_delivery_s
+        if self.larger_waits.may_probe(admitted.service, model, now_s, limit_s):
+            return 1.0
+        return self.in_time_share(admitted, model)
 
     def in_time_share(self, admitted: AdmittedRequest, model: str) -> float:
         """Return the share of a larger model's calls that began in time of late."""
@@ -126,7 +137,7 @@
         """Learn from a larger model's call that has begun, or was given up before it began."""
         on_time_s = self._answer_value(admitted).on_time_s
         limit_s = admitted.latest_delivery_s - sent_s
-        sample = WaitSample(waited_s, has_begun, on_time_s, limit_s, admitted.timeout_s)
+        sample = WaitSample(waited_s, has_begun, on_time_s, limit_s)
         self.larger_waits.record(admitted.service, model, sample, self._clock.seconds())
 
     def is_in_time(self, admitted: AdmittedRequest, model: str, candidate: Candidate) -> bool:
