A larger model's call whose endpoint failed teaches nothing of the others' queues

One that broke late, or answered 500 late, counted as a call that was waited for in vain and raised the learned wait of all larger calls of the service. Only calls that were cancelled or refused do now. Two of the three cases of the new test failed before.

--- a/umberhitch/tasks/direct/escalation.py
+++ b/umberhitch/tasks/direct/escalation.py
@@ -81,9 +81,16 @@
             return
         self._larger.start(candidate, self._call_again_s if self._kept is None else None)
 
-    def end_call(self) -> None:
-        """Learn from a call of the larger model that has ended without an event."""
-        if self._larger is not None:
+    def end_call(self, has_failed: bool) -> None:
+        """Learn from a call of the larger model that was cancelled or refused before its event.
+
+        One whose endpoint failed tells nothing about the queues of the others.
+        """
+        if self._larger is None:
+            return
+        if has_failed:
+            self._larger.ignore()
+        else:
             self._larger.end(has_begun=False)
 
     def is_worth_calling(self, candidate: Candidate) -> bool:
--- a/umberhitch/tasks/direct/larger_call.py
+++ b/umberhitch/tasks/direct/larger_call.py
@@ -111,6 +111,10 @@
             self._admitted, self.model, self._wait.expected_s, waited_s, has_begun
         )
 
+    def ignore(self) -> None:
+        """Learn nothing from the call."""
+        self._is_open = False
+
     def stop(self) -> None:
         """Wait no longer."""
         self._timer.stop()
--- a/umberhitch/tasks/direct/proxied_request.py
+++ b/umberhitch/tasks/direct/proxied_request.py
@@ -169,7 +169,7 @@
     def _end_call(self, is_failure: bool | None) -> None:
         """Stop counting the current call as running."""
         self._idle_timer.stop()
-        self._escalation.end_call()
+        self._escalation.end_call(has_failed=bool(is_failure))
         if self._call is not None:
             self._call.release(is_failure)
 
@@ -192,7 +192,7 @@
         """Cancel the current call."""
         assert self._call is not None
         self._idle_timer.stop()
-        self._escalation.end_call()
+        self._escalation.end_call(has_failed=False)
         self._call.stop()
 
     def _on_deadline(self) -> None:
--- a/umberhitch/tasks/direct/tests/test_escalation_under_load.py
+++ b/umberhitch/tasks/direct/tests/test_escalation_under_load.py
@@ -220,6 +220,17 @@
     assert scene.router.gateway.selector.larger_waits.rows(0.0) == {}
 
 
+@pytest.mark.parametrize(
+    ("larger", "is_learned"),
+    [("broken late", False), ("failed late", False), ("refused late", True)],
+)
+def test_an_endpoint_that_fails_tells_nothing_of_the_queues_of_others(larger, is_learned):
+    scene = TimedScene(SMALL["whole"], LARGER[larger], 2.0, 6.0)
+    scene.ask()
+    rows = scene.router.gateway.selector.larger_waits.rows(scene.world.clock.seconds())
+    assert bool(rows) is is_learned
+
+
 def test_an_incomplete_answer_goes_on_where_larger_models_are_known_to_be_late():
     """The larger model's call waits in a queue, and may not begin before the objective."""
     scene = Learning(delay_s=1.2, small=SMALL["incomplete"])
