Test of changing lists: the moments of reading no longer follow the hash seed

Cause: the fake fleet drew each router's moment of reading in the order of a set of names, which differs by process, so that each run tested other moments. With those of one process in 61 the run without the former lists had just the quota of one list, and the test that wants more than that failed ('assert 13 > 13').

Evidence: PYTHONHASHSEED=21 fails every time; the sums of the two runs without the former lists lie between 13 and 19 and between 82 and 93 over the hash seeds 0 to 60. The product sorts the names and ranks them by xxh3, so its quotas don't follow the hash seed: with the draws in sorted order all 61 hash seeds give 14 (bound 13) and 84 (bound 78).

Change: the names are drawn for in sorted order. As a run no longer tests other moments each time, the bound is now held against two seeds of moments instead of one. The assertions are as before.

--- a/umberhitch/core/direct/tests/test_changing_lists.py
+++ b/umberhitch/core/direct/tests/test_changing_lists.py
@@ -36,7 +36,7 @@
     def change(self, names: list[str], now_s: float) -> None:
         """Change the list in the store."""
         self._lists.append((now_s, names))
-        for name in {*names, *self.shares}:
+        for name in sorted({*names, *self.shares}):  # the order of a set differs by process
             self.shares.setdefault(name, FleetShare(name, self._overlap_s))
             self._reads_s[name] = now_s + self._rng.uniform(0.0, OVERLAP_S)
 
@@ -87,10 +87,12 @@
 
 
 CHANGES = (_redealt, _joining, _dying)
+READ_SEEDS = (7, 8)
+"""Seeds of the moments at which the routers read a list."""
 
 
-def _sums(change, bound: FleetBound, overlap_s: float) -> list[int]:
-    rng = Random(7)
+def _sums(change, bound: FleetBound, overlap_s: float, seed: int = READ_SEEDS[0]) -> list[int]:
+    rng = Random(seed)
     fleet = Fleet(rng, overlap_s)
     sums: list[int] = []
     for step in range(round(8 * CHANGE_EVERY_S / STEP_S)):
@@ -104,8 +106,9 @@
 
 @pytest.mark.parametrize("change", CHANGES, ids=lambda change: change.__name__.strip("_"))
 @pytest.mark.parametrize("bound", BOUNDS, ids=lambda bound: f"{bound.rate:g}")
-def test_routers_that_read_a_new_list_one_by_one_have_no_more_than_one_quota(change, bound):
-    assert max(_sums(change, bound, OVERLAP_S)) <= FleetShare("r").total_quota(bound)
+@pytest.mark.parametrize("seed", READ_SEEDS)
+def test_routers_that_read_a_new_list_one_by_one_have_no_more_than_one_quota(change, bound, seed):
+    assert max(_sums(change, bound, OVERLAP_S, seed)) <= FleetShare("r").total_quota(bound)
 
 
 @pytest.mark.parametrize("change", CHANGES, ids=lambda change: change.__name__.strip("_"))
