Stand-in platform and soak go by the steady clock, as the routers do

Cause: the stand-in platform's timers went by the time of day, as Twisted's do by default, while its endpoints' cold time and the soak's check went by the monotonic clock. Where the time of day jumps ahead, the timer that ends an endpoint's cold time is due at once: the stand-in makes the endpoint warm, tells the routers so in its entry, and they rightly send. The soak still takes it for cold.

Evidence: the soak counts calls that ran. A stand-in endpoint that is cold crashes at its ninth call within a second, before it counts it as run, and its cold time ends after the one that the soak computes.

Change: the stand-in's reactor is made steady, and the stand-in and the soak ask the same clock as the routers (CLOCK_BOOTTIME), so that a host's suspension doesn't part them either. The check is as strict as before.

--- a/umberhitch/platform/standins/__main__.py
+++ b/umberhitch/platform/standins/__main__.py
@@ -23,7 +23,6 @@
 import sys
 from dataclasses import asdict
 from random import Random
-from time import monotonic
 from typing import Any
 
 from absl import app as absl_app
@@ -33,6 +32,7 @@
 from twisted.internet import reactor as _reactor
 
 from umberhitch.adapters.http_server import listen_http, send_json
+from umberhitch.adapters.steady import make_steady, steady_s
 from umberhitch.platform._store import ENDPOINT_TOPIC, OPERATOR_TOPIC, STATUS_TOPIC
 from umberhitch.platform.standins._endpoint import EndpointStandin
 from umberhitch.platform.standins._store import StoreStandin
@@ -90,7 +90,7 @@
     def _set_cold(self, name: str, seconds: float = 0.0, rate: float = 0.0) -> None:
         endpoint, entry = self._endpoints[name], self._entries[name]
         entry.pop("cold", None)
-        endpoint.cold_until_s, endpoint.cold_rate = monotonic() + seconds, rate
+        endpoint.cold_until_s, endpoint.cold_rate = steady_s() + seconds, rate
         entry["coldRemainingMs"] = seconds * 1000
         self._register(name)
         if seconds:
@@ -188,6 +188,7 @@
 
 def main(argv: list[str]) -> None:
     """Serve until killed."""
+    make_steady(default_reactor)
     platform = Platform(default_reactor)
     addresses = {}
     for name, app in (("store", platform.store.app), ("control", platform.app)):
--- a/umberhitch/platform/standins/_endpoint.py
+++ b/umberhitch/platform/standins/_endpoint.py
@@ -2,12 +2,13 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from time import monotonic
 from typing import Any
 
 from klein import Klein
 from twisted.internet.defer import Deferred, maybeDeferred
 
+from umberhitch.adapters.steady import steady_s
+
 __all__ = ["EndpointFaults", "EndpointStandin"]
 
 EVENT_COUNT = 4
@@ -63,7 +64,7 @@
 
     call_id: str
     at_s: float
-    """Time on the monotonic clock."""
+    """Time on the steady clock."""
     is_leaving: bool = False
     """Whether the reply stated that the endpoint is draining."""
     rest_s: float = 0.0
@@ -80,7 +81,7 @@
     customer: str
     model: str
     at_s: float
-    """Time on the monotonic clock."""
+    """Time on the steady clock."""
 
 
 @dataclass
@@ -96,7 +97,7 @@
     """Listening port of the endpoint."""
     has_crashed: bool = False
     cold_until_s: float = 0.0
-    """Time on the monotonic clock."""
+    """Time on the steady clock."""
     cold_rate: float = 0.0
     _arrival_times_s: deque[float] = field(default_factory=deque)
     _transports: set[Any] = field(default_factory=set)
@@ -114,7 +115,7 @@
 
     def _is_cold_and_overloaded(self) -> bool:
         """Return whether the endpoint is cold and received too many requests in the last second."""
-        now_s = monotonic()
+        now_s = steady_s()
         self._arrival_times_s.append(now_s)
         while self._arrival_times_s[0] <= now_s - 1.0:
             self._arrival_times_s.popleft()
@@ -130,7 +131,7 @@
             return Deferred()
         head = request.requestHeaders
         call_id = head.getRawHeaders("Attempt-Id", [""])[0]
-        arrival = Arrival(call_id, monotonic())
+        arrival = Arrival(call_id, steady_s())
         self.arrivals.append(arrival)
         if self.faults.limit_rate is not None:
             request.setHeader("Server-Limit", f"{self.faults.limit_rate:g}")
@@ -150,7 +151,7 @@
             return b""
         model = head.getRawHeaders("Model", [""])[0]
         customer = head.getRawHeaders("Tenant", [""])[0]
-        self.runs.append(Run(call_id, customer, model, monotonic()))
+        self.runs.append(Run(call_id, customer, model, steady_s()))
         body = request.content.read().decode("latin-1")
         if self.faults.crashes_on and body == self.faults.crashes_on:
             self.crash()
--- a/umberhitch/soak/__main__.py
+++ b/umberhitch/soak/__main__.py
@@ -9,13 +9,13 @@
 from fcntl import LOCK_EX, LOCK_NB, flock
 from pathlib import Path
 from random import SystemRandom
-from time import monotonic
 from typing import TextIO
 
 from absl import app as absl_app
 from absl import flags
 from msgspec import json
 
+from umberhitch.adapters.steady import steady_s
 from umberhitch.soak._checks import Bounds
 from umberhitch.soak._mutations import MUTATIONS
 from umberhitch.soak._run import Verdict, play
@@ -61,13 +61,13 @@
 def _play_in(folder: Path, seed: int, cfg: SoakConfig) -> Verdict:
     schedule = json.encode([asdict(step) for step in make_schedule(seed, cfg)])
     (folder / "schedule.json").write_bytes(json.format(schedule))
-    began_s = monotonic()
+    began_s = steady_s()
     is_terminal = sys.stderr.isatty()
 
     def show(step: Step) -> None:
         if is_terminal:
             print(
-                f"\r{seed}: {monotonic() - began_s:5.1f} s {step.fault:<45}",
+                f"\r{seed}: {steady_s() - began_s:5.1f} s {step.fault:<45}",
                 end="",
                 file=sys.stderr,
             )
--- a/umberhitch/soak/_callers.py
+++ b/umberhitch/soak/_callers.py
@@ -3,8 +3,9 @@
 import threading
 from collections.abc import Callable
 from random import Random
-from time import monotonic, sleep
+from time import sleep
 
+from umberhitch.adapters.steady import steady_s
 from umberhitch.platform.standins.client import RouterProcess
 from umberhitch.soak._records import Record
 
@@ -70,14 +71,14 @@
     def _send(self, call_id: str, rng: Random, router: RouterProcess) -> Record:
         kind, key = rng.choice(KINDS), rng.choice(self._keys())
         model = "small" if kind == "draft" else None
-        sent_s = monotonic()
+        sent_s = steady_s()
         answer = router.send_request(f"/{kind}/x", call_id, key, model=model)
         return Record(
             call_id,
             kind,
             key,
             sent_s,
-            monotonic(),
+            steady_s(),
             answer.status,
             answer.body,
             answer.is_complete,
--- a/umberhitch/soak/_deployment.py
+++ b/umberhitch/soak/_deployment.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 from threading import Lock
-from time import monotonic
 
+from umberhitch.adapters.steady import steady_s
 from umberhitch.platform.standins.client import LocalPlatform, RouterProcess
 from umberhitch.soak._proxy import Proxy
 from umberhitch.soak._records import ColdStart, Departure, Grant, LimitNamed, Revocation, ZoneOutage
@@ -65,7 +65,7 @@
         name = f"e{self.started}"
         zone = self.zone_of[name] = ZONES[self.started % len(ZONES)]
         self.started += 1
-        at_s = monotonic()
+        at_s = steady_s()
         cold = {"seconds": cold_s, "rate": COLD_RATE} if cold_s else None
         self.platform.add_endpoint(name, zone=zone, cold=cold)
         self.endpoints.append(name)
--- a/umberhitch/soak/_faults.py
+++ b/umberhitch/soak/_faults.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import replace
-from time import monotonic, sleep
+from time import sleep
 
+from umberhitch.adapters.steady import steady_s
 from umberhitch.platform.standins.client import LocalPlatform
 from umberhitch.soak._deployment import Deployment, Router
 from umberhitch.soak._proxy import Way
@@ -95,7 +96,7 @@
         case Fault.REBORN:
             deployment.born += 1
             deployment.reborn.add(endpoint)
-            deployment.reborn_s.setdefault(endpoint, []).append(monotonic())
+            deployment.reborn_s.setdefault(endpoint, []).append(steady_s())
             _change_entry(platform, endpoint, {"born": deployment.born})
         case Fault.BROKEN_ENTRY:
             entry = BROKEN_ENTRIES[step.target % len(BROKEN_ENTRIES)]
@@ -134,7 +135,7 @@
 
 def _end_store_fault(deployment: Deployment) -> None:
     deployment.platform.set_store_down(False)
-    deployment.sound_s = monotonic()
+    deployment.sound_s = steady_s()
 
 
 def _return_store(deployment: Deployment, how: StoreReturn, seed: int) -> None:
@@ -146,7 +147,7 @@
     for _ in range(LOST_CHANGES):
         deployment.publish()
     deployment.platform.restore_store(how.age_s, how.away_s, how.written_s, seed)
-    complete_s = monotonic() + how.away_s + how.written_s
+    complete_s = steady_s() + how.away_s + how.written_s
     deployment.sound_s = max(deployment.sound_s, complete_s)
 
 
@@ -164,13 +165,13 @@
         return
     deployment.platform.evacuate_zone(zone)
     found = tuple(name for name, where in deployment.zone_of.items() if where == zone)
-    outages.append(ZoneOutage(zone, found, monotonic()))
+    outages.append(ZoneOutage(zone, found, steady_s()))
 
 
 def _take_back(deployment: Deployment, zone: str) -> None:
     outages = deployment.outages[zone]
     if outages[-1].until_s == float("inf"):
-        outages[-1] = replace(outages[-1], until_s=monotonic())
+        outages[-1] = replace(outages[-1], until_s=steady_s())
         deployment.platform.restore_zone(zone)
 
 
@@ -178,13 +179,13 @@
     """Let an endpoint name a rate, which may replace the one that it named."""
     _end_limit(deployment, endpoint)
     deployment.platform.set_rate_limit(endpoint, rate)
-    deployment.limits.setdefault(endpoint, []).append(LimitNamed(endpoint, rate, monotonic()))
+    deployment.limits.setdefault(endpoint, []).append(LimitNamed(endpoint, rate, steady_s()))
 
 
 def _end_limit(deployment: Deployment, endpoint: str) -> None:
     named = deployment.limits.get(endpoint, [])
     if named and named[-1].until_s == float("inf"):
-        named[-1] = replace(named[-1], until_s=monotonic())
+        named[-1] = replace(named[-1], until_s=steady_s())
         deployment.platform.set_rate_limit(endpoint, None)
 
 
@@ -197,7 +198,7 @@
 def _depart(deployment: Deployment, endpoint: str) -> None:
     _replace_endpoint(deployment, endpoint)
     deployment.platform.drain_endpoint(endpoint)
-    deployment.departed.append(Departure(endpoint, monotonic()))
+    deployment.departed.append(Departure(endpoint, steady_s()))
 
 
 def _revoke(deployment: Deployment) -> None:
@@ -207,5 +208,5 @@
         deployment.keys.append(granted)
     deployment.publish()
     with deployment.lock:
-        deployment.granted.append(Grant(granted, monotonic()))
-        deployment.revoked.append(Revocation(key, monotonic()))
+        deployment.granted.append(Grant(granted, steady_s()))
+        deployment.revoked.append(Revocation(key, steady_s()))
--- a/umberhitch/soak/_run.py
+++ b/umberhitch/soak/_run.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass, replace
 from functools import partial
 from pathlib import Path
-from time import monotonic, sleep
+from time import sleep
 
+from umberhitch.adapters.steady import steady_s
 from umberhitch.platform.standins.client import (
     COMPLETE_STREAM,
     LocalPlatform,
@@ -136,17 +137,17 @@
     on_step: Callable[[Step], None],
 ) -> list[Finding]:
     """Do each step at its time, end those that last, and check meanwhile."""
-    began_s = monotonic()
+    began_s = steady_s()
     due: list[tuple[float, Callable[[], None]]] = []
     checked_s = began_s
     for step in [*steps, None]:
         until_s = began_s + step.at_s if step else max((at for at, _ in due), default=0.0)
-        while monotonic() < until_s or (step is None and due):
-            for item in [each for each in due if each[0] <= monotonic()]:
+        while steady_s() < until_s or (step is None and due):
+            for item in [each for each in due if each[0] <= steady_s()]:
                 due.remove(item)
                 item[1]()
-            if monotonic() > checked_s + CHECK_S:
-                checked_s = monotonic()
+            if steady_s() > checked_s + CHECK_S:
+                checked_s = steady_s()
                 findings = _check(deployment, callers, bounds)
                 if findings:
                     return findings
@@ -155,7 +156,7 @@
             on_step(step)
             end = do_step(step, deployment)
             if end is not None:
-                due.append((monotonic() + step.for_s, end))
+                due.append((steady_s() + step.for_s, end))
     return []
 
 
@@ -228,7 +229,7 @@
         return False
     key = deployment.keys[0]
     answers = [
-        router.send_request(f"/{kind}/x", f"normal-{kind}-{monotonic()}", key, model=model)
+        router.send_request(f"/{kind}/x", f"normal-{kind}-{steady_s()}", key, model=model)
         for kind, model in (("look", None), ("order", None), ("draft", "small"))
     ]
     return all(answer.status == 200 for answer in answers)
