Deployment of the tests, demo and stand-ins go by the steady clock

Cause found: where the time of day jumps ahead by 10 s or more during the request, its deadline is over at once. The processes of a deployment go by the steady clock (adapters/steady.py), but the deployment in the tests' process, the demo and the stand-in programs still went by the time of day.

Change: these reactors are made steady before anything uses their time.

--- a/umberhitch/conftest.py
+++ b/umberhitch/conftest.py
@@ -9,6 +9,7 @@
 import pytest
 from twisted.internet import reactor as global_reactor
 
+from umberhitch.adapters.steady import make_steady
 from umberhitch.embedded import EmbeddedDeployment, EndpointSpec, start_deployment
 from umberhitch.testing import World, WorldSettings, make_change, make_document
 
@@ -33,6 +34,7 @@
 
 def _serve(reactor: Any, ready: Event, found: dict[str, Any]) -> None:
     """Run the one reactor of this process; treq sends bodies by the global one."""
+    make_steady(reactor)
     deployment = start_deployment(reactor)
     deployment.publish(make_document())
     node = deployment.add_router("r1", "a")
--- a/umberhitch/demo/__main__.py
+++ b/umberhitch/demo/__main__.py
@@ -15,6 +15,7 @@
 from twisted.python.failure import Failure
 
 from umberhitch.adapters.logs import configure_logs
+from umberhitch.adapters.steady import make_steady
 from umberhitch.config.documents import parse_document
 from umberhitch.demo._checks import Check, check_promises, fold_bills
 from umberhitch.demo._client import Answer, DemoCaller
@@ -237,6 +238,7 @@
 
 def main(argv: list[str]) -> int:
     """Run the demo and return its exit code."""
+    make_steady(default_reactor)
     configure_logs("ERROR", "demo")
     print("1. Deployment with agents beside the endpoints (roles router and agent)")
     holds = _run_with_agents()
--- a/umberhitch/standins/_serve.py
+++ b/umberhitch/standins/_serve.py
@@ -11,6 +11,7 @@
 from twisted.internet import reactor as _reactor
 
 from umberhitch.adapters.http_server import listen_http, send_json
+from umberhitch.adapters.steady import make_steady
 
 default_reactor: Any = _reactor
 
@@ -55,6 +56,7 @@
     port = flags.DEFINE_integer("port", 0, "port on loopback; 0 takes a free one")
 
     def main(argv: list[str]) -> None:
+        make_steady(default_reactor)
         standin = make(default_reactor)
         _, address = listen_http(
             default_reactor, standin.app, f"{LOOPBACK}:{port.value}", MAX_BODY_BYTES
