A router that stood still reads the registry before it sends what waited to cold services

Seen: in the directed test, six routers that stand still for 4 to 46 s and then go on, each with 20 requests that waited, send up to 120 calls within a second (26 allowed) to an endpoint that started again meanwhile and is cold.

Cause: when the process goes on, its directory is as old as the stall was long, and nothing asks for its age: the endpoint counts as the warm one from before. With strict revocation, requests wait for the configuration only, so that a registry that is read later has the same effect.

Change: a watch notices a stall of 2.5 s or more. Until the registry has been read, for 2 s at most, each endpoint of a service with a cold rate is presumed cold, and its requests wait 25 ms for that read as they do for the configuration (a request that waits is admitted again, so a canary's count of it may be one too high). Other services, and routers that don't stall, are as before.

Why it works: every call passes the gate, which keeps the quotas of cold endpoints. They sum up to no more than the bound, and a router whose registration expired in the stall has none.

Measured: of the 36 orders (store's delays, length, strict or not, requests before or after what was due) 25 exceeded the bound before, none does now. Warm endpoints still get all that waited: 120 of 120, as before, also where routers stall one at a time. While the registry is read late (100 ms), what exceeds the quotas is refused as not run.

--- a/umberhitch/tasks/direct/endpoint_selector.py
+++ b/umberhitch/tasks/direct/endpoint_selector.py
@@ -122,7 +122,15 @@
         service = self.service(admitted)
         if not self._gate.has_bounds(service):
             return endpoints
-        return self._gate.with_quota(service, endpoints, self._urgency(admitted))
+        return self._gate.with_quota(
+            service, endpoints, self._urgency(admitted), self._view.stalls.is_directory_unread()
+        )
+
+    def awaits_directory(self, admitted: AdmittedRequest) -> bool:
+        """Whether it is unknown which endpoints are cold, until the registry has been read."""
+        service = self.service(admitted)
+        has_cold = service is not None and service.cold_rate > 0.0
+        return has_cold and self._view.stalls.is_directory_unread()
 
     def _urgency(self, admitted: AdmittedRequest) -> Urgency:
         priority, customer = admitted.route.priority, admitted.customer
--- a/umberhitch/tasks/direct/intake.py
+++ b/umberhitch/tasks/direct/intake.py
@@ -75,10 +75,16 @@
             self.send_reply(reply, None, exc.status, str(exc), None)
             return do_nothing
         admitted = self._admit(req, raw.received_s)
-        if admitted is STALE_CONFIGURATION and not self.view.operator_feed.is_failing:
+        if self._awaits_store(admitted):
             return self._wait_for_proof(req, raw.received_s, reply)
         return self._start_or_refuse(req, admitted, reply)
 
+    def _awaits_store(self, admitted: AdmittedRequest | Refusal) -> bool:
+        """Whether an answer of the store, which should come at once, decides on a request."""
+        if isinstance(admitted, Refusal):
+            return admitted is STALE_CONFIGURATION and not self.view.operator_feed.is_failing
+        return self.selector.awaits_directory(admitted)
+
     def _admit(self, req: CallerRequest, received_s: float) -> AdmittedRequest | Refusal:
         return self.admission.admit(req, received_s, not self.presence.is_drain_noticed)
 
--- a/umberhitch/tasks/direct/send_gate.py
+++ b/umberhitch/tasks/direct/send_gate.py
@@ -148,9 +148,16 @@
         return len(self.limits) > 0 or (service is not None and service.cold_rate > 0.0)
 
     def with_quota(
-        self, service: Service | None, endpoints: list[Endpoint], urgency: Urgency
+        self,
+        service: Service | None,
+        endpoints: list[Endpoint],
+        urgency: Urgency,
+        presumes_cold: bool = False,
     ) -> list[Endpoint]:
-        """Return the endpoints whose limits allow one more call from this router."""
+        """Return the endpoints whose limits allow one more call from this router.
+
+        Where ``presumes_cold``, nobody knows whether an endpoint is cold, and each is taken for it.
+        """
         cold_rate = 0.0 if service is None else service.cold_rate
         now_s = self._clock.seconds()
         self.refresh_shares()
@@ -158,15 +165,15 @@
         allowed = [
             endpoint
             for endpoint in endpoints
-            if self._cold_ok(endpoint, cold_rate, now_s)
+            if self._cold_ok(endpoint, cold_rate, presumes_cold, now_s)
             and self._limit_ok(endpoint, reserved, now_s)
         ]
         if endpoints and not allowed and service is not None:
             self._record_refused(service.name, urgency, now_s)
         return allowed
 
-    def _cold_ok(self, endpoint: Endpoint, rate: float, now_s: float) -> bool:
-        if not rate or not endpoint.is_cold(now_s):
+    def _cold_ok(self, endpoint: Endpoint, rate: float, presumes_cold: bool, now_s: float) -> bool:
+        if not rate or not (presumes_cold or endpoint.is_cold(now_s)):
             return True
         if not self.shares.is_registered:
             return False
--- a/umberhitch/tasks/direct/store_view.py
+++ b/umberhitch/tasks/direct/store_view.py
@@ -19,6 +19,7 @@
 from umberhitch.ports.direct import FeedBatch, FeedPort, OperatorValue
 from umberhitch.tasks.direct.canary_controller import CanaryController
 from umberhitch.tasks.direct.feeds import Feed, FeedTiming
+from umberhitch.tasks.direct.stall_watch import StallWatch
 
 __all__ = ["StoreView"]
 
@@ -112,6 +113,7 @@
             self._apply_endpoint_snapshot,
             self._apply_endpoints,
         )
+        self.stalls = StallWatch(clock, self.registry_feed)
 
     def start(self) -> None:
         """Start to follow the store."""
@@ -142,6 +144,7 @@
     def _sweep(self) -> None:
         if self._is_stopped:
             return
+        self.stalls.check()
         ended = self.directory.sweep(self.clock.seconds())
         if ended:
             self._on_endpoints_changed([endpoint.entry.address for endpoint in ended])
