Reported load with a fourth figure, the pace of the host, is read and prices the work

Cause: parse_load took lists of three figures only, so that where endpoints report a fourth the routers knew nothing of their load. Choices of plain services by reported load are also made anew: own calls beside the expected calls of others, a call's work times the pace that is expected by the age of its report.

--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -7,6 +7,7 @@
 from msgspec import json
 from twisted.internet.defer import ensureDeferred
 
+from umberhitch.adapters.pace_page import pace_lines, pace_status
 from umberhitch.core.direct import IntakeLimits, SignalKind
 from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest, do_nothing
 from umberhitch.tasks.burn import BurnReport
@@ -139,6 +140,7 @@
             "held": sum(1 for _ in gateway.crash_guard.record.held(gateway.clock.seconds())),
             "zones_out": self._zones_out(),
             "endpoint_signals": [_signal_row(each) for each in self._signals()],
+            "pace": pace_status(gateway),
             "unknown_headers": gateway.gate.unknown_headers.counts,
             "unclear_headers": gateway.gate.unknown_headers.unclear,
         }
@@ -181,6 +183,7 @@
             f"umberhitch_store_returns_total {gateway.view.epochs.returns}",
             f"umberhitch_unknown_header_names {len(gateway.gate.unknown_headers.counts)}",
         ]
+        lines += pace_lines(gateway)
         kinds = Counter(each.kind for each in self._signals())
         lines += [
             f'umberhitch_endpoint_signals{{signal="{kind}"}} {kinds[kind]}' for kind in SignalKind
--- a/umberhitch/core/direct/_header_values.py
+++ b/umberhitch/core/direct/_header_values.py
@@ -25,6 +25,12 @@
     rb"|[A-Z][a-z]{2} [A-Z][a-z]{2} [ \d]\d \d{2}:\d{2}:\d{2} \d{4})"
 )
 """The three date formats of RFC 9110, section 5.6.7."""
+LOAD_FIGURES = 4
+MAX_FIGURE_DIGITS = 12
+MAX_COUNT = 1_000_000
+"""More requests or slots than any endpoint has."""
+MAX_PACE_PERCENT = 10_000
+"""A host on which work takes longer than that does none."""
 MAX_BACKOFF_S = 86_400.0
 """One day: endpoints are replaced more often than that."""
 
@@ -102,10 +108,33 @@
     return [int(part) for part in parts if part.isdigit()]
 
 
-def parse_load(value: bytes | None) -> ReportedLoad | None:
-    """Return the load in a list of running requests, waiting requests and slots, if valid."""
-    numbers = parse_ints(value)
-    return ReportedLoad(*numbers[:3]) if len(numbers) == 3 else None
+def parse_load(value: bytes | None) -> tuple[ReportedLoad | None, bool]:
+    """Return the load in a list of figures, and whether the list is malformed.
+
+    The figures are running requests, waiting requests, slots and, if reported, the time that work
+    takes in percent of the usual one. A malformed figure is not known; the others are used.
+    Figures after the fourth are ignored.
+    """
+    if value is None:
+        return None, False
+    words = [word.strip(b" \t") for word in value.split(b",", LOAD_FIGURES)]
+    counts = [_figure(word, MAX_COUNT) for word in words[:3]]
+    if len(counts) < 3 or counts == [None] * 3:
+        return None, True
+    percent = _figure(words[3], MAX_PACE_PERCENT) if len(words) > 3 else None
+    pace = percent / 100 if percent else None
+    is_malformed = None in counts or len(words) > LOAD_FIGURES
+    is_malformed = is_malformed or (len(words) > 3 and pace is None)
+    running, waiting, slots = counts
+    return ReportedLoad(running, waiting, slots, pace), is_malformed
+
+
+def _figure(word: bytes, maximum: int) -> int | None:
+    """Return a whole number from 0 to a maximum, None if the word isn't one."""
+    if not word.isdigit() or len(word) > MAX_FIGURE_DIGITS:
+        return None
+    figure = int(word)
+    return figure if figure <= maximum else None
 
 
 def parse_prompt(value: bytes | None, tokens: int) -> tuple[PromptPart, ...]:
--- a/umberhitch/core/direct/_placement.py
+++ b/umberhitch/core/direct/_placement.py
@@ -6,76 +6,28 @@
 router's own count and does not replace it.
 """
 
-from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from umberhitch.core.direct._answer_value import AnswerValue
 from umberhitch.core.direct._endpoint import Endpoint
 from umberhitch.core.direct._engine_time import EnginePrice
+from umberhitch.core.direct._host_load import (
+    ServiceLoad,
+    crowding,
+    expected_turns,
+    with_known_figures,
+)
+from umberhitch.core.direct._observed import Observed, age_weight
+from umberhitch.core.direct._placement_limits import PlacementLimits
 from umberhitch.core.direct._prefill_speed import PrefillSpeed
-from umberhitch.core.direct._prefills import LONG_PREFILL_S, NO_PREFILL, ActivePrefills
+from umberhitch.core.direct._prefills import LONG_PREFILL_S, NO_PREFILL
 from umberhitch.core.direct._signals import ReportedLoad
-from umberhitch.core.direct._types import CallerRequest, PromptPart, Service
+from umberhitch.core.direct._types import CallerRequest, Service
 
 __all__ = ["Candidate", "EngineCall", "PlacedCall", "Placement", "PlacementLimits"]
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementLimits:
-    """Weights of the estimate; times in seconds.
-
-    Attributes
-    ----------
-    initial_token_s : float
-        Prefill time per token of the smallest model until replies have shown the true one.
-    rank_slowdown : float
-        Factor by which each next larger model is assumed to be slower until then.
-    running_call_s : float
-        Wait that one running call on an engine adds for another.
-    plain_call_s : float
-        Wait that one running call on a plain service adds for another.
-    queued_call_s : float
-        Wait that one call in an engine's queue for a slot adds for another.
-    cross_zone_s : float
-        Penalty of a plain call to another availability zone, since traffic between zones is billed.
-    cross_zone_byte_cost : float
-        The same for a call to an engine, in units of value per byte of its body. For a small model
-        a local prefill of a long prompt costs less than sending it to the zone whose engine has it
-        cached; for a large model sending it pays. The weight halves the bytes between zones (0.046
-        to 0.026 of the total value) and reduces the value served by 0.003.
-    queue_risk : float
-        Cost of a second in an engine's queue where the answer is on time all the same, as a share
-        of the cost where it is not. Estimates err, so that a queue is a risk.
-    failure_penalty_s : float
-        Penalty of an endpoint whose every call fails, or that refuses every call.
-    refusal_penalty : float
-        Share of an answer's value that an engine's refusal costs, since it uses up an attempt.
-    load_decay_s : float
-        Time in which a reported load, or a refusal, loses two thirds of its weight.
-    cache_share : float
-        Share of an engine's memory that is assumed to hold cached prompt parts.
-    affinity_share : float
-        Probability that the affinity endpoint of a shared prompt part holds the part, where this
-        router does not know. Routers know only their own placements; the affinity endpoint is the
-        same for all of them.
-    """
-
-    initial_token_s: float = 0.000005
-    rank_slowdown: float = 3.0
-    running_call_s: float = 0.0006
-    plain_call_s: float = 0.02
-    queued_call_s: float = 0.05
-    cross_zone_s: float = 0.004
-    cross_zone_byte_cost: float = 0.00003
-    queue_risk: float = 0.05
-    failure_penalty_s: float = 0.5
-    refusal_penalty: float = 0.1
-    load_decay_s: float = 1.0
-    cache_share: float = 0.5
-    affinity_share: float = 0.8
-
-
 SLOWNESS_WEIGHT = 0.1
 FAILURE_WEIGHT = 0.2
 REFUSAL_WEIGHT = 0.5
@@ -98,11 +50,16 @@
         Expected seconds until the reply starts.
     delay_cost : float
         Value that other requests lose by the time that the call takes there; 0 for plain services.
+    pace, pace_age_s : float or None
+        Pace that is expected of the endpoint, and the age of its last report in seconds; None if it
+        has reported none.
     """
 
     endpoint: Endpoint
     wait_s: float
     delay_cost: float = 0.0
+    pace: float | None = None
+    pace_age_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,25 +107,10 @@
     model_rank: int = 0
     """Rank of the model on its route; the smallest has rank 0."""
     is_prefilling: bool = True
-
-
-@dataclass(slots=True)
-class _Observed:
-    """What this router has observed of one endpoint."""
-
-    running: int = 0
-    prefill_s: float = 0.0
-    slowness: float = 1.0
-    failing: float = 0.0
-    refusing: float = 0.0
-    refused_s: float = 0.0
-    load: ReportedLoad | None = None
-    load_at_s: float = 0.0
-    peers_running: int = 0
-    peers_prefill_s: float = 0.0
-    prefills: ActivePrefills = field(default_factory=ActivePrefills)
-    cached: OrderedDict[tuple[str, str], int] = field(default_factory=OrderedDict)
-    cached_tokens: int = 0
+    turns: float = 0.0
+    """Expected multiple of a plain call's own time, by the queue; 0 for engines."""
+    pace: float = 1.0
+    """Reported pace of the endpoint, as expected when the call was placed."""
 
 
 class Placement:
@@ -184,8 +126,9 @@
     def __init__(self, zone: str, limits: PlacementLimits | None = None) -> None:
         self._zone = zone
         self.limits = limits or PlacementLimits()
-        self._observed: dict[str, _Observed] = {}
+        self._observed: dict[str, Observed] = {}
         self._prefill_speed = PrefillSpeed()
+        self._services: dict[str, ServiceLoad] = {}
 
     def retain(self, known: Iterable[str]) -> None:
         """Discard the state of all lifetimes of endpoints except the known ones."""
@@ -211,6 +154,10 @@
         ValueError
             If there is no endpoint.
         """
+        service = self._services.get(endpoints[0].entry.service) if endpoints else None
+        if service is not None and service.reports_load:
+            chosen = min(endpoints, key=lambda each: self._crowding_s(each, service, now_s))
+            return self._reported_candidate(chosen, service, now_s)
         return min(
             (Candidate(endpoint, self._plain_wait_s(endpoint, now_s)) for endpoint in endpoints),
             key=lambda candidate: candidate.wait_s + self._penalty_s(candidate.endpoint, now_s),
@@ -250,26 +197,36 @@
             + limits.queue_risk * answer_value.loss_per_s * risk_s
         )
 
+    def _crowding_s(self, endpoint: Endpoint, service: ServiceLoad, now_s: float) -> float:
+        """Return the cost, in seconds, of a call to an endpoint of a service that reports loads."""
+        penalty_s = self._penalty_s(endpoint, now_s)
+        observed = self._observed.get(endpoint.lifetime)
+        if observed is None:
+            return penalty_s + service.work_s * crowding(0.0, 1)
+        slots = max(1, endpoint.entry.slots)
+        calls = observed.reported_calls(now_s)
+        return penalty_s + observed.host.call_s(now_s) * crowding(calls, slots)
+
+    def _reported_candidate(
+        self, endpoint: Endpoint, service: ServiceLoad, now_s: float
+    ) -> Candidate:
+        observed = self._observed.get(endpoint.lifetime)
+        if observed is None:
+            return Candidate(endpoint, service.work_s)
+        turns = expected_turns(observed.reported_calls(now_s), max(1, endpoint.entry.slots))
+        wait_s = turns * observed.host.call_s(now_s)
+        return Candidate(endpoint, wait_s, 0.0, *observed.host.pace_and_age(now_s))
+
     def _plain_wait_s(self, endpoint: Endpoint, now_s: float) -> float:
         """Return the expected wait at a plain service in seconds."""
         observed = self._observed.get(endpoint.lifetime)
         if observed is None:
             return 0.0
-        running, _ = self._load(observed, now_s)
+        running, _ = observed.calls(now_s, self.limits.load_decay_s)
         slots = max(1, endpoint.entry.slots)
         call_s = self.limits.plain_call_s
         return observed.slowness * (call_s * running / slots + call_s * max(0.0, running - slots))
 
-    def _load(self, observed: _Observed, now_s: float) -> tuple[float, float]:
-        """Return the calls on an endpoint, and how many of them wait for a slot."""
-        running = float(observed.running + observed.peers_running)
-        if observed.load is None:
-            return running, 0.0
-        weight = self._age_weight(now_s - observed.load_at_s)
-        waiting = observed.load.waiting or 0
-        running += weight * max(0, (observed.load.running or 0) + waiting - running)
-        return running, weight * waiting
-
     def _engine_candidate(self, endpoint: Endpoint, call: EngineCall, now_s: float) -> Candidate:
         lifetime, req = endpoint.lifetime, call.request
         uncached = float(req.prompt_tokens - self.cached_tokens(lifetime, call.model, req))
@@ -279,14 +236,17 @@
         observed = self._observed.get(lifetime)
         if observed is None:
             return Candidate(endpoint, prefill_s, call.price.cost(prefill_s, 0.0))
-        running, waiting = self._load(observed, now_s)
+        pace = observed.host.reported_pace(now_s)
+        running, waiting = observed.calls(now_s, self.limits.load_decay_s)
         over = max(0.0, running - endpoint.entry.slots) if endpoint.entry.slots else 0.0
         backlog_s = observed.slowness * self._expected_s(observed, 0.0, running)
         backlog_s += self.limits.queued_call_s * (over + waiting)
-        prefill_s *= observed.slowness
-        return Candidate(endpoint, backlog_s + prefill_s, call.price.cost(prefill_s, backlog_s))
+        backlog_s *= pace
+        prefill_s *= observed.slowness * pace
+        cost = call.price.cost(prefill_s, backlog_s)
+        return Candidate(endpoint, backlog_s + prefill_s, cost, *observed.host.pace_and_age(now_s))
 
-    def _expected_s(self, observed: _Observed, own_s: float, running: float) -> float:
+    def _expected_s(self, observed: Observed, own_s: float, running: float) -> float:
         """Return the expected wait on an endpoint of usual speed in seconds."""
         return (
             own_s
@@ -305,15 +265,12 @@
         observed = self._observed.get(endpoint.lifetime)
         if observed is None or not observed.refusing:
             return 0.0
-        return observed.refusing * self._age_weight(now_s - observed.refused_s)
+        return observed.refusing * age_weight(now_s - observed.refused_s, self.limits.load_decay_s)
 
     def _failing_s(self, endpoint: Endpoint) -> float:
         observed = self._observed.get(endpoint.lifetime)
         return 0.0 if observed is None else observed.failing * self.limits.failure_penalty_s
 
-    def _age_weight(self, age_s: float) -> float:
-        return 1.0 / (1.0 + 2.0 * max(0.0, age_s) / self.limits.load_decay_s)
-
     def cached_tokens(self, lifetime: str, model: str, req: CallerRequest) -> int:
         """Return the prompt tokens that the endpoint probably has in its cache for a model."""
         observed = self._observed.get(lifetime)
@@ -337,7 +294,10 @@
     ) -> PlacedCall:
         """Count a call on an endpoint until it is released."""
         lifetime = endpoint.lifetime
-        observed = self._observed.setdefault(lifetime, _Observed())
+        observed = self._observed.setdefault(lifetime, Observed())
+        observed.host.service = self._services.setdefault(endpoint.entry.service, ServiceLoad())
+        slots = max(1, endpoint.entry.slots)
+        turns = 0.0 if req.prompt else expected_turns(observed.reported_calls(now_s), slots)
         uncached = req.prompt_tokens - self.cached_tokens(lifetime, model, req)
         prefill_s = uncached * self.token_s(model, models) if req.prompt else 0.0
         expected_s = self._expected_s(
@@ -346,27 +306,23 @@
         observed.running += 1
         observed.prefill_s += prefill_s
         cache = (service.cache_tokens if service else 0) * self.limits.cache_share
-        self._cache(observed, model, req.prompt[:-1], cache)
+        observed.cache(model, req.prompt[:-1], cache)
         assumed_token_s = self._assumed_token_s(model, models)
         rank = models.index(model) if model in models else 0
         observed.prefills.start(rank, prefill_s)
         return PlacedCall(
-            lifetime, model, uncached, prefill_s, expected_s, now_s, assumed_token_s, rank
+            lifetime,
+            model,
+            uncached,
+            prefill_s,
+            expected_s,
+            now_s,
+            assumed_token_s,
+            rank,
+            turns=turns,
+            pace=observed.host.reported_pace(now_s),
         )
 
-    def _cache(
-        self, observed: _Observed, model: str, parts: tuple[PromptPart, ...], limit_tokens: float
-    ) -> None:
-        for part in parts:
-            key = (model, part.part_id)
-            if key in observed.cached:
-                observed.cached.move_to_end(key)
-                continue
-            observed.cached[key] = part.tokens
-            observed.cached_tokens += part.tokens
-        while observed.cached and observed.cached_tokens > limit_tokens:
-            observed.cached_tokens -= observed.cached.popitem(last=False)[1]
-
     def note_reply_started(self, placed: PlacedCall, now_s: float) -> None:
         """Record the start of a call's reply: its prefill is done and its speed is known."""
         observed = self._finish_prefill(placed)
@@ -375,7 +331,10 @@
         observed.refusing *= 1.0 - REFUSAL_WEIGHT
         if placed.prefill_s > LONG_PREFILL_S:
             observed.prefills.mark_active(placed.model_rank, now_s)
-        taken_s = now_s - placed.placed_at_s
+        pace = observed.host.pace_in_force(placed.pace)
+        if placed.turns:
+            observed.host.add_sample(now_s - placed.placed_at_s, placed.turns, pace, now_s)
+        taken_s = (now_s - placed.placed_at_s) / pace
         # Subtracts the queue from the sample, since otherwise a burst would make a model look slow.
         queue_s = placed.expected_s - placed.prefill_s
         self._prefill_speed.add_sample(
@@ -394,7 +353,7 @@
             observed.refusing += REFUSAL_WEIGHT * (1.0 - observed.refusing)
             observed.refused_s = now_s
 
-    def _finish_prefill(self, placed: PlacedCall) -> _Observed | None:
+    def _finish_prefill(self, placed: PlacedCall) -> Observed | None:
         observed = self._observed.get(placed.lifetime)
         if placed.is_prefilling:
             placed.is_prefilling = False
@@ -421,15 +380,17 @@
 
     def update_reported_load(self, lifetime: str, load: ReportedLoad, now_s: float) -> None:
         """Record the load that an endpoint reported."""
-        observed = self._observed.setdefault(lifetime, _Observed())
-        observed.load = load
+        observed = self._observed.setdefault(lifetime, Observed())
+        # The call whose reply brought the report is over, or was refused.
+        observed.host.report(load, max(0, observed.running - 1), now_s)
+        observed.load = with_known_figures(load, observed.load)
         observed.load_at_s = now_s
 
     def update_peer_load(
         self, lifetime: str, running: int, prefill_s: float, rank: int, now_s: float
     ) -> None:
         """Record the sum of the load that all other routers have placed on an endpoint."""
-        observed = self._observed.setdefault(lifetime, _Observed())
+        observed = self._observed.setdefault(lifetime, Observed())
         observed.prefills.mark_active(rank, now_s)
         observed.peers_running = running
         observed.peers_prefill_s = prefill_s
@@ -446,6 +407,14 @@
             if observed.running
         }
 
+    def reported_paces(self, now_s: float) -> dict[str, float]:
+        """Return the expected pace of each endpoint that has reported one."""
+        return {
+            lifetime: observed.host.reported_pace(now_s)
+            for lifetime, observed in self._observed.items()
+            if observed.host.pace is not None
+        }
+
     def largest_prefill_rank(self, lifetime: str, since_s: float) -> int:
         """Return the largest rank that has run a long prefill on an endpoint since a time.
 
--- a/umberhitch/platform/_headers.py
+++ b/umberhitch/platform/_headers.py
@@ -133,11 +133,12 @@
         backoff = parse_backoff(times, found.get(b"date", [b""])[0], self._time_of_day)
         malformed = {"server-limit": limit.is_malformed, "server-leaving": is_malformed}
         malformed["retry-after"] = backoff.is_malformed
+        load, malformed["replica-load"] = parse_load(found.get(b"replica-load", [None])[0])
         return HeadSignals(
             is_draining,
             backoff.seconds,
             limit,
-            parse_load(found.get(b"replica-load", [None])[0]),
+            load,
             tuple(name for name, is_malformed_value in malformed.items() if is_malformed_value),
             tuple((name, found[name][0]) for name in found.keys() - REPLY_HEADERS),
         )
--- a/umberhitch/tasks/direct/proxied_request.py
+++ b/umberhitch/tasks/direct/proxied_request.py
@@ -156,6 +156,8 @@
             False,
             version=candidate.endpoint.entry.version,
             expected_s=round(candidate.wait_s, 4),
+            pace=None if candidate.pace is None else round(candidate.pace, 2),
+            pace_age_s=None if candidate.pace_age_s is None else round(candidate.pace_age_s, 3),
             delay_cost=round(candidate.delay_cost, 3),
             left_s=round(self.remaining_s, 3),
             after_event=None if self.last_event is None else self.last_event.decode("latin-1"),
--- a/umberhitch/tasks/direct/unknown_headers.py
+++ b/umberhitch/tasks/direct/unknown_headers.py
@@ -1,7 +1,8 @@
 """Counts of unknown and malformed headers in the replies of endpoints.
 
 An endpoint may report something about itself that matters. An unknown header name is therefore
-logged when it is first seen, and counted in the status from then on.
+logged when it is first seen, and counted in the status from then on. A malformed value is
+logged once for each endpoint.
 """
 
 from dataclasses import dataclass, field
@@ -15,6 +16,8 @@
 
 MAX_NAMES = 64
 """Maximum number of names kept; headers with further names are only counted together."""
+MAX_LOGGED = 1024
+"""Maximum number of pairs of a header and an endpoint that are logged as malformed."""
 MAX_NAME_CHARS = 60
 MAX_VALUE_CHARS = 80
 """Maximum number of characters shown of a name and of a value."""
@@ -37,6 +40,7 @@
     counts: dict[str, int] = field(default_factory=dict)
     others: int = 0
     unclear: dict[str, int] = field(default_factory=dict)
+    _logged: set[tuple[str, str]] = field(default_factory=set)
 
     def record(self, lifetime: str, signals: HeadSignals) -> None:
         """Count the unknown and malformed headers in a reply of an endpoint."""
@@ -52,7 +56,8 @@
             else:
                 self.others += 1
         for name in signals.malformed:
-            if name not in self.unclear:
+            if (name, lifetime) not in self._logged and len(self._logged) < MAX_LOGGED:
+                self._logged.add((name, lifetime))
                 facts = {"header": name, "endpoint": lifetime}
                 log.warning("unclear header of an endpoint", extra=facts)
             self.unclear[name] = self.unclear.get(name, 0) + 1
