--- a/umberhitch/core/direct/_header_values.py
+++ b/umberhitch/core/direct/_header_values.py
@@ -119,12 +119,14 @@
         return None, False
     words = [word.strip(b" \t") for word in value.split(b",", LOAD_FIGURES)]
     counts = [_figure(word, MAX_COUNT) for word in words[:3]]
-    if len(counts) < 3 or counts == [None] * 3:
+    if len(counts) < 3:
         return None, True
     percent = _figure(words[3], MAX_PACE_PERCENT) if len(words) > 3 else None
     pace = percent / 100 if percent else None
     is_malformed = None in counts or len(words) > LOAD_FIGURES
     is_malformed = is_malformed or (len(words) > 3 and pace is None)
+    if pace is None and counts == [None] * 3:
+        return None, True
     running, waiting, slots = counts
     return ReportedLoad(running, waiting, slots, pace), is_malformed
 
--- a/umberhitch/core/direct/_host_load.py
+++ b/umberhitch/core/direct/_host_load.py
@@ -19,7 +19,7 @@
 """Weight of one report in the mean over a service's endpoints."""
 ASSUMED_SLOWNESS_SAMPLES = 5.0
 """Weight of the assumption that an endpoint is as fast as others, in calls."""
-MAX_SILENT_SAMPLES = 30.0
+MAX_SILENT_SAMPLES = 12.0
 MAX_TOLD_SAMPLES = 100.0
 """Number of calls over which an endpoint's slowness is averaged. Where it reports its pace, the
 slowness is only what the pace doesn't explain, which doesn't change as fast."""
--- a/umberhitch/core/direct/_pace.py
+++ b/umberhitch/core/direct/_pace.py
@@ -19,7 +19,6 @@
 """Weight of that assumption, in pairs of reports."""
 MAX_PAIRS = 400.0
 """Number of pairs of an age step after which the earlier ones begin to lose weight."""
-VARIANCE_WEIGHT = 0.01
 MEAN_S = 3.0
 """Time over which the mean of an endpoint's figures is taken."""
 ASSUMED_MEAN_S = 0.25
@@ -39,7 +38,7 @@
         self._pairs = [0.0] * AGE_STEPS
         self._products = [0.0] * AGE_STEPS
         self._squares = [0.0] * AGE_STEPS
-        self._variance = 0.0
+        self._fourth_powers = [0.0] * AGE_STEPS
 
     def add_pair(self, age_s: float, before: float, after: float) -> None:
         """Add two successive deviations from a mean, the second of which came so much later."""
@@ -49,16 +48,20 @@
         self._pairs[step] = self._pairs[step] * kept + 1.0
         self._products[step] = self._products[step] * kept + before * after
         self._squares[step] = self._squares[step] * kept + square
-        self._variance += VARIANCE_WEIGHT * (square - self._variance)
+        self._fourth_powers[step] = self._fourth_powers[step] * kept + square * square
 
     def remaining(self, age_s: float) -> float:
         """Return the share of a deviation that is still there after a time, from 0 to 1."""
         assumed = exp(-max(0.0, age_s) / ASSUMED_AGE_S)
         step = _age_step(age_s)
-        weight = ASSUMED_PAIRS * self._variance
-        if self._squares[step] + weight <= 0.0:
+        squares = self._squares[step]
+        if self._fourth_powers[step] <= 0.0:
             return assumed
-        share = (self._products[step] + weight * assumed) / (self._squares[step] + weight)
+        # Pairs without a deviation show nothing, and one large deviation is one pair.
+        pairs = squares * squares / self._fourth_powers[step]
+        share = (pairs * self._products[step] / squares + ASSUMED_PAIRS * assumed) / (
+            pairs + ASSUMED_PAIRS
+        )
         return min(1.0, max(0.0, share))
 
 
--- /dev/null
+++ b/umberhitch/tasks/direct/tests/test_changing_paces.py
@@ -0,0 +1,24 @@
+"""Load on endpoints of one service whose hosts turn slow and fast again many times a minute."""
+
+from random import Random
+
+import pytest
+
+from umberhitch.testing import LOOKS, changing_pace, make_paced_world, offer_share
+
+SEEDS = (1, 2, 3)
+LATE_SHARE = 0.8
+"""Late and failed requests with a reported pace, as a share of those without one."""
+
+
+def _late(figures: int, routers: int, seed: int) -> int:
+    rng = Random(seed * 7 + 1)
+    world = make_paced_world([changing_pace(rng) for _ in range(6)], figures, routers, seed)
+    offer_share(world, 0.75, 2.5)
+    return sum(not record.is_on_time for record in world.of(LOOKS))
+
+
+@pytest.mark.parametrize("routers", [1, 3, 6, 30])
+def test_fewer_are_late_where_paces_are_reported(routers: int):
+    without = sum(_late(3, routers, seed) for seed in SEEDS)
+    assert sum(_late(4, routers, seed) for seed in SEEDS) <= LATE_SHARE * without
--- a/umberhitch/testing/__init__.py
+++ b/umberhitch/testing/__init__.py
@@ -25,12 +25,20 @@
 from umberhitch.testing._limited import LIMIT_SPAN_S, limit_bound, most_from_told, most_within
 from umberhitch.testing._load import LoadRecord, LoadWorld, Stream, make_load_document
 from umberhitch.testing._oracle import check_world
+from umberhitch.testing._paced import (
+    LOOKS,
+    changing_pace,
+    make_paced_world,
+    offer_share,
+    steady_pace,
+)
 from umberhitch.testing._transports import FakeTransport, dial
 from umberhitch.testing._violation import Violation
 from umberhitch.testing._world import AskOptions, CallerRecord, World, WorldSettings
 
 __all__ = [
     "LIMIT_SPAN_S",
+    "LOOKS",
     "SIGNING_SECRET",
     "AskOptions",
     "CallerRecord",
@@ -48,6 +56,7 @@
     "Violation",
     "World",
     "WorldSettings",
+    "changing_pace",
     "check_world",
     "dial",
     "limit_bound",
@@ -57,6 +66,7 @@
     "make_document",
     "make_endpoint_entry",
     "make_load_document",
+    "make_paced_world",
     "make_route",
     "make_start",
     "make_state_change",
@@ -64,6 +74,8 @@
     "make_work",
     "most_from_told",
     "most_within",
+    "offer_share",
     "sent_after_leaving",
     "sent_while_resting",
+    "steady_pace",
 ]
