--- a/umberhitch/core/direct/_host_load.py
+++ b/umberhitch/core/direct/_host_load.py
@@ -6,9 +6,18 @@
 from umberhitch.core.direct._pace import AgingFigure, Persistence
 from umberhitch.core.direct._signals import ReportedLoad
 
-__all__ = ["HostLoad", "ServiceLoad", "crowding", "expected_turns", "with_known_figures"]
+__all__ = [
+    "FORGET_S",
+    "HostLoad",
+    "ServiceLoad",
+    "crowding",
+    "expected_turns",
+    "with_known_figures",
+]
 
 USUAL_PACE = 1.0
+EVEN_PACE = 0.1
+"""Deviation from the usual pace up to which a host counts as even with the others."""
 FORGET_S = 10.0
 """Time in which two thirds of what is known of an endpoint's pace are given up, if nothing is heard
 of it: otherwise an endpoint that was once slow would never be called again."""
@@ -35,6 +44,8 @@
     ----------
     work_s : float
         Mean time that a call to the plain service takes at the usual pace, without a queue.
+    uneven_s : float
+        Time at which an endpoint last reported a pace other than the usual one.
     pace_persistence, load_persistence : Persistence
     """
 
@@ -42,6 +53,7 @@
         self.work_s = ASSUMED_WORK_S
         self._others: float | None = None
         self.pace_persistence = Persistence()
+        self.uneven_s = float("-inf")
         self.load_persistence = Persistence()
         self._samples = ASSUMED_WORK_SAMPLES
 
@@ -74,11 +86,14 @@
         Pace as reported; None if it never was.
     others : AgingFigure or None
         Calls of other routers, by the reports; None if there were none.
+    own_word : tuple of (float, float) or None
+        Pace that this router has heard last itself, not from a peer, and when.
     """
 
     service: ServiceLoad = field(default_factory=ServiceLoad)
     pace: AgingFigure | None = None
     others: AgingFigure | None = None
+    own_word: tuple[float, float] | None = None
     _slowness: float = 1.0
     _samples: float = ASSUMED_SLOWNESS_SAMPLES
     _sampled_s: float = 0.0
@@ -86,11 +101,8 @@
     def report(self, load: ReportedLoad, own_calls: int, now_s: float) -> None:
         """Record a report, which came while this router had so many calls there."""
         if load.pace is not None:
-            if self.pace is None:
-                persistence = self.service.pace_persistence
-                self.pace = AgingFigure(persistence, USUAL_PACE, load.pace, now_s)
-            else:
-                self.pace.update(load.pace, now_s)
+            self.own_word = load.pace, now_s
+            self.update_pace(load.pace, now_s)
         others = (load.running or 0) + (load.waiting or 0) - float(own_calls)
         known = 0.0 if self.others is None else self.others.expected(now_s)
         if (load.running is None or load.waiting is None) and others <= known:
@@ -101,6 +113,16 @@
         else:
             self.others.update(others, now_s)
 
+    def update_pace(self, pace: float, reported_s: float) -> None:
+        """Record a pace that the endpoint reported at a time, unless a later one is known."""
+        if abs(pace - USUAL_PACE) > EVEN_PACE:
+            self.service.uneven_s = max(self.service.uneven_s, reported_s)
+        if self.pace is None:
+            persistence = self.service.pace_persistence
+            self.pace = AgingFigure(persistence, USUAL_PACE, pace, reported_s)
+        elif reported_s >= self.pace.reported_s:
+            self.pace.update(pace, reported_s)
+
     def reported_pace(self, now_s: float) -> float:
         """Return the pace to be expected by the reports; the usual one if there are none."""
         if self.pace is None:
--- a/umberhitch/core/direct/_placement.py
+++ b/umberhitch/core/direct/_placement.py
@@ -13,6 +13,7 @@
 from umberhitch.core.direct._endpoint import Endpoint
 from umberhitch.core.direct._engine_time import EnginePrice
 from umberhitch.core.direct._host_load import (
+    FORGET_S,
     ServiceLoad,
     crowding,
     expected_turns,
@@ -407,6 +408,26 @@
             if observed.running
         }
 
+    def update_peer_pace(self, endpoint: Endpoint, pace: float, reported_s: float) -> None:
+        """Record the pace that an endpoint reported to another router at a time."""
+        observed = self._observed.setdefault(endpoint.lifetime, Observed())
+        observed.host.service = self._services.setdefault(endpoint.entry.service, ServiceLoad())
+        observed.host.update_pace(pace, reported_s)
+
+    def uneven_paces(self, since_s: float, now_s: float) -> dict[str, tuple[float, float]]:
+        """Return the paces heard after a time from endpoints, by lifetime, and when.
+
+        Only those of services are returned of which an endpoint was lately slower or faster than
+        usual.
+        """
+        return {
+            lifetime: observed.host.own_word
+            for lifetime, observed in self._observed.items()
+            if observed.host.own_word is not None
+            and observed.host.own_word[1] > since_s
+            and observed.host.service.uneven_s > now_s - FORGET_S
+        }
+
     def reported_paces(self, now_s: float) -> dict[str, float]:
         """Return the expected pace of each endpoint that has reported one."""
         return {
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -16,6 +16,7 @@
 from umberhitch.ports.link import LinkPort
 from umberhitch.tasks.direct.gateway import Gateway
 from umberhitch.tasks.direct.membership import Membership, MembershipLimits
+from umberhitch.tasks.direct.pace_sharing import PaceSharing
 from umberhitch.tasks.direct.read_sharing import ReadSharing
 from umberhitch.tasks.direct.unlisted_peers import UnlistedPeers
 from umberhitch.wire import (
@@ -118,6 +119,7 @@
         self._rng = rng
         self._link = link
         self._sharing = sharing
+        self._paces = PaceSharing(gateway.placement, gateway.directory)
         self._limits = limits or DirectPeersLimits()
         self._membership = Membership(
             own_member, clock, rng, members, sharing, self._apply_members, self._limits.membership
@@ -227,6 +229,7 @@
             self._known_routers() if self._membership.is_listed() else 0,
             self._sharing.epochs.current,
             self._gateway.view.configuration(),
+            paces=self._paces.fresh_paces(self._clock.seconds()),
         )
 
     def _known_routers(self) -> int:
@@ -430,6 +433,7 @@
             self._send_full_state([report.router])
         self._link_mbps[report.router] = report.link_mbps
         self._sharing.epochs.note_peer(report.store_epoch, self._clock.seconds())
+        self._paces.receive(report.paces, self._clock.seconds())
         self._note_configurations(each.report for each in self._received.values())
         self._last_reports.pop(report.router, None)
         self._gateway.canary_controller.apply_reports(
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -28,6 +28,7 @@
     "CrashNotice",
     "CrashUpdate",
     "DrainNotice",
+    "EndpointPace",
     "EndpointState",
     "EndpointUpdate",
     "EndpointUse",
@@ -483,6 +484,16 @@
     """Rank of the largest model in a long prefill, 0 for a route's smallest model; -1 for none."""
 
 
+class EndpointPace(Struct, frozen=True, array_like=True):
+    """Pace that an endpoint reported to a router."""
+
+    lifetime: str
+    pace: float
+    """Factor by which work takes longer than usual on the endpoint's host."""
+    age_s: float
+    """Seconds since it was reported."""
+
+
 class ViewRequest(Struct, frozen=True, array_like=True, tag="view?"):
     """Request for changes in a stream of the platform's store; held until there is a change."""
 
@@ -563,6 +574,8 @@
     """Epoch of the store as the sender knows it."""
     configuration: int = 0
     """Number of the configuration in force at the sender; 0 before there is one."""
+    paces: list[EndpointPace] = []
+    """Paces that the sender has heard since its last report."""
 
 
 Message = (
