--- a/umberhitch/testing/_paced.py
+++ b/umberhitch/testing/_paced.py
@@ -40,7 +40,7 @@
 
 
 def offer_share(world: LoadWorld, share: float, seconds: float, mean_pace: float = 1.0) -> None:
-    """Offer a share of what all endpoints can do at a mean pace, and let the requests end."""
+    """Offer a share of what all endpoints can do at a mean pace, until all is late or on time."""
     per_s = share * len(world.loaded.by_address) * SLOTS / WORK_S / mean_pace
     world.offer([Stream(LOOKS, lambda now_s: per_s, objective_s=OBJECTIVE_S)], seconds)
-    world.settle(2.0)
+    world.settle(0.5)
