--- a/umberhitch/core/direct/_placement.py
+++ b/umberhitch/core/direct/_placement.py
@@ -3,7 +3,8 @@
 The work before a call is the prefill of the prompt tokens that are not in the endpoint's prefix
 cache, those of calls already placed included, times the endpoint's observed slowness. The load that
 an endpoint reports is outdated on arrival and is the sum over all routers, so it corrects this
-router's own count and does not replace it.
+router's own count and does not replace it. Where the endpoints of a plain service report their
+load, calls are placed by `HostLoad`. An endpoint's reported pace makes its work longer or shorter.
 """
 
 from collections.abc import Iterable
