--- a/umberhitch/tasks/direct/tests/test_changing_paces.py
+++ b/umberhitch/tasks/direct/tests/test_changing_paces.py
@@ -18,7 +18,13 @@
 
 
 @pytest.mark.parametrize(
-    ("routers", "seeds", "seconds"), [(3, (1, 2, 3), 1.5), (6, (1, 2, 3), 1.5), (30, (1, 2), 0.7)]
+    ("routers", "seeds", "seconds"),
+    [
+        (1, (1, 2, 3, 4, 5, 6), 2.0),
+        (3, (1, 2, 3), 1.5),
+        (6, (1, 2, 3), 1.5),
+        (30, (1, 2), 0.7),
+    ],
 )
 def test_fewer_are_late_where_paces_are_reported(routers: int, seeds: tuple, seconds: float):
     without = sum(_late(3, routers, seed, seconds) for seed in seeds)
