Scheduling: interfaces of the fair queue, customers' shares and the plan of returns

The claim moves to core/scheduling: the direct path uses the queue, so the queue can't import from the direct path.

--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -58,7 +58,8 @@
     keep_operator_value_s,
 )
 from umberhitch.core.direct._retry_budget import RetryBudget, RetryBudgetLimits
-from umberhitch.core.direct._room import Claim, RoomForecast
+from umberhitch.core.direct._return_plan import ReturnPlan
+from umberhitch.core.direct._room import RoomForecast
 from umberhitch.core.direct._routes import RouteTable
 from umberhitch.core.direct._signals import HeadSignals, ReportedLoad, SignalKind
 from umberhitch.core.direct._store_epoch import EpochVerdict, StoreEpoch
@@ -102,7 +103,6 @@
     "Candidate",
     "Cascade",
     "CascadeLimits",
-    "Claim",
     "ClosedEndpoints",
     "ColdLimits",
     "Crash",
@@ -145,6 +145,7 @@
     "RestoredCopy",
     "RetryBudget",
     "RetryBudgetLimits",
+    "ReturnPlan",
     "RolloutOrder",
     "RolloutState",
     "RoomForecast",
--- a/umberhitch/core/direct/_room.py
+++ b/umberhitch/core/direct/_room.py
@@ -1,36 +1,8 @@
-"""What admission control passes on: claims of requests, and the room that a service has."""
+"""What admission control passes on: the room that a service has."""
 
 from dataclasses import dataclass
 
-__all__ = ["Claim", "RoomForecast"]
-
-
-@dataclass(frozen=True, slots=True)
-class Claim:
-    """What a request brings where several compete for the same endpoints.
-
-    Attributes
-    ----------
-    priority : int
-        0 is the most urgent.
-    value : float
-        Value of the answer, in the unit of the models' prices; 0 for plain services.
-    customer : str
-        Name of the customer; empty for public routes.
-    share : float
-        Weight of the customer.
-    arrived_s : float
-        Time at which the request was received.
-    begin_by_s : float
-        Time by which an endpoint must begin, so that the answer is on time.
-    """
-
-    priority: int
-    value: float
-    customer: str
-    share: float
-    arrived_s: float
-    begin_by_s: float
+__all__ = ["RoomForecast"]
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberhitch/testing/__init__.py
+++ b/umberhitch/testing/__init__.py
@@ -10,6 +10,7 @@
     make_version,
     make_work,
 )
+from umberhitch.testing._claims import make_claim
 from umberhitch.testing._crashing import CrashingFleet, CrashShape
 from umberhitch.testing._direct import (
     DirectAsk,
@@ -52,6 +53,7 @@
     "dial",
     "limit_bound",
     "make_change",
+    "make_claim",
     "make_customer",
     "make_direct_document",
     "make_document",
