--- a/umberhitch/core/scheduling/_claim.py
+++ b/umberhitch/core/scheduling/_claim.py
@@ -23,6 +23,9 @@
         Time at which the request was received.
     begin_by_s : float
         Time by which an endpoint must begin, so that the answer is on time.
+    waited_s : float
+        Seconds for which the caller had waited when this try came, if it was recognized as one who
+        came back.
     """
 
     priority: int
@@ -31,3 +34,4 @@
     share: float
     arrived_s: float
     begin_by_s: float
+    waited_s: float = 0.0
