Scheduling: customers' max-min parts over all routers, and what stays free for them

Own and peers' use, by customer and priority. Whoever has more than its part leaves free what others wait for, or a few places for those to come.

--- a/umberhitch/core/scheduling/_shares.py
+++ b/umberhitch/core/scheduling/_shares.py
@@ -1,58 +1,191 @@
-"""Shares of customers in a service's places, over all routers."""
+"""Shares of customers in a service's places, over all routers.
+
+A customer with fewer places than its max-min fair part, or of a higher priority, takes any free
+place. One that has more leaves a few free (trunk reservation), so that the requests of the others
+find room at any router, without agreement. What nobody wants is lent out. These are reservation and
+share of the resource pools of Peloton (Cai and Bansal, 2018), from what routers tell each other.
+"""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from math import exp
 
 from umberhitch.core.scheduling._claim import Claim
-
-__all__ = ["CustomerShares", "CustomerUse"]
+from umberhitch.core.scheduling._customer_use import (
+    CustomerUse,
+    customer_digest,
+    largest_uses,
+    make_use,
+)
+from umberhitch.core.scheduling._max_min import Demand, SharePlan, UseKey, make_plan
+
+__all__ = ["CustomerShares"]
+
+USUAL_S = 2.0
+"""Time over which the usual use of a customer is measured."""
+PLAN_INTERVAL_S = 0.02
+PLAN_S_PER_CUSTOMER = 0.0005
+"""With many customers the parts are computed less often: at 1,000, twice a second."""
+PRESSURE_S = 2.0
+"""A service is under pressure for so long after a request last waited."""
+MAX_TOLD = 8
+"""Customers that a router tells of one by one; the others are told as one sum."""
+FORGOTTEN_SIZE = 0.01
+MAX_DIGESTS = 2000
 
 
-@dataclass(frozen=True, slots=True)
-class CustomerUse:
-    """What a customer has at one router, at one priority of a service.
+class CustomerShares:
+    """What customers use of one service, here and at peers.
 
     Attributes
     ----------
-    running, waiting : float
-        Sizes of its requests that run and that wait, added up.
+    withheld : int
+        Decisions for claims that had to leave places free.
     """
 
-    customer: str
-    priority: int
-    share: float
-    running: float
-    waiting: float
-
-
-class CustomerShares:
-    """What customers use of one service, here and at peers."""
-
     def __init__(self) -> None:
-        self._running: dict[tuple[str, int], float] = {}
-        self._peers: tuple[CustomerUse, ...] = ()
+        self.withheld = 0
+        self._own: dict[UseKey, Demand] = {}
+        self._peers: dict[UseKey, CustomerUse] = {}
+        self._usual: dict[UseKey, float] = {}
+        self._plan = SharePlan(-1e9, 0.0)
+        self._pressed = 0
+        """Requests that wait here."""
+        self._was_pressed = False
+        self._pressed_s = -1e9
+        self._names: dict[int, str] = {}
+        self._digests: dict[str, int] = {}
+
+    # Own use
 
     def note_started(self, claim: Claim, size: float) -> None:
         """Count a call that takes a place."""
-        key = (claim.customer, claim.priority)
-        self._running[key] = self._running.get(key, 0.0) + size
+        self._of(claim).running += size
 
     def note_ended(self, claim: Claim, size: float) -> None:
         """Count a call that leaves its place."""
-        key = (claim.customer, claim.priority)
-        self._running[key] = max(0.0, self._running.get(key, 0.0) - size)
+        own = self._of(claim)
+        own.running = max(0.0, own.running - size)
 
     def note_waiting(self, claim: Claim, size: float) -> None:
         """Count a request that begins to wait."""
+        self._of(claim).waiting += size
+        self._was_pressed = True
 
     def note_left(self, claim: Claim, size: float) -> None:
         """Count a request that no longer waits, whatever the reason."""
+        own = self._of(claim)
+        own.waiting = max(0.0, own.waiting - size)
+
+    def _of(self, claim: Claim) -> Demand:
+        own = self._own.setdefault(self._key(claim), Demand())
+        own.share = claim.share
+        return own
+
+    def _key(self, claim: Claim) -> UseKey:
+        digest = self._digests.get(claim.customer)
+        if digest is None:
+            if len(self._digests) >= MAX_DIGESTS:
+                self._digests.clear()
+                self._names.clear()
+            digest = self._digests[claim.customer] = customer_digest(claim.customer)
+            self._names[digest] = claim.customer
+        return claim.priority, digest
+
+    # Use at peers
+
+    def told(self, now_s: float) -> list[CustomerUse]:
+        """Return what to tell the other routers: nothing unless a request waited lately."""
+        if self._was_pressed or any(own.waiting for own in self._own.values()):
+            self._pressed_s, self._was_pressed = now_s, False
+        if now_s - self._pressed_s > PRESSURE_S:
+            return []
+        uses = [
+            make_use(key[1], key[0], own.share, own.running, own.waiting)
+            for key, own in self._own.items()
+            if own.running + own.waiting > 0.0
+        ]
+        return largest_uses(uses, MAX_TOLD)
 
     def set_peers(self, uses: Iterable[CustomerUse]) -> None:
-        """Set what customers have at the other routers together."""
-        self._peers = tuple(uses)
-
-    def reserved(self, claim: Claim, capacity: float, now_s: float) -> float:
-        """Return how many places must stay free before a claim may take one."""
-        del claim, capacity, now_s
-        return 0.0
+        """Set what customers have at the other routers; several of one customer add up."""
+        self._peers = {}
+        for use in uses:
+            key = (use.priority, use.customer)
+            known = self._peers.get(key)
+            if known is not None:
+                use = CustomerUse(
+                    use.customer,
+                    use.priority,
+                    max(use.share_units, known.share_units),
+                    use.running_units + known.running_units,
+                    use.waiting_units + known.waiting_units,
+                )
+            self._peers[key] = use
+
+    # Decision
+
+    def reserved(self, claim: Claim, capacity: float, now_s: float, routers: int = 1) -> float:
+        """Return how many places must stay free before a claim may take one.
+
+        Parameters
+        ----------
+        claim : Claim
+        capacity : float
+            Places that this router may use: its part of those that all routers use.
+        now_s : float
+        routers : int
+            Routers that use the service.
+        """
+        key = self._key(claim)
+        plan = self._plan_at(capacity * routers, now_s)
+        own, peers = self._own.get(key), self._peers.get(key)
+        running = (own.running if own else 0.0) + (peers.running if peers else 0.0)
+        if running < plan.parts.get(key, 1.0):
+            return 0.0
+        spare = plan.spare.get(claim.priority, 0.0) / routers
+        self.withheld += spare > 0.0
+        return spare
+
+    def _plan_at(self, capacity: float, now_s: float) -> SharePlan:
+        interval_s = max(PLAN_INTERVAL_S, PLAN_S_PER_CUSTOMER * len(self._usual))
+        if now_s - self._plan.made_s >= interval_s:
+            self._plan = make_plan(self._demands(now_s - self._plan.made_s), capacity, now_s)
+        return self._plan
+
+    def _demands(self, passed_s: float) -> dict[UseKey, Demand]:
+        """Return what all customers use and want, and remember what they use usually."""
+        kept = exp(-passed_s / USUAL_S)
+        demands = {}
+        for key in {*self._own, *self._peers, *self._usual}:
+            own, peers = self._own.get(key), self._peers.get(key)
+            demand = Demand(
+                own.share if own else peers.share if peers else 1.0,
+                (own.running if own else 0.0) + (peers.running if peers else 0.0),
+                (own.waiting if own else 0.0) + (peers.waiting if peers else 0.0),
+            )
+            now = demand.running + demand.waiting
+            demand.usual = kept * self._usual.get(key, 0.0) + (1.0 - kept) * now
+            if demand.size >= FORGOTTEN_SIZE:
+                demands[key] = demand
+        self._usual = {key: demand.usual for key, demand in demands.items()}
+        self._own = {key: own for key, own in self._own.items() if own.running + own.waiting > 0.0}
+        return demands
+
+    def rows(self, count: int = MAX_TOLD) -> list[dict[str, object]]:
+        """Return the customers that use most, for the pages of operators."""
+        sizes = {
+            key: (self._own.get(key, Demand()), self._peers.get(key))
+            for key in {*self._own, *self._peers}
+        }
+        rows = [
+            {
+                "customer": self._names.get(key[1], f"{key[1]:08x}"),
+                "priority": key[0],
+                "running": round(own.running + (peers.running if peers else 0.0), 1),
+                "waiting": round(own.waiting + (peers.waiting if peers else 0.0), 1),
+                "part": round(self._plan.parts.get(key, 0.0), 1),
+            }
+            for key, (own, peers) in sizes.items()
+        ]
+        rows.sort(key=lambda row: (-float(str(row["running"])), str(row["customer"])))
+        return rows[:count]
