--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -17,6 +17,7 @@
 from umberhitch.core.direct._crash_record import Crash, CrashLimits, CrashRecord, Hold
 from umberhitch.core.direct._directory import Directory
 from umberhitch.core.direct._endpoint import Endpoint
+from umberhitch.core.direct._endpoint_room import EndpointCounts, count_places
 from umberhitch.core.direct._engine_time import EngineDemand, EnginePrice, EngineTimeLimits
 from umberhitch.core.direct._events import EventSplitter
 from umberhitch.core.direct._evidence import AnswerCounts, AnswerVerdict, EvidenceThreshold
@@ -60,6 +61,7 @@
 from umberhitch.core.direct._retry_budget import RetryBudget, RetryBudgetLimits
 from umberhitch.core.direct._return_plan import ReturnPlan
 from umberhitch.core.direct._room import RoomForecast
+from umberhitch.core.direct._router_part import RouterPart, ServicePlaces
 from umberhitch.core.direct._routes import RouteTable
 from umberhitch.core.direct._signals import HeadSignals, ReportedLoad, SignalKind
 from umberhitch.core.direct._store_epoch import EpochVerdict, StoreEpoch
@@ -84,6 +86,7 @@
     Service,
     ZoneOut,
 )
+from umberhitch.core.direct._work_times import WorkTime, WorkTimes
 
 __all__ = [
     "KEPT_S",
@@ -115,6 +118,7 @@
     "Draining",
     "Endpoint",
     "EndpointBackoff",
+    "EndpointCounts",
     "EndpointEntry",
     "EndpointState",
     "EngineCall",
@@ -152,13 +156,18 @@
     "Route",
     "RouteKind",
     "RouteTable",
+    "RouterPart",
     "Service",
+    "ServicePlaces",
     "SignalKind",
     "StoreEpoch",
     "TokenLatencies",
     "TokenLatencyLimits",
+    "WorkTime",
+    "WorkTimes",
     "ZoneOut",
     "apply_change",
+    "count_places",
     "diff_documents",
     "epoch_of",
     "is_superseded",
--- a/umberhitch/core/direct/_endpoint_room.py
+++ b/umberhitch/core/direct/_endpoint_room.py
@@ -10,19 +10,19 @@
 __all__ = ["EndpointCounts", "count_places"]
 
 MARGIN_DEVIATIONS = 2.0
-"""Standard deviations of the time in the system that are left as a margin: 2 leave 2 % late if it is
-normally distributed, and 5 % if a single exponential work time dominates it."""
+"""Standard deviations of the time in the system that are left as a margin: 2 leave 2 % late if that
+time is normally distributed, and 5 % if a single exponential work time dominates it."""
 REPORT_DECAY_S = 0.25
-"""Time in which a reported count loses half of its weight to what peers tell; they report as often."""
+"""Time in which a reported count loses half of its weight to what peers tell, as often."""
 
 
 def count_places(servers: int, work: WorkTime, budget_s: float) -> float:
     """Return how many calls an endpoint can have so that the last one ends within a time.
 
     With ``k`` calls waiting, the last call's time in the system has the mean ``m (k / s + 1)`` and
-    the variance ``d² (k / s² + 1)``, where ``m`` and ``d`` are the mean and the deviation of the work
-    time and ``s`` the number of servers. The mean plus the margin must not exceed the budget. A
-    call that finds a free server always has a place.
+    the variance ``d² (k / s² + 1)``, where ``m`` and ``d`` are the mean and the deviation of the
+    work time and ``s`` the number of servers. The mean plus the margin must not exceed the budget.
+    A call that finds a free server always has a place.
 
     Parameters
     ----------
--- a/umberhitch/core/direct/_placement.py
+++ b/umberhitch/core/direct/_placement.py
@@ -459,6 +459,11 @@
         observed = self._observed.get(lifetime)
         return 0 if observed is None else observed.running
 
+    def peers_prefill_s(self, lifetime: str) -> float:
+        """Return the outstanding prefill in seconds that peers have reported."""
+        observed = self._observed.get(lifetime)
+        return 0.0 if observed is None else observed.peers_prefill_s
+
     def all_running_calls(self, lifetime: str) -> int:
         """Return the number of running calls on an endpoint, including those reported by peers."""
         observed = self._observed.get(lifetime)
--- a/umberhitch/core/direct/_router_part.py
+++ b/umberhitch/core/direct/_router_part.py
@@ -82,6 +82,8 @@
 
     def is_lent(self, service: ServicePlaces, reserved: float, now_s: float) -> bool:
         """Whether this router may take a free slot beyond its own part."""
+        if service.routers == 1:
+            return service.taken + reserved < service.slots
         return self._lent_now(service.cycle_s, now_s) >= 1.0 + reserved
 
     def note_started(self, service: ServicePlaces, now_s: float) -> None:
@@ -112,5 +114,5 @@
             self._decreased_s = now_s
 
     def _lent_now(self, cycle_s: float, now_s: float) -> float:
-        """Return the free slots that are this router's to take; those not taken are soon others'."""
+        """Return the free slots that are this router's; those not taken are soon others'."""
         return self._lent * exp((self._lent_s - now_s) / max(cycle_s, MIN_CYCLE_S))
--- a/umberhitch/platform/standins/_loaded_endpoint.py
+++ b/umberhitch/platform/standins/_loaded_endpoint.py
@@ -71,6 +71,8 @@
     is_down: bool = False
     began: list[str] = field(default_factory=list)
     """Ids of the calls that began to run, in order."""
+    sent: int = 0
+    """Calls that routers have sent here, of which `arrived` have arrived."""
     arrived: int = 0
     refused: int = 0
     crashes: int = 0
@@ -308,7 +310,10 @@
     def send(self, address: str, call: EndpointCall, events: CallEvents) -> LoadedCall:
         """Send a call."""
         self.calls += 1
-        return LoadedCall(self, self.by_address.get(address), call, events)
+        endpoint = self.by_address.get(address)
+        if endpoint is not None:
+            endpoint.sent += 1
+        return LoadedCall(self, endpoint, call, events)
 
     def check(self, address: str, on_found: Callable[[ListenerStatus], None]) -> None:
         """Tell whether there is an endpoint."""
--- a/umberhitch/tasks/direct/active_routers.py
+++ b/umberhitch/tasks/direct/active_routers.py
@@ -7,7 +7,7 @@
 __all__ = ["ActiveRouters"]
 
 ACTIVE_S = 3.0
-"""A router that had no call of a service for so long doesn't use it. With the most routers, a report
+"""A router that had no call of a service for so long doesn't use it. With many routers, a report
 comes about each second, and a router with few calls has none under way at the time of some."""
 
 
--- a/umberhitch/tasks/direct/endpoint_selector.py
+++ b/umberhitch/tasks/direct/endpoint_selector.py
@@ -15,8 +15,10 @@
     Service,
     make_answer_value,
 )
+from umberhitch.core.scheduling import Claim
 from umberhitch.ports.clock import Clock
 from umberhitch.tasks.direct.admission import MAX_LIGHT_TOKENS
+from umberhitch.tasks.direct.admission_control import NO_ROOM, AdmissionControl
 from umberhitch.tasks.direct.canary_controller import CanaryController
 from umberhitch.tasks.direct.retry_after import HONORED_SHARE, MIN_RETRY_AFTER_S
 from umberhitch.tasks.direct.send_gate import SendGate, Urgency
@@ -48,6 +50,8 @@
     answer_value : AnswerValueLimits
     clock : Clock
     rng : Random
+    admission : AdmissionControl or None
+        None if calls are sent whether or not there is room.
     """
 
     def __init__(
@@ -62,6 +66,7 @@
         answer_value: AnswerValueLimits,
         clock: Clock,
         rng: Random,
+        admission: AdmissionControl | None = None,
     ) -> None:
         self._view = view
         self._canary_controller = canary_controller
@@ -75,6 +80,7 @@
         self._answer_value_limits = answer_value
         self._clock = clock
         self._rng = rng
+        self._admission = admission
 
     def first_model(self, admitted: AdmittedRequest) -> str | None:
         """Return the model of the first call, and count the request as demand from now on."""
@@ -130,6 +136,19 @@
             priority = customer.priority
         return priority, -self._answer_value(admitted).value
 
+    def claim(self, admitted: AdmittedRequest) -> Claim:
+        """Return what a request brings where several compete for the same endpoints."""
+        customer = admitted.customer
+        priority, negated_value = self._urgency(admitted)
+        return Claim(
+            priority,
+            -negated_value,
+            "" if customer is None else customer.name,
+            1.0 if customer is None else customer.share,
+            admitted.received_s,
+            admitted.received_s + admitted.route.objective_s,
+        )
+
     def retry_after_s(self, admitted: AdmittedRequest) -> float:
         """Return after how many seconds a request without an endpoint should be retried.
 
@@ -186,6 +205,10 @@
         eligible = self._canary_controller.allowed_endpoints(
             admitted.service, admitted.wants_target, within_quota, is_light
         )
+        if eligible and self._admission is not None:
+            eligible = self._admission.with_room(admitted, eligible, self.claim(admitted))
+            if not eligible:
+                self.failure_reason = NO_ROOM
         if not eligible:
             return None
         if not admitted.request.prompt:
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -37,6 +37,7 @@
 )
 from umberhitch.tasks.burn import BurnTask
 from umberhitch.tasks.direct.admission import Admission
+from umberhitch.tasks.direct.admission_control import NO_ROOM, AdmissionControl
 from umberhitch.tasks.direct.canary_controller import CanaryController
 from umberhitch.tasks.direct.crash_guard import CrashGuard
 from umberhitch.tasks.direct.decision_log import DecisionLog
@@ -52,8 +53,9 @@
     ProxiedRequest,
 )
 from umberhitch.tasks.direct.retry_after import MIN_RETRY_AFTER_S
+from umberhitch.tasks.direct.room_estimate import RoomEstimate
 from umberhitch.tasks.direct.send_gate import SendGate
-from umberhitch.tasks.direct.services import AdmittedRequest, ReadyAnswerFate, RequestState
+from umberhitch.tasks.direct.services import AdmittedRequest, ReadyAnswerFate, RequestState, Waiter
 from umberhitch.tasks.direct.store_view import StoreView
 
 __all__ = ["Gateway"]
@@ -140,6 +142,7 @@
             lambda: self.view.is_loaded,
             lambda: bool(self.running_requests),
         )
+        self.admission_control = self._make_admission_control()
         self.selector = EndpointSelector(
             self.view,
             canary_controller,
@@ -151,6 +154,7 @@
             settings.answer_value,
             clock,
             rng,
+            self.admission_control,
         )
         admission = Admission(
             self.view,
@@ -173,6 +177,12 @@
             self._start_request,
         )
 
+    def _make_admission_control(self) -> AdmissionControl | None:
+        if not self.settings.has_admission_control:
+            return None
+        rooms = RoomEstimate(self.view, self.placement)
+        return AdmissionControl(self.clock, rooms, self.decisions)
+
     # Lifecycle
 
     def start(self) -> None:
@@ -182,6 +192,8 @@
     def stop(self) -> None:
         """Stop reading the store and abort all running requests."""
         self.view.stop()
+        if self.admission_control is not None:
+            self.admission_control.refuse_all()
         for proxied in list(self.running_requests):
             proxied.abort()
 
@@ -196,6 +208,8 @@
         on_idle : callable
             Called when, after that, every request that was read has been answered.
         """
+        if self.admission_control is not None:
+            self.admission_control.refuse_all()
         self.presence.drain(on_noticed, on_idle)
 
     def _on_endpoints(self, gone: list[str]) -> None:
@@ -203,12 +217,19 @@
             self._endpoints.close_idle(address)
         self.placement.retain(self.directory.lifetimes())
         self.gate.forget(self.directory.lifetimes())
+        if self.admission_control is not None:
+            self.admission_control.note_endpoints(self.directory.lifetimes())
 
     @property
     def directory(self) -> Directory:
         """Endpoints listed in the registry."""
         return self.view.directory
 
+    def service_of(self, lifetime: str) -> str | None:
+        """Return the service of an endpoint; None if it is not listed."""
+        endpoint = self.directory.of_lifetime(lifetime)
+        return None if endpoint is None else endpoint.entry.service
+
     @property
     def table(self) -> RouteTable | None:
         """Routes of the active configuration; None before the first one is loaded."""
@@ -249,6 +270,12 @@
 
     # Services for proxied requests
 
+    def wait_for_room(self, waiter: Waiter) -> bool:
+        """Let a request wait for room before its first call; return whether that is done."""
+        if self.admission_control is None or self.selector.failure_reason != NO_ROOM:
+            return False
+        return self.admission_control.wait(waiter, self.selector.claim(waiter.admitted))
+
     def send(
         self,
         admitted: AdmittedRequest,
@@ -265,6 +292,9 @@
         endpoint.note_call_sent(now_s)
         self.gate.record_sent(endpoint, service)
         placed_call = self.placement.place(endpoint, req, model or "", route.models, service, now_s)
+        if self.admission_control is not None:
+            claim = self.selector.claim(admitted)
+            self.admission_control.note_sent(admitted, claim, endpoint, placed_call)
         customer = admitted.customer
         priority = route.priority
         if customer is not None and customer.priority is not None:
@@ -359,6 +389,8 @@
             self.placement.note_reply_started(placed_call, now_s)
         elif head.not_run and not head.is_wrong_incarnation:
             self.placement.note_refused(placed_call, now_s)
+        if self.admission_control is not None:
+            self.admission_control.note_head(placed_call, head)
 
     def record_late_head(self, endpoint: Endpoint, head: ReplyHead) -> None:
         """Record the head of a reply to a call that was given up before."""
@@ -367,6 +399,8 @@
     def release_call(self, placed_call: PlacedCall, is_failure: bool | None) -> None:
         """Stop counting a call as running."""
         self.placement.release(placed_call, is_failure)
+        if self.admission_control is not None:
+            self.admission_control.note_ended(placed_call, is_failure)
 
     def send_refusal(
         self, reply: CallerReply, admitted: AdmittedRequest, status: int, reason: str
@@ -387,6 +421,8 @@
     def request_finished(self, proxied: RequestState, outcome: str) -> None:
         """Record the final outcome of a request."""
         self.running_requests.discard(proxied)
+        if self.admission_control is not None:
+            self.admission_control.forget(proxied.admitted)
         self.canary_controller.note_request_finished(
             proxied.admitted.service, proxied.admitted.request.session
         )
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -389,6 +389,10 @@
             self._gateway.placement.update_peer_load(
                 lifetime, use.running, use.reading_s, use.rank, now_s
             )
+        if self._gateway.admission_control is not None:
+            self._gateway.admission_control.note_peers(
+                reports, self.peer_names(), self._gateway.service_of
+            )
         routers = self._known_routers()
         if self._has_list:
             self._share_retries(routers)
--- a/umberhitch/tasks/direct/proxied_request.py
+++ b/umberhitch/tasks/direct/proxied_request.py
@@ -129,13 +129,22 @@
         small_model = None if self._relay.has_started else self._escalation.dropped_model
         candidate = self._plan.next_candidate(small_model)
         if candidate is None:
-            self._give_up(self._svc.selector.failure_reason)
+            if not self._svc.wait_for_room(self):
+                self._give_up(self._svc.selector.failure_reason)
             return
         if self._plan.sends > 0 and not self._escalation.acquire_retry():
             self._give_up("retry budget")
             return
         self._start_call(candidate)
 
+    def resume(self) -> None:
+        """Try again to send the first call, for which the request has waited."""
+        self._send_next()
+
+    def refuse(self, reason: str) -> None:
+        """Give up a request that has waited."""
+        self._give_up(reason)
+
     def _is_held(self) -> bool:
         """Whether the request is held, so that no further call may be sent."""
         if self._is_probe and self._plan.sends == 0:
--- a/umberhitch/tasks/direct/room_estimate.py
+++ b/umberhitch/tasks/direct/room_estimate.py
@@ -20,8 +20,8 @@
 __all__ = ["EndpointRoom", "Resource", "RoomEstimate", "ServiceRoom"]
 
 ENDPOINT_OBJECTIVES = 0.5
-"""Share of the latency objective that a call may spend at an endpoint. A quarter is for waiting at the
-router, and a quarter is left because counts and work times are estimates."""
+"""Share of the latency objective that a call may spend at an endpoint. A quarter is for waiting at
+the router, and a quarter is left because counts and work times are estimates."""
 ASSUMED_OBJECTIVES = 0.25
 """Work time that is assumed before the first answer, as a share of the latency objective."""
 DEFAULT_OBJECTIVE_S = 1.0
@@ -61,6 +61,10 @@
     service: ServicePlaces
     endpoints: list[EndpointRoom]
 
+    def slots_of(self, lifetime: str) -> int:
+        """Return the slots of an endpoint, 0 if it is not among these."""
+        return sum(each.slots for each in self.endpoints if each.endpoint.lifetime == lifetime)
+
     @property
     def free(self) -> float:
         """Return how many more calls would be on time."""
@@ -182,11 +186,11 @@
         most = self._counts.most(lifetime, now_s)
         if most is not None and resource is Resource.SLOT:
             places = max(float(servers), min(places, most))
-        return EndpointRoom(endpoint, servers, places, self.taken(resource, service, lifetime, now_s))
+        return EndpointRoom(
+            endpoint, servers, places, self.taken(resource, service, lifetime, now_s)
+        )
 
-    def _cycle_s(
-        self, resource: Resource, service: str, room: EndpointRoom, now_s: float
-    ) -> float:
+    def _cycle_s(self, resource: Resource, service: str, room: EndpointRoom, now_s: float) -> float:
         """Return the seconds that a call keeps a place while all places are taken."""
         lifetime = room.endpoint.lifetime
         work_s = self.work_s(resource, service, lifetime) * self._counts.pace(lifetime, now_s)
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -27,6 +27,7 @@
     "RequestState",
     "Run",
     "Services",
+    "Waiter",
     "service_version_of",
 ]
 
@@ -92,6 +93,8 @@
     """Whether the request goes to the new version of a roll-out; None without a roll-out."""
     request_key: str = ""
     """Identifies the request when a caller retries it; see `core.direct.request_key`."""
+    has_been_sent: bool = False
+    """Whether a call was sent, which may not have arrived; set by admission control only."""
 
 
 @dataclass(slots=True)
@@ -127,6 +130,20 @@
     return f"{endpoint.entry.service}/{endpoint.entry.version}"
 
 
+class Waiter(Protocol):
+    """A request in progress that can wait for room before its first call."""
+
+    admitted: AdmittedRequest
+
+    def resume(self) -> None:
+        """Try again to send the first call."""
+        ...
+
+    def refuse(self, reason: str) -> None:
+        """Give up, since there is no room in time."""
+        ...
+
+
 class RequestState(Protocol):
     """A request in progress, as its router sees it."""
 
@@ -243,6 +260,14 @@
         """Tracks which requests crash endpoints."""
         ...
 
+    def wait_for_room(self, waiter: Waiter) -> bool:
+        """Let a request wait for room before its first call.
+
+        Returns False if the last selection failed for another reason, or if the request may not
+        wait. Otherwise the request is resumed or refused later, or was refused already.
+        """
+        ...
+
     def send(
         self,
         admitted: AdmittedRequest,
