Customers' use told to peers, and times to come back for those refused for lack of room

Reports have what the largest four customers of services under pressure run and let wait, the rest as a sum; a report fades from half of the time after which its sender is taken to be gone.

Returns are booked at the rate of room less new arrivals, by priority, time waited and customer; those who come back at their time to the router that named it are recognized by their request's key and queue by the time they have waited.

--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -59,6 +59,7 @@
     keep_operator_value_s,
 )
 from umberhitch.core.direct._retry_budget import RetryBudget, RetryBudgetLimits
+from umberhitch.core.direct._return_book import Appointment, ReturnBook
 from umberhitch.core.direct._return_plan import ReturnPlan
 from umberhitch.core.direct._room import RoomForecast
 from umberhitch.core.direct._router_part import RouterPart, ServicePlaces
@@ -99,6 +100,7 @@
     "AnswerValue",
     "AnswerValueLimits",
     "AnswerVerdict",
+    "Appointment",
     "Backoff",
     "CallerRequest",
     "Canary",
@@ -149,6 +151,7 @@
     "RestoredCopy",
     "RetryBudget",
     "RetryBudgetLimits",
+    "ReturnBook",
     "ReturnPlan",
     "RolloutOrder",
     "RolloutState",
--- a/umberhitch/core/scheduling/_shares.py
+++ b/umberhitch/core/scheduling/_shares.py
@@ -27,8 +27,9 @@
 """With many customers the parts are computed less often: at 1,000, twice a second."""
 PRESSURE_S = 2.0
 """A service is under pressure for so long after a request last waited."""
-MAX_TOLD = 8
-"""Customers that a router tells of one by one; the others are told as one sum."""
+MAX_TOLD = 4
+"""Customers that a router tells of one by one; the others are told as one sum for each priority. So
+a report is some 60 bytes longer, whatever their number."""
 FORGOTTEN_SIZE = 0.01
 MAX_DIGESTS = 2000
 
--- a/umberhitch/tasks/direct/admission_control.py
+++ b/umberhitch/tasks/direct/admission_control.py
@@ -124,7 +124,9 @@
         reserved = 0.0
         if not admitted.has_been_sent and resource is Resource.SLOT:
             limit = part.limit(room.service)
-            reserved = self._shares(admitted.service).reserved(asked.claim, limit, now_s)
+            reserved = self._shares(admitted.service).reserved(
+                asked.claim, limit, now_s, room.service.routers
+            )
         if admitted.has_been_sent or part.has_place(room.service, reserved, now_s):
             return _with_places(room, not admitted.request.prompt)
         if part.is_lent(room.service, reserved, now_s):
@@ -259,10 +261,13 @@
             self._serve_queue(queue)
 
     def _serve_queue(self, queue: WaitingRequests) -> None:
-        while (first := queue.first()) is not None:
-            self._resume(first)
-            if queue.get(first.waiter.admitted) is first:
-                break
+        while any(self._is_served(queue, each) for each in queue.heads()):
+            pass
+
+    def _is_served(self, queue: WaitingRequests, waiting: WaitingRequest) -> bool:
+        """Try to send a request; return whether it no longer waits."""
+        self._resume(waiting)
+        return queue.get(waiting.waiter.admitted) is not waiting
 
     def _schedule_check(self, admitted: AdmittedRequest) -> None:
         if self._timer is not None and self._timer.active():
--- a/umberhitch/tasks/direct/endpoint_selector.py
+++ b/umberhitch/tasks/direct/endpoint_selector.py
@@ -21,6 +21,7 @@
 from umberhitch.tasks.direct.admission_control import NO_ROOM, AdmissionControl
 from umberhitch.tasks.direct.canary_controller import CanaryController
 from umberhitch.tasks.direct.retry_after import HONORED_SHARE, MIN_RETRY_AFTER_S
+from umberhitch.tasks.direct.returns import Returns
 from umberhitch.tasks.direct.send_gate import SendGate, Urgency
 from umberhitch.tasks.direct.services import AdmittedRequest
 from umberhitch.tasks.direct.store_view import StoreView
@@ -52,6 +53,8 @@
     rng : Random
     admission : AdmissionControl or None
         None if calls are sent whether or not there is room.
+    returns : Returns or None
+        Plans the returns of those who are refused for lack of room.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         clock: Clock,
         rng: Random,
         admission: AdmissionControl | None = None,
+        returns: Returns | None = None,
     ) -> None:
         self._view = view
         self._canary_controller = canary_controller
@@ -81,6 +85,7 @@
         self._clock = clock
         self._rng = rng
         self._admission = admission
+        self._returns = returns
 
     def first_model(self, admitted: AdmittedRequest) -> str | None:
         """Return the model of the first call, and count the request as demand from now on."""
@@ -140,7 +145,7 @@
         """Return what a request brings where several compete for the same endpoints."""
         customer = admitted.customer
         priority, negated_value = self._urgency(admitted)
-        return Claim(
+        claim = Claim(
             priority,
             -negated_value,
             "" if customer is None else customer.name,
@@ -148,8 +153,9 @@
             admitted.received_s,
             admitted.received_s + admitted.route.objective_s,
         )
+        return claim if self._returns is None else self._returns.recognize(admitted, claim)
 
-    def retry_after_s(self, admitted: AdmittedRequest) -> float:
+    def retry_after_s(self, admitted: AdmittedRequest, reason: str = NO_ENDPOINT) -> float:
         """Return after how many seconds a request without an endpoint should be retried.
 
         If the service has no endpoint at all, the time is the longest that callers honor, since
@@ -157,6 +163,8 @@
         or limited, which is temporary, and other routers may have quota left.
         """
         now_s = self._clock.seconds()
+        if reason == NO_ROOM and self._returns is not None:
+            return self._returns.retry_after_s(admitted, self.claim(admitted), now_s)
         left_s = admitted.received_s + admitted.request.patience_s - now_s
         directory = self._view.directory
         if not directory.ready(admitted.service, now_s):
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -53,6 +53,7 @@
     ProxiedRequest,
 )
 from umberhitch.tasks.direct.retry_after import MIN_RETRY_AFTER_S
+from umberhitch.tasks.direct.returns import Returns
 from umberhitch.tasks.direct.room_estimate import RoomEstimate
 from umberhitch.tasks.direct.send_gate import SendGate
 from umberhitch.tasks.direct.services import AdmittedRequest, ReadyAnswerFate, RequestState, Waiter
@@ -143,6 +144,7 @@
             lambda: bool(self.running_requests),
         )
         self.admission_control = self._make_admission_control()
+        self.returns = self._make_returns()
         self.selector = EndpointSelector(
             self.view,
             canary_controller,
@@ -155,6 +157,7 @@
             clock,
             rng,
             self.admission_control,
+            self.returns,
         )
         admission = Admission(
             self.view,
@@ -183,6 +186,11 @@
         rooms = RoomEstimate(self.view, self.placement)
         return AdmissionControl(self.clock, rooms, self.decisions)
 
+    def _make_returns(self) -> Returns | None:
+        if self.admission_control is None:
+            return None
+        return Returns(self.settings.name, self.admission_control.forecast)
+
     # Lifecycle
 
     def start(self) -> None:
@@ -410,7 +418,7 @@
         if status == 503 and reason == HELD:
             retry_s = max(MIN_RETRY_AFTER_S, self.crash_guard.retry_after_s(admitted))
         elif status == 503:
-            retry_s = self.selector.retry_after_s(admitted)
+            retry_s = self.selector.retry_after_s(admitted, reason)
         self.local_replies.send(reply, admitted.request.call_id, status, reason, retry_s)
 
     def count_ready_answer(self, fate: ReadyAnswerFate) -> None:
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -17,6 +17,7 @@
 from umberhitch.tasks.direct.gateway import Gateway
 from umberhitch.tasks.direct.membership import Membership, MembershipLimits
 from umberhitch.tasks.direct.read_sharing import ReadSharing
+from umberhitch.tasks.direct.share_reports import apply_uses, told_uses
 from umberhitch.tasks.direct.unlisted_peers import UnlistedPeers
 from umberhitch.wire import (
     BurnReply,
@@ -29,6 +30,7 @@
     PeerReport,
     ProbeReply,
     ProbeRequest,
+    ServiceUse,
     ViewReply,
     ViewRequest,
 )
@@ -227,8 +229,13 @@
             self._known_routers() if self._membership.is_listed() else 0,
             self._sharing.epochs.current,
             self._gateway.view.configuration(),
+            self._told_uses(),
         )
 
+    def _told_uses(self) -> list[ServiceUse]:
+        control = self._gateway.admission_control
+        return [] if control is None else told_uses(control.shares, self._clock.seconds())
+
     def _known_routers(self) -> int:
         """Return the number of routers that are listed or report here, including this one."""
         return 1 + len({*self._peers, *self._received})
@@ -294,11 +301,14 @@
         return received is not None and received.report.zone != self._gateway.settings.zone
 
     def _is_silent(self, received: _ReceivedReport) -> bool:
+        return received.received_s < self._clock.seconds() - self._silence_s(received)
+
+    def _silence_s(self, received: _ReceivedReport) -> float:
+        """Return after how many seconds without a report a peer is taken to be gone."""
         is_remote = received.report.zone != self._gateway.settings.zone
         limits = self._limits
         silence_s = max(limits.silence_s, limits.max_missed_reports * self._report_interval_s())
-        silence_s *= self._remote_report_every() if is_remote else 1
-        return received.received_s < self._clock.seconds() - silence_s
+        return silence_s * (self._remote_report_every() if is_remote else 1)
 
     def live_reports(self) -> list[PeerReport]:
         """Return the newest reports of the peers that were not silent."""
@@ -390,6 +400,11 @@
                 lifetime, use.running, use.reading_s, use.rank, now_s
             )
         if self._gateway.admission_control is not None:
+            ages = [
+                (each.report, now_s - each.received_s, self._silence_s(each))
+                for each in self._received.values()
+            ]
+            apply_uses(self._gateway.admission_control.shares, ages)
             self._gateway.admission_control.note_peers(
                 reports, self.peer_names(), self._gateway.service_of
             )
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -95,6 +95,8 @@
     """Identifies the request when a caller retries it; see `core.direct.request_key`."""
     has_been_sent: bool = False
     """Whether a call was sent, which may not have arrived; set by admission control only."""
+    waited_s: float | None = None
+    """For how long its caller had waited when it came back; 0 for a new one, None if not known."""
 
 
 @dataclass(slots=True)
--- a/umberhitch/tasks/direct/waiting_requests.py
+++ b/umberhitch/tasks/direct/waiting_requests.py
@@ -66,17 +66,22 @@
         """Return the request that is served next."""
         return self._queue.peek()
 
+    def heads(self) -> list[WaitingRequest]:
+        """Return the first request of each customer, in order; a place may be free for some only.
+
+        Of one priority, a customer with more than its part leaves places that the next may take.
+        """
+        return [waiting for _, waiting in self._queue.heads()]
+
     def last(self) -> WaitingRequest | None:
         """Return the request that would be served last."""
         return self._queue.last()
 
     def serve(self, waiting: WaitingRequest) -> None:
         """Remove a request that is sent."""
-        if self._queue.peek() is waiting:
-            self._queue.pop()
-            self._leave(waiting)
-        else:
-            self.remove(waiting)
+        assert waiting.ticket is not None
+        self._queue.take(waiting.ticket)
+        self._leave(waiting)
 
     def remove(self, waiting: WaitingRequest) -> None:
         """Remove a request that is not sent."""
--- a/umberhitch/testing/_load.py
+++ b/umberhitch/testing/_load.py
@@ -62,6 +62,8 @@
     body: bytes = b"body"
     retries: int = 0
     honors_retry_after: bool = True
+    is_distinct: bool = False
+    """Whether each caller has a body of its own, the same in all its tries."""
     headers: dict[str, str] = field(default_factory=dict)
 
 
@@ -184,7 +186,8 @@
         router = self._any_router()
         if router is None:
             return
-        ask = self.ask(router, stream.path, f"key-{stream.customer}", stream.body, **stream.headers)
+        body = stream.body + (f"{first_s!r}".encode() if stream.is_distinct else b"")
+        ask = self.ask(router, stream.path, f"key-{stream.customer}", body, **stream.headers)
         now_s = self.clock.seconds()
         record = LoadRecord(stream.label, ask.call_id, now_s, stream.objective_s, tries, first_s)
         self.records.append(record)
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -10,6 +10,7 @@
 from msgspec import Meta, Struct
 
 from umberhitch.core.direct import NO_POSITION, EndpointEntry, Position, make_position
+from umberhitch.core.scheduling import CustomerUse
 
 __all__ = [
     "URGENT_PRIORITY",
@@ -50,6 +51,7 @@
     "RouteCounts",
     "RouterDigest",
     "RunEndNotice",
+    "ServiceUse",
     "ServiceWork",
     "Start",
     "Usage",
@@ -544,6 +546,13 @@
         return make_position(self.epoch, self.end) if self.end >= 0 else NO_POSITION
 
 
+class ServiceUse(Struct, frozen=True, array_like=True):
+    """What the customers of a service under pressure have at one router."""
+
+    service: str
+    uses: list[CustomerUse]
+
+
 class PeerReport(Struct, frozen=True, array_like=True, tag="peer"):
     """State of a router of the direct path, sent to all others several times a second."""
 
@@ -563,6 +572,8 @@
     """Epoch of the store as the sender knows it."""
     configuration: int = 0
     """Number of the configuration in force at the sender; 0 before there is one."""
+    customers: list[ServiceUse] = []
+    """What customers have at the sender, of services under pressure."""
 
 
 Message = (
