--- a/umberhitch/core/direct/_router_part.py
+++ b/umberhitch/core/direct/_router_part.py
@@ -1,20 +1,24 @@
 """One router's part of the places that a service has for all routers.
 
 All routers read the same reports, which are old on arrival, so a place that looks free is not one
-router's to take. Each has its part of all places at any time, without asking. It gets more, a place
-at a time, as reports show free slots: of each it may take what falls to it if all routers read the
-same. Late answers and refusals reduce the part down to that of the slots alone.
+router's to take. Each has its part of all places at any time, without asking. Beyond it, a router
+that needs more takes its part of each free slot that is reported to it, and gives up most of what
+it took when endpoints have queues. Late answers and refusals reduce the part, down to that of the
+slots alone.
 """
 
 from dataclasses import dataclass
-from math import exp, floor, inf
+from math import floor, inf
 
 __all__ = ["RouterPart", "ServicePlaces"]
 
 DECREASE = 0.7
-"""Factor of the part after a late answer or a refusal."""
-INCREASE = 1.0
-"""Places by which the part grows in the time in which it is used once."""
+"""Factor of the part after late answers, and of what was taken beyond it after a queue was seen."""
+LATE_SHARE = 0.1
+"""Share of late answers and refusals above which the part is reduced. The places leave a margin, so
+that single late answers come from long work, and only many of them from too many calls."""
+LATE_WEIGHT = 1 / 32
+"""Weight of the newest answer in that share."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,16 +62,22 @@
 
     def __init__(self) -> None:
         self.factor = 1.0
+        """What late answers leave of the part."""
+        self.extra = 0.0
+        """Places taken beyond the part, while slots are free."""
+        self._late_share = 0.0
         self._decreased_s = -inf
-        self._extra_s = -inf
+        self._fraction_used_s = -inf
         """Time of the last start beyond the whole places of the part."""
-        self._lent = 0.0
-        self._lent_s = 0.0
 
     def limit(self, service: ServicePlaces) -> float:
         """Return this router's part of the places."""
         return max(float(service.slots), self.factor * service.places) / service.routers
 
+    def share(self, service: ServicePlaces) -> float:
+        """Return which share of each endpoint's places this router may have."""
+        return (self.limit(service) + self.extra) / max(1.0, service.places)
+
     def has_place(self, service: ServicePlaces, reserved: float, now_s: float) -> bool:
         """Whether this router's own part has a free place beyond those reserved for others."""
         limit = self.limit(service) - reserved
@@ -78,41 +88,34 @@
         fraction = limit - floor(limit)
         if fraction <= 0.0 or service.own > limit:
             return False
-        return now_s - self._extra_s >= service.cycle_s / fraction
+        return now_s - self._fraction_used_s >= service.cycle_s / fraction
 
-    def is_lent(self, service: ServicePlaces, reserved: float, now_s: float) -> bool:
+    def may_take_slot(self, service: ServicePlaces, reserved: float) -> bool:
         """Whether this router may take a free slot beyond its own part."""
         if service.routers == 1:
-            return service.taken + reserved < service.slots
-        return self._lent_now(service.cycle_s, now_s) >= 1.0 + reserved
+            return service.taken + 1 + reserved <= service.slots
+        return service.own + 1 <= self.limit(service) + self.extra - reserved
 
     def note_started(self, service: ServicePlaces, now_s: float) -> None:
         """Record that a call starts."""
         limit = self.limit(service)
-        if service.own + 1 <= floor(limit):
-            return
-        if self._has_fraction(limit, service, now_s):
-            self._extra_s = now_s
-            return
-        self._lent = max(0.0, self._lent_now(service.cycle_s, now_s) - 1.0)
-        self._lent_s = now_s
-
-    def note_free(self, slots: float, service: ServicePlaces, now_s: float) -> None:
-        """Record that an endpoint has free slots, of which this router may take its part."""
-        lent = self._lent_now(service.cycle_s, now_s) + slots / service.routers
-        self._lent = min(max(slots, 1.0), lent)
-        self._lent_s = now_s
+        if service.own + 1 > floor(limit) and self._has_fraction(limit, service, now_s):
+            self._fraction_used_s = now_s
+
+    def note_slots(self, free: float, service: ServicePlaces) -> None:
+        """Record how many slots of an endpoint are free; a negative number is its queue."""
+        limit = self.limit(service) + self.extra
+        if free <= 0.0:
+            self.extra *= DECREASE
+        elif service.own + 1 > limit - 1.0:
+            self.extra += free / service.routers
 
     def note_answer(self, is_on_time: bool, service: ServicePlaces, now_s: float) -> None:
         """Adapt the part to an answer, or to a refusal, which is not on time."""
-        limit = max(1.0, self.limit(service))
+        self._late_share += LATE_WEIGHT * (float(not is_on_time) - self._late_share)
         if is_on_time:
-            self.factor = min(1.0, self.factor + INCREASE / limit**2)
-        elif now_s - self._decreased_s >= service.cycle_s:
+            self.factor = min(1.0, self.factor + 1.0 / max(1.0, self.limit(service)) ** 2)
+        elif self._late_share > LATE_SHARE and now_s - self._decreased_s >= service.cycle_s:
             least = service.slots / max(service.places, 1.0)
             self.factor = max(least, DECREASE * self.factor)
             self._decreased_s = now_s
-
-    def _lent_now(self, cycle_s: float, now_s: float) -> float:
-        """Return the free slots that are this router's; those not taken are soon others'."""
-        return self._lent * exp((self._lent_s - now_s) / max(cycle_s, MIN_CYCLE_S))
--- a/umberhitch/core/direct/_work_times.py
+++ b/umberhitch/core/direct/_work_times.py
@@ -8,7 +8,7 @@
 MEAN_SAMPLES = 32
 """Samples over which the means reach back: enough to know a spread, few enough to follow a change
 of pace within seconds."""
-OWN_SAMPLES = 8
+OWN_SAMPLES = 16
 """Samples from which an endpoint's own mean is used instead of its service's."""
 
 
--- a/umberhitch/tasks/direct/active_routers.py
+++ b/umberhitch/tasks/direct/active_routers.py
@@ -21,6 +21,8 @@
     def __init__(self) -> None:
         self._used_s: dict[str, dict[str, float]] = {}
         """By service and router, the time of the last report of a call."""
+        self._own_s: dict[str, tuple[float, float]] = {}
+        """By service, since when this router has used it, and when it used it last."""
         self._heard: set[str] = set()
         self._listed: set[str] = set()
         self._live: set[str] = set()
@@ -45,8 +47,20 @@
             for router in used_s.keys() - self._heard:
                 del used_s[router]
 
+    def note_own(self, service: str, now_s: float) -> None:
+        """Record a call of this router."""
+        since_s, last_s = self._own_s.get(service, (now_s, now_s))
+        self._own_s[service] = (since_s if now_s - last_s <= ACTIVE_S else now_s), now_s
+
     def count(self, service: str, now_s: float) -> int:
-        """Return how many routers use a service, this one included."""
+        """Return how many routers use a service, this one included.
+
+        A router that has begun to use a service counts all others for a moment: they may have
+        begun as well, and what they report is older.
+        """
+        since_s, last_s = self._own_s.get(service, (now_s, now_s))
+        if now_s - since_s < ACTIVE_S or now_s - last_s > ACTIVE_S:
+            return 1 + len(self._listed | self._live)
         used_s = self._used_s.get(service, {})
         silent = self._listed - self._live
         active = {router for router, at_s in used_s.items() if now_s - at_s <= ACTIVE_S}
--- a/umberhitch/tasks/direct/admission_control.py
+++ b/umberhitch/tasks/direct/admission_control.py
@@ -7,13 +7,14 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from math import ceil
 
 from umberhitch.core.direct import Endpoint, PlacedCall, ReplyHead, RoomForecast
 from umberhitch.core.scheduling import Claim, CustomerShares
 from umberhitch.ports.clock import Clock, Timer
 from umberhitch.tasks.direct.admission_counters import AdmissionCounters
 from umberhitch.tasks.direct.decision_log import DecisionLog
-from umberhitch.tasks.direct.room_estimate import Resource, RoomEstimate, ServiceRoom
+from umberhitch.tasks.direct.room_estimate import EndpointRoom, Resource, RoomEstimate, ServiceRoom
 from umberhitch.tasks.direct.services import AdmittedRequest, Waiter
 from umberhitch.tasks.direct.waiting_requests import WaitingRequest, WaitingRequests
 from umberhitch.wire import PeerReport
@@ -41,9 +42,9 @@
     lifetime: str
     sent_s: float
     is_engine: bool
-    had_free_slot: bool
-    had_free_reading: bool
     is_reading: bool
+    waiting: float
+    """Calls that waited at the endpoint when the call was sent, or by its newest report."""
 
 
 @dataclass(slots=True)
@@ -125,9 +126,14 @@
         if not admitted.has_been_sent and resource is Resource.SLOT:
             limit = part.limit(room.service)
             reserved = self._shares(admitted.service).reserved(asked.claim, limit, now_s)
-        if admitted.has_been_sent or part.has_place(room.service, reserved, now_s):
-            return _with_places(room, not admitted.request.prompt)
-        if part.is_lent(room.service, reserved, now_s):
+        prefers_free = not admitted.request.prompt
+        if admitted.has_been_sent:
+            return _with_places(room.endpoints, prefers_free)
+        if part.has_place(room.service, reserved, now_s):
+            share = part.share(room.service)
+            within = [each for each in room.endpoints if each.own < ceil(share * each.places)]
+            return _with_places(within, prefers_free)
+        if part.may_take_slot(room.service, reserved):
             return [each.endpoint for each in room.endpoints if each.taken + 1.0 <= each.slots]
         return []
 
@@ -287,17 +293,18 @@
         if asked is not None and asked.admitted is admitted and not admitted.has_been_sent:
             for resource, room in asked.rooms.items():
                 self.rooms.part(resource, service).note_started(room.service, now_s)
-        taken = self.rooms.taken(Resource.SLOT, service, lifetime, now_s)
-        reading = self.rooms.taken(Resource.READING, service, lifetime, now_s)
+        self.rooms.routers.note_own(service, now_s)
+        resource = Resource.READING if is_engine else Resource.SLOT
+        slots = 1 if is_engine else endpoint.entry.slots
+        waiting_there = self.rooms.taken(resource, service, lifetime, now_s) - slots
         self._calls[id(placed)] = _Call(
             admitted,
             claim,
             lifetime,
             now_s,
             is_engine,
-            taken <= endpoint.entry.slots,
-            reading < 1.0,
             is_engine,
+            max(0.0, waiting_there),
         )
         self.rooms.note_started(lifetime, is_engine)
         self._shares(service).note_started(claim, 1.0)
@@ -315,23 +322,23 @@
         call = self._calls.get(id(placed))
         if call is None or head.is_wrong_incarnation:
             return
-        now_s, lifetime, service = self._clock.seconds(), call.lifetime, call.admitted.service
+        now_s, lifetime = self._clock.seconds(), call.lifetime
         if call.is_reading:
             call.is_reading = False
             self.rooms.note_read(lifetime)
         load = head.signals.load
         if load is not None:
+            if load.waiting is not None:
+                call.waiting = float(load.waiting)
             has_ended = head.not_run or not call.is_engine
             self.rooms.note_report(lifetime, load, int(has_ended), now_s)
         if head.not_run and head.signals.backoff_s is None:
             self._note_refused(call, now_s)
         elif head.is_success and call.is_engine:
-            if call.had_free_reading:
-                taken_s = now_s - call.sent_s
-                self.rooms.learn(Resource.READING, service, lifetime, taken_s, now_s)
+            self._learn(Resource.READING, call, call.waiting, now_s)
             self._note_answer(call, now_s)
         if call.is_engine:
-            self._note_free(Resource.READING, call, now_s)
+            self._note_slots(Resource.READING, call, now_s)
         self.wake()
 
     def _note_refused(self, call: _Call, now_s: float) -> None:
@@ -351,14 +358,21 @@
             part = self.rooms.part(Resource.SLOT, call.admitted.service)
             part.note_answer(is_on_time, room.service, now_s)
 
-    def _note_free(self, resource: Resource, call: _Call, now_s: float) -> None:
-        """Note the free slots of an endpoint as of its newest report."""
+    def _learn(self, resource: Resource, call: _Call, waiting: float, now_s: float) -> None:
+        lifetime, service = call.lifetime, call.admitted.service
+        room = self._last_rooms.get((resource, service))
+        slots = 1 if room is None else room.slots_of(lifetime)
+        taken_s = now_s - call.sent_s
+        self.rooms.learn(resource, service, lifetime, taken_s, waiting, slots, now_s)
+
+    def _note_slots(self, resource: Resource, call: _Call, now_s: float) -> None:
+        """Note the free slots of an endpoint, or its queue, as of its newest report."""
         service = call.admitted.service
         room = self._last_rooms.get((resource, service))
         slots = 0 if room is None else room.slots_of(call.lifetime)
         free = slots - self.rooms.taken(resource, service, call.lifetime, now_s)
-        if room is not None and free > 0.0:
-            self.rooms.part(resource, service).note_free(free, room.service, now_s)
+        if room is not None:
+            self.rooms.part(resource, service).note_slots(free, room.service)
 
     def note_ended(self, placed: PlacedCall, is_failure: bool | None) -> None:
         """Record that a call no longer counts as running."""
@@ -369,11 +383,10 @@
         if call.is_reading:
             self.rooms.note_read(lifetime)
         self._shares(service).note_ended(call.claim, 1.0)
-        self._note_free(Resource.SLOT, call, now_s)
+        self._note_slots(Resource.SLOT, call, now_s)
         if is_failure is False:
-            if call.had_free_slot:
-                taken_s = now_s - call.sent_s
-                self.rooms.learn(Resource.SLOT, service, lifetime, taken_s, now_s)
+            # An engine's queue is before its reading; the slot is held while it reads.
+            self._learn(Resource.SLOT, call, 0.0 if call.is_engine else call.waiting, now_s)
             if not call.is_engine:
                 self._note_answer(call, now_s)
         self.wake()
@@ -429,9 +442,9 @@
     return (Resource.SLOT, Resource.READING) if admitted.request.prompt else (Resource.SLOT,)
 
 
-def _with_places(room: ServiceRoom, prefers_free_slots: bool) -> list[Endpoint]:
+def _with_places(rooms: list[EndpointRoom], prefers_free_slots: bool) -> list[Endpoint]:
     """Return the endpoints that have a place, or only those with a free slot if there are any."""
-    found = [each for each in room.endpoints if each.taken + 1.0 <= each.places]
+    found = [each for each in rooms if each.taken + 1.0 <= each.places]
     if prefers_free_slots:
         found = [each for each in found if each.taken + 1.0 <= each.slots] or found
     return [each.endpoint for each in found]
--- a/umberhitch/tasks/direct/room_estimate.py
+++ b/umberhitch/tasks/direct/room_estimate.py
@@ -22,8 +22,9 @@
 ENDPOINT_OBJECTIVES = 0.5
 """Share of the latency objective that a call may spend at an endpoint. A quarter is for waiting at
 the router, and a quarter is left because counts and work times are estimates."""
-ASSUMED_OBJECTIVES = 0.25
-"""Work time that is assumed before the first answer, as a share of the latency objective."""
+ASSUMED_OBJECTIVES = 0.125
+"""Work time that is assumed before the first answer, as a share of the latency objective: about two
+calls per slot are sent then, as nothing is known on which to refuse them."""
 DEFAULT_OBJECTIVE_S = 1.0
 """Objective of a service that no route names any longer."""
 FULL_OBJECTIVES = 4.0
@@ -47,6 +48,7 @@
     slots: int
     places: float
     taken: float
+    own: int
 
     @property
     def free_slots(self) -> float:
@@ -161,7 +163,7 @@
             sum(room.slots for room in rooms),
             places,
             sum(room.taken for room in rooms),
-            sum(self._own(resource, endpoint.lifetime) for endpoint in endpoints),
+            sum(room.own for room in rooms),
             self.routers.count(service, now_s),
             sum(cycle_s) / max(1, len(cycle_s)),
         )
@@ -186,9 +188,8 @@
         most = self._counts.most(lifetime, now_s)
         if most is not None and resource is Resource.SLOT:
             places = max(float(servers), min(places, most))
-        return EndpointRoom(
-            endpoint, servers, places, self.taken(resource, service, lifetime, now_s)
-        )
+        taken = self.taken(resource, service, lifetime, now_s)
+        return EndpointRoom(endpoint, servers, places, taken, self._own(resource, lifetime))
 
     def _cycle_s(self, resource: Resource, service: str, room: EndpointRoom, now_s: float) -> float:
         """Return the seconds that a call keeps a place while all places are taken."""
@@ -241,11 +242,28 @@
         self._counts.note_full(lifetime, calls, until_s)
 
     def learn(
-        self, resource: Resource, service: str, lifetime: str, taken_s: float, now_s: float
+        self,
+        resource: Resource,
+        service: str,
+        lifetime: str,
+        taken_s: float,
+        waiting: float,
+        slots: int,
+        now_s: float,
     ) -> None:
-        """Learn from a call that found a free slot."""
-        most_s = self.objective_s(service)
-        work_s = min(taken_s / self._counts.pace(lifetime, now_s), most_s)
+        """Learn from a call.
+
+        Parameters
+        ----------
+        taken_s : float
+            Seconds from sending the call.
+        waiting : float
+            Calls that the endpoint has waiting. In a steady queue of ``q`` calls before ``s``
+            servers, a call takes ``1 + q / s`` times its work time.
+        slots : int
+        """
+        work_s = taken_s / (1.0 + waiting / max(1, slots))
+        work_s = min(work_s / self._counts.pace(lifetime, now_s), self.objective_s(service))
         self._times[resource].add(service, lifetime, work_s)
 
 
