--- a/umberhitch/core/direct/_router_part.py
+++ b/umberhitch/core/direct/_router_part.py
@@ -33,8 +33,10 @@
         Calls that they can have so that each is on time.
     taken : float
         Calls that they have, as far as this router knows.
+    free_slots : float
+        Slots that are free, as far as this router knows.
     own : int
-        Those of this router.
+        Calls of this router.
     routers : int
         Routers that use the service.
     cycle_s : float
@@ -44,6 +46,7 @@
     slots: int
     places: float
     taken: float
+    free_slots: float
     own: int
     routers: int
     cycle_s: float
@@ -79,8 +82,14 @@
         return (self.limit(service) + self.extra) / max(1.0, service.places)
 
     def has_place(self, service: ServicePlaces, reserved: float, now_s: float) -> bool:
-        """Whether this router's own part has a free place beyond those reserved for others."""
-        limit = self.limit(service) - reserved
+        """Whether this router may take a place, and leave those reserved for others.
+
+        It may take its own part, and its part of what others seem to leave free.
+        """
+        part = self.limit(service)
+        others = service.taken - service.own
+        left = max(0.0, service.places - others - part) / service.routers
+        limit = part + left - reserved
         return service.own + 1 <= floor(limit) or self._has_fraction(limit, service, now_s)
 
     def _has_fraction(self, limit: float, service: ServicePlaces, now_s: float) -> bool:
@@ -93,7 +102,7 @@
     def may_take_slot(self, service: ServicePlaces, reserved: float) -> bool:
         """Whether this router may take a free slot beyond its own part."""
         if service.routers == 1:
-            return service.taken + 1 + reserved <= service.slots
+            return service.free_slots >= 1.0 + reserved
         return service.own + 1 <= self.limit(service) + self.extra - reserved
 
     def note_started(self, service: ServicePlaces, now_s: float) -> None:
--- a/umberhitch/core/direct/_work_times.py
+++ b/umberhitch/core/direct/_work_times.py
@@ -8,8 +8,8 @@
 MEAN_SAMPLES = 32
 """Samples over which the means reach back: enough to know a spread, few enough to follow a change
 of pace within seconds."""
-OWN_SAMPLES = 16
-"""Samples from which an endpoint's own mean is used instead of its service's."""
+ASSUMED_SAMPLES = 16
+"""Samples that an assumption counts for: of the first calls, the short ones end first."""
 
 
 @dataclass(slots=True)
@@ -21,40 +21,51 @@
     samples: int = 0
 
     def add(self, work_s: float) -> None:
-        """Add a sample; the first one replaces what was assumed."""
+        """Add a sample."""
         self.samples += 1
         weight = 1.0 / min(self.samples, MEAN_SAMPLES)
-        variance = 0.0 if self.samples == 1 else self.deviation_s**2
-        difference_s = 0.0 if self.samples == 1 else work_s - self.mean_s
-        if self.samples == 1:
-            self.mean_s = work_s
+        difference_s = work_s - self.mean_s
         self.mean_s += weight * difference_s
-        variance = (1.0 - weight) * (variance + weight * difference_s**2)
+        variance = (1.0 - weight) * (self.deviation_s**2 + weight * difference_s**2)
         self.deviation_s = variance**0.5
 
 
 class WorkTimes:
-    """Work times by service, and by endpoint where enough is known of one."""
+    """Work times by service and by endpoint."""
 
     def __init__(self) -> None:
         self._services: dict[str, WorkTime] = {}
         self._endpoints: dict[str, WorkTime] = {}
 
-    def add(self, service: str, lifetime: str, work_s: float) -> None:
-        """Add a sample of an endpoint of a service."""
-        for by_name, name in ((self._services, service), (self._endpoints, lifetime)):
-            by_name.setdefault(name, WorkTime(work_s, 0.0)).add(work_s)
+    def add(self, service: str, lifetime: str, work_s: float, assumed_s: float) -> None:
+        """Add a sample of an endpoint of a service.
+
+        Parameters
+        ----------
+        assumed_s : float
+            Work time that was assumed before any sample.
+        """
+        of_service = self._services.get(service)
+        if of_service is None:
+            of_service = self._services[service] = _assume(assumed_s, assumed_s)
+        of_endpoint = self._endpoints.get(lifetime)
+        if of_endpoint is None:
+            of_endpoint = _assume(of_service.mean_s, of_service.deviation_s)
+            self._endpoints[lifetime] = of_endpoint
+        of_service.add(work_s)
+        of_endpoint.add(work_s)
 
     def of(self, service: str, lifetime: str, assumed_s: float) -> WorkTime:
-        """Return the work time at an endpoint; ``assumed_s`` where nothing is known."""
-        own = self._endpoints.get(lifetime)
-        if own is not None and own.samples >= OWN_SAMPLES:
-            return own
-        known = self._services.get(service)
-        return WorkTime(assumed_s, assumed_s) if known is None else known
+        """Return the work time at an endpoint; that of its service if the endpoint is new."""
+        known = self._endpoints.get(lifetime) or self._services.get(service)
+        return known or _assume(assumed_s, assumed_s)
 
     def retain(self, lifetimes: Container[str]) -> None:
         """Discard what is known of all endpoints but those of some lifetimes."""
         self._endpoints = {
             lifetime: known for lifetime, known in self._endpoints.items() if lifetime in lifetimes
         }
+
+
+def _assume(mean_s: float, deviation_s: float) -> WorkTime:
+    return WorkTime(mean_s, deviation_s, ASSUMED_SAMPLES)
--- a/umberhitch/tasks/direct/admission_control.py
+++ b/umberhitch/tasks/direct/admission_control.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from math import ceil
 
-from umberhitch.core.direct import Endpoint, PlacedCall, ReplyHead, RoomForecast
+from umberhitch.core.direct import Endpoint, PlacedCall, ReplyHead, RoomForecast, RouterPart
 from umberhitch.core.scheduling import Claim, CustomerShares
 from umberhitch.ports.clock import Clock, Timer
 from umberhitch.tasks.direct.admission_counters import AdmissionCounters
@@ -130,9 +130,9 @@
         if admitted.has_been_sent:
             return _with_places(room.endpoints, prefers_free)
         if part.has_place(room.service, reserved, now_s):
-            share = part.share(room.service)
-            within = [each for each in room.endpoints if each.own < ceil(share * each.places)]
-            return _with_places(within, prefers_free)
+            found = _with_places(_within_share(room, part), prefers_free)
+            if found:
+                return found
         if part.may_take_slot(room.service, reserved):
             return [each.endpoint for each in room.endpoints if each.taken + 1.0 <= each.slots]
         return []
@@ -448,3 +448,13 @@
     if prefers_free_slots:
         found = [each for each in found if each.taken + 1.0 <= each.slots] or found
     return [each.endpoint for each in found]
+
+
+def _within_share(room: ServiceRoom, part: RouterPart) -> list[EndpointRoom]:
+    """Return the endpoints at which this router has less than its share.
+
+    If all routers spread their calls in this way, so are all calls.
+    """
+    share = part.share(room.service)
+    within = [each for each in room.endpoints if each.own < ceil(share * each.places)]
+    return within or room.endpoints
--- a/umberhitch/tasks/direct/room_estimate.py
+++ b/umberhitch/tasks/direct/room_estimate.py
@@ -163,6 +163,7 @@
             sum(room.slots for room in rooms),
             places,
             sum(room.taken for room in rooms),
+            sum(room.free_slots for room in rooms),
             sum(room.own for room in rooms),
             self.routers.count(service, now_s),
             sum(cycle_s) / max(1, len(cycle_s)),
@@ -264,7 +265,8 @@
         """
         work_s = taken_s / (1.0 + waiting / max(1, slots))
         work_s = min(work_s / self._counts.pace(lifetime, now_s), self.objective_s(service))
-        self._times[resource].add(service, lifetime, work_s)
+        assumed_s = ASSUMED_OBJECTIVES * self.objective_s(service)
+        self._times[resource].add(service, lifetime, work_s, assumed_s)
 
 
 MIN_READING_S = 0.001
