--- a/umberhitch/core/scheduling/_customer_use.py
+++ b/umberhitch/core/scheduling/_customer_use.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from msgspec import Struct
+from msgspec import Struct, structs
 from xxhash import xxh32_intdigest
 
 __all__ = ["OTHERS", "CustomerUse", "customer_digest", "fade", "largest_uses", "make_use"]
@@ -23,6 +23,7 @@
     share_units: int
     running_units: int
     waiting_units: int
+    refused_units: int = 0
 
     @property
     def share(self) -> float:
@@ -39,13 +40,39 @@
         """Return the sizes of the requests that wait, added up."""
         return self.waiting_units / UNITS
 
+    @property
+    def refused(self) -> float:
+        """Return the sizes of the requests that were refused lately, added up."""
+        return self.refused_units / UNITS
+
+    @property
+    def size_units(self) -> int:
+        """Return all that the customer wants."""
+        return self.running_units + self.waiting_units + self.refused_units
+
+    def plus(self, other: "CustomerUse") -> "CustomerUse":
+        """Return this and another use as one of this customer, which keeps its share."""
+        return CustomerUse(
+            self.customer,
+            self.priority,
+            self.share_units,
+            self.running_units + other.running_units,
+            self.waiting_units + other.waiting_units,
+            self.refused_units + other.refused_units,
+        )
+
 
 def make_use(
-    customer: int, priority: int, share: float, running: float, waiting: float
+    customer: int,
+    priority: int,
+    share: float,
+    running: float,
+    waiting: float,
+    refused: float = 0.0,
 ) -> CustomerUse:
     """Return a use in the units in which it is told."""
-    units = [round(share * SHARE_UNITS), round(running * UNITS), round(waiting * UNITS)]
-    return CustomerUse(customer, priority, *units)
+    sizes = [round(size * UNITS) for size in (running, waiting, refused)]
+    return CustomerUse(customer, priority, round(share * SHARE_UNITS), *sizes)
 
 
 def customer_digest(name: str) -> int:
@@ -58,26 +85,20 @@
 
 def fade(use: CustomerUse, weight: float) -> CustomerUse:
     """Return what a use is still worth by its age, from 1 for a fresh one to 0."""
+    sizes = (use.running_units, use.waiting_units, use.refused_units)
     return CustomerUse(
-        use.customer,
-        use.priority,
-        use.share_units,
-        round(use.running_units * weight),
-        round(use.waiting_units * weight),
+        use.customer, use.priority, use.share_units, *(round(size * weight) for size in sizes)
     )
 
 
 def largest_uses(uses: Iterable[CustomerUse], count: int) -> list[CustomerUse]:
     """Return the largest uses, and one sum for each priority of the others."""
-    ordered = sorted(uses, key=lambda use: use.running_units + use.waiting_units, reverse=True)
-    told, sums = ordered[:count], dict[int, CustomerUse]()
+    ordered = sorted(uses, key=lambda use: use.size_units, reverse=True)
+    told, sums, shares = ordered[:count], dict[int, CustomerUse](), dict[int, int]()
     for use in ordered[count:]:
+        shares[use.priority] = shares.get(use.priority, 0) + use.share_units
         known = sums.get(use.priority, CustomerUse(OTHERS, use.priority, 0, 0, 0))
-        sums[use.priority] = CustomerUse(
-            OTHERS,
-            use.priority,
-            known.share_units + use.share_units,
-            known.running_units + use.running_units,
-            known.waiting_units + use.waiting_units,
-        )
-    return told + list(sums.values())
+        sums[use.priority] = known.plus(use)
+    return told + [
+        structs.replace(each, share_units=shares[priority]) for priority, each in sums.items()
+    ]
--- a/umberhitch/core/scheduling/_least_parts.py
+++ b/umberhitch/core/scheduling/_least_parts.py
@@ -14,8 +14,9 @@
 its size at the most."""
 DEMAND_KEPT = 1000.0
 """Demand, in sizes, over which the parts are measured."""
-MAX_ADVANCE = 4.0
-"""Sizes served in the gaps of those before that count for the part later."""
+MAX_ADVANCE = 32.0
+"""Sizes served in the gaps of those before that count for the part later: a peak of the urgent
+ones, for as long as some dozens of requests, isn't cut where the others had more before."""
 
 
 class LeastParts:
--- a/umberhitch/core/scheduling/_max_min.py
+++ b/umberhitch/core/scheduling/_max_min.py
@@ -14,6 +14,9 @@
 """Most places that stay free for requests that have yet to come: with them, all that is served on
 time is still over nine tenths of capacity."""
 
+LEAST_USUAL = 0.1
+"""Nothing stays free for those who usually use less than this part of one place."""
+
 
 @dataclass(slots=True)
 class Demand:
@@ -21,19 +24,30 @@
 
     Attributes
     ----------
+    refused : float
+        What was refused lately.
     usual : float
-        Mean of what ran and waited over the last seconds.
+        Mean of all this over the last seconds.
+    usual_running : float
+        Mean of what ran.
     """
 
     share: float = 1.0
     running: float = 0.0
     waiting: float = 0.0
+    refused: float = 0.0
     usual: float = 0.0
+    usual_running: float = 0.0
+
+    @property
+    def total(self) -> float:
+        """Return all that the customer has here, or would have."""
+        return self.running + self.waiting + self.refused
 
     @property
     def size(self) -> float:
         """Return how many places the customer would use if it got all it wants."""
-        return max(self.running + self.waiting, self.usual)
+        return max(self.total, self.usual)
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,14 +58,20 @@
     ----------
     parts : dict
         Places that are a customer's, by key.
+    least : dict
+        Places that are a customer's in the mean, though higher priorities want all.
     spare : dict
         By priority: places that one who has more than its part leaves free for the others.
+    modest : set
+        Those whose part is all that they want, while others want more than theirs.
     """
 
     made_s: float
     capacity: float
     parts: dict[UseKey, float] = field(default_factory=dict)
+    least: dict[UseKey, float] = field(default_factory=dict)
     spare: dict[int, float] = field(default_factory=dict)
+    modest: set[UseKey] = field(default_factory=set)
 
 
 def water_fill(capacity: float, demands: list[tuple[float, float]]) -> list[float]:
@@ -77,9 +97,11 @@
     for priority in sorted({key[0] for key in demands}):
         group = {key: each for key, each in demands.items() if key[0] == priority}
         wanted = sum(each.size for each in group.values())
-        available = max(left, LEAST_SERVICE * capacity * wanted / total)
-        parts = water_fill(available, [(each.size, each.share) for each in group.values()])
+        weighted = [(each.size, each.share) for each in group.values()]
+        parts = water_fill(left, weighted)
         plan.parts.update(zip(group, parts, strict=True))
+        least = water_fill(LEAST_SERVICE * capacity * wanted / total, weighted)
+        plan.least.update(zip(group, least, strict=True))
         left -= sum(parts)
         of_priority = _Known()
         for key, each in group.items():
@@ -88,6 +110,9 @@
         plan.spare[priority] = known.plus(of_priority).spare(capacity)
         for key, each in group.items():
             known.add(each, plan.parts[key])
+    plan.modest.update(key for key, each in demands.items() if each.size <= plan.parts[key])
+    if len(plan.modest) == len(demands):
+        plan.modest.clear()
     return plan
 
 
@@ -116,5 +141,7 @@
 
         Those come at random, so they use by a root of the usual number more at times.
         """
-        expected = self.usual + sqrt(self.usual) - self.running
-        return max(self.waiting, min(expected, SPARE_PART * capacity), 0.0)
+        if self.usual < LEAST_USUAL:
+            return self.waiting
+        expected = max(1.0, self.usual + sqrt(self.usual) - self.running)
+        return max(self.waiting, min(expected, SPARE_PART * capacity))
--- a/umberhitch/core/scheduling/_shares.py
+++ b/umberhitch/core/scheduling/_shares.py
@@ -11,6 +11,7 @@
 
 from umberhitch.core.scheduling._claim import Claim
 from umberhitch.core.scheduling._customer_use import (
+    OTHERS,
     CustomerUse,
     customer_digest,
     largest_uses,
@@ -25,6 +26,9 @@
 PLAN_INTERVAL_S = 0.02
 PLAN_S_PER_CUSTOMER = 0.0005
 """With many customers the parts are computed less often: at 1,000, twice a second."""
+MIN_HELD_S = 0.02
+MAX_HELD_S = 2.0
+"""Bounds of the time for which a call holds its place; a refused one counts as wanted as long."""
 PRESSURE_S = 2.0
 """A service is under pressure for so long after a request last waited."""
 MAX_TOLD = 4
@@ -47,10 +51,12 @@
         self.withheld = 0
         self._own: dict[UseKey, Demand] = {}
         self._peers: dict[UseKey, CustomerUse] = {}
-        self._usual: dict[UseKey, float] = {}
+        self._usual: dict[UseKey, Demand] = {}
         self._plan = SharePlan(-1e9, 0.0)
-        self._pressed = 0
-        """Requests that wait here."""
+        self._decayed_s = -1e9
+        self._starts = 0.0
+        self._running_s = 0.0
+        """Sizes that were started lately, and sizes that ran times how long."""
         self._was_pressed = False
         self._pressed_s = -1e9
         self._names: dict[int, str] = {}
@@ -61,6 +67,7 @@
     def note_started(self, claim: Claim, size: float) -> None:
         """Count a call that takes a place."""
         self._of(claim).running += size
+        self._starts += size
 
     def note_ended(self, claim: Claim, size: float) -> None:
         """Count a call that leaves its place."""
@@ -77,6 +84,11 @@
         own = self._of(claim)
         own.waiting = max(0.0, own.waiting - size)
 
+    def note_refused(self, claim: Claim, size: float) -> None:
+        """Count a request that is refused for lack of room: it still tells what is wanted."""
+        self._of(claim).refused += size
+        self._was_pressed = True
+
     def _of(self, claim: Claim) -> Demand:
         own = self._own.setdefault(self._key(claim), Demand())
         own.share = claim.share
@@ -96,14 +108,15 @@
 
     def told(self, now_s: float) -> list[CustomerUse]:
         """Return what to tell the other routers: nothing unless a request waited lately."""
+        self._forget_refused(now_s)
         if self._was_pressed or any(own.waiting for own in self._own.values()):
             self._pressed_s, self._was_pressed = now_s, False
         if now_s - self._pressed_s > PRESSURE_S:
             return []
         uses = [
-            make_use(key[1], key[0], own.share, own.running, own.waiting)
+            make_use(key[1], key[0], own.share, own.running, own.waiting, own.refused)
             for key, own in self._own.items()
-            if own.running + own.waiting > 0.0
+            if own.total >= FORGOTTEN_SIZE
         ]
         return largest_uses(uses, MAX_TOLD)
 
@@ -139,54 +152,91 @@
         """
         key = self._key(claim)
         plan = self._plan_at(capacity * routers, now_s)
-        own, peers = self._own.get(key), self._peers.get(key)
-        running = (own.running if own else 0.0) + (peers.running if peers else 0.0)
-        if running < plan.parts.get(key, 1.0):
+        if self._demand(key).running < plan.parts.get(key, 1.0):
+            return 0.0
+        if self._usual.get(key, Demand()).usual_running < plan.least.get(key, 0.0):
             return 0.0
         spare = plan.spare.get(claim.priority, 0.0) / routers
         self.withheld += spare > 0.0
         return spare
 
+    def is_modest(self, claim: Claim, capacity: float, now_s: float, routers: int = 1) -> bool:
+        """Whether a claim's customer gets all it wants, while others want more than their part.
+
+        Such a claim may take a place beyond its router's part of them: the others leave it, at all
+        routers together, and a small customer's requests come to one router or the other by chance.
+        """
+        return self._key(claim) in self._plan_at(capacity * routers, now_s).modest
+
     def _plan_at(self, capacity: float, now_s: float) -> SharePlan:
         interval_s = max(PLAN_INTERVAL_S, PLAN_S_PER_CUSTOMER * len(self._usual))
         if now_s - self._plan.made_s >= interval_s:
+            self._forget_refused(now_s)
             self._plan = make_plan(self._demands(now_s - self._plan.made_s), capacity, now_s)
         return self._plan
 
+    def _forget_refused(self, now_s: float) -> None:
+        kept = exp((self._decayed_s - now_s) / self._held_s())
+        self._decayed_s = now_s
+        for own in self._own.values():
+            own.refused *= kept
+
+    def _held_s(self) -> float:
+        """Return the mean time for which a call holds its place, by Little's law."""
+        if not self._starts:
+            return MAX_HELD_S
+        return min(MAX_HELD_S, max(MIN_HELD_S, self._running_s / self._starts))
+
+    def _note_passed(self, passed_s: float) -> None:
+        """Measure how much ran for how long, to compare with how much was started."""
+        kept = exp(-passed_s / USUAL_S)
+        running = sum(own.running for own in self._own.values())
+        self._running_s = kept * (self._running_s + running * min(passed_s, USUAL_S))
+        self._starts *= kept
+
     def _demands(self, passed_s: float) -> dict[UseKey, Demand]:
         """Return what all customers use and want, and remember what they use usually."""
         kept = exp(-passed_s / USUAL_S)
+        self._note_passed(passed_s)
         demands = {}
         for key in {*self._own, *self._peers, *self._usual}:
-            own, peers = self._own.get(key), self._peers.get(key)
-            demand = Demand(
-                own.share if own else peers.share if peers else 1.0,
-                (own.running if own else 0.0) + (peers.running if peers else 0.0),
-                (own.waiting if own else 0.0) + (peers.waiting if peers else 0.0),
-            )
-            now = demand.running + demand.waiting
-            demand.usual = kept * self._usual.get(key, 0.0) + (1.0 - kept) * now
+            demand = self._demand(key)
+            before = self._usual.get(key, Demand())
+            demand.usual = kept * before.usual + (1.0 - kept) * demand.total
+            demand.usual_running = kept * before.usual_running + (1.0 - kept) * demand.running
             if demand.size >= FORGOTTEN_SIZE:
                 demands[key] = demand
-        self._usual = {key: demand.usual for key, demand in demands.items()}
-        self._own = {key: own for key, own in self._own.items() if own.running + own.waiting > 0.0}
+        self._usual = demands
+        self._own = {key: own for key, own in self._own.items() if own.total >= FORGOTTEN_SIZE}
         return demands
 
+    def _demand(self, key: UseKey) -> Demand:
+        """Return what a customer has and wants at all routers."""
+        own, peers = self._own.get(key, Demand()), self._peers.get(key)
+        if peers is None:
+            return Demand(own.share, own.running, own.waiting, own.refused)
+        return Demand(
+            own.share if key in self._own else peers.share,
+            own.running + peers.running,
+            own.waiting + peers.waiting,
+            own.refused + peers.refused,
+        )
+
     def rows(self, count: int = MAX_TOLD) -> list[dict[str, object]]:
         """Return the customers that use most, for the pages of operators."""
-        sizes = {
-            key: (self._own.get(key, Demand()), self._peers.get(key))
-            for key in {*self._own, *self._peers}
-        }
+        demands = {key: self._demand(key) for key in {*self._own, *self._peers}}
         rows = [
             {
-                "customer": self._names.get(key[1], f"{key[1]:08x}"),
+                "customer": self._name(key[1]),
                 "priority": key[0],
-                "running": round(own.running + (peers.running if peers else 0.0), 1),
-                "waiting": round(own.waiting + (peers.waiting if peers else 0.0), 1),
+                "running": round(demand.running, 1),
+                "waiting": round(demand.waiting, 1),
                 "part": round(self._plan.parts.get(key, 0.0), 1),
             }
-            for key, (own, peers) in sizes.items()
+            for key, demand in demands.items()
         ]
         rows.sort(key=lambda row: (-float(str(row["running"])), str(row["customer"])))
         return rows[:count]
+
+    def _name(self, digest: int) -> str:
+        return "others" if digest == OTHERS else self._names.get(digest, f"{digest:08x}")
--- a/umberhitch/tasks/direct/admission_control.py
+++ b/umberhitch/tasks/direct/admission_control.py
@@ -122,15 +122,17 @@
         asked.rooms[resource] = room
         self._last_rooms[resource, admitted.service] = room
         part = self.rooms.part(resource, admitted.service)
-        reserved = 0.0
+        reserved, is_modest = 0.0, False
         if not admitted.has_been_sent and resource is Resource.SLOT:
             limit = part.limit(room.service)
-            reserved = self._shares(admitted.service).reserved(
-                asked.claim, limit, now_s, room.service.routers
-            )
+            shares, routers = self._shares(admitted.service), room.service.routers
+            reserved = shares.reserved(asked.claim, limit, now_s, routers)
+            is_modest = shares.is_modest(asked.claim, limit, now_s, routers)
         prefers_free = not admitted.request.prompt
-        if admitted.has_been_sent:
+        if admitted.has_been_sent or is_modest:
             return _with_places(room.endpoints, prefers_free)
+        if reserved and room.service.taken + reserved * room.service.routers >= room.service.places:
+            return []
         if part.has_place(room.service, reserved, now_s):
             found = _with_places(_within_share(room, part), prefers_free)
             if found:
@@ -159,6 +161,7 @@
         now_s = self._clock.seconds()
         until_s = admitted.received_s + WAIT_OBJECTIVES * admitted.route.objective_s
         if self._is_stopped or until_s <= now_s:
+            self._shares(admitted.service).note_refused(claim, 1.0)
             self._refuse(waiter, "draining" if self._is_stopped else "no time to wait", 0.0)
             return True
         waiting = WaitingRequest(waiter, claim, now_s, until_s, len(queue) + 1)
@@ -190,6 +193,7 @@
 
     def _refuse_waiting(self, queue: WaitingRequests, waiting: WaitingRequest, reason: str) -> None:
         queue.remove(waiting)
+        self._shares(waiting.waiter.admitted.service).note_refused(waiting.claim, 1.0)
         self._refuse(waiting.waiter, reason, self._clock.seconds() - waiting.since_s)
 
     def _refuse(self, waiter: Waiter, reason: str, waited_s: float) -> None:
