--- a/umberhitch/core/direct/_endpoint_room.py
+++ b/umberhitch/core/direct/_endpoint_room.py
@@ -22,7 +22,8 @@
     With ``k`` calls waiting, the last call's time in the system has the mean ``m (k / s + 1)`` and
     the variance ``d² (k / s² + 1)``, where ``m`` and ``d`` are the mean and the deviation of the
     work time and ``s`` the number of servers. The mean plus the margin must not exceed the budget.
-    A call that finds a free server always has a place.
+    A call that finds a free server always has a place, and so has one more that begins when the
+    next server is free, if that is in time: it is there when the reply is still on its way.
 
     Parameters
     ----------
@@ -34,12 +35,13 @@
     """
     margin = (MARGIN_DEVIATIONS * work.deviation_s) ** 2
     spare_s = budget_s - work.mean_s
+    least = servers + float(work.mean_s / servers <= spare_s)
     if spare_s <= sqrt(margin) or work.mean_s <= 0.0:
-        return float(servers)
+        return least
     # Solves (spare - m x)² = margin (x / s + 1) for x, the calls that wait per server.
     half = work.mean_s * spare_s + margin / (2.0 * servers)
     root = sqrt(max(0.0, half**2 - work.mean_s**2 * (spare_s**2 - margin)))
-    return servers * (1.0 + (half - root) / work.mean_s**2)
+    return max(least, servers * (1.0 + (half - root) / work.mean_s**2))
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberhitch/core/direct/_work_times.py
+++ b/umberhitch/core/direct/_work_times.py
@@ -5,9 +5,9 @@
 
 __all__ = ["WorkTime", "WorkTimes"]
 
-MEAN_SAMPLES = 32
-"""Samples over which the means reach back: enough to know a spread, few enough to follow a change
-of pace within seconds."""
+MEAN_SAMPLES = 64
+"""Samples over which the means reach back: enough to know a mean within an eighth where the times
+are exponentially distributed, few enough to follow a change within seconds."""
 ASSUMED_SAMPLES = 16
 """Samples that an assumption counts for: of the first calls, the short ones end first."""
 
@@ -30,6 +30,9 @@
         self.deviation_s = variance**0.5
 
 
+MIN_WORK_S = 1e-6
+
+
 class WorkTimes:
     """Work times by service and by endpoint."""
 
@@ -56,9 +59,18 @@
         of_endpoint.add(work_s)
 
     def of(self, service: str, lifetime: str, assumed_s: float) -> WorkTime:
-        """Return the work time at an endpoint; that of its service if the endpoint is new."""
-        known = self._endpoints.get(lifetime) or self._services.get(service)
-        return known or _assume(assumed_s, assumed_s)
+        """Return the work time at an endpoint; that of its service if the endpoint is new.
+
+        The spread in relation to the mean is a property of the requests, and so the service's.
+        """
+        of_service = self._services.get(service)
+        if of_service is None:
+            return _assume(assumed_s, assumed_s)
+        of_endpoint = self._endpoints.get(lifetime)
+        if of_endpoint is None:
+            return of_service
+        spread = of_service.deviation_s / max(of_service.mean_s, MIN_WORK_S)
+        return WorkTime(of_endpoint.mean_s, spread * of_endpoint.mean_s)
 
     def retain(self, lifetimes: Container[str]) -> None:
         """Discard what is known of all endpoints but those of some lifetimes."""
