--- a/umberhitch/tasks/direct/admission_control.py
+++ b/umberhitch/tasks/direct/admission_control.py
@@ -30,6 +30,8 @@
 has three quarters of it left for another try."""
 MAX_WAITING_BYTES = 32 * 1024 * 1024
 """Bodies of waiting requests that a router holds at most."""
+PLACES_ERROR = 1.5
+"""Factor by which the calls at an endpoint may seem to exceed its places."""
 CHECKS_PER_WAIT = 10
 """While requests wait, the room is estimated anew so often in the longest wait: what is known of
 the calls of other routers changes with its age alone."""
@@ -130,7 +132,8 @@
         if admitted.has_been_sent:
             return _with_places(room.endpoints, prefers_free)
         if part.has_place(room.service, reserved, now_s):
-            found = _with_places(_within_share(room, part), prefers_free)
+            within = _within_share(room, part)
+            found = _with_places(within, prefers_free) or _perhaps_with_places(within)
             if found:
                 return found
         if part.may_take_slot(room.service, reserved):
@@ -450,6 +453,15 @@
     return [each.endpoint for each in found]
 
 
+def _perhaps_with_places(rooms: list[EndpointRoom]) -> list[Endpoint]:
+    """Return the endpoints at which a call of this router's own part would be on time.
+
+    What is known of others is old. The places are those for half of the latency objective, so that
+    half as many again still leave a quarter of it.
+    """
+    return [each.endpoint for each in rooms if each.taken + 1.0 <= PLACES_ERROR * each.places]
+
+
 def _within_share(room: ServiceRoom, part: RouterPart) -> list[EndpointRoom]:
     """Return the endpoints at which this router has less than its share.
 
