--- a/umberhitch/core/direct/_endpoint_room.py
+++ b/umberhitch/core/direct/_endpoint_room.py
@@ -9,12 +9,15 @@
 
 __all__ = ["EndpointCounts", "count_places"]
 
-MARGIN_DEVIATIONS = 2.0
-"""Standard deviations of the time in the system that are left as a margin: 2 leave 2 % late if that
-time is normally distributed, and 5 % if a single exponential work time dominates it."""
+MARGIN_DEVIATIONS = 1.0
+"""Standard deviations of the time in the system that are left as a margin within the budget. The
+budget itself leaves time as well; together they are more than two where work is short."""
 REPORT_DECAY_S = 0.25
 """Time in which a reported count loses half of its weight to what peers tell, as often."""
 
+FRESH_S = 0.05
+"""Age up to which a reported count is taken as it is."""
+
 
 def count_places(servers: int, work: WorkTime, budget_s: float) -> float:
     """Return how many calls an endpoint can have so that the last one ends within a time.
@@ -96,6 +99,11 @@
         count = self._counts.get(lifetime)
         return peers if count is None else _blend(count.others_waiting, peers, now_s - count.at_s)
 
+    def is_fresh(self, lifetime: str, now_s: float) -> bool:
+        """Whether an endpoint has reported its calls a moment ago."""
+        count = self._counts.get(lifetime)
+        return count is not None and now_s - count.at_s <= FRESH_S
+
     def pace(self, lifetime: str, now_s: float) -> float:
         """Return by what factor work takes longer than usual."""
         count = self._counts.get(lifetime)
--- a/umberhitch/tasks/direct/admission_control.py
+++ b/umberhitch/tasks/direct/admission_control.py
@@ -31,7 +31,8 @@
 MAX_WAITING_BYTES = 32 * 1024 * 1024
 """Bodies of waiting requests that a router holds at most."""
 PLACES_ERROR = 1.5
-"""Factor by which the calls at an endpoint may seem to exceed its places."""
+"""Factor by which the calls at an endpoint may exceed its places: these are for half of the latency
+objective, so that half as many again still leave a quarter of it."""
 CHECKS_PER_WAIT = 10
 """While requests wait, the room is estimated anew so often in the longest wait: what is known of
 the calls of other routers changes with its age alone."""
@@ -102,12 +103,14 @@
         if not admitted.has_been_sent and self._is_behind_others(admitted):
             return []
         asked = _Asked(admitted, claim, {})
+        found = endpoints
         for resource in _resources(admitted):
-            endpoints = self._with_resource(resource, asked, endpoints)
-            if not endpoints:
+            allowed = self._with_resource(resource, asked, endpoints)
+            found = [each for each in found if each in allowed]
+            if not found:
                 return []
         self._asked = asked
-        return endpoints
+        return found
 
     def _is_behind_others(self, admitted: AdmittedRequest) -> bool:
         """Whether a request has to wait, since others have waited before it."""
@@ -133,7 +136,7 @@
             return _with_places(room.endpoints, prefers_free)
         if part.has_place(room.service, reserved, now_s):
             within = _within_share(room, part)
-            found = _with_places(within, prefers_free) or _perhaps_with_places(within)
+            found = _with_places(within, prefers_free) or _not_seen_full(within)
             if found:
                 return found
         if part.may_take_slot(room.service, reserved):
@@ -453,13 +456,17 @@
     return [each.endpoint for each in found]
 
 
-def _perhaps_with_places(rooms: list[EndpointRoom]) -> list[Endpoint]:
-    """Return the endpoints at which a call of this router's own part would be on time.
+def _not_seen_full(rooms: list[EndpointRoom]) -> list[Endpoint]:
+    """Return the endpoints at which a call of this router's own part is probably on time.
 
-    What is known of others is old. The places are those for half of the latency objective, so that
-    half as many again still leave a quarter of it.
+    If all routers keep to their parts, it is, whatever old reports say. A new report that goes
+    beyond all parts is heeded.
     """
-    return [each.endpoint for each in rooms if each.taken + 1.0 <= PLACES_ERROR * each.places]
+    return [
+        each.endpoint
+        for each in rooms
+        if not each.is_fresh or each.taken + 1.0 <= PLACES_ERROR * each.places
+    ]
 
 
 def _within_share(room: ServiceRoom, part: RouterPart) -> list[EndpointRoom]:
--- a/umberhitch/tasks/direct/room_estimate.py
+++ b/umberhitch/tasks/direct/room_estimate.py
@@ -49,6 +49,8 @@
     places: float
     taken: float
     own: int
+    is_fresh: bool
+    """Whether the endpoint has reported its calls a moment ago."""
 
     @property
     def free_slots(self) -> float:
@@ -190,7 +192,8 @@
         if most is not None and resource is Resource.SLOT:
             places = max(float(servers), min(places, most))
         taken = self.taken(resource, service, lifetime, now_s)
-        return EndpointRoom(endpoint, servers, places, taken, self._own(resource, lifetime))
+        own, is_fresh = self._own(resource, lifetime), self._counts.is_fresh(lifetime, now_s)
+        return EndpointRoom(endpoint, servers, places, taken, own, is_fresh)
 
     def _cycle_s(self, resource: Resource, service: str, room: EndpointRoom, now_s: float) -> float:
         """Return the seconds that a call keeps a place while all places are taken."""
