--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -61,7 +61,7 @@
 from umberhitch.core.direct._retry_budget import RetryBudget, RetryBudgetLimits
 from umberhitch.core.direct._return_plan import ReturnPlan
 from umberhitch.core.direct._room import RoomForecast
-from umberhitch.core.direct._router_part import RouterPart, ServicePlaces
+from umberhitch.core.direct._router_part import PLACES_ERROR, RouterPart, ServicePlaces
 from umberhitch.core.direct._routes import RouteTable
 from umberhitch.core.direct._signals import HeadSignals, ReportedLoad, SignalKind
 from umberhitch.core.direct._store_epoch import EpochVerdict, StoreEpoch
@@ -92,6 +92,7 @@
     "KEPT_S",
     "NO_POSITION",
     "NO_PREFILL",
+    "PLACES_ERROR",
     "ActivePrefills",
     "AdvertisedLimit",
     "AdvertisedLimits",
--- a/umberhitch/core/direct/_router_part.py
+++ b/umberhitch/core/direct/_router_part.py
@@ -10,10 +10,15 @@
 from dataclasses import dataclass
 from math import floor, inf
 
-__all__ = ["RouterPart", "ServicePlaces"]
+__all__ = ["PLACES_ERROR", "RouterPart", "ServicePlaces"]
 
 DECREASE = 0.7
 """Factor of the part after late answers, and of what was taken beyond it after a queue was seen."""
+PLACES_ERROR = 1.5
+"""Factor by which the calls at an endpoint may exceed its places: these are for half of the latency
+objective, so that half as many again still leave a quarter of it."""
+MAX_SAVED = 2.0
+"""Places that the fraction of a part adds up to at most: callers come at random, often in twos."""
 LATE_SHARE = 0.1
 """Share of late answers and refusals above which the part is reduced. The places leave a margin, so
 that single late answers come from long work, and only many of them from too many calls."""
@@ -70,8 +75,9 @@
         """Places taken beyond the part, while slots are free."""
         self._late_share = 0.0
         self._decreased_s = -inf
-        self._fraction_used_s = -inf
-        """Time of the last start beyond the whole places of the part."""
+        self._saved = MAX_SAVED
+        """Places that the fraction of the part beyond the whole ones had added up to."""
+        self._saved_s = 0.0
 
     def limit(self, service: ServicePlaces) -> float:
         """Return this router's part of the places."""
@@ -89,15 +95,23 @@
         part = self.limit(service)
         others = service.taken - service.own
         left = max(0.0, service.places - others - part) / service.routers
-        limit = part + left - reserved
-        return service.own + 1 <= floor(limit) or self._has_fraction(limit, service, now_s)
+        limit = max(part + left, self._least(service)) - reserved
+        if service.own + 1 <= floor(limit):
+            return True
+        return service.own <= limit and self._saved_now(part, service, now_s) >= 1.0 + reserved
 
-    def _has_fraction(self, limit: float, service: ServicePlaces, now_s: float) -> bool:
-        """Whether the fraction of a place beyond the whole ones has added up to a place."""
-        fraction = limit - floor(limit)
-        if fraction <= 0.0 or service.own > limit:
-            return False
-        return now_s - self._fraction_used_s >= service.cycle_s / fraction
+    def _least(self, service: ServicePlaces) -> float:
+        """Return the places that a router has at any rate.
+
+        It has one, unless so many routers with one each had too many calls.
+        """
+        return float(service.routers <= PLACES_ERROR * service.places)
+
+    def _saved_now(self, part: float, service: ServicePlaces, now_s: float) -> float:
+        """Return the places that the fraction of the part beyond the whole ones has added up to."""
+        fraction = part - floor(part)
+        saved = (now_s - self._saved_s) * fraction / max(service.cycle_s, MIN_CYCLE_S)
+        return min(MAX_SAVED, self._saved + saved)
 
     def may_take_slot(self, service: ServicePlaces, reserved: float) -> bool:
         """Whether this router may take a free slot beyond its own part."""
@@ -107,9 +121,11 @@
 
     def note_started(self, service: ServicePlaces, now_s: float) -> None:
         """Record that a call starts."""
-        limit = self.limit(service)
-        if service.own + 1 > floor(limit) and self._has_fraction(limit, service, now_s):
-            self._fraction_used_s = now_s
+        part = self.limit(service)
+        saved = self._saved_now(part, service, now_s)
+        if service.own + 1 > max(floor(part), self._least(service)):
+            saved = max(0.0, saved - 1.0)
+        self._saved, self._saved_s = saved, now_s
 
     def note_slots(self, free: float, service: ServicePlaces) -> None:
         """Record how many slots of an endpoint are free; a negative number is its queue."""
--- a/umberhitch/tasks/direct/admission_control.py
+++ b/umberhitch/tasks/direct/admission_control.py
@@ -9,7 +9,14 @@
 from dataclasses import dataclass
 from math import ceil
 
-from umberhitch.core.direct import Endpoint, PlacedCall, ReplyHead, RoomForecast, RouterPart
+from umberhitch.core.direct import (
+    PLACES_ERROR,
+    Endpoint,
+    PlacedCall,
+    ReplyHead,
+    RoomForecast,
+    RouterPart,
+)
 from umberhitch.core.scheduling import Claim, CustomerShares
 from umberhitch.ports.clock import Clock, Timer
 from umberhitch.tasks.direct.admission_counters import AdmissionCounters
@@ -30,9 +37,6 @@
 has three quarters of it left for another try."""
 MAX_WAITING_BYTES = 32 * 1024 * 1024
 """Bodies of waiting requests that a router holds at most."""
-PLACES_ERROR = 1.5
-"""Factor by which the calls at an endpoint may exceed its places: these are for half of the latency
-objective, so that half as many again still leave a quarter of it."""
 CHECKS_PER_WAIT = 10
 """While requests wait, the room is estimated anew so often in the longest wait: what is known of
 the calls of other routers changes with its age alone."""
@@ -181,7 +185,7 @@
         """Refuse the requests that would be served last while more wait than can be served."""
         wait_s = newest.until_s - newest.since_s
         self._serve_queue(queue)
-        most = max(1.0, self.rate_per_s(newest.waiter.admitted.service) * wait_s)
+        most = 1.0 + self.rate_per_s(newest.waiter.admitted.service) * wait_s
         while len(queue) > most:
             self._refuse_last(queue, "queue is full")
         while self._waiting_bytes > MAX_WAITING_BYTES and len(queue):
