--- a/umberhitch/core/direct/_endpoint_room.py
+++ b/umberhitch/core/direct/_endpoint_room.py
@@ -9,12 +9,15 @@
 
 __all__ = ["EndpointCounts", "count_places"]
 
-MARGIN_DEVIATIONS = 2.0
-"""Standard deviations of the time in the system that are left as a margin: 2 leave 2 % late if that
-time is normally distributed, and 5 % if a single exponential work time dominates it."""
+MARGIN_DEVIATIONS = 1.0
+"""Standard deviations of the time in the system that are left as a margin within the budget. The
+budget itself leaves time as well; together they are more than two where work is short."""
 REPORT_DECAY_S = 0.25
 """Time in which a reported count loses half of its weight to what peers tell, as often."""
 
+FRESH_S = 0.05
+"""Age up to which a reported count is taken as it is."""
+
 
 def count_places(servers: int, work: WorkTime, budget_s: float) -> float:
     """Return how many calls an endpoint can have so that the last one ends within a time.
@@ -22,7 +25,8 @@
     With ``k`` calls waiting, the last call's time in the system has the mean ``m (k / s + 1)`` and
     the variance ``d² (k / s² + 1)``, where ``m`` and ``d`` are the mean and the deviation of the
     work time and ``s`` the number of servers. The mean plus the margin must not exceed the budget.
-    A call that finds a free server always has a place.
+    A call that finds a free server always has a place, and so has one more that begins when the
+    next server is free, if that is in time: it is there when the reply is still on its way.
 
     Parameters
     ----------
@@ -34,12 +38,13 @@
     """
     margin = (MARGIN_DEVIATIONS * work.deviation_s) ** 2
     spare_s = budget_s - work.mean_s
+    least = servers + float(work.mean_s / servers <= spare_s)
     if spare_s <= sqrt(margin) or work.mean_s <= 0.0:
-        return float(servers)
+        return least
     # Solves (spare - m x)² = margin (x / s + 1) for x, the calls that wait per server.
     half = work.mean_s * spare_s + margin / (2.0 * servers)
     root = sqrt(max(0.0, half**2 - work.mean_s**2 * (spare_s**2 - margin)))
-    return servers * (1.0 + (half - root) / work.mean_s**2)
+    return max(least, servers * (1.0 + (half - root) / work.mean_s**2))
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +99,11 @@
         count = self._counts.get(lifetime)
         return peers if count is None else _blend(count.others_waiting, peers, now_s - count.at_s)
 
+    def is_fresh(self, lifetime: str, now_s: float) -> bool:
+        """Whether an endpoint has reported its calls a moment ago."""
+        count = self._counts.get(lifetime)
+        return count is not None and now_s - count.at_s <= FRESH_S
+
     def pace(self, lifetime: str, now_s: float) -> float:
         """Return by what factor work takes longer than usual."""
         count = self._counts.get(lifetime)
--- a/umberhitch/tasks/direct/admission_control.py
+++ b/umberhitch/tasks/direct/admission_control.py
@@ -9,7 +9,14 @@
 from dataclasses import dataclass
 from math import ceil
 
-from umberhitch.core.direct import Endpoint, PlacedCall, ReplyHead, RoomForecast, RouterPart
+from umberhitch.core.direct import (
+    PLACES_ERROR,
+    Endpoint,
+    PlacedCall,
+    ReplyHead,
+    RoomForecast,
+    RouterPart,
+)
 from umberhitch.core.scheduling import Claim, CustomerShares
 from umberhitch.ports.clock import Clock, Timer
 from umberhitch.tasks.direct.admission_counters import AdmissionCounters
@@ -100,12 +107,14 @@
         if not admitted.has_been_sent and self._is_behind_others(admitted):
             return []
         asked = _Asked(admitted, claim, {})
+        found = endpoints
         for resource in _resources(admitted):
-            endpoints = self._with_resource(resource, asked, endpoints)
-            if not endpoints:
+            allowed = self._with_resource(resource, asked, endpoints)
+            found = [each for each in found if each in allowed]
+            if not found:
                 return []
         self._asked = asked
-        return endpoints
+        return found
 
     def _is_behind_others(self, admitted: AdmittedRequest) -> bool:
         """Whether a request has to wait, since others have waited before it."""
@@ -134,7 +143,8 @@
         if reserved and room.service.taken + reserved * room.service.routers >= room.service.places:
             return []
         if part.has_place(room.service, reserved, now_s):
-            found = _with_places(_within_share(room, part), prefers_free)
+            within = _within_share(room, part)
+            found = _with_places(within, prefers_free) or _not_seen_full(within)
             if found:
                 return found
         if part.may_take_slot(room.service, reserved):
@@ -180,7 +190,7 @@
         """Refuse the requests that would be served last while more wait than can be served."""
         wait_s = newest.until_s - newest.since_s
         self._serve_queue(queue)
-        most = max(1.0, self.rate_per_s(newest.waiter.admitted.service) * wait_s)
+        most = 1.0 + self.rate_per_s(newest.waiter.admitted.service) * wait_s
         while len(queue) > most:
             self._refuse_last(queue, "queue is full")
         while self._waiting_bytes > MAX_WAITING_BYTES and len(queue):
@@ -459,6 +469,19 @@
     return [each.endpoint for each in found]
 
 
+def _not_seen_full(rooms: list[EndpointRoom]) -> list[Endpoint]:
+    """Return the endpoints at which a call of this router's own part is probably on time.
+
+    If all routers keep to their parts, it is, whatever old reports say. A new report that goes
+    beyond all parts is heeded.
+    """
+    return [
+        each.endpoint
+        for each in rooms
+        if not each.is_fresh or each.taken + 1.0 <= PLACES_ERROR * each.places
+    ]
+
+
 def _within_share(room: ServiceRoom, part: RouterPart) -> list[EndpointRoom]:
     """Return the endpoints at which this router has less than its share.
 
