--- a/umberhitch/core/scheduling/_max_min.py
+++ b/umberhitch/core/scheduling/_max_min.py
@@ -63,7 +63,7 @@
     spare : dict
         By priority: places that one who has more than its part leaves free for the others.
     modest : set
-        Those whose part is all that they want, while others want more than theirs.
+        Those whose part is all that they want, while others lack something.
     """
 
     made_s: float
@@ -110,9 +110,12 @@
         plan.spare[priority] = known.plus(of_priority).spare(capacity)
         for key, each in group.items():
             known.add(each, plan.parts[key])
-    plan.modest.update(key for key, each in demands.items() if each.size <= plan.parts[key])
-    if len(plan.modest) == len(demands):
-        plan.modest.clear()
+    lacking = sum(each.waiting + each.refused for each in demands.values())
+    plan.modest.update(
+        key
+        for key, each in demands.items()
+        if each.size <= plan.parts[key] and lacking - each.waiting - each.refused > LEAST_USUAL
+    )
     return plan
 
 
--- a/umberhitch/core/scheduling/_shares.py
+++ b/umberhitch/core/scheduling/_shares.py
@@ -161,7 +161,7 @@
         return spare
 
     def is_modest(self, claim: Claim, capacity: float, now_s: float, routers: int = 1) -> bool:
-        """Whether a claim's customer gets all it wants, while others want more than their part.
+        """Whether a claim's customer wants no more than its part, while others lack something.
 
         Such a claim may take a place beyond its router's part of them: the others leave it, at all
         routers together, and a small customer's requests come to one router or the other by chance.
--- a/umberhitch/tasks/direct/admission_control.py
+++ b/umberhitch/tasks/direct/admission_control.py
@@ -140,7 +140,7 @@
         prefers_free = not admitted.request.prompt
         if admitted.has_been_sent or is_modest:
             return _with_places(room.endpoints, prefers_free)
-        if reserved and room.service.taken + reserved * room.service.routers >= room.service.places:
+        if reserved and room.service.taken + reserved * room.service.routers >= room.service.slots:
             return []
         if part.has_place(room.service, reserved, now_s):
             within = _within_share(room, part)
