--- a/umberhitch/core/direct/_router_part.py
+++ b/umberhitch/core/direct/_router_part.py
@@ -17,8 +17,9 @@
 PLACES_ERROR = 1.5
 """Factor by which the calls at an endpoint may exceed its places: these are for half of the latency
 objective, so that half as many again still leave a quarter of it."""
-MAX_SAVED = 2.0
-"""Places that the fraction of a part adds up to at most: callers come at random, often in twos."""
+MAX_SAVED = 3.0
+"""Places that the fraction of a part adds up to at most: callers come at random, often in twos and
+threes."""
 LATE_SHARE = 0.1
 """Share of late answers and refusals above which the part is reduced. The places leave a margin, so
 that single late answers come from long work, and only many of them from too many calls."""
@@ -98,7 +99,7 @@
         limit = max(part + left, self._least(service)) - reserved
         if service.own + 1 <= floor(limit):
             return True
-        return service.own <= limit and self._saved_now(part, service, now_s) >= 1.0 + reserved
+        return self._saved_now(part, service, now_s) >= 1.0 + reserved
 
     def _least(self, service: ServicePlaces) -> float:
         """Return the places that a router has at any rate.
--- a/umberhitch/tasks/direct/admission_control.py
+++ b/umberhitch/tasks/direct/admission_control.py
@@ -363,10 +363,12 @@
         self._adapt(call, now_s - call.sent_s <= in_time_s, now_s)
 
     def _adapt(self, call: _Call, is_on_time: bool, now_s: float) -> None:
-        room = self.room(call.admitted.service)
-        if room is not None:
-            part = self.rooms.part(Resource.SLOT, call.admitted.service)
-            part.note_answer(is_on_time, room.service, now_s)
+        service = call.admitted.service
+        for resource in _resources(call.admitted):
+            room = self._last_rooms.get((resource, service))
+            if room is not None:
+                part = self.rooms.part(resource, service)
+                part.note_answer(is_on_time, room.service, now_s)
 
     def _learn(self, resource: Resource, call: _Call, waiting: float, now_s: float) -> None:
         lifetime, service = call.lifetime, call.admitted.service
--- a/umberhitch/tasks/direct/room_estimate.py
+++ b/umberhitch/tasks/direct/room_estimate.py
@@ -19,9 +19,6 @@
 
 __all__ = ["EndpointRoom", "Resource", "RoomEstimate", "ServiceRoom"]
 
-ENDPOINT_OBJECTIVES = 0.5
-"""Share of the latency objective that a call may spend at an endpoint. A quarter is for waiting at
-the router, and a quarter is left because counts and work times are estimates."""
 ASSUMED_OBJECTIVES = 0.125
 """Work time that is assumed before the first answer, as a share of the latency objective: about two
 calls per slot are sent then, as nothing is known on which to refuse them."""
@@ -40,6 +37,12 @@
     """An engine reads one prompt at a time, until the first event."""
 
 
+OBJECTIVE_SHARES = {Resource.SLOT: 0.5, Resource.READING: 0.65}
+"""Shares of the latency objective that a call may spend at an endpoint. A quarter is for waiting at
+the router, and the rest is left because counts and work times are estimates. That is less for an
+engine: it reads one prompt after the other, so that fewer would leave it without work too often."""
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointRoom:
     """Calls that an endpoint has, and that it can have at once and in time."""
@@ -154,7 +157,7 @@
         left_s : float
             Seconds within which a call that is sent now must end, or begin at an engine.
         """
-        budget_s = min(ENDPOINT_OBJECTIVES * self.objective_s(service), left_s)
+        budget_s = min(OBJECTIVE_SHARES[resource] * self.objective_s(service), left_s)
         rooms = [
             self._endpoint_room(resource, service, endpoint, is_engine, budget_s, now_s)
             for endpoint in endpoints
