Shares by slots, not by places in endpoints' queues

Where others compete, whoever has more than its part takes free slots only: the queues at endpoints stay for the urgent and for small customers.

--- a/umberhitch/tasks/direct/admission_control.py
+++ b/umberhitch/tasks/direct/admission_control.py
@@ -133,10 +133,10 @@
         part = self.rooms.part(resource, admitted.service)
         reserved, is_modest = 0.0, False
         if not admitted.has_been_sent and resource is Resource.SLOT:
-            limit = part.limit(room.service)
             shares, routers = self._shares(admitted.service), room.service.routers
-            reserved = shares.reserved(asked.claim, limit, now_s, routers)
-            is_modest = shares.is_modest(asked.claim, limit, now_s, routers)
+            slots = room.service.slots / routers
+            reserved = shares.reserved(asked.claim, slots, now_s, routers)
+            is_modest = shares.is_modest(asked.claim, slots, now_s, routers)
         prefers_free = not admitted.request.prompt
         if admitted.has_been_sent or is_modest:
             return _with_places(room.endpoints, prefers_free)
