Shares by the router's own part while peers tell nothing

Reports of 30 routers are 0.9 s apart: at the start of an overload each router saw only its own use of all places, and let the low priority fill the endpoints' queues.

--- a/umberhitch/core/scheduling/_shares.py
+++ b/umberhitch/core/scheduling/_shares.py
@@ -35,6 +35,7 @@
 """Customers that a router tells of one by one; the others are told as one sum for each priority. So
 a report is some 60 bytes longer, whatever their number."""
 FORGOTTEN_SIZE = 0.01
+MIN_CAPACITY = 0.01
 MAX_DIGESTS = 2000
 
 
@@ -151,12 +152,12 @@
             Routers that use the service.
         """
         key = self._key(claim)
-        plan = self._plan_at(capacity * routers, now_s)
+        plan = self._plan_at(capacity, now_s, routers)
         if self._demand(key).running < plan.parts.get(key, 1.0):
             return 0.0
         if self._usual.get(key, Demand()).usual_running < plan.least.get(key, 0.0):
             return 0.0
-        spare = plan.spare.get(claim.priority, 0.0) / routers
+        spare = plan.spare.get(claim.priority, 0.0) * capacity / max(plan.capacity, MIN_CAPACITY)
         self.withheld += spare > 0.0
         return spare
 
@@ -166,13 +167,15 @@
         Such a claim may take a place beyond its router's part of them: the others leave it, at all
         routers together, and a small customer's requests come to one router or the other by chance.
         """
-        return self._key(claim) in self._plan_at(capacity * routers, now_s).modest
+        return self._key(claim) in self._plan_at(capacity, now_s, routers).modest
 
-    def _plan_at(self, capacity: float, now_s: float) -> SharePlan:
+    def _plan_at(self, capacity: float, now_s: float, routers: int) -> SharePlan:
+        """Return the parts of all places or, while peers tell nothing, of this router's own."""
         interval_s = max(PLAN_INTERVAL_S, PLAN_S_PER_CUSTOMER * len(self._usual))
         if now_s - self._plan.made_s >= interval_s:
             self._forget_refused(now_s)
-            self._plan = make_plan(self._demands(now_s - self._plan.made_s), capacity, now_s)
+            total = capacity * routers if self._peers else capacity
+            self._plan = make_plan(self._demands(now_s - self._plan.made_s), total, now_s)
         return self._plan
 
     def _forget_refused(self, now_s: float) -> None:
