--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -7,6 +7,7 @@
 from msgspec import json
 from twisted.internet.defer import ensureDeferred
 
+from umberhitch.adapters.admission_pages import admission_metrics, admission_status
 from umberhitch.core.direct import IntakeLimits, SignalKind
 from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest, do_nothing
 from umberhitch.tasks.burn import BurnReport
@@ -137,6 +138,7 @@
             "ready_answers": gateway.counters.ready_answers,
             "refused": gateway.local_replies.refused,
             "held": sum(1 for _ in gateway.crash_guard.record.held(gateway.clock.seconds())),
+            "room": admission_status(gateway.admission_control),
             "zones_out": self._zones_out(),
             "endpoint_signals": [_signal_row(each) for each in self._signals()],
             "unknown_headers": gateway.gate.unknown_headers.counts,
@@ -186,6 +188,7 @@
             f'umberhitch_endpoint_signals{{signal="{kind}"}} {kinds[kind]}' for kind in SignalKind
         ]
         lines += [f"umberhitch_{name} {value}" for name, value in self._transport().items()]
+        lines += admission_metrics(gateway.admission_control)
         age_s = gateway.view.proof_age_s(gateway.clock.seconds())
         if age_s != float("inf"):
             lines.append(f"umberhitch_configuration_age_seconds {age_s:.3f}")
--- a/umberhitch/testing/__init__.py
+++ b/umberhitch/testing/__init__.py
@@ -26,6 +26,7 @@
 from umberhitch.testing._limited import LIMIT_SPAN_S, limit_bound, most_from_told, most_within
 from umberhitch.testing._load import LoadRecord, LoadWorld, Stream, make_load_document
 from umberhitch.testing._oracle import check_world
+from umberhitch.testing._overload import FalseRefusal, OverloadWorld, make_overload_world
 from umberhitch.testing._transports import FakeTransport, dial
 from umberhitch.testing._violation import Violation
 from umberhitch.testing._world import AskOptions, CallerRecord, World, WorldSettings
@@ -41,9 +42,11 @@
     "DirectRouter",
     "DirectWorld",
     "FakeTransport",
+    "FalseRefusal",
     "LoadRecord",
     "LoadWorld",
     "LostRecords",
+    "OverloadWorld",
     "StoreCopy",
     "Stream",
     "Violation",
@@ -59,6 +62,7 @@
     "make_document",
     "make_endpoint_entry",
     "make_load_document",
+    "make_overload_world",
     "make_route",
     "make_start",
     "make_state_change",
--- a/umberhitch/testing/_overload.py
+++ b/umberhitch/testing/_overload.py
@@ -16,6 +16,10 @@
 SLOTS = 6
 WORK_S = 0.05
 PROMPT_TOKENS = 1000
+QUEUE_LIMIT = 500
+"""Calls that an endpoint queues: so many that it refuses none."""
+RAMP_S = 0.25
+"""Time from the start of a load until the endpoints' queues have formed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +44,8 @@
     """
 
     is_stream: bool = False
+    started_s: float = 0.0
+    ended_s: float = 0.0
     refusals: int = 0
     false_refusals: list[FalseRefusal] = field(default_factory=list)
 
@@ -85,9 +91,24 @@
         headers = {"Prompt": f"p:{PROMPT_TOKENS}"} if self.is_stream else {}
         rate = factor * self.capacity_per_s
         body = b"b" * (PROMPT_TOKENS if self.is_stream else 4)
+        self.started_s = self.clock.seconds()
+        self.ended_s = self.started_s + seconds
         self.offer([Stream("all", lambda now_s: rate, path, body=body, headers=headers)], seconds)
         self.settle()
 
+    @property
+    def on_time_of_capacity(self) -> float:
+        """Return the answers on time per second of the load, as a share of the capacity."""
+        from_s = self.started_s + RAMP_S
+        on_time = [
+            each
+            for each in self.records
+            if each.is_on_time
+            and each.answered_s is not None
+            and from_s <= each.answered_s < self.ended_s
+        ]
+        return len(on_time) / (self.ended_s - from_s) / self.capacity_per_s
+
     @property
     def late_refusals(self) -> int:
         """Return how many refusals came later than a quarter of the objective, and a step."""
@@ -126,7 +147,8 @@
     """Return routers before endpoints with one route, `/look/`, whose objective is 0.5 s."""
     is_stream = kind is RouteKind.STREAM
     world = OverloadWorld(rng=Random(seed), is_stream=is_stream)
-    values = {"slots": SLOTS, "work_s": WORK_S, "is_random": True, "is_engine": is_stream}
+    values: dict[str, Any] = {"slots": SLOTS, "work_s": WORK_S, "is_random": True}
+    values |= {"is_engine": is_stream, "queue_limit": QUEUE_LIMIT}
     for number in range(endpoints):
         world.add_loaded(f"e{number}", **(values | endpoint))
     cache: dict[str, Any] = {"cache_tokens": 1} if is_stream else {}
