--- a/umberhitch/core/direct/_router_part.py
+++ b/umberhitch/core/direct/_router_part.py
@@ -99,6 +99,8 @@
         limit = max(part + left, self._least(service)) - reserved
         if service.own + 1 <= floor(limit):
             return True
+        if service.routers == 1 or service.own >= MAX_SAVED:
+            return False
         return self._saved_now(part, service, now_s) >= 1.0 + reserved
 
     def _least(self, service: ServicePlaces) -> float:
--- a/umberhitch/tasks/direct/admission_control.py
+++ b/umberhitch/tasks/direct/admission_control.py
@@ -51,7 +51,7 @@
     is_engine: bool
     is_reading: bool
     waiting: float
-    """Calls that waited at the endpoint when the call was sent, or by its newest report."""
+    """Calls that waited at the endpoint while the call was there, on the average."""
 
 
 @dataclass(slots=True)
@@ -339,7 +339,8 @@
         load = head.signals.load
         if load is not None:
             if load.waiting is not None:
-                call.waiting = float(load.waiting)
+                # The queue may grow or shrink while the call is there.
+                call.waiting = (call.waiting + load.waiting) / 2.0
             has_ended = head.not_run or not call.is_engine
             self.rooms.note_report(lifetime, load, int(has_ended), now_s)
         if head.not_run and head.signals.backoff_s is None:
