--- a/umberhitch/tasks/direct/tests/test_waiting_for_room.py
+++ b/umberhitch/tasks/direct/tests/test_waiting_for_room.py
@@ -93,8 +93,9 @@
     order = _ask(world, "/order/x")
     assert [look.status for look in looks].count(503) >= 1
     assert order.status is None
-    world.run(0.06 + WORK_S)
+    world.run(0.1 + WORK_S)
     assert order.status == 200
+    assert world.loaded.by_address["@e0"].began[41] == order.call_id
 
 
 def test_bodies_of_waiting_requests_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -119,17 +120,18 @@
 
 def test_an_endpoint_that_appears_takes_what_waits() -> None:
     world = _make_world()
-    _ask(world)
-    second = _ask(world)
-    world.run(0.01)
     world.add_loaded("new", slots=1, work_s=0.01)
-    world.run(MAX_WAIT_S)
-    # The registry is read each second, so that it may come too late for this request.
-    if second.status == 503:
-        world.run(1.2)
-        second = _ask(world)
-        world.run(0.1)
-    assert second.status == 200
+    directory = world.routers["r0"].gateway.directory
+    _ask(world)
+    waiting = _ask(world)
+    while len(directory) == 1:
+        assert world.loaded.by_address["@new"].arrived == 0
+        if _control(world).waiting("svc") == 0:
+            waiting = _ask(world)
+        world.run(0.002)
+    world.run(0.05)
+    assert waiting.status == 200
+    assert world.loaded.by_address["@new"].arrived == 1
 
 
 def test_a_retry_goes_before_those_that_wait_and_never_waits() -> None:
