--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import ensureDeferred
 
 from umberhitch.adapters.admission_pages import admission_metrics, admission_status
+from umberhitch.adapters.share_pages import share_metrics, share_status
 from umberhitch.core.direct import IntakeLimits, SignalKind
 from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest, do_nothing
 from umberhitch.tasks.burn import BurnReport
@@ -139,6 +140,7 @@
             "refused": gateway.local_replies.refused,
             "held": sum(1 for _ in gateway.crash_guard.record.held(gateway.clock.seconds())),
             "room": admission_status(gateway.admission_control),
+            "shares": share_status(gateway),
             "zones_out": self._zones_out(),
             "endpoint_signals": [_signal_row(each) for each in self._signals()],
             "unknown_headers": gateway.gate.unknown_headers.counts,
@@ -189,6 +191,7 @@
         ]
         lines += [f"umberhitch_{name} {value}" for name, value in self._transport().items()]
         lines += admission_metrics(gateway.admission_control)
+        lines += share_metrics(gateway)
         age_s = gateway.view.proof_age_s(gateway.clock.seconds())
         if age_s != float("inf"):
             lines.append(f"umberhitch_configuration_age_seconds {age_s:.3f}")
--- a/umberhitch/core/scheduling/_max_min.py
+++ b/umberhitch/core/scheduling/_max_min.py
@@ -62,8 +62,6 @@
         Places that are a customer's in the mean, though higher priorities want all.
     spare : dict
         By priority: places that one who has more than its part leaves free for the others.
-    modest : set
-        Those whose part is all that they want, while others lack something.
     """
 
     made_s: float
@@ -71,7 +69,6 @@
     parts: dict[UseKey, float] = field(default_factory=dict)
     least: dict[UseKey, float] = field(default_factory=dict)
     spare: dict[int, float] = field(default_factory=dict)
-    modest: set[UseKey] = field(default_factory=set)
 
 
 def water_fill(capacity: float, demands: list[tuple[float, float]]) -> list[float]:
@@ -110,12 +107,6 @@
         plan.spare[priority] = known.plus(of_priority).spare(capacity)
         for key, each in group.items():
             known.add(each, plan.parts[key])
-    lacking = sum(each.waiting + each.refused for each in demands.values())
-    plan.modest.update(
-        key
-        for key, each in demands.items()
-        if each.size <= plan.parts[key] and lacking - each.waiting - each.refused > LEAST_USUAL
-    )
     return plan
 
 
--- a/umberhitch/core/scheduling/_shares.py
+++ b/umberhitch/core/scheduling/_shares.py
@@ -161,14 +161,6 @@
         self.withheld += spare > 0.0
         return spare
 
-    def is_modest(self, claim: Claim, capacity: float, now_s: float, routers: int = 1) -> bool:
-        """Whether a claim's customer wants no more than its part, while others lack something.
-
-        Such a claim may take a place beyond its router's part of them: the others leave it, at all
-        routers together, and a small customer's requests come to one router or the other by chance.
-        """
-        return self._key(claim) in self._plan_at(capacity, now_s, routers).modest
-
     def _plan_at(self, capacity: float, now_s: float, routers: int) -> SharePlan:
         """Return the parts of all places or, while peers tell nothing, of this router's own."""
         interval_s = max(PLAN_INTERVAL_S, PLAN_S_PER_CUSTOMER * len(self._usual))
--- a/umberhitch/tasks/direct/admission_control.py
+++ b/umberhitch/tasks/direct/admission_control.py
@@ -131,14 +131,13 @@
         asked.rooms[resource] = room
         self._last_rooms[resource, admitted.service] = room
         part = self.rooms.part(resource, admitted.service)
-        reserved, is_modest = 0.0, False
+        reserved = 0.0
         if not admitted.has_been_sent and resource is Resource.SLOT:
             shares, routers = self._shares(admitted.service), room.service.routers
             slots = room.service.slots / routers
             reserved = shares.reserved(asked.claim, slots, now_s, routers)
-            is_modest = shares.is_modest(asked.claim, slots, now_s, routers)
         prefers_free = not admitted.request.prompt
-        if admitted.has_been_sent or is_modest:
+        if admitted.has_been_sent:
             return _with_places(room.endpoints, prefers_free)
         if reserved and room.service.taken + reserved * room.service.routers >= room.service.slots:
             return []
