--- a/umberhitch/platform/standins/_loaded_endpoint.py
+++ b/umberhitch/platform/standins/_loaded_endpoint.py
@@ -71,6 +71,8 @@
     is_down: bool = False
     began: list[str] = field(default_factory=list)
     """Ids of the calls that began to run, in order."""
+    begun_work_s: float = 0.0
+    """Sum of the work times of these calls."""
     sent: int = 0
     """Calls that routers have sent here, of which `arrived` have arrived."""
     arrived: int = 0
@@ -175,6 +177,7 @@
         work_s *= endpoint.pace(self._clock.seconds())
         if endpoint.is_random:
             work_s *= self._port.rng.expovariate(1.0)
+        endpoint.begun_work_s += work_s
         self._later(work_s, self._finish_work)
 
     def _finish_work(self) -> None:
--- a/umberhitch/testing/_overload.py
+++ b/umberhitch/testing/_overload.py
@@ -98,7 +98,13 @@
 
     @property
     def on_time_of_capacity(self) -> float:
-        """Return the answers on time per second of the load, as a share of the capacity."""
+        """Return the answers on time per second of the load, as a share of the capacity.
+
+        The capacity is that for the work times which chance has drawn.
+        """
+        began = sum(len(each.began) for each in self.loaded.by_address.values())
+        mean_s = sum(each.begun_work_s for each in self.loaded.by_address.values()) / began
+        capacity_per_s = self.capacity_per_s * WORK_S / mean_s
         from_s = self.started_s + RAMP_S
         on_time = [
             each
@@ -107,7 +113,7 @@
             and each.answered_s is not None
             and from_s <= each.answered_s < self.ended_s
         ]
-        return len(on_time) / (self.ended_s - from_s) / self.capacity_per_s
+        return len(on_time) / (self.ended_s - from_s) / capacity_per_s
 
     @property
     def late_refusals(self) -> int:
