--- a/umberhitch/core/direct/_router_part.py
+++ b/umberhitch/core/direct/_router_part.py
@@ -95,7 +95,7 @@
         """
         part = self.limit(service)
         others = service.taken - service.own
-        left = max(0.0, service.places - others - part) / service.routers
+        left = max(0.0, self.factor * service.places - others - part) / service.routers
         limit = max(part + left, self._least(service)) - reserved
         if service.own + 1 <= floor(limit):
             return True
@@ -138,12 +138,19 @@
         elif service.own + 1 > limit - 1.0:
             self.extra += free / service.routers
 
-    def note_answer(self, is_on_time: bool, service: ServicePlaces, now_s: float) -> None:
-        """Adapt the part to an answer, or to a refusal, which is not on time."""
+    def note_answer(
+        self, is_on_time: bool, service: ServicePlaces, sent_s: float, now_s: float
+    ) -> None:
+        """Adapt the part to an answer, or to a refusal, which is not on time.
+
+        Calls that were sent before the last reduction tell nothing about its effect.
+        """
+        if sent_s < self._decreased_s:
+            return
         self._late_share += LATE_WEIGHT * (float(not is_on_time) - self._late_share)
         if is_on_time:
             self.factor = min(1.0, self.factor + 1.0 / max(1.0, self.limit(service)) ** 2)
-        elif self._late_share > LATE_SHARE and now_s - self._decreased_s >= service.cycle_s:
+        elif self._late_share > LATE_SHARE:
             least = service.slots / max(service.places, 1.0)
             self.factor = max(least, DECREASE * self.factor)
-            self._decreased_s = now_s
+            self._decreased_s, self._late_share = now_s, 0.0
--- a/umberhitch/core/direct/_work_times.py
+++ b/umberhitch/core/direct/_work_times.py
@@ -8,7 +8,7 @@
 MEAN_SAMPLES = 64
 """Samples over which the means reach back: enough to know a mean within an eighth where the times
 are exponentially distributed, few enough to follow a change within seconds."""
-ASSUMED_SAMPLES = 16
+ASSUMED_SAMPLES = 32
 """Samples that an assumption counts for: of the first calls, the short ones end first."""
 
 
--- a/umberhitch/core/direct/tests/test_room.py
+++ b/umberhitch/core/direct/tests/test_room.py
@@ -59,17 +59,17 @@
     part, service = RouterPart(), _service(5, 2)
     assert part.limit(service) == 10.0
     for number in range(100):
-        part.note_answer(False, service, float(number))
+        part.note_answer(False, service, float(number), float(number))
     assert part.limit(service) == 3.0
     for number in range(1000):
-        part.note_answer(True, service, 100.0 + number)
+        part.note_answer(True, service, 100.0 + number, 100.0 + number)
     assert part.limit(service) == 10.0
 
 
 def test_single_late_answers_reduce_nothing() -> None:
     part, service = RouterPart(), _service(5, 2)
     for number in range(1000):
-        part.note_answer(number % 50 > 0, service, float(number))
+        part.note_answer(number % 50 > 0, service, float(number), float(number))
     assert part.limit(service) == 10.0
 
 
--- a/umberhitch/tasks/direct/admission_control.py
+++ b/umberhitch/tasks/direct/admission_control.py
@@ -369,7 +369,7 @@
             room = self._last_rooms.get((resource, service))
             if room is not None:
                 part = self.rooms.part(resource, service)
-                part.note_answer(is_on_time, room.service, now_s)
+                part.note_answer(is_on_time, room.service, call.sent_s, now_s)
 
     def _learn(self, resource: Resource, call: _Call, waiting: float, now_s: float) -> None:
         lifetime, service = call.lifetime, call.admitted.service
