--- a/umberhitch/testing/_overload.py
+++ b/umberhitch/testing/_overload.py
@@ -18,8 +18,9 @@
 PROMPT_TOKENS = 1000
 QUEUE_LIMIT = 500
 """Calls that an endpoint queues: so many that it refuses none."""
-RAMP_S = 0.25
-"""Time from the start of a load until the endpoints' queues have formed."""
+RAMP_S = 0.5
+"""Time from the start of a load until queues have formed and the routers know the work times: one
+latency objective."""
 
 
 @dataclass(frozen=True, slots=True)
