--- a/umberhitch/tasks/direct/room_estimate.py
+++ b/umberhitch/tasks/direct/room_estimate.py
@@ -37,7 +37,7 @@
     """An engine reads one prompt at a time, until the first event."""
 
 
-OBJECTIVE_SHARES = {Resource.SLOT: 0.5, Resource.READING: 0.58}
+OBJECTIVE_SHARES = {Resource.SLOT: 0.5, Resource.READING: 0.54}
 """Shares of the latency objective that a call may spend at an endpoint. A quarter is for waiting at
 the router, and the rest is left because counts and work times are estimates. That is less for an
 engine: it reads one prompt after the other, so that fewer would leave it without work too often."""
