--- a/umberhitch/testing/_overload.py
+++ b/umberhitch/testing/_overload.py
@@ -18,8 +18,9 @@
 PROMPT_TOKENS = 1000
 QUEUE_LIMIT = 500
 """Calls that an endpoint queues: so many that it refuses none."""
-RAMP_S = 0.25
-"""Time from the start of a load until the endpoints' queues have formed."""
+RAMP_S = 0.5
+"""Time from the start of a load until queues have formed and the routers know the work times: one
+latency objective."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,7 +99,13 @@
 
     @property
     def on_time_of_capacity(self) -> float:
-        """Return the answers on time per second of the load, as a share of the capacity."""
+        """Return the answers on time per second of the load, as a share of the capacity.
+
+        The capacity is that for the work times which chance has drawn.
+        """
+        began = sum(len(each.began) for each in self.loaded.by_address.values())
+        mean_s = sum(each.begun_work_s for each in self.loaded.by_address.values()) / began
+        capacity_per_s = self.capacity_per_s * WORK_S / mean_s
         from_s = self.started_s + RAMP_S
         on_time = [
             each
@@ -107,7 +114,7 @@
             and each.answered_s is not None
             and from_s <= each.answered_s < self.ended_s
         ]
-        return len(on_time) / (self.ended_s - from_s) / self.capacity_per_s
+        return len(on_time) / (self.ended_s - from_s) / capacity_per_s
 
     @property
     def late_refusals(self) -> int:
