--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -17,6 +17,7 @@
 from umberhitch.core.direct._crash_record import Crash, CrashLimits, CrashRecord, Hold
 from umberhitch.core.direct._directory import Directory
 from umberhitch.core.direct._endpoint import Endpoint
+from umberhitch.core.direct._endpoint_room import EndpointCounts, count_places
 from umberhitch.core.direct._engine_time import EngineDemand, EnginePrice, EngineTimeLimits
 from umberhitch.core.direct._escalation_rules import (
     MIN_IN_TIME_SHARE,
@@ -68,7 +69,10 @@
     keep_operator_value_s,
 )
 from umberhitch.core.direct._retry_budget import RetryBudget, RetryBudgetLimits
-from umberhitch.core.direct._room import Claim, RoomForecast
+from umberhitch.core.direct._return_book import Appointment, ReturnBook
+from umberhitch.core.direct._return_plan import ReturnPlan
+from umberhitch.core.direct._room import RoomForecast
+from umberhitch.core.direct._router_part import PLACES_ERROR, RouterPart, ServicePlaces
 from umberhitch.core.direct._routes import RouteTable
 from umberhitch.core.direct._signals import HeadSignals, ReportedLoad, SignalKind
 from umberhitch.core.direct._store_epoch import EpochVerdict, StoreEpoch
@@ -93,12 +97,14 @@
     Service,
     ZoneOut,
 )
+from umberhitch.core.direct._work_times import WorkTime, WorkTimes
 
 __all__ = [
     "KEPT_S",
     "MIN_IN_TIME_SHARE",
     "NO_POSITION",
     "NO_PREFILL",
+    "PLACES_ERROR",
     "ActivePrefills",
     "AdvertisedLimit",
     "AdvertisedLimits",
@@ -106,6 +112,7 @@
     "AnswerValue",
     "AnswerValueLimits",
     "AnswerVerdict",
+    "Appointment",
     "Backoff",
     "CallerRequest",
     "Canary",
@@ -113,7 +120,6 @@
     "Candidate",
     "Cascade",
     "CascadeLimits",
-    "Claim",
     "ClosedEndpoints",
     "ColdLimits",
     "Crash",
@@ -126,6 +132,7 @@
     "Draining",
     "Endpoint",
     "EndpointBackoff",
+    "EndpointCounts",
     "EndpointEntry",
     "EndpointState",
     "EngineCall",
@@ -160,20 +167,27 @@
     "RestoredCopy",
     "RetryBudget",
     "RetryBudgetLimits",
+    "ReturnBook",
+    "ReturnPlan",
     "RolloutOrder",
     "RolloutState",
     "RoomForecast",
     "Route",
     "RouteKind",
     "RouteTable",
+    "RouterPart",
     "Service",
+    "ServicePlaces",
     "SignalKind",
     "StoreEpoch",
     "TokenLatencies",
     "TokenLatencyLimits",
     "WaitSample",
+    "WorkTime",
+    "WorkTimes",
     "ZoneOut",
     "apply_change",
+    "count_places",
     "diff_documents",
     "epoch_of",
     "give_up_s",
--- a/umberhitch/platform/standins/_loaded_endpoint.py
+++ b/umberhitch/platform/standins/_loaded_endpoint.py
@@ -71,6 +71,10 @@
     is_down: bool = False
     began: list[str] = field(default_factory=list)
     """Ids of the calls that began to run, in order."""
+    begun_work_s: float = 0.0
+    """Sum of the work times of these calls."""
+    sent: int = 0
+    """Calls that routers have sent here, of which `arrived` have arrived."""
     arrived: int = 0
     refused: int = 0
     crashes: int = 0
@@ -173,6 +177,7 @@
         work_s *= endpoint.pace(self._clock.seconds())
         if endpoint.is_random:
             work_s *= self._port.rng.expovariate(1.0)
+        endpoint.begun_work_s += work_s
         self._later(work_s, self._finish_work)
 
     def _finish_work(self) -> None:
@@ -308,7 +313,10 @@
     def send(self, address: str, call: EndpointCall, events: CallEvents) -> LoadedCall:
         """Send a call."""
         self.calls += 1
-        return LoadedCall(self, self.by_address.get(address), call, events)
+        endpoint = self.by_address.get(address)
+        if endpoint is not None:
+            endpoint.sent += 1
+        return LoadedCall(self, endpoint, call, events)
 
     def check(self, address: str, on_found: Callable[[ListenerStatus], None]) -> None:
         """Tell whether there is an endpoint."""
--- a/umberhitch/tasks/direct/endpoint_selector.py
+++ b/umberhitch/tasks/direct/endpoint_selector.py
@@ -19,10 +19,13 @@
     WaitSample,
     make_answer_value,
 )
+from umberhitch.core.scheduling import Claim
 from umberhitch.ports.clock import Clock
 from umberhitch.tasks.direct.admission import MAX_LIGHT_TOKENS
+from umberhitch.tasks.direct.admission_control import NO_ROOM, AdmissionControl
 from umberhitch.tasks.direct.canary_controller import CanaryController
 from umberhitch.tasks.direct.retry_after import HONORED_SHARE, MIN_RETRY_AFTER_S
+from umberhitch.tasks.direct.returns import Returns
 from umberhitch.tasks.direct.send_gate import SendGate, Urgency
 from umberhitch.tasks.direct.services import AdmittedRequest
 from umberhitch.tasks.direct.store_view import StoreView
@@ -52,6 +55,10 @@
     answer_value : AnswerValueLimits
     clock : Clock
     rng : Random
+    admission : AdmissionControl or None
+        None if calls are sent whether or not there is room.
+    returns : Returns or None
+        Plans the returns of those who are refused for lack of room.
     """
 
     def __init__(
@@ -66,6 +73,8 @@
         answer_value: AnswerValueLimits,
         clock: Clock,
         rng: Random,
+        admission: AdmissionControl | None = None,
+        returns: Returns | None = None,
     ) -> None:
         self._view = view
         self._canary_controller = canary_controller
@@ -81,6 +90,8 @@
         self._answer_value_limits = answer_value
         self._clock = clock
         self._rng = rng
+        self._admission = admission
+        self._returns = returns
 
     def first_model(self, admitted: AdmittedRequest) -> str | None:
         """Return the model of the first call, and count the request as demand from now on."""
@@ -176,7 +187,21 @@
             priority = customer.priority
         return priority, -self._answer_value(admitted).value
 
-    def retry_after_s(self, admitted: AdmittedRequest) -> float:
+    def claim(self, admitted: AdmittedRequest) -> Claim:
+        """Return what a request brings where several compete for the same endpoints."""
+        customer = admitted.customer
+        priority, negated_value = self._urgency(admitted)
+        claim = Claim(
+            priority,
+            -negated_value,
+            "" if customer is None else customer.name,
+            1.0 if customer is None else customer.share,
+            admitted.received_s,
+            admitted.received_s + admitted.route.objective_s,
+        )
+        return claim if self._returns is None else self._returns.recognize(admitted, claim)
+
+    def retry_after_s(self, admitted: AdmittedRequest, reason: str = NO_ENDPOINT) -> float:
         """Return after how many seconds a request without an endpoint should be retried.
 
         If the service has no endpoint at all, the time is the longest that callers honor, since
@@ -184,6 +209,8 @@
         or limited, which is temporary, and other routers may have quota left.
         """
         now_s = self._clock.seconds()
+        if reason == NO_ROOM and self._returns is not None:
+            return self._returns.retry_after_s(admitted, self.claim(admitted), now_s)
         left_s = admitted.received_s + admitted.request.patience_s - now_s
         directory = self._view.directory
         if not directory.ready(admitted.service, now_s):
@@ -232,6 +259,10 @@
         eligible = self._canary_controller.allowed_endpoints(
             admitted.service, admitted.wants_target, within_quota, is_light
         )
+        if eligible and self._admission is not None:
+            eligible = self._admission.with_room(admitted, eligible, self.claim(admitted))
+            if not eligible:
+                self.failure_reason = NO_ROOM
         if not eligible:
             return None
         if not admitted.request.prompt:
--- a/umberhitch/testing/__init__.py
+++ b/umberhitch/testing/__init__.py
@@ -10,6 +10,7 @@
     make_version,
     make_work,
 )
+from umberhitch.testing._claims import make_claim
 from umberhitch.testing._crashing import CrashingFleet, CrashShape
 from umberhitch.testing._direct import (
     DirectAsk,
@@ -25,6 +26,7 @@
 from umberhitch.testing._limited import LIMIT_SPAN_S, limit_bound, most_from_told, most_within
 from umberhitch.testing._load import LoadRecord, LoadWorld, Stream, make_load_document
 from umberhitch.testing._oracle import check_world
+from umberhitch.testing._overload import FalseRefusal, OverloadWorld, make_overload_world
 from umberhitch.testing._paced import (
     LOOKS,
     changing_pace,
@@ -48,9 +50,11 @@
     "DirectRouter",
     "DirectWorld",
     "FakeTransport",
+    "FalseRefusal",
     "LoadRecord",
     "LoadWorld",
     "LostRecords",
+    "OverloadWorld",
     "StoreCopy",
     "Stream",
     "Violation",
@@ -61,11 +65,13 @@
     "dial",
     "limit_bound",
     "make_change",
+    "make_claim",
     "make_customer",
     "make_direct_document",
     "make_document",
     "make_endpoint_entry",
     "make_load_document",
+    "make_overload_world",
     "make_paced_world",
     "make_route",
     "make_start",
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -10,6 +10,7 @@
 from msgspec import Meta, Struct
 
 from umberhitch.core.direct import NO_POSITION, EndpointEntry, Position, make_position
+from umberhitch.core.scheduling import CustomerUse
 
 __all__ = [
     "URGENT_PRIORITY",
@@ -51,6 +52,7 @@
     "RouteCounts",
     "RouterDigest",
     "RunEndNotice",
+    "ServiceUse",
     "ServiceWork",
     "Start",
     "Usage",
@@ -555,6 +557,13 @@
         return make_position(self.epoch, self.end) if self.end >= 0 else NO_POSITION
 
 
+class ServiceUse(Struct, frozen=True, array_like=True):
+    """What the customers of a service under pressure have at one router."""
+
+    service: str
+    uses: list[CustomerUse]
+
+
 class PeerReport(Struct, frozen=True, array_like=True, tag="peer"):
     """State of a router of the direct path, sent to all others several times a second."""
 
@@ -576,6 +585,8 @@
     """Number of the configuration in force at the sender; 0 before there is one."""
     paces: list[EndpointPace] = []
     """Paces that the sender has heard since its last report."""
+    customers: list[ServiceUse] = []
+    """What customers have at the sender, of services under pressure."""
 
 
 Message = (
