Retries go before those that wait, and never wait: tests and a mutation

The former test of it crashed both endpoints and would have passed with the order reversed. Now a call ends and another is refused in the same turn: with a wake in that turn the test fails (mutation), with one in the next it passes.

--- a/umberhitch/tasks/direct/tests/test_room_mutations.py
+++ b/umberhitch/tasks/direct/tests/test_room_mutations.py
@@ -47,12 +47,18 @@
     return waiting.test_a_router_that_drains_refuses_what_waits
 
 
+def a_call_that_ends_wakes_in_the_same_turn(patch: pytest.MonkeyPatch) -> Test:
+    patch.setattr(AdmissionControl, "wake", AdmissionControl._serve)
+    return waiting.test_a_retry_goes_before_those_that_wait
+
+
 MUTATIONS: list[Mutation] = [
     no_room_is_asked_for,
     every_router_takes_all_places,
     half_of_the_slots_are_left_empty,
     who_leaves_stays_in_the_queue,
     what_waits_at_a_stop_stays,
+    a_call_that_ends_wakes_in_the_same_turn,
 ]
 
 
--- a/umberhitch/tasks/direct/tests/test_waiting_for_room.py
+++ b/umberhitch/tasks/direct/tests/test_waiting_for_room.py
@@ -134,19 +134,37 @@
     assert world.loaded.by_address["@new"].arrived == 1
 
 
-def test_a_retry_goes_before_those_that_wait_and_never_waits() -> None:
+def test_a_retry_goes_before_those_that_wait() -> None:
     world = _make_world(endpoints=2)
     _ask(world)
-    second = _ask(world)
-    world.run(WORK_S - 0.06)
+    _ask(world)
+    world.run(0.05)
     waiting = _ask(world)
-    assert _control(world).waiting("svc") == 1
-    world.loaded.by_address["@e1"].crash()
-    world.loaded.by_address["@e0"].crash()
+    one, other = (world.loaded.by_address[name] for name in ("@e0", "@e1"))
+    refused, ended = one.running[0], other.running[0]
+    for call in (refused, ended):
+        assert call._timer is not None
+        call._timer.cancel()
+    ended._finish_work()
+    refused._leave()
+    refused.refuse()
+    world.run(0.01)
+    assert other.began[-1] == refused.call.call_id
+    assert one.began[-1] == waiting.call_id
+
+
+def test_a_retry_never_waits() -> None:
+    world = _make_world(endpoints=2)
+    first, second = _ask(world), _ask(world)
+    world.run(0.05)
+    refused = world.loaded.by_address["@e0"].running[0]
+    assert refused._timer is not None
+    refused._timer.cancel()
+    refused._leave()
+    refused.refuse()
     world.run(0.01)
-    assert second.status in (502, 503)
-    world.run(MAX_WAIT_S)
-    assert waiting.status == 503
+    assert sorted([first.status is None, second.status is None]) == [False, True]
+    assert _control(world).waiting("svc") == 0
 
 
 def test_nothing_is_scheduled_while_nothing_waits() -> None:
