Bytes held for slow readers: one account, a bound, and a true end for who takes none

Cause: what waits to be written to callers and endpoints, whole replies and kept answers were bounded by nothing but the kernel's timeout for unread connections; a last answer was cut 1 s after its end though it was being read. Change: HeldBytes counts bodies, waiting writes and buffered replies; half of memory_mb in all.

--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -8,6 +8,8 @@
 from twisted.internet.defer import ensureDeferred
 
 from umberhitch.adapters.escalation_pages import escalation_metrics, escalation_status
+from umberhitch.adapters.held_bytes import HeldBytes
+from umberhitch.adapters.held_pages import held_metrics, held_status
 from umberhitch.core.direct import IntakeLimits, SignalKind
 from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest, do_nothing
 from umberhitch.tasks.burn import BurnReport
@@ -34,9 +36,17 @@
     gateway : Gateway
     transport : callable
         Returns counts of the connections' side, by name.
+    held : HeldBytes or None
+        The account of all that is held.
     """
 
-    def __init__(self, gateway: Gateway, transport: Callable[[], dict[str, int]]) -> None:
+    def __init__(
+        self,
+        gateway: Gateway,
+        transport: Callable[[], dict[str, int]],
+        held: HeldBytes | None = None,
+    ) -> None:
+        self._account = held or HeldBytes(gateway.clock)
         self._gateway = gateway
         self._transport = transport
 
@@ -136,6 +146,7 @@
             "routers": gateway.retry_budget.router_count or 1,
             "outcomes": gateway.counters.outcomes,
             **escalation_status(gateway),
+            **held_status(self._account),
             "refused": gateway.local_replies.refused,
             "held": sum(1 for _ in gateway.crash_guard.record.held(gateway.clock.seconds())),
             "zones_out": self._zones_out(),
@@ -183,6 +194,7 @@
             f"umberhitch_unknown_header_names {len(gateway.gate.unknown_headers.counts)}",
         ]
         lines += escalation_metrics(gateway)
+        lines += held_metrics(self._account)
         kinds = Counter(each.kind for each in self._signals())
         lines += [
             f'umberhitch_endpoint_signals{{signal="{kind}"}} {kinds[kind]}' for kind in SignalKind
--- a/umberhitch/adapters/h11_callers.py
+++ b/umberhitch/adapters/h11_callers.py
@@ -16,7 +16,9 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from umberhitch.adapters.held_bytes import HeldBytes, Side, WaitingBytes
 from umberhitch.adapters.silence import detect_silence
+from umberhitch.adapters.unsent import unacknowledged_bytes, unsent_bytes
 from umberhitch.core.direct import IntakeLimits
 from umberhitch.ports.clock import Clock, Timer
 from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest
@@ -122,11 +124,13 @@
         self._is_answering = False
         self._is_closing = False
         self._pipelined = 0
+        self._waiting: WaitingBytes | None = None
 
     # From the caller
 
     def connectionMade(self) -> None:
         detect_silence(self.transport, CALLER_SILENCE_S)
+        self._waiting = WaitingBytes(self._factory.held, Side.CALLER, self.transport, self._let_go)
         self._factory.connections.add(self)
         self._wait(self._limits.idle_timeout_s + IDLE_MARGIN_S, self._on_idle)
 
@@ -209,6 +213,8 @@
         self._is_closing = True
         self._stop_waiting()
         self._release()
+        if self._waiting is not None:
+            self._waiting.close()
         self._factory.connections.discard(self)
         leave, self._leave = self._leave, None
         if leave is not None:
@@ -265,6 +271,8 @@
     def _write(self, data: bytes | None) -> None:
         if data:
             self.transport.write(data)
+            if self._waiting is not None:
+                self._waiting.note_written(len(data))
 
     def finish(self, has_producer: bool) -> None:
         """End a reply, and go on with the next request."""
@@ -292,9 +300,22 @@
     def close_soon(self) -> None:
         """Close once what was sent has been read."""
         self._is_closing = True
-        self._wait(CLOSE_S, self.abort)
+        self._wait(CLOSE_S, self._close_if_taken)
         self.transport.loseWriteConnection()
 
+    def _close_if_taken(self) -> None:
+        """Close, but leave a caller that still reads its answer the time to do so."""
+        self._timer = None
+        if unsent_bytes(self.transport) or unacknowledged_bytes(self.transport):
+            self._wait(CLOSE_S, self._close_if_taken)
+        else:
+            self.abort()
+
+    def _let_go(self, detail: str) -> None:
+        """Reset the connection; what was asked is cancelled once it is lost."""
+        self._is_closing = True
+        self.transport.abortConnection()
+
     def abort(self) -> None:
         """Break the connection."""
         self._is_closing = True
@@ -335,11 +356,20 @@
     handler : RequestHandler
     max_held_bytes : int
         Bodies held at once, over all connections.
+    held : HeldBytes or None
+        The account of all that is held; None for one without a bound.
     """
 
     noisy = False
 
-    def __init__(self, clock: Clock, handler: RequestHandler, max_held_bytes: int) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        handler: RequestHandler,
+        max_held_bytes: int,
+        held: HeldBytes | None = None,
+    ) -> None:
+        self.held = held or HeldBytes(clock)
         self.clock = clock
         self.handler = handler
         self.connections: set[_CallerConnection] = set()
@@ -355,6 +385,8 @@
         """Count bytes that are held from now on, or no longer; return whether there is room."""
         if count > 0 and self.held_bytes + count > self._max_held_bytes:
             return False
+        if not self.held.hold_body(count):
+            return False
         self.held_bytes += count
         return True
 
--- a/umberhitch/adapters/h11_endpoints.py
+++ b/umberhitch/adapters/h11_endpoints.py
@@ -16,7 +16,9 @@
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from umberhitch.adapters.held_bytes import HeldBytes, Side, WaitingBytes
 from umberhitch.adapters.silence import detect_silence
+from umberhitch.adapters.unsent import unsent_bytes
 from umberhitch.core.direct import ReplyHead
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import (
@@ -121,15 +123,22 @@
         self._is_closed = False
         self.idle_since_s = 0.0
         self.keeps_s: float | None = None
+        self._request_bytes = 0
+        self._waiting: WaitingBytes | None = None
 
     def connectionMade(self) -> None:
         detect_silence(self.transport, self._client.limits.silence_s)
+        self._waiting = WaitingBytes(self._client.held, Side.ENDPOINT, self.transport, self._let_go)
 
     def start(self, call: _Call) -> None:
         """Send a call."""
         self._call = call
         call.connection = self
-        self.transport.write(self._begin(call.call))
+        data = self._begin(call.call)
+        self._request_bytes = len(data)
+        self.transport.write(data)
+        if self._waiting is not None:
+            self._waiting.note_written(len(data))
         if call.is_paused:
             self.set_reading(False)
 
@@ -207,6 +216,8 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         was_closed, self._is_closed = self._is_closed, True
+        if self._waiting is not None:
+            self._waiting.close()
         self._client.dropped(self)
         if self._call is None or was_closed:
             return
@@ -220,11 +231,16 @@
             self._is_closed = True
         self._break(f"lost: {reason.value!r}")
 
-    def _break(self, detail: str) -> None:
+    def _break(self, detail: str, failure: CallFailure = CallFailure.BROKEN) -> None:
         call, self._call = self._call, None
         self.abort()
         if call is not None:
-            call.fail(CallFailure.BROKEN, detail)
+            call.fail(failure, detail)
+
+    def _let_go(self, detail: str) -> None:
+        """End a connection whose endpoint takes no bytes; its call has run unless none was sent."""
+        is_whole = unsent_bytes(self.transport) >= self._request_bytes
+        self._break(detail, CallFailure.NOT_SENT if is_whole else CallFailure.BROKEN)
 
     def set_reading(self, is_reading: bool) -> None:
         """Stop or start to read."""
@@ -243,6 +259,8 @@
     def _close(self) -> None:
         if not self._is_closed:
             self._is_closed = True
+            if self._waiting is not None:
+                self._waiting.close()
             self._client.dropped(self)
             self.transport.abortConnection()
 
@@ -331,6 +349,8 @@
     read_reply : callable
         Decodes the head of a reply.
     limits : EndpointClientLimits
+    held : HeldBytes or None
+        The account of all that is held; None for one without a bound.
 
     Attributes
     ----------
@@ -339,8 +359,13 @@
     """
 
     def __init__(
-        self, reactor: Any, read_reply: ReadReply, limits: EndpointClientLimits | None = None
+        self,
+        reactor: Any,
+        read_reply: ReadReply,
+        limits: EndpointClientLimits | None = None,
+        held: HeldBytes | None = None,
     ) -> None:
+        self.held = held or HeldBytes(reactor)
         self._reactor = reactor
         self._clock: Clock = reactor
         self.read_reply = read_reply
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -12,6 +12,7 @@
 from umberhitch.adapters.gateway_pages import GatewayPages
 from umberhitch.adapters.h11_callers import CallerFactory
 from umberhitch.adapters.h11_endpoints import EndpointClient
+from umberhitch.adapters.held_bytes import HeldBytes
 from umberhitch.adapters.stored_holds import HoldsStore
 from umberhitch.adapters.zmq_link import ZmqLink
 from umberhitch.addresses import split_address
@@ -49,6 +50,8 @@
 requests. It hears of one some 0.01 s after the store has it, 0.2 s where its reader is slow."""
 BODIES_SHARE = 0.25
 """Share of the process's memory that callers' bodies may take."""
+HELD_SHARE = 0.5
+"""Share of the process's memory for all held bytes, with the bodies; the rest is the program's."""
 MIB = 1024 * 1024
 
 
@@ -121,7 +124,9 @@
     """
     rng = Random(SystemRandom().getrandbits(64))
     wire = PlatformWire()
-    client = EndpointClient(reactor, wire.read_reply)
+    memory_bytes = settings.memory_mb * MIB
+    held = HeldBytes(reactor, int(memory_bytes * HELD_SHARE))
+    client = EndpointClient(reactor, wire.read_reply, held=held)
     epochs = StoreEpoch()
     store = make_store_client(client, reactor, settings.store, epochs)
     bounds = settings.bounds
@@ -169,7 +174,9 @@
     gateway.burn = BurnTask(burn_host, reactor, time, has_latencies=False)
     peers = DirectPeers(me, incarnation, gateway, reactor, rng, link, Members(store), sharing)
     holds = StoredHolds(reactor, HoldsStore(store), gateway.crash_guard.sharing, peers.rank, epochs)
-    callers = CallerFactory(reactor, gateway, int(settings.memory_mb * MIB * BODIES_SHARE))
+    held.buffered = gateway.buffered
+    gateway.buffered.has_room = held.has_room
+    callers = CallerFactory(reactor, gateway, int(memory_bytes * BODIES_SHARE), held)
 
     def transport() -> dict[str, int]:
         return {
@@ -182,7 +189,7 @@
             "link_frames_out_total": link.counters.frames_out,
         }
 
-    pages = CallerFactory(reactor, GatewayPages(gateway, transport), MIB)
+    pages = CallerFactory(reactor, GatewayPages(gateway, transport, held), MIB, held)
     ports = {
         "readiness": _listen(reactor, settings.listen.readiness, pages),
         "pages": _listen(reactor, settings.listen.pages, pages),
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -37,6 +37,7 @@
 )
 from umberhitch.tasks.burn import BurnTask
 from umberhitch.tasks.direct.admission import Admission
+from umberhitch.tasks.direct.buffered_bytes import BufferedBytes
 from umberhitch.tasks.direct.canary_controller import CanaryController
 from umberhitch.tasks.direct.crash_guard import CrashGuard
 from umberhitch.tasks.direct.decision_log import DecisionLog
@@ -102,6 +103,7 @@
         self.clock = clock
         self.timeouts = settings.timeouts
         self.counters = GatewayCounters()
+        self.buffered = BufferedBytes()
         self.placement = Placement(settings.zone, settings.placement)
         self.retry_budget = RetryBudget(settings.budget)
         self.demand = EngineDemand(settings.engine_time)
--- a/umberhitch/tasks/direct/kept_answer.py
+++ b/umberhitch/tasks/direct/kept_answer.py
@@ -57,13 +57,14 @@
     def discard(self) -> None:
         """Give the answer up."""
         self._timer.stop()
+        self._take()
         self.call.stop()
 
     def hand_over(self, handler: CallEvents) -> None:
         """Pass the answer on to a handler that knows its head: what there is, and what follows."""
         self._timer.stop()
         self.call.handler = handler
-        data, self._data = bytes(self._data), bytearray()
+        data = self._take()
         if data:
             handler.on_data(data)
         if self.is_complete:
@@ -71,6 +72,11 @@
         else:
             self.call.resume()
 
+    def _take(self) -> bytes:
+        data, self._data = bytes(self._data), bytearray()
+        self._svc.buffered.remove(len(data))
+        return data
+
     # Events
 
     def on_head(self, head: ReplyHead) -> None:
@@ -82,6 +88,7 @@
     def on_data(self, data: bytes) -> None:
         """Keep a part of the body."""
         self._data += data
+        self._svc.buffered.add(len(data))
         if len(self._data) > MAX_KEPT_BYTES:
             self.call.pause()
 
@@ -94,5 +101,6 @@
     def on_failure(self, failure: CallFailure, detail: str) -> None:
         """Note that the answer can no longer become complete."""
         self.has_failed = True
+        self._take()
         self.call.settle_run(self._svc.crash_guard.record_broken)
         self.call.release(True)
--- a/umberhitch/tasks/direct/proxied_request.py
+++ b/umberhitch/tasks/direct/proxied_request.py
@@ -64,7 +64,9 @@
         self._escalation = Escalation(
             services, self, self._on_overlap_over, self._on_larger_overdue
         )
-        self._relay = Relay(reply, admitted.request.last_event_id, self._pause, self._resume)
+        self._relay = Relay(
+            reply, admitted.request.last_event_id, self._pause, self._resume, services.buffered
+        )
         self._is_paused = False
         self._is_finished = False
         self.first_event_s: float | None = None
@@ -408,6 +410,7 @@
     def _finish(self, outcome: str) -> None:
         self._is_finished = True
         self._idle_timer.stop()
+        self._relay.release()
         deadline, self._deadline = self._deadline, None
         if deadline is not None and deadline.active():
             deadline.cancel()
--- a/umberhitch/tasks/direct/relay.py
+++ b/umberhitch/tasks/direct/relay.py
@@ -4,11 +4,12 @@
 
 from umberhitch.core.direct import EventSplitter, ReplyHead
 from umberhitch.ports.direct import CallerReply
+from umberhitch.tasks.direct.buffered_bytes import BufferedBytes
 
 __all__ = ["Relay"]
 
 MAX_BUFFERED_BYTES = 1_048_576
-"""A plain reply up to this size is passed on only when it is complete."""
+"""A plain reply up to this size is passed on only when it is complete, if there is room."""
 
 
 class Relay:
@@ -21,6 +22,7 @@
         Id of the last event of the stream that the caller already has.
     pause, resume : callable
         Called when the caller reads too slowly, and when it has caught up, respectively.
+    account : BufferedBytes
 
     Attributes
     ----------
@@ -34,8 +36,10 @@
         last_event: bytes | None,
         pause: Callable[[], None],
         resume: Callable[[], None],
+        account: BufferedBytes,
     ) -> None:
         self.is_streaming = False
+        self._account = account
         self._reply = reply
         self._pause = pause
         self._resume = resume
@@ -72,10 +76,15 @@
 
     def start_call(self) -> None:
         """Discard what is buffered of the reply to an earlier call."""
-        self._buffered.clear()
+        self.release()
         self._awaited_head = None
         self._event_splitter.discard_partial()
 
+    def release(self) -> None:
+        """Discard what is buffered."""
+        self._account.remove(len(self._buffered))
+        self._buffered.clear()
+
     def drop_partial_event(self) -> None:
         """Discard the partial event that is buffered, since its call has failed."""
         self._event_splitter.discard_partial()
@@ -114,12 +123,14 @@
         if self._is_passing_through:
             self._reply.data(data)
             return
+        has_room = self._account.has_room(len(data))
         self._buffered += data
-        if len(self._buffered) > MAX_BUFFERED_BYTES:
+        self._account.add(len(data))
+        if len(self._buffered) > MAX_BUFFERED_BYTES or not has_room:
             self._is_passing_through = True
             self._start(head)
             self._reply.data(bytes(self._buffered))
-            self._buffered.clear()
+            self.release()
 
     def end(self, head: ReplyHead) -> None:
         """Finish the reply as complete."""
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -19,6 +19,7 @@
 )
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import CallerReply, CallEvents, RunningCall
+from umberhitch.tasks.direct.buffered_bytes import BufferedBytes
 
 __all__ = [
     "AdmittedRequest",
@@ -280,6 +281,7 @@
 
     clock: Clock
     timeouts: ProxyTimeouts
+    buffered: BufferedBytes
 
     @property
     def selector(self) -> EndpointSelectorPort:
--- a/umberhitch/testing/_transports.py
+++ b/umberhitch/testing/_transports.py
@@ -10,6 +10,10 @@
 class _Handle:
     """A socket whose options nobody reads."""
 
+    def fileno(self) -> int:
+        """Return no descriptor."""
+        return -1
+
     def setsockopt(self, *args: Any) -> None:
         """Do nothing."""
 
@@ -18,6 +22,10 @@
     """A transport that can be aborted and half closed."""
 
     is_half_closed = False
+    offset = 0
+    _tempDataLen = 0
+    dataBuffer = b""
+    """What the other side has not taken; tests set it."""
 
     def getHandle(self) -> _Handle:
         """Return a socket."""
