Slow callers: their endpoints count neither as slow nor as silent

Seen: the time for which a caller's slow reading paused a reply counted as the endpoint's latency, and a long plain reply that was being passed on was broken off at the timeout of a call, though no other endpoint could go on with it. Change: the judge's clock stands still during pauses; the idle timer stops once a plain reply is passed on (the deadline still holds).

--- a/umberhitch/tasks/direct/active_call.py
+++ b/umberhitch/tasks/direct/active_call.py
@@ -115,11 +115,13 @@
 
     def pause(self) -> None:
         """Stop reading the reply."""
+        self.judge.pause()
         if self._running is not None:
             self._running.pause()
 
     def resume(self) -> None:
         """Continue to read the reply."""
+        self.judge.resume()
         if self._running is not None:
             self._running.resume()
 
--- a/umberhitch/tasks/direct/answer_judge.py
+++ b/umberhitch/tasks/direct/answer_judge.py
@@ -31,6 +31,24 @@
         self._sent_s = services.clock.seconds()
         self._event_latency = InterTokenLatency()
         self._has_verdict = False
+        self._paused_since_s: float | None = None
+        self._paused_s = 0.0
+
+    def pause(self) -> None:
+        """Stop the clock: the caller reads too slowly, which is not the endpoint's doing."""
+        if self._paused_since_s is None:
+            self._paused_since_s = self._svc.clock.seconds()
+
+    def resume(self) -> None:
+        """Let the clock go on."""
+        since_s, self._paused_since_s = self._paused_since_s, None
+        if since_s is not None:
+            self._paused_s += self._svc.clock.seconds() - since_s
+
+    def _now_s(self) -> float:
+        """Return the time without the pauses."""
+        now_s = self._svc.clock.seconds() if self._paused_since_s is None else self._paused_since_s
+        return now_s - self._paused_s
 
     def skip(self) -> None:
         """Give no verdict on the latency: the reply was kept, so that its events came at once."""
@@ -38,7 +56,7 @@
 
     def record_events(self, count: int) -> None:
         """Record that ``count`` events have arrived; judge the stream once its latency is known."""
-        self._event_latency.record_events(count, self._svc.clock.seconds())
+        self._event_latency.record_events(count, self._now_s())
         self._judge(
             self._event_latency.inter_token_s(is_end=False), self._event_latency.first_event_s
         )
@@ -52,7 +70,7 @@
 
     def finish_reply(self) -> None:
         """Judge a complete plain reply by its duration."""
-        self._judge(self._svc.clock.seconds() - self._sent_s, self._sent_s)
+        self._judge(self._now_s() - self._sent_s, self._sent_s)
 
     def record_failure(self) -> None:
         """Record a failure that the endpoint reports itself."""
--- a/umberhitch/tasks/direct/proxied_request.py
+++ b/umberhitch/tasks/direct/proxied_request.py
@@ -296,6 +296,7 @@
         if not self._relay.has_events:
             self._relay.plain_data(self._head, data)
             if self._relay.has_started:
+                self._idle_timer.stop()  # no other endpoint could go on with it
                 self._escalation.replace()
             return
         self._restart_gap_timer()
