--- a/umberhitch/adapters/tests/test_held_bytes.py
+++ b/umberhitch/adapters/tests/test_held_bytes.py
@@ -7,6 +7,7 @@
 from umberhitch.adapters.h11_callers import CallerFactory
 from umberhitch.adapters.h11_endpoints import EndpointClient
 from umberhitch.adapters.held_bytes import CALLER_STALL_S, ENDPOINT_STALL_S, HeldBytes, Side
+from umberhitch.adapters.held_pages import held_metrics, held_status
 from umberhitch.adapters.tests.test_h11_callers import GET, Handler
 from umberhitch.adapters.tests.test_h11_endpoints import ADDRESS, Events, make_call, read_reply
 from umberhitch.ports.direct import CallFailure
@@ -163,3 +164,18 @@
         transport.dataBuffer = transport.dataBuffer[1:]
     reactor.pump([STEP_S] * 20)
     assert events.failure is None
+
+
+def test_the_pages_tell_what_is_held_and_who_was_let_go() -> None:
+    callers = Callers(max_bytes=5000)
+    _, transport, _ = callers.begin()
+    size = len(transport.dataBuffer)
+    assert f'umberhitch_held_bytes{{kind="waiting"}} {size}' in held_metrics(callers.held)
+    assert "umberhitch_held_bytes_bound 5000" in held_metrics(callers.held)
+    callers.pass_s(CALLER_STALL_S + STEP_S)
+    counted = 'umberhitch_slow_readers_let_go_total{side="caller",reason="stalled"} 1'
+    assert counted in held_metrics(callers.held)
+    assert held_status(callers.held) == {
+        "held_bytes": {"bodies": 0, "waiting": 0, "buffered": 0, "total": 0, "bound": 5000},
+        "slow_readers_let_go": {"caller stalled": 1},
+    }
