--- a/umberhitch/core/direct/_return_plan.py
+++ b/umberhitch/core/direct/_return_plan.py
@@ -11,6 +11,8 @@
 
 SLOT_S = 0.05
 """Returns are booked in spans of this length; shorter than callers notice."""
+MAX_SPANS = 100
+"""Spans that are looked at for one return: a caller's deadline may be far off."""
 GOLDEN = 0.6180339887498949
 """Multiples of the golden ratio fill an interval evenly, however many there are."""
 ARRIVALS_S = 1.0
@@ -109,7 +111,8 @@
     ) -> int | None:
         """Return the first span with room for a claim."""
         key = (claim.priority, claim.arrived_s - claim.waited_s, claim.customer)
-        for span in range(floor(earliest_s / SLOT_S) + 1, floor(latest_s / SLOT_S)):
+        first = floor(earliest_s / SLOT_S) + 1
+        for span in range(first, min(first + MAX_SPANS, floor(latest_s / SLOT_S))):
             # A fraction of a return per span is one every few spans.
             room = floor((span + 1) * per_span) - floor(span * per_span)
             booking = self._bookings.get(span)
--- a/umberhitch/core/direct/tests/test_return_plan.py
+++ b/umberhitch/core/direct/tests/test_return_plan.py
@@ -131,3 +131,11 @@
     assert len(book) <= 10_000
     book.add("last", Appointment(11.0, 10.0), 10.0)
     assert len(book) == 1
+
+
+def test_a_deadline_that_is_far_off_costs_no_more():
+    """All spans until then were looked at, one by one."""
+    plan = ReturnPlan()
+    at_s = plan.retry_at_s(make_claim(), RoomForecast(0.0, 0.0, 0), 0.0, 0.1, 1e9)
+    assert 0.1 <= at_s <= 1e9
+    assert plan.unplanned == 1
--- a/umberhitch/core/scheduling/_shares.py
+++ b/umberhitch/core/scheduling/_shares.py
@@ -128,13 +128,10 @@
             key = (use.priority, use.customer)
             known = self._peers.get(key)
             if known is not None:
-                use = CustomerUse(
-                    use.customer,
-                    use.priority,
-                    max(use.share_units, known.share_units),
-                    use.running_units + known.running_units,
-                    use.waiting_units + known.waiting_units,
+                larger, other = (
+                    (use, known) if use.share_units > known.share_units else (known, use)
                 )
+                use = larger.plus(other)
             self._peers[key] = use
 
     # Decision
--- a/umberhitch/core/scheduling/tests/test_shares.py
+++ b/umberhitch/core/scheduling/tests/test_shares.py
@@ -127,3 +127,11 @@
     assert shares.rows(1) == [
         {"customer": "large", "priority": 0, "running": 9.0, "waiting": 0.0, "part": 9.0}
     ]
+
+
+@pytest.mark.parametrize("peers", [1, 2, 3])
+def test_refused_requests_that_several_peers_tell_of_add_up(peers: int) -> None:
+    shares = CustomerShares()
+    shares.set_peers([make_use(7, 0, 1.0, 1.0, 1.0, 20.0)] * peers)
+    (use,) = shares._peers.values()
+    assert use.refused_units == peers * make_use(7, 0, 1.0, 1.0, 1.0, 20.0).refused_units > 0
--- a/umberhitch/tasks/direct/admission_control.py
+++ b/umberhitch/tasks/direct/admission_control.py
@@ -102,6 +102,8 @@
         self._timer: Timer | None = None
         self._is_wake_due = False
         self._is_stopped = False
+        self._is_withheld = False
+        """Whether places were kept for others at the last decision."""
         self._last_rooms: dict[tuple[Resource, str], ServiceRoom] = {}
 
     # Decision
@@ -120,8 +122,8 @@
         asked = _Asked(admitted, claim, {})
         found = endpoints
         for resource in _resources(admitted):
-            allowed = self._with_resource(resource, asked, endpoints)
-            found = [each for each in found if each in allowed]
+            allowed = {each.lifetime for each in self._with_resource(resource, asked, endpoints)}
+            found = [each for each in found if each.lifetime in allowed]
             if not found:
                 return []
         self._asked = asked
@@ -152,7 +154,10 @@
             reserved = shares.reserved(asked.claim, slots, now_s, routers)
         prefers_free = not admitted.request.prompt
         if admitted.has_been_sent:
-            return _with_places(room.endpoints, prefers_free)
+            found = _with_places(room.endpoints, prefers_free)
+            # One that may have run can't be refused as not run: without a call its answer is lost.
+            return found or (endpoints if admitted.may_have_run else [])
+        self._is_withheld = reserved > 0.0
         if reserved and room.service.taken + reserved * room.service.routers >= room.service.slots:
             return []
         if part.has_place(room.service, reserved, now_s):
@@ -294,11 +299,24 @@
             self._serve_queue(queue)
 
     def _serve_queue(self, queue: WaitingRequests) -> None:
-        while any(self._is_served(queue, each) for each in queue.heads()):
+        while self._serve_one(queue):
             pass
 
+    def _serve_one(self, queue: WaitingRequests) -> bool:
+        """Send the first request that may go; return whether there was one.
+
+        If there is no room though nothing was kept for others, there is none for anybody.
+        """
+        for waiting in queue.heads():
+            if self._is_served(queue, waiting):
+                return True
+            if not self._is_withheld:
+                return False
+        return False
+
     def _is_served(self, queue: WaitingRequests, waiting: WaitingRequest) -> bool:
         """Try to send a request; return whether it no longer waits."""
+        self._is_withheld = False
         self._resume(waiting)
         return queue.get(waiting.waiter.admitted) is not waiting
 
--- a/umberhitch/tasks/direct/escalating_request.py
+++ b/umberhitch/tasks/direct/escalating_request.py
@@ -34,7 +34,6 @@
     _idle_timer: IdleTimer
     _call: ActiveCall | None
     """The last call, which may have ended."""
-    _may_have_run: bool
     _is_finished: bool
 
     @property
@@ -101,7 +100,7 @@
             cause = RunCause.ESCALATED
         elif self._relay.is_streaming:
             cause = RunCause.RESUMED
-        elif self._may_have_run:
+        elif self.admitted.may_have_run:
             cause = RunCause.RETRIED
         else:
             return
@@ -153,7 +152,7 @@
             return
         if not self._escalation.acquire_retry():
             return
-        self._may_have_run = True
+        self.admitted.may_have_run = True
         self._cancel_call()
         self._plan.model = small_model
         self._start_call(candidate)
--- a/umberhitch/tasks/direct/intake.py
+++ b/umberhitch/tasks/direct/intake.py
@@ -123,6 +123,7 @@
     def _request_probe(self, admitted: AdmittedRequest, reply: CallerReply) -> OnCallerLeft:
         """Run a held request as a probe if that is allowed, otherwise refuse it."""
         req = admitted.request
+        admitted.has_been_sent = True  # a probe that was granted does not wait for room
         on_caller_left = do_nothing
         has_disconnected = False
 
--- a/umberhitch/tasks/direct/proxied_request.py
+++ b/umberhitch/tasks/direct/proxied_request.py
@@ -11,6 +11,7 @@
 from umberhitch.ports.clock import Timer
 from umberhitch.ports.direct import CallerReply, CallFailure
 from umberhitch.tasks.direct.active_call import ActiveCall
+from umberhitch.tasks.direct.admission_control import NO_ROOM
 from umberhitch.tasks.direct.attempt_plan import AttemptPlan
 from umberhitch.tasks.direct.escalating_request import (
     MIN_REMAINING_S,
@@ -28,6 +29,8 @@
 """Outcome of a request whose caller disconnected."""
 REFUSED_BY_ENDPOINT = "refused by the endpoint"
 """Outcome of a request that the endpoint rejected because of an error of the caller."""
+ROOM_CHECK_S = 0.25
+"""A call that timed out is replaced once there is room for another, which is checked so often."""
 HELD = "endpoints ended under it"
 """Refusal reason of a request that is held."""
 
@@ -59,7 +62,6 @@
         self._clock = services.clock
         self._deadline_s = admitted.received_s + admitted.timeout_s
         self._plan = AttemptPlan(services, admitted)
-        self._may_have_run = False
         self._call = None
         self._escalation = Escalation(
             services, self, self._on_overlap_over, self._on_larger_overdue
@@ -194,6 +196,8 @@
             return
         can_retry = self._plan.attempts_left > 0 and self._plan.select_candidate() is not None
         if not can_retry and not self._escalation.is_kept:
+            if self._svc.selector.failure_reason == NO_ROOM:
+                self._idle_timer.restart(ROOM_CHECK_S)
             return
         assert self._call is not None
         self._call.cancel()
@@ -211,7 +215,7 @@
     def _on_deadline(self) -> None:
         self._deadline = None
         if self._is_calling:
-            self._may_have_run = True
+            self.admitted.may_have_run = True
             self._cancel_call()
         self._give_up("deadline")
 
@@ -259,7 +263,7 @@
             self._call.cancel()
             self._broken("no signature")
             return
-        self._may_have_run = True
+        self.admitted.may_have_run = True
         if self._relay.is_streaming:
             self._restart_gap_timer()
         elif not self._escalate(head):
@@ -278,7 +282,7 @@
     def _on_error(self, head: ReplyHead) -> None:
         """Handle an error status from the endpoint, which ran the request."""
         assert self._call is not None
-        self._may_have_run = True
+        self.admitted.may_have_run = True
         is_server_side = head.status >= 500
         self._svc.log_decision(self, "endpoint failed", True, status=head.status)
         self._call.settle_run(self._svc.crash_guard.record_completed)
@@ -382,7 +386,7 @@
         self._svc.log_decision(
             self, "call broken", True, detail=detail, had_head=self._head is not None
         )
-        self._may_have_run = True
+        self.admitted.may_have_run = True
         if self._head is None:
             self._svc.mark_unreachable(self._call.endpoint)
         self._call.settle_run(self._svc.crash_guard.record_broken)
@@ -412,7 +416,7 @@
             self._relay.abort()
             self._finish(f"broken off: {reason}")
             return
-        if not self._may_have_run:
+        if not self.admitted.may_have_run:
             self._svc.send_refusal(self._caller_reply, self.admitted, 503, reason)
         else:
             status = 504 if reason == "deadline" else 502
@@ -434,7 +438,7 @@
         if self._is_finished:
             return
         if self._is_calling:
-            self._may_have_run = True
+            self.admitted.may_have_run = True
             self._cancel_call()
         if not self._escalation.is_complete:
             self._escalation.discard()
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -108,6 +108,8 @@
     """Whether the request goes to the new version of a roll-out; None without a roll-out."""
     request_key: str = ""
     """Identifies the request when a caller retries it; see `core.direct.request_key`."""
+    may_have_run: bool = False
+    """Whether an endpoint may have run the request, so that it can't be refused as not run."""
     has_been_sent: bool = False
     """Whether a call was sent, which may not have arrived; set by admission control only."""
     waited_s: float | None = None
