--- a/umberhitch/core/queue.py
+++ b/umberhitch/core/queue.py
@@ -45,7 +45,8 @@
     def push(
         self, position: QueuePosition, entry: AttemptEntry, customer: str, share: float
     ) -> None:
-        """Add an attempt at the position that `position_for` returned."""
+        """Add an attempt at the position that `position_for` returned, and only there."""
+        self.remove(entry)
         self._next_sequence += 1
         # A customer's attempts are equal here, so they are served as they came.
         claim = Claim(position.priority, 0.0, customer, share, 0.0, inf)
--- a/umberhitch/core/tests/test_queue.py
+++ b/umberhitch/core/tests/test_queue.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 
+import pytest
+
 from umberhitch.core.attempt import AttemptEntry
 from umberhitch.core.queue import WorkQueue
 from umberhitch.testing import make_start
@@ -74,3 +76,15 @@
     filler.queue.remove(removed)
     assert len(filler.queue) == 1
     assert filler.queue.pop() is remaining
+
+
+def test_an_attempt_that_is_queued_twice_is_served_once():
+    queue = WorkQueue()
+    start = make_start(1)
+    entry = AttemptEntry(start.attempt, start)
+    for _ in range(2):
+        queue.push(queue.position_for(0, "c1"), entry, "c1", 1.0)
+    assert len(queue) == 1
+    assert queue.pop() is entry
+    with pytest.raises(IndexError):
+        queue.pop()
--- a/umberhitch/tasks/direct/tests/test_restored_mutations.py
+++ b/umberhitch/tasks/direct/tests/test_restored_mutations.py
@@ -181,7 +181,7 @@
     keep_for_good,
 )
 SETTINGS = settings(
-    max_examples=300, stateful_step_count=40, phases=(Phase.generate,), report_multiple_bugs=False
+    max_examples=2000, stateful_step_count=40, phases=(Phase.generate,), report_multiple_bugs=False
 )
 
 
