A probe of a larger model is waited for by the share that permitted it

Seen by a reader: the call that probes whether larger models still begin late was chosen with share 1, but its wait was made with the learned share, under one half. An incomplete small answer therefore cancelled it at the end of the overlap, and it showed nothing. The new test failed before.

--- a/umberhitch/core/direct/_cascade.py
+++ b/umberhitch/core/direct/_cascade.py
@@ -48,11 +48,14 @@
         Endpoint for its first call.
     values : ModelValues
         Value of either model's answer.
+    in_time_share : float
+        Share of its calls that began in time of late; 1.0 for a call that probes it.
     """
 
     model: str
     candidate: Candidate
     values: ModelValues
+    in_time_share: float = 1.0
 
 
 class Cascade:
@@ -115,7 +118,7 @@
         wait = LargerWait(waited_s, candidate.wait_s, in_time_share)
         if not is_worth_calling(values, wait, waited_s, latest_s):
             return None
-        return LargerChoice(route.models[-1], candidate, values)
+        return LargerChoice(route.models[-1], candidate, values, in_time_share)
 
     def _values(
         self,
--- a/umberhitch/tasks/direct/larger_call.py
+++ b/umberhitch/tasks/direct/larger_call.py
@@ -47,6 +47,8 @@
         self._svc = services
         self._admitted = request.admitted
         self._values = choice.values
+        self._first_share: float | None = choice.in_time_share
+        """Share that the first call was chosen by; None once that was sent."""
         self._wait: LargerWait | None = None
         """The wait for the last call."""
         self._is_open = False
@@ -58,7 +60,9 @@
         return self._svc.clock.seconds() - self._admitted.received_s
 
     def _make_wait(self, candidate: Candidate) -> LargerWait:
-        share = self._svc.selector.in_time_share(self._admitted, self.model)
+        share = self._first_share
+        if share is None:
+            share = self._svc.selector.in_time_share(self._admitted, self.model)
         return LargerWait(self._now_s, candidate.wait_s, share)
 
     def is_worth_it(self, candidate: Candidate) -> bool:
@@ -76,6 +80,7 @@
             How long to wait; while it is worth it if None.
         """
         self._wait = self._make_wait(candidate)
+        self._first_share = None
         self._is_open = True
         if until_s is None:
             until_s = give_up_s(self._values, self._wait, self.latest_s)
--- a/umberhitch/tasks/direct/tests/test_escalation_under_load.py
+++ b/umberhitch/tasks/direct/tests/test_escalation_under_load.py
@@ -214,6 +214,16 @@
     assert scene.ask(20) == 20
 
 
+def test_a_probe_goes_on_though_the_answer_is_incomplete_at_the_end_of_the_overlap():
+    """It was cancelled then, and showed nothing: larger models stayed late for a minute."""
+    scene = Learning(delay_s=20.0, small=SMALL["incomplete"])
+    scene.ask(20)
+    assert scene.late_share() > 0.5
+    scene.set_delay(0.4)
+    scene.ask(20)
+    assert scene.late_share() < 0.5
+
+
 @pytest.mark.parametrize("delay_s", [0.01, 0.2, 0.5])
 def test_nothing_is_learned_while_larger_models_begin_in_time(delay_s: float):
     scene = Learning(delay_s)
