Admission control takes the slots of an endpoint from one place

A call's wait was counted by the entry's slots alone, all else by the entry's or else the service's: where entries name none, each call counted as waiting and work looked short.

--- a/umberhitch/tasks/direct/admission_control.py
+++ b/umberhitch/tasks/direct/admission_control.py
@@ -347,7 +347,7 @@
                 self.rooms.part(resource, service).note_started(room.service, now_s)
         self.rooms.routers.note_own(service, now_s)
         resource = Resource.READING if is_engine else Resource.SLOT
-        slots = 1 if is_engine else endpoint.entry.slots
+        slots = 1 if is_engine else self.rooms.slots(service, endpoint)
         waiting_there = self.rooms.taken(resource, service, lifetime, now_s) - slots
         self._calls[id(placed)] = _Call(
             admitted,
--- a/umberhitch/tasks/direct/room_estimate.py
+++ b/umberhitch/tasks/direct/room_estimate.py
@@ -132,9 +132,13 @@
 
     def has_bounds(self, service: str, endpoints: list[Endpoint]) -> bool:
         """Whether it is known of all endpoints how many calls they run at once."""
-        return all(self._slots(service, each) > 0 for each in endpoints)
+        return all(self.slots(service, each) > 0 for each in endpoints)
 
-    def _slots(self, service: str, endpoint: Endpoint) -> int:
+    def slots(self, service: str, endpoint: Endpoint) -> int:
+        """Return the calls that an endpoint works on at once, 0 if unknown.
+
+        Its entry goes before the configuration of its service.
+        """
         if endpoint.entry.slots:
             return endpoint.entry.slots
         table = self._view.table
@@ -185,7 +189,7 @@
         now_s: float,
     ) -> EndpointRoom:
         lifetime = endpoint.lifetime
-        servers = 1 if resource is Resource.READING else self._slots(service, endpoint)
+        servers = 1 if resource is Resource.READING else self.slots(service, endpoint)
         work, pace = self._work(resource, service, lifetime), self._counts.pace(lifetime, now_s)
         paced = WorkTime(work.mean_s * pace, work.deviation_s * pace)
         if is_engine and resource is Resource.SLOT:
