--- a/umberhitch/adapters/h11_endpoints.py
+++ b/umberhitch/adapters/h11_endpoints.py
@@ -238,7 +238,10 @@
             call.fail(failure, detail)
 
     def _let_go(self, detail: str) -> None:
-        """End a connection whose endpoint takes no bytes; its call has run unless none was sent."""
+        """End a connection whose endpoint takes no bytes.
+
+        Its call may have run unless none of its bytes was sent.
+        """
         is_whole = unsent_bytes(self.transport) >= self._request_bytes
         self._break(detail, CallFailure.NOT_SENT if is_whole else CallFailure.BROKEN)
 
--- a/umberhitch/adapters/held_bytes.py
+++ b/umberhitch/adapters/held_bytes.py
@@ -27,7 +27,7 @@
 CALLER_STALL_S = 5.0
 """Seconds in which a caller takes no byte; as long as one may be silent (`CALLER_SILENCE_S`)."""
 ENDPOINT_STALL_S = 2.0
-"""The shortest gap after which callers leave: later, nobody waits for the answer."""
+"""Seconds in which an endpoint takes no byte; callers may leave after so long."""
 
 
 class Side(StrEnum):
@@ -134,7 +134,7 @@
         return True
 
     def has_room(self, count: int) -> bool:
-        """Whether so many bytes more stay within the bound."""
+        """Whether so many bytes more stay within the bound; if not, slow readers soon end."""
         if self.max_bytes is None or self.total_bytes + count <= self.max_bytes:
             return True
         if self._clock.seconds() - self._checked_s >= MIN_CHECK_S:
--- a/umberhitch/core/direct/_escalation_rules.py
+++ b/umberhitch/core/direct/_escalation_rules.py
@@ -201,9 +201,9 @@
 class LargerWaits:
     """What share of larger models' calls begins in time, by service and model.
 
-    Estimated waits lack an engine's queue for slots. A share needs no model of that queue, and it
-    is known as soon as a call is given up. While most calls are late, one at a time probes whether
-    they still are.
+    Estimated waits of queued calls are rough, and leave out what no router has reported yet. A
+    share needs no model of the queue, and is known as soon as a call is given up. While most calls
+    are late, one at a time probes whether they still are.
     """
 
     def __init__(self) -> None:
--- a/umberhitch/core/direct/_placement_limits.py
+++ b/umberhitch/core/direct/_placement_limits.py
@@ -26,8 +26,7 @@
     cross_zone_byte_cost : float
         The same for a call to an engine, in units of value per byte of its body. For a small model
         a local prefill of a long prompt costs less than sending it to the zone whose engine has it
-        cached; for a large model sending it pays. The weight halves the bytes between zones (0.046
-        to 0.026 of the total value) and reduces the value served by 0.003.
+        cached; for a large model sending it pays.
     queue_risk : float
         Cost of a second in an engine's queue where the answer is on time all the same, as a share
         of the cost where it is not. Estimates err, so that a queue is a risk.
--- a/umberhitch/core/direct/_return_plan.py
+++ b/umberhitch/core/direct/_return_plan.py
@@ -9,7 +9,7 @@
 
 __all__ = ["ReturnPlan"]
 
-SLOT_S = 0.05
+SPAN_S = 0.05
 """Returns are booked in spans of this length; shorter than callers notice."""
 MAX_SPANS = 100
 """Spans that are looked at for one return: a caller's deadline may be far off."""
@@ -17,11 +17,12 @@
 """Multiples of the golden ratio fill an interval evenly, however many there are."""
 ARRIVALS_S = 1.0
 """Time over which new arrivals are measured."""
-LEAST_PART = 0.25
+LEAST_RETURN_SHARE = 0.25
 """Part of the room that returns are booked for while new requests want all of it: one who has
 waited goes first, but a span that is full of returns leaves no room for urgent ones."""
-MOST_PART = 2.0
-"""Bookings of a span beyond its room, for priority and customers: the later ones lose by it."""
+MAX_BOOKING_RATIO = 2.0
+"""Most bookings of a span, as a multiple of its room. Those beyond its room are of higher priority
+or the first of their customer; bookings that were made before lose by them."""
 
 
 @dataclass(slots=True)
@@ -85,8 +86,7 @@
             Room at this router, as far as it is this router's to use.
         now_s : float
         earliest_s, latest_s : float
-            Bounds of the time; the later one is where the caller no longer waits. Where there is
-            room while an answer can still be on time, that is the bound.
+            Earliest and latest time to name; callers don't honor a later one.
         """
         self._drop_past(now_s)
         span = self._find(claim, self._per_span(forecast, now_s), earliest_s, latest_s)
@@ -97,22 +97,22 @@
         self.planned += 1
         key = (claim.priority, claim.arrived_s - claim.waited_s, claim.customer)
         insort(self._bookings.setdefault(span, _Booking()).taken, key)
-        start_s = span * SLOT_S
-        return self._spread(max(earliest_s, start_s), min(latest_s, start_s + SLOT_S))
+        start_s = span * SPAN_S
+        return self._spread(max(earliest_s, start_s), min(latest_s, start_s + SPAN_S))
 
     def _per_span(self, forecast: RoomForecast, now_s: float) -> float:
         """Return for how many returns a span has room."""
         rate = forecast.rate_per_s
-        free_rate = max(rate - self.arrivals_per_s(now_s), LEAST_PART * rate)
-        return free_rate * SLOT_S
+        free_rate = max(rate - self.arrivals_per_s(now_s), LEAST_RETURN_SHARE * rate)
+        return free_rate * SPAN_S
 
     def _find(
         self, claim: Claim, per_span: float, earliest_s: float, latest_s: float
     ) -> int | None:
         """Return the first span with room for a claim."""
         key = (claim.priority, claim.arrived_s - claim.waited_s, claim.customer)
-        first = floor(earliest_s / SLOT_S) + 1
-        for span in range(first, min(first + MAX_SPANS, floor(latest_s / SLOT_S))):
+        first = floor(earliest_s / SPAN_S) + 1
+        for span in range(first, min(first + MAX_SPANS, floor(latest_s / SPAN_S))):
             # A fraction of a return per span is one every few spans.
             room = floor((span + 1) * per_span) - floor(span * per_span)
             booking = self._bookings.get(span)
@@ -120,7 +120,7 @@
                 if room:
                     return span
                 continue
-            if len(booking.taken) >= MOST_PART * room:
+            if len(booking.taken) >= MAX_BOOKING_RATIO * room:
                 continue
             is_first = all(customer != claim.customer for _, _, customer in booking.taken)
             if is_first or booking.before(key) < room:
@@ -133,6 +133,6 @@
         return first_s + self._fraction * (last_s - first_s)
 
     def _drop_past(self, now_s: float) -> None:
-        current = floor(now_s / SLOT_S)
+        current = floor(now_s / SPAN_S)
         for span in [span for span in self._bookings if span < current]:
             del self._bookings[span]
--- a/umberhitch/core/direct/_room.py
+++ b/umberhitch/core/direct/_room.py
@@ -12,9 +12,9 @@
     Attributes
     ----------
     free : float
-        Calls that would begin in time if they were sent now.
+        Calls that would be on time if they were sent now.
     rate_per_s : float
-        Calls per second for which room becomes free.
+        This router's part of the calls that the endpoints end per second.
     waiting : int
         Requests that wait for room at this router.
     """
--- a/umberhitch/core/direct/_router_part.py
+++ b/umberhitch/core/direct/_router_part.py
@@ -2,8 +2,8 @@
 
 All routers read the same reports, which are old on arrival, so a place that looks free is not one
 router's to take. Each has its part of all places at any time, without asking. Beyond it, a router
-that needs more takes its part of each free slot that is reported to it, and gives up most of what
-it took when endpoints have queues. Late answers and refusals reduce the part, down to that of the
+that needs more takes its part of each free slot that is reported to it, and gives up a part of
+what it took whenever an endpoint reports no free slot. Late answers and refusals reduce the part, down to that of the
 slots alone.
 """
 
@@ -13,7 +13,8 @@
 __all__ = ["PLACES_ERROR", "RouterPart", "ServicePlaces"]
 
 DECREASE = 0.7
-"""Factor of the part after late answers, and of what was taken beyond it after a queue was seen."""
+"""Factor of the part after late answers, and of what was taken beyond it once an endpoint has no
+free slot."""
 PLACES_ERROR = 1.5
 """Factor by which the calls at an endpoint may exceed its places: these are for half of the latency
 objective, so that half as many again still leave a quarter of it."""
@@ -104,9 +105,9 @@
         return self._saved_now(part, service, now_s) >= 1.0 + reserved
 
     def _least(self, service: ServicePlaces) -> float:
-        """Return the places that a router has at any rate.
+        """Return the least number of places of this router, 1 or 0.
 
-        It has one, unless so many routers with one each had too many calls.
+        It is 0 if one call of each router were too many for the endpoints.
         """
         return float(service.routers <= PLACES_ERROR * service.places)
 
--- a/umberhitch/core/scheduling/_claim.py
+++ b/umberhitch/core/scheduling/_claim.py
@@ -22,7 +22,8 @@
     arrived_s : float
         Time at which the request was received.
     begin_by_s : float
-        Time by which an endpoint must begin, so that the answer is on time.
+        Time at which the latency objective is over: a plain answer must be complete, a stream must
+        have begun.
     waited_s : float
         Seconds for which the caller had waited when this try came, if it was recognized as one who
         came back.
--- a/umberhitch/core/scheduling/_customer_use.py
+++ b/umberhitch/core/scheduling/_customer_use.py
@@ -78,7 +78,7 @@
 def customer_digest(name: str) -> int:
     """Return the number by which routers tell a customer; shorter than most names.
 
-    Two customers of a thousand share one with a chance of 1 in 8,600; they share a part then.
+    Customers with equal digests, which is improbable, are counted as one.
     """
     return xxh32_intdigest(name.encode()) or 1
 
--- a/umberhitch/core/scheduling/_max_min.py
+++ b/umberhitch/core/scheduling/_max_min.py
@@ -11,8 +11,7 @@
 UseKey = tuple[int, int]
 """Priority, and digest of the customer's name."""
 SPARE_PART = 0.08
-"""Most places that stay free for requests that have yet to come: with them, all that is served on
-time is still over nine tenths of capacity."""
+"""Most places that stay free for requests that have yet to come, as a share of capacity."""
 
 LEAST_USUAL = 0.1
 """Nothing stays free for those who usually use less than this part of one place."""
--- a/umberhitch/core/scheduling/_shares.py
+++ b/umberhitch/core/scheduling/_shares.py
@@ -30,7 +30,7 @@
 MAX_HELD_S = 2.0
 """Bounds of the time for which a call holds its place; a refused one counts as wanted as long."""
 PRESSURE_S = 2.0
-"""A service is under pressure for so long after a request last waited."""
+"""A service is under pressure for so long after a request last waited or was refused."""
 MAX_TOLD = 4
 """Customers that a router tells of one by one; the others are told as one sum for each priority. So
 a report is some 60 bytes longer, whatever their number."""
@@ -108,7 +108,10 @@
     # Use at peers
 
     def told(self, now_s: float) -> list[CustomerUse]:
-        """Return what to tell the other routers: nothing unless a request waited lately."""
+        """Return what to tell the other routers.
+
+        That is nothing unless a request waited or was refused lately.
+        """
         self._forget_refused(now_s)
         if self._was_pressed or any(own.waiting for own in self._own.values()):
             self._pressed_s, self._was_pressed = now_s, False
--- a/umberhitch/tasks/direct/admission_control.py
+++ b/umberhitch/tasks/direct/admission_control.py
@@ -1,4 +1,7 @@
-"""Admission control: a call is sent only where it ends, or an engine begins, in time.
+"""Admission control: a call to a plain service is sent only where it ends in time.
+
+Calls to engines are left alone unless `GatewaySettings.has_engine_admission` is set; then one is
+sent only where the engine begins in time.
 
 `EndpointSelector` asks here before each call, in the same turn. A request that has not been sent
 yet waits for room at this router, for a short time and in the order of `FairQueue`, or is refused.
@@ -31,7 +34,7 @@
 REFUSED = "refused for lack of room"
 """Message of the log."""
 NO_ROOM = "no room in time"
-"""Reason of a refusal: no endpoint would begin in time."""
+"""Reason of a refusal: no endpoint would end the call in time (an engine: begin it)."""
 WAIT_OBJECTIVES = 0.25
 """Longest wait at the router, as a share of the latency objective: the caller of a refused request
 has three quarters of it left for another try."""
@@ -51,11 +54,11 @@
     is_engine: bool
     is_reading: bool
     waiting: float
-    """Calls that waited at the endpoint while the call was there, on the average."""
+    """Mean of the calls that waited at the endpoint when this one was sent and was answered."""
 
 
 @dataclass(slots=True)
-class _Asked:
+class _Decision:
     """The room that was found for a request, until its call is sent in the same turn."""
 
     admitted: AdmittedRequest
@@ -72,7 +75,7 @@
     rooms : RoomEstimate
     decisions : DecisionLog
     includes_engines : bool
-        Whether calls to engines are subject to it as well as those to plain services.
+        Whether calls to engines need room too; if not, they are sent as if it did not exist.
 
     Attributes
     ----------
@@ -96,14 +99,14 @@
         self._queues: dict[tuple[str, bool | None], WaitingRequests] = {}
         self._waiting_bytes = 0
         self._calls: dict[int, _Call] = {}
-        self._asked: _Asked | None = None
-        self._turn: AdmittedRequest | None = None
+        self._last_decision: _Decision | None = None
+        self._resumed: AdmittedRequest | None = None
         """The waiting request whose turn it is."""
         self._timer: Timer | None = None
         self._is_wake_due = False
         self._is_stopped = False
-        self._is_withheld = False
-        """Whether places were kept for others at the last decision."""
+        self._has_reserved = False
+        """Whether places were reserved for others at the last decision."""
         self._last_rooms: dict[tuple[Resource, str], ServiceRoom] = {}
 
     # Decision
@@ -112,21 +115,21 @@
         self, admitted: AdmittedRequest, endpoints: list[Endpoint], claim: Claim
     ) -> list[Endpoint]:
         """Return the endpoints that have room for one more call of a request from this router."""
-        self._asked = None
+        self._last_decision = None
         if not self._applies_to(admitted):
             return endpoints
         if not endpoints or not self.rooms.has_bounds(admitted.service, endpoints):
             return endpoints
         if not admitted.has_been_sent and self._is_behind_others(admitted):
             return []
-        asked = _Asked(admitted, claim, {})
+        asked = _Decision(admitted, claim, {})
         found = endpoints
         for resource in _resources(admitted):
             allowed = {each.lifetime for each in self._with_resource(resource, asked, endpoints)}
             found = [each for each in found if each.lifetime in allowed]
             if not found:
                 return []
-        self._asked = asked
+        self._last_decision = asked
         return found
 
     def _applies_to(self, admitted: AdmittedRequest) -> bool:
@@ -134,10 +137,10 @@
 
     def _is_behind_others(self, admitted: AdmittedRequest) -> bool:
         """Whether a request has to wait, since others have waited before it."""
-        return admitted is not self._turn and len(self._queue_of(admitted)) > 0
+        return admitted is not self._resumed and len(self._queue_of(admitted)) > 0
 
     def _with_resource(
-        self, resource: Resource, asked: _Asked, endpoints: list[Endpoint]
+        self, resource: Resource, asked: _Decision, endpoints: list[Endpoint]
     ) -> list[Endpoint]:
         """Return the endpoints that have enough of one resource."""
         admitted, now_s = asked.admitted, self._clock.seconds()
@@ -157,7 +160,7 @@
             found = _with_places(room.endpoints, prefers_free)
             # One that may have run can't be refused as not run: without a call its answer is lost.
             return found or (endpoints if admitted.may_have_run else [])
-        self._is_withheld = reserved > 0.0
+        self._has_reserved = reserved > 0.0
         if reserved and room.service.taken + reserved * room.service.routers >= room.service.slots:
             return []
         if part.has_place(room.service, reserved, now_s):
@@ -250,11 +253,11 @@
             self._refuse_waiting(queue, waiting, "waited in vain")
 
     def _resume(self, waiting: WaitingRequest) -> None:
-        self._turn = waiting.waiter.admitted
+        self._resumed = waiting.waiter.admitted
         try:
             waiting.waiter.resume()
         finally:
-            self._turn = None
+            self._resumed = None
 
     def forget(self, admitted: AdmittedRequest) -> None:
         """Let a request that is over wait no more."""
@@ -291,32 +294,32 @@
         """
         if not self._is_wake_due and any(self._queues.values()):
             self._is_wake_due = True
-            self._clock.callLater(0.0, self._serve)
+            self._clock.callLater(0.0, self._serve_all)
 
-    def _serve(self) -> None:
+    def _serve_all(self) -> None:
         self._is_wake_due = False
         for queue in list(self._queues.values()):
             self._serve_queue(queue)
 
     def _serve_queue(self, queue: WaitingRequests) -> None:
-        while self._serve_one(queue):
+        while self._serve_first(queue):
             pass
 
-    def _serve_one(self, queue: WaitingRequests) -> bool:
-        """Send the first request that may go; return whether there was one.
+    def _serve_first(self, queue: WaitingRequests) -> bool:
+        """Send the first request that may go; return whether one no longer waits.
 
-        If there is no room though nothing was kept for others, there is none for anybody.
+        If a request finds no room though no place was reserved, the others find none either.
         """
         for waiting in queue.heads():
-            if self._is_served(queue, waiting):
+            if self._try(queue, waiting):
                 return True
-            if not self._is_withheld:
+            if not self._has_reserved:
                 return False
         return False
 
-    def _is_served(self, queue: WaitingRequests, waiting: WaitingRequest) -> bool:
-        """Try to send a request; return whether it no longer waits."""
-        self._is_withheld = False
+    def _try(self, queue: WaitingRequests, waiting: WaitingRequest) -> bool:
+        """Try to send a waiting request; return whether it no longer waits."""
+        self._has_reserved = False
         self._resume(waiting)
         return queue.get(waiting.waiter.admitted) is not waiting
 
@@ -327,7 +330,7 @@
         self._timer = self._clock.callLater(wait_s, self._check, admitted)
 
     def _check(self, admitted: AdmittedRequest) -> None:
-        self._serve()
+        self._serve_all()
         if any(self._queues.values()):
             self._schedule_check(admitted)
 
@@ -341,7 +344,7 @@
             return
         now_s, lifetime, service = self._clock.seconds(), endpoint.lifetime, admitted.service
         is_engine = bool(admitted.request.prompt)
-        asked, self._asked = self._asked, None
+        asked, self._last_decision = self._last_decision, None
         if asked is not None and asked.admitted is admitted and not admitted.has_been_sent:
             for resource, room in asked.rooms.items():
                 self.rooms.part(resource, service).note_started(room.service, now_s)
@@ -519,7 +522,7 @@
 
 
 def _within_share(room: ServiceRoom, part: RouterPart) -> list[EndpointRoom]:
-    """Return the endpoints at which this router has less than its share.
+    """Return the endpoints at which this router has less than its share, or all if there are none.
 
     If all routers spread their calls in this way, so are all calls.
     """
--- a/umberhitch/tasks/direct/endpoint_selector.py
+++ b/umberhitch/tasks/direct/endpoint_selector.py
@@ -55,7 +55,7 @@
     answer_value : AnswerValueLimits
     clock : Clock
     rng : Random
-    admission : AdmissionControl or None
+    admission_control : AdmissionControl or None
         None if calls are sent whether or not there is room.
     returns : Returns or None
         Plans the returns of those who are refused for lack of room.
@@ -73,7 +73,7 @@
         answer_value: AnswerValueLimits,
         clock: Clock,
         rng: Random,
-        admission: AdmissionControl | None = None,
+        admission_control: AdmissionControl | None = None,
         returns: Returns | None = None,
     ) -> None:
         self._view = view
@@ -86,11 +86,11 @@
         self.failure_reason = NO_ENDPOINT
         """Why the last selection found no endpoint."""
         self.larger_waits = LargerWaits()
-        """How much longer than expected larger models' calls take."""
+        """Share of larger models' calls that begin in time, by service and model."""
         self._answer_value_limits = answer_value
         self._clock = clock
         self._rng = rng
-        self._admission = admission
+        self._admission_control = admission_control
         self._returns = returns
 
     def first_model(self, admitted: AdmittedRequest) -> str | None:
@@ -259,8 +259,8 @@
         eligible = self._canary_controller.allowed_endpoints(
             admitted.service, admitted.wants_target, within_quota, is_light
         )
-        if eligible and self._admission is not None:
-            eligible = self._admission.with_room(admitted, eligible, self.claim(admitted))
+        if eligible and self._admission_control is not None:
+            eligible = self._admission_control.with_room(admitted, eligible, self.claim(admitted))
             if not eligible:
                 self.failure_reason = NO_ROOM
         if not eligible:
--- a/umberhitch/tasks/direct/escalating_request.py
+++ b/umberhitch/tasks/direct/escalating_request.py
@@ -111,9 +111,8 @@
     def _on_overlap_over(self) -> None:
         """Give up a kept answer that is still incomplete, or the call of the larger model.
 
-        The answer is given up only if the larger model's call has begun, or has reached its
-        endpoint and is expected to begin in time, and if the small model can be called again at
-        another one.
+        It is given up only if the small model can be called again at another endpoint, and if the
+        larger model's call has a head, or was sent and its first event is expected in time.
         """
         assert self._call is not None
         can_repeat = self._can_retry()
--- a/umberhitch/tasks/direct/pace_sharing.py
+++ b/umberhitch/tasks/direct/pace_sharing.py
@@ -10,7 +10,7 @@
 __all__ = ["PaceSharing"]
 
 MAX_AGE_S = 2.0
-"""Older words are not told: they are worth little, and the next reply brings a new one."""
+"""Older reports are not passed on to peers."""
 MAX_PACE = 100.0
 
 
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -73,7 +73,7 @@
     """What became of a small model's answer for which a larger model was called."""
 
     REPLACED = "replaced"
-    """Given up when the larger model's answer started."""
+    """Given up when the larger model's head or first event came."""
     DELIVERED = "delivered"
     """Passed on after all, since the larger model's answer did not start."""
     DROPPED = "dropped"
@@ -227,7 +227,7 @@
     def larger_model(
         self, admitted: AdmittedRequest, model: str, confidence: int | None, waited_s: float
     ) -> LargerChoice | None:
-        """Return the larger model to call instead, or None to keep the answer."""
+        """Return the larger model to call instead, with its first endpoint, or None."""
         ...
 
     def in_time_share(self, admitted: AdmittedRequest, model: str) -> float:
--- a/umberhitch/tasks/direct/stall_watch.py
+++ b/umberhitch/tasks/direct/stall_watch.py
@@ -16,8 +16,8 @@
 log = getLogger(__name__)
 
 MIN_STALL_S = 2.5
-"""Shortest time without a check that counts as a stall. While it runs, a router learns within about
-2.2 s that an endpoint has become cold: entries are written every 1.2 s and read every 0.95 s."""
+"""Shortest time without a check that counts as a stall: a little more than a running router may
+need to learn that an endpoint has become cold (a renewal and a read of the registry)."""
 MAX_PROOF_AGE_S = 2.0
 """Age that the proof of the directory may have at the end of a stall. In a router that runs, for
 which peers read, it may be as old."""
--- a/umberhitch/tasks/direct/tests/test_room_mutations.py
+++ b/umberhitch/tasks/direct/tests/test_room_mutations.py
@@ -48,7 +48,7 @@
 
 
 def a_call_that_ends_wakes_in_the_same_turn(patch: pytest.MonkeyPatch) -> Test:
-    patch.setattr(AdmissionControl, "wake", AdmissionControl._serve)
+    patch.setattr(AdmissionControl, "wake", AdmissionControl._serve_all)
     return waiting.test_a_retry_goes_before_those_that_wait
 
 
--- a/umberhitch/tasks/direct/tests/test_waiting_for_room.py
+++ b/umberhitch/tasks/direct/tests/test_waiting_for_room.py
@@ -175,7 +175,7 @@
     pending = [call.func for call in world.clock.getDelayedCalls()]
     control = _control(world)
     assert control._check not in pending
-    assert control._serve not in pending
+    assert control._serve_all not in pending
 
 
 def test_the_log_tells_why_a_request_waited_and_was_refused(
