--- a/umberhitch/core/direct/_router_part.py
+++ b/umberhitch/core/direct/_router_part.py
@@ -3,8 +3,8 @@
 All routers read the same reports, which are old on arrival, so a place that looks free is not one
 router's to take. Each has its part of all places at any time, without asking. Beyond it, a router
 that needs more takes its part of each free slot that is reported to it, and gives up a part of
-what it took whenever an endpoint reports no free slot. Late answers and refusals reduce the part, down to that of the
-slots alone.
+what it took whenever an endpoint reports no free slot. Late answers and refusals reduce the part,
+down to that of the slots alone.
 """
 
 from dataclasses import dataclass
