--- a/umberhitch/platform/standins/client.py
+++ b/umberhitch/platform/standins/client.py
@@ -287,6 +287,7 @@
         name: str,
         store: str | None = None,
         module: tuple[str, ...] = ("umberhitch.cli.daemon",),
+        terms: tuple[str, ...] = (),
     ) -> RouterProcess:
         """Start a router and wait until it is ready.
 
@@ -297,6 +298,8 @@
             Address at which the router reaches the store; None for the store itself.
         module : tuple of str
             Module to run, followed by its arguments.
+        terms : tuple of str
+            The platform's terms that are in force.
         """
         settings = {
             "role": "gateway",
@@ -306,6 +309,7 @@
             "store": store or self.store,
             "drain_s": MAX_WAIT_S,
             "drain_notice_s": 6.0,
+            "terms": terms,
         }
         path = self.folder / f"{name}.json"
         path.write_bytes(json.encode(settings))
--- a/umberhitch/soak/_deployment.py
+++ b/umberhitch/soak/_deployment.py
@@ -12,6 +12,8 @@
 __all__ = ["COLD_RATE", "Deployment", "Router", "memory_mb"]
 
 ZONES = ("a", "b")
+TERMS = ("pressure",)
+"""With it, routers have admission control, whose refusals must be true as all others."""
 COLD_RATE = 2.0
 """Requests a second that a cold endpoint bears."""
 
@@ -73,7 +75,9 @@
             self.cold.append(ColdStart(name, at_s, at_s + cold_s))
 
     def start(self, name: str, way: Proxy) -> Router:
-        process = self.platform.start_router(name, store=way.address, module=self.module)
+        process = self.platform.start_router(
+            name, store=way.address, module=self.module, terms=TERMS
+        )
         return Router(name, way, process, memory_mb(process))
 
     def live(self) -> list[RouterProcess]:
