--- a/umberhitch/tasks/direct/tests/test_load_priorities.py
+++ b/umberhitch/tasks/direct/tests/test_load_priorities.py
@@ -25,7 +25,7 @@
 
 
 def test_thirty_routers_serve_urgent_requests() -> None:
-    """A weaker bound: reports are 0.9 s apart, so the first second is decided without them."""
+    """Reports are 0.9 s apart, so that the first second is decided without them."""
     high, low = run_priorities(make_rivals(30, 1), 0.8)
-    assert high >= 0.9
+    assert high >= 0.95
     assert low >= 0.25 / 2.2
