Sight: the answers on a roll-out are logged by route, version and stage

'roll-out evidence' tells every 2 s what came on which route since the line before, in which stage the roll-out is, and whether an endpoint was fully loaded; after the end only where the new version gave bad answers. No decision reads it.

--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -10,7 +10,7 @@
     LimitRules,
 )
 from umberhitch.core.direct._answer_value import AnswerValue, AnswerValueLimits, make_answer_value
-from umberhitch.core.direct._canary import Canary, CanaryLimits
+from umberhitch.core.direct._canary import Canary, CanaryLimits, RolloutStage
 from umberhitch.core.direct._cascade import Cascade, CascadeLimits, LargerChoice
 from umberhitch.core.direct._change import DocumentChange, apply_change, diff_documents
 from umberhitch.core.direct._closed import ClosedEndpoints, Draining, EndpointBackoff
@@ -170,6 +170,7 @@
     "ReturnBook",
     "ReturnPlan",
     "RolloutOrder",
+    "RolloutStage",
     "RolloutState",
     "RoomForecast",
     "Route",
--- a/umberhitch/core/direct/_canary.py
+++ b/umberhitch/core/direct/_canary.py
@@ -14,11 +14,12 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass, replace
+from enum import StrEnum
 
 from umberhitch.core.direct._evidence import AnswerCounts, AnswerVerdict, EvidenceThreshold
 from umberhitch.core.direct._types import RolloutOrder, RolloutState
 
-__all__ = ["Canary", "CanaryLimits"]
+__all__ = ["Canary", "CanaryLimits", "RolloutStage"]
 
 MAX_SESSIONS = 20_000
 LOAD_TEST_TAIL = 0.08
@@ -102,6 +103,18 @@
     settle_s: float = 1.0
 
 
+class RolloutStage(StrEnum):
+    """What the new version gets in a part of the roll-out."""
+
+    SETTLING = "settling"
+    """Nothing."""
+    CANARY = "canary"
+    """Its small share of the work."""
+    LOAD_TEST = "load test"
+    """All light work, at one endpoint."""
+    ALL_WORK = "all work"
+
+
 @dataclass(frozen=True, slots=True)
 class _SessionPin:
     """Version of a session, and the last start or end of one of its requests."""
@@ -147,6 +160,16 @@
         """Return the fraction of the roll-out's duration that has elapsed."""
         return (now_s - self.started_s) / max(0.001, self.order.duration_s)
 
+    def stage(self, now_s: float) -> RolloutStage:
+        """Return the stage of the roll-out, as long as it is in progress."""
+        if self.takes_all_traffic(now_s):
+            return RolloutStage.ALL_WORK
+        if self.is_load_testing(now_s):
+            return RolloutStage.LOAD_TEST
+        if now_s - self.started_s < self.limits.settle_s:
+            return RolloutStage.SETTLING
+        return RolloutStage.CANARY
+
     def traffic_share(self, now_s: float, is_light: bool = False) -> float:
         """Return the current share of the work for the new version."""
         match self.state:
--- a/umberhitch/tasks/direct/canary_controller.py
+++ b/umberhitch/tasks/direct/canary_controller.py
@@ -24,6 +24,7 @@
 )
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import StatusPort, do_nothing
+from umberhitch.tasks.direct.rollout_log import RolloutLog
 from umberhitch.tasks.direct.stored_states import FINAL_STATES, StoredRolloutStates
 from umberhitch.wire import CanaryReport, CanaryUpdate, RouteCounts
 
@@ -68,6 +69,7 @@
         self._rng = rng
         self._limits = limits or CanaryLimits()
         self._canaries: dict[str, Canary] = {}
+        self._logs: dict[str, RolloutLog] = {}
         self._exposure_checks: dict[str, tuple[float, bool]] = {}
         """By service: when the exposure bound was last checked, and whether it was kept."""
         self._states = StoredRolloutStates(clock, status, self._apply_final_state)
@@ -123,6 +125,7 @@
             canary.note_old_session(session, at_s, draw)
         canary.unreported_pinned = canary.pinned_sessions(now_s)
         self._canaries[order.service] = canary
+        self._logs[order.service] = RolloutLog(canary)
         self._notify_updates(canary)
         self._exposure_checks.pop(order.service, None)
         log.info("roll-out begins", extra={"service": order.service, "target": order.target})
@@ -131,6 +134,7 @@
     def drop(self, service: str) -> None:
         """Forget the order of a service, which the operator has withdrawn."""
         self._canaries.pop(service, None)
+        self._logs.pop(service, None)
         self._states.drop(service)
 
     def retain(self, orders: list[RolloutOrder]) -> None:
@@ -150,6 +154,7 @@
         if verdict is RolloutState.ROLLED_BACK and canary.state is not verdict:
             self._set_state(canary, verdict)
         self._states.ensure_written(canary, verdict)
+        self._logs[service].log_evidence(now_s)
 
     def _apply_final_state(self, canary: Canary, state: RolloutState) -> None:
         """Apply a final state that the store has."""
@@ -160,19 +165,7 @@
         if canary.state is state:
             return
         canary.state = state
-        facts: dict[str, object] = {
-            "service": canary.order.service,
-            "target": canary.order.target,
-            "state": state,
-        }
-        for name, counts in (
-            ("new", canary.pooled_counts(True)),
-            ("old", canary.pooled_counts(False)),
-        ):
-            for what in ("answers", "failed", "broken", "paced", "slow"):
-                facts[f"{name}_{what}"] = getattr(counts, what)
-        facts["part"] = round(canary.progress(self._clock.seconds()), 3)
-        log.info("roll-out state", extra=facts)
+        self._logs[canary.order.service].log_state(self._clock.seconds())
 
     # Requests
 
