--- a/umberhitch/fakes/_direct_endpoints.py
+++ b/umberhitch/fakes/_direct_endpoints.py
@@ -71,6 +71,8 @@
 
     Attributes
     ----------
+    answer : callable or None
+        Returns the reply to a call; goes before all other replies.
     replies_by_model : dict of bytes to Reply
         Replies to the calls of some models, which go before the others.
     fails_over : int
@@ -107,6 +109,7 @@
     is_draining: bool = False
     rests_s: float | None = None
 
+    answer: Callable[[EndpointCall], Reply] | None = None
     reply: Reply = field(default_factory=Reply)
     replies: list[Reply] = field(default_factory=list)
     replies_by_model: dict[bytes, Reply] = field(default_factory=dict)
@@ -186,7 +189,9 @@
         self._endpoint.arrivals.append((self._sender, self._clock.seconds()))
         endpoint = self._endpoint
         reply = endpoint.replies_by_model.get(self.model)
-        if reply is None:
+        if endpoint.answer is not None:
+            reply = endpoint.answer(self._call)
+        elif reply is None:
             reply = endpoint.replies.pop(0) if endpoint.replies else endpoint.reply
         if endpoint.rests_s is not None:
             reply = replace(REFUSED, backoff_s=endpoint.rests_s)
--- /dev/null
+++ b/umberhitch/tasks/direct/tests/test_late_bad_versions.py
@@ -0,0 +1,79 @@
+"""A version that turns bad late in its roll-out is found, whatever it was like before."""
+
+import pytest
+
+from umberhitch.core.direct import CanaryLimits, RolloutState
+from umberhitch.testing import RolloutPlay, RolloutTraffic, VersionFault
+
+BOUND = CanaryLimits()
+DURATION_S = 24.0
+MAX_UNWATCHED_S = 5.0
+"""A bad version must be without requests so long after its 50th bad answer."""
+ALL_WORK_S = 0.2
+PLAIN = RolloutTraffic()
+FAILING = RolloutTraffic(usual_failures=0.14)
+LOADED = RolloutTraffic(reply_s=0.4)
+MANY = RolloutTraffic(per_s=60.0)
+FEW = RolloutTraffic(per_s=8.0, usual_failures=0.14)
+
+
+def _check_exposure(play: RolloutPlay) -> None:
+    new, total = play.exposure()
+    assert new <= BOUND.exposure_share * total + BOUND.exposure_slack
+
+
+# A version that had answered well for 17 s and more was declared good, and got all requests.
+@pytest.mark.parametrize("onset_s", [15.0, 17.0, 19.0, 20.0, 21.0, 22.0, 22.5])
+@pytest.mark.parametrize("traffic", [PLAIN, FAILING, LOADED], ids=["plain", "failing", "loaded"])
+def test_a_version_that_turns_bad_late_is_rolled_back(onset_s, traffic):
+    play = RolloutPlay(7, VersionFault(onset_s), traffic, DURATION_S).play()
+    assert play.state is RolloutState.ROLLED_BACK
+    assert play.decided_s() >= onset_s
+    assert play.calls_after_bound() == 0
+    _check_exposure(play)
+
+
+# One route's failures were hidden by the good answers that it had given since the order.
+@pytest.mark.parametrize("onset_s", [17.0, 19.0, 21.0])
+@pytest.mark.parametrize("traffic", [PLAIN, FAILING], ids=["plain", "failing"])
+def test_a_version_that_turns_bad_late_on_one_route_is_rolled_back(onset_s, traffic):
+    fault = VersionFault(onset_s, path="/order/")
+    play = RolloutPlay(6, fault, traffic, DURATION_S).play()
+    assert play.state is RolloutState.ROLLED_BACK
+    assert play.decided_s() >= onset_s
+    assert play.calls_after_bound() == 0
+
+
+# All work moved to a fully loaded version at 0.62: half of the requests ran on it before anyone
+# could know whether it would turn bad.
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("traffic", [PLAIN, MANY, LOADED], ids=["plain", "many", "loaded"])
+def test_no_version_gets_more_than_the_bound_before_its_deadline(seed, traffic):
+    play = RolloutPlay(seed, None, traffic, DURATION_S).play(1.0)
+    _check_exposure(play)
+
+
+# The load test used the whole bound; for seven seconds nothing was known of the new version.
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("traffic", [PLAIN, FAILING, LOADED], ids=["plain", "failing", "loaded"])
+def test_the_new_version_gets_work_all_the_time(seed, traffic):
+    play = RolloutPlay(seed, None, traffic, DURATION_S).play(0.0)
+    assert play.longest_pause_s(2.0, DURATION_S) <= MAX_UNWATCHED_S
+
+
+# It was enough that no call ran on the old version just then, as is usual for a plain service.
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("traffic", [PLAIN, FAILING], ids=["plain", "failing"])
+def test_no_version_is_declared_good_before_all_work_has_moved(seed, traffic):
+    play = RolloutPlay(seed, None, traffic, DURATION_S).play(0.0)
+    assert play.state is RolloutState.COMPLETED
+    decided_s = play.deadline_s - DURATION_S + play.decided_s()
+    assert play.calls_s(False)[-1] < decided_s - ALL_WORK_S
+
+
+# Three failures of seven on a route that fails one in seven by itself rolled good versions back.
+@pytest.mark.parametrize("seed", range(12))
+@pytest.mark.parametrize("traffic", [FEW, FAILING], ids=["few", "failing"])
+def test_a_good_version_of_a_route_that_fails_by_itself_is_completed_in_time(seed, traffic):
+    play = RolloutPlay(seed, None, traffic, DURATION_S).play(0.0)
+    assert play.state is RolloutState.COMPLETED
--- a/umberhitch/testing/__init__.py
+++ b/umberhitch/testing/__init__.py
@@ -34,6 +34,7 @@
     offer_share,
     steady_pace,
 )
+from umberhitch.testing._rollouts import RolloutPlay, RolloutTraffic, VersionFault
 from umberhitch.testing._transports import FakeTransport, dial
 from umberhitch.testing._violation import Violation
 from umberhitch.testing._world import AskOptions, CallerRecord, World, WorldSettings
@@ -55,8 +56,11 @@
     "LoadWorld",
     "LostRecords",
     "OverloadWorld",
+    "RolloutPlay",
+    "RolloutTraffic",
     "StoreCopy",
     "Stream",
+    "VersionFault",
     "Violation",
     "World",
     "WorldSettings",
