Evidence on a new version: any moment of change counts, and routes are compared one by one

What callers saw: a version that failed half of its requests stayed, since its answers from before it turned bad kept its rate since the order under the threshold (7 of 67); and good versions were rolled back for three failures of seven on a route that fails one in seven by itself. Cause: every rule rested on counts since the order, held against the old version's rate over all routes, whatever mix of them each version got. Change: an e-detector (core/detector.py, as on the path with agents) over the answers of all routes, and one for each, with the old version's rate of that route and one standard error as limit; its rate of the last 3 s counts too where it is higher. Nearly all bad answers from one endpoint need twice the evidence in logarithms; so peers tell bad answers by endpoint. Totals since the order stay for small rates, compared on the new version's mix of routes; the bare rate of 0.12 for failures is gone. EvidenceThreshold.is_exceeded takes the old version's rate in place of its count; test_prefills.py follows.

--- a/umberhitch/core/detector.py
+++ b/umberhitch/core/detector.py
@@ -11,13 +11,37 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from math import exp, log
 
-__all__ = ["BETS", "Baseline", "Detector"]
+__all__ = ["BETS", "Baseline", "Detector", "Stratum"]
 
 BETS = (0.15, 0.3, 0.5, 0.7, 0.9)
 """Bets as fractions of the largest safe bet; small bets detect small changes."""
 
 MAX_SUM = 1e200
+MAX_LOG = 460.0
+
+
+@dataclass(frozen=True, slots=True)
+class Stratum:
+    """A batch of observations that are either good or bad, with the limit of their mean badness.
+
+    Attributes
+    ----------
+    bad, total : int
+        Bad observations, and all.
+    limit : float
+        Largest acceptable share of bad ones, strictly between 0 and 1.
+    """
+
+    bad: int
+    total: int
+    limit: float
+
+
+def _log_factor(bet: float, stratum: Stratum) -> float:
+    limit, good = stratum.limit, stratum.total - stratum.bad
+    return stratum.bad * log(1.0 + bet / limit * (1.0 - limit)) + good * log(1.0 - bet)
 
 
 @dataclass
@@ -47,12 +71,29 @@
         """
         self.count += len(badness)
         for index, bet in enumerate(BETS):
-            value = self._sums[index] + 1.0
+            factor = 1.0
             for observed in badness:
-                value *= 1.0 + bet / self.limit * (observed - self.limit)
-            self._sums[index] = min(MAX_SUM, max(0.0, value))
+                factor *= 1.0 + bet / self.limit * (observed - self.limit)
+            self._multiply(index, factor)
+        return self.is_alarmed
+
+    def observe_counts(self, strata: Iterable[Stratum]) -> bool:
+        """Add a batch of good and bad observations from strata with limits of their own.
+
+        The detector's limit is not used.
+        """
+        strata = list(strata)
+        self.count += sum(stratum.total for stratum in strata)
+        for index, bet in enumerate(BETS):
+            log_factor = sum(_log_factor(bet, stratum) for stratum in strata)
+            self._multiply(index, exp(min(MAX_LOG, log_factor)))
         return self.is_alarmed
 
+    def _multiply(self, index: int, factor: float) -> None:
+        """Add a change point, and multiply the products of one bet by a factor."""
+        value = (self._sums[index] + 1.0) * factor
+        self._sums[index] = min(MAX_SUM, max(0.0, value))
+
     @property
     def e_value(self) -> float:
         """The e-value against the hypothesis that the version is good: the mean over the bets."""
--- a/umberhitch/core/direct/_canary.py
+++ b/umberhitch/core/direct/_canary.py
@@ -18,12 +18,15 @@
 
 from umberhitch.core.direct._evidence import AnswerCounts, AnswerVerdict, EvidenceThreshold
 from umberhitch.core.direct._types import RolloutOrder, RolloutState
+from umberhitch.core.direct._version_change import ChangeLimits, RouteTally, VersionChange
 
 __all__ = ["Canary", "CanaryLimits", "RolloutStage"]
 
 MAX_SESSIONS = 20_000
 LOAD_TEST_TAIL = 0.08
 """Fraction of the roll-out after the load test in which answers that started under it finish."""
+KINDS = (("failed", "answers"), ("broken", "answers"), ("slow", "paced"))
+"""Kinds of bad answers, and of which answers they are a part."""
 BREAK_DEDUPLICATION_S = 1.0
 """Seconds within which an endpoint that is lost breaks off all its answers."""
 
@@ -71,6 +74,9 @@
         Thresholds for broken and slow answers. They are higher than the one for failures: a lost
         endpoint breaks off all its answers at once, and load makes them slow all at once, though
         the version is good.
+    failed_change, broken_change, slow_change : ChangeLimits
+        The same for answers since any moment at which the version may have changed. Load makes
+        answers slow all at once, so that a high rate of slow ones is acceptable.
     session_s : float
         Longest pause in seconds between the end of one request of a session and the start of the
         next.
@@ -94,11 +100,14 @@
     forced_completion: float = 0.9
     untested_drained_completion: float = 0.94
     untested_forced_completion: float = 0.97
-    failed: EvidenceThreshold = EvidenceThreshold()
+    failed: EvidenceThreshold = EvidenceThreshold(rate=1.0)
     broken: EvidenceThreshold = EvidenceThreshold(min_count=6, rate=0.2, max_assumed_rate=0.02)
     slow: EvidenceThreshold = EvidenceThreshold(
         min_count=4, rate=0.3, max_assumed_rate=0.1, deviations=6.0
     )
+    failed_change: ChangeLimits = ChangeLimits(min_rate=0.005, alpha=1e-5)
+    broken_change: ChangeLimits = ChangeLimits(min_rate=0.05, alpha=1e-6)
+    slow_change: ChangeLimits = ChangeLimits(min_rate=0.3, alpha=1e-6)
     session_s: float = 5.0
     settle_s: float = 1.0
 
@@ -154,6 +163,13 @@
         self._takes_all_traffic = False
         self._router_counts: dict[str, dict[tuple[bool, str], AnswerCounts]] = {}
         self._broken_s: dict[str, float] = {}
+        self._thresholds = (limits.failed, limits.broken, limits.slow)
+        self._changes = tuple(
+            VersionChange(change)
+            for change in (limits.failed_change, limits.broken_change, limits.slow_change)
+        )
+        self._has_new_answers = False
+        self._is_failing = False
         self._sessions: OrderedDict[str, _SessionPin] = OrderedDict()
 
     def progress(self, now_s: float) -> float:
@@ -352,10 +368,13 @@
                 return
             self._broken_s[endpoint] = now_s
         self.own_counts.setdefault((is_target, route), AnswerCounts()).record(endpoint, verdict)
+        self._has_new_answers = True
 
     def set_router_counts(self, router: str, counts: dict[tuple[bool, str], AnswerCounts]) -> None:
         """Replace the counts of another router's incarnation, which run from its start."""
-        self._router_counts[router] = counts
+        if self._router_counts.get(router) != counts:
+            self._router_counts[router] = counts
+            self._has_new_answers = True
 
     def pooled_counts(self, is_target: bool, route: str | None = None) -> AnswerCounts:
         """Return the counts of all routers for the new or the old version."""
@@ -379,21 +398,59 @@
         progress = self.progress(now_s)
         return self.limits.load_test_start <= progress < self.limits.load_test_end + LOAD_TEST_TAIL
 
+    def observe(self, now_s: float) -> None:
+        """Take the answers of all routers up to now as evidence of a change of the version."""
+        if not self._has_new_answers:
+            return
+        self._has_new_answers = False
+        counts = self._counts_by_route()
+        bad_by_endpoint = self.pooled_counts(True).endpoints
+        for change, (kind, of) in zip(self._changes, KINDS, strict=True):
+            tallies = {
+                route: RouteTally(
+                    getattr(new, kind), getattr(new, of), getattr(old, kind), getattr(old, of)
+                )
+                for route, (new, old) in counts.items()
+            }
+            change.observe(tallies, bad_by_endpoint, now_s)
+        self._is_failing = self.is_failing()
+
+    def _counts_by_route(self) -> dict[str, tuple[AnswerCounts, AnswerCounts]]:
+        """Return the counts of all routers for the new and the old version, by route."""
+        counts: dict[str, tuple[AnswerCounts, AnswerCounts]] = {}
+        for source in (self.own_counts, *self._router_counts.values()):
+            for (of_target, route), part in source.items():
+                new, old = counts.setdefault(route, (AnswerCounts(), AnswerCounts()))
+                (new if of_target else old).add(part)
+        return counts
+
     def is_failing(self) -> bool:
-        """Whether the new version is worse than the old one, over all routes or on one."""
-        if self._is_worse(None):
+        """Whether the new version is worse than the old one, over all routes or on one.
+
+        Either since the order, or since some later moment.
+        """
+        if any(change.is_shown() for change in self._changes):
             return True
-        return any(self._is_worse(route) for route in self.routes())
-
-    def _is_worse(self, route: str | None) -> bool:
-        new, old = self.pooled_counts(True, route), self.pooled_counts(False, route)
-        limits, endpoints = self.limits, len(new.endpoints)
-        return (
-            limits.failed.is_exceeded(new.failed, new.answers, old.failed, old.answers, endpoints)
-            or limits.broken.is_exceeded(
-                new.broken, new.answers, old.broken, old.answers, endpoints
+        counts = self._counts_by_route()
+        return self._is_worse(counts) or any(
+            self._is_worse({route: pair}) for route, pair in counts.items()
+        )
+
+    def _is_worse(self, counts: dict[str, tuple[AnswerCounts, AnswerCounts]]) -> bool:
+        """Whether the new version is worse since the order, over some routes together."""
+        new, old = AnswerCounts(), AnswerCounts()
+        for new_part, old_part in counts.values():
+            new.add(new_part)
+            old.add(old_part)
+        return any(
+            threshold.is_exceeded(
+                getattr(new, kind),
+                getattr(new, of),
+                _standardized_rate(counts, kind, of),
+                getattr(old, of),
+                len(new.endpoints),
             )
-            or limits.slow.is_exceeded(new.slow, new.paced, old.slow, old.paced, endpoints)
+            for threshold, (kind, of) in zip(self._thresholds, KINDS, strict=True)
         )
 
     def next_state(self, now_s: float, old_running: int) -> RolloutState:
@@ -407,7 +464,8 @@
         """
         if self.state is not RolloutState.IN_PROGRESS:
             return self.state
-        if self.is_failing():
+        self.observe(now_s)
+        if self._is_failing:
             return RolloutState.ROLLED_BACK
         limits, progress = self.limits, self.progress(now_s)
         drained_completion = (
@@ -419,3 +477,21 @@
         if progress >= drained_completion and (old_running == 0 or progress >= forced_completion):
             return RolloutState.COMPLETED
         return RolloutState.IN_PROGRESS
+
+
+def _standardized_rate(
+    counts: dict[str, tuple[AnswerCounts, AnswerCounts]], kind: str, of: str
+) -> float:
+    """Return the old version's rate on the routes on which the new version has answered.
+
+    Usual rates differ between routes, and the two versions do not get the same mix of them.
+    """
+    old_bad = sum(getattr(old, kind) for _, old in counts.values())
+    old_total = sum(getattr(old, of) for _, old in counts.values())
+    rate = old_bad / old_total if old_total else 0.0
+    new_total = sum(getattr(new, of) for new, _ in counts.values())
+    expected = sum(
+        getattr(new, of) * (getattr(old, kind) / getattr(old, of) if getattr(old, of) else rate)
+        for new, old in counts.values()
+    )
+    return expected / new_total if new_total else rate
--- a/umberhitch/core/direct/_evidence.py
+++ b/umberhitch/core/direct/_evidence.py
@@ -1,5 +1,6 @@
 """Statistics of the answers of a version, and the thresholds at which it is rolled back."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import StrEnum
 from math import sqrt
@@ -16,7 +17,8 @@
     min_count : int
         Fewer answers of that kind never roll a version back.
     rate : float
-        Highest acceptable rate, unless the old version's own rate times `ratio` is higher.
+        Highest acceptable rate, unless the old version's own rate times `ratio` is higher. With 1
+        only the old version's rate counts.
     ratio : float
         Highest acceptable rate as a multiple of the old version's rate.
     max_assumed_rate : float
@@ -35,7 +37,7 @@
     deviations: float = 3.0
 
     def is_exceeded(
-        self, new: int, new_total: int, old: int, old_total: int, endpoints: int
+        self, new: int, new_total: int, old_rate: float, old_total: int, endpoints: int
     ) -> bool:
         """Whether ``new`` of ``new_total`` answers are too many given the old version's.
 
@@ -43,18 +45,21 @@
         ----------
         new, new_total : int
             Answers of this kind and all answers of the new version.
-        old, old_total : int
-            The same of the old version.
+        old_rate : float
+            Rate of such answers of the old version, on the same mix of routes.
+        old_total : int
+            All answers of the old version.
         endpoints : int
             Endpoints of the new version that gave such answers.
         """
         if new < self.min_count:
             return False
-        old_rate = old / old_total if old_total else 0.0
         if new / new_total > max(self.rate, self.ratio * old_rate):
             return True
         # With few answers of the old version its true rate may be higher than the observed one.
-        likely = max(old_rate, min(self.max_assumed_rate, (old + 1) / (old_total + 1)))
+        likely = max(
+            old_rate, min(self.max_assumed_rate, (old_rate * old_total + 1) / (old_total + 1))
+        )
         expected = new_total * likely
         threshold = self.min_count + expected + self.deviations * sqrt(expected)
         return new > threshold and (endpoints > 1 or new > 2 * threshold)
@@ -87,8 +92,8 @@
         Answers whose latency is known.
     slow : int
         Slow answers among these.
-    endpoints : set of str
-        Endpoints that gave failed, broken or slow answers.
+    endpoints : Counter of str
+        Failed, broken and slow answers of each endpoint that gave some.
     """
 
     answers: int = 0
@@ -96,7 +101,7 @@
     broken: int = 0
     paced: int = 0
     slow: int = 0
-    endpoints: set[str] = field(default_factory=set)
+    endpoints: Counter[str] = field(default_factory=Counter)
 
     def record(self, endpoint: str, verdict: AnswerVerdict) -> None:
         """Count an answer."""
@@ -114,7 +119,7 @@
             case AnswerVerdict.SLOW:
                 self.paced += 1
                 self.slow += 1
-        self.endpoints.add(endpoint)
+        self.endpoints[endpoint] += 1
 
     def add(self, other: "AnswerCounts") -> None:
         """Add the answers that another object has counted."""
@@ -123,4 +128,4 @@
         self.broken += other.broken
         self.paced += other.paced
         self.slow += other.slow
-        self.endpoints |= other.endpoints
+        self.endpoints += other.endpoints
--- a/umberhitch/core/direct/tests/test_prefills.py
+++ b/umberhitch/core/direct/tests/test_prefills.py
@@ -34,8 +34,8 @@
     return CallerRequest("a", b"POST", b"/", "h", "/", [], None, 10.0, True, parts, 100)
 
 
-def count_slow(slowness: float, is_conditioned: bool) -> tuple[int, int, int, int]:
-    """Return slow and judged answers of a new version and of the old one."""
+def count_slow(slowness: float, is_conditioned: bool) -> tuple[int, int, float, int]:
+    """Return slow and judged answers of a new version, rate and judged answers of the old one."""
     rng, latencies = Random(3), TokenLatencies()
     slow = {True: 0, False: 0}
     judged = {True: 0, False: 0}
@@ -51,7 +51,7 @@
         if verdict is not None:
             judged[is_new] += 1
             slow[is_new] += verdict
-    return slow[True], judged[True], slow[False], judged[False]
+    return slow[True], judged[True], slow[False] / judged[False], judged[False]
 
 
 @pytest.mark.parametrize("slowness", [4.0, 8.0])
--- a/umberhitch/tasks/direct/canary_controller.py
+++ b/umberhitch/tasks/direct/canary_controller.py
@@ -5,7 +5,7 @@
 describes how a decision is written to the store.
 """
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 from logging import getLogger
 from random import Random
@@ -378,7 +378,7 @@
                     entry.broken,
                     entry.paced,
                     entry.slow,
-                    set(entry.endpoints),
+                    _bad_by_endpoint(entry),
                 )
                 for entry in report.counts
             }
@@ -399,14 +399,22 @@
     return xxh3_64_intdigest(text.encode()) / HASH_RANGE
 
 
+def _bad_by_endpoint(entry: RouteCounts) -> Counter[str]:
+    """Return the bad answers of each endpoint, one each if an older peer does not tell them."""
+    bad = entry.bad or [1] * len(entry.endpoints)
+    return Counter(dict(zip(entry.endpoints, bad, strict=False)))
+
+
 def _route_counts(is_target: bool, route: str, counts: AnswerCounts) -> RouteCounts:
+    endpoints = sorted(counts.endpoints)
     return RouteCounts(
         is_target,
         route,
         counts.answers,
         counts.failed,
         counts.slow,
-        sorted(counts.endpoints),
+        endpoints,
         counts.broken,
         counts.paced,
+        [counts.endpoints[endpoint] for endpoint in endpoints],
     )
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -357,6 +357,8 @@
     broken: int = 0
     paced: int = 0
     """Number of answers whose inter-token latency is known."""
+    bad: list[int] = []
+    """Failed, broken and slow answers of each of these endpoints."""
 
 
 class CanaryReport(Struct, frozen=True, array_like=True):
