A new version gets work all the time, never more than the bound, and is declared good on new evidence

Cause: decisions rested on answers since the order, however old. (1) The load test used the whole exposure bound in one go; after it the new version got nothing for 7 s of 24, and the absence of bad answers counted as good. (2) A fully loaded version got all work from 0.62 on, more than the bound for one that turns bad later. (3) From 0.94 on it was declared good if no call ran on the old version just then, before all work had moved. Change: the canary share is 0.4 of the exposure share and is always kept; the load test uses 0.45 of the bound at most, and moves no more sessions than the bound covers up to the deadline; all work moves once the bound covers it, load test or not; after it the bound still holds, its last requests kept for those between the decision and the deadline. Declared good only with all work, after 20 answers under it and no suspicion, or at 0.97; suspect then (e-value of 1,000): rolled back. Not split: the three share the schedule.

--- a/umberhitch/core/direct/_canary.py
+++ b/umberhitch/core/direct/_canary.py
@@ -1,15 +1,14 @@
 """Canary roll-out on the direct path: traffic share of the new version and the decision about it.
 
-During the first half of the roll-out the new version gets a small, fixed share of the traffic, and
-a session keeps the version on which it started. The answers are counted over all routers. Then a
-load test follows: one endpoint of the new version gets all light work for a while, so that it is
-fully loaded and a version that fails under load shows this before it has run much. If the endpoint
-was fully loaded, all traffic moves to the new version after the load test. If there was too little
-traffic to load it, the new version gets no more than the users' exposure bound allows for a bad
-version, and all traffic moves near the end: a version whose fault shows only under the full load
-has then received no more than the bound. A session moves once and never back. A version that fails
-more than the old one is rolled back at once; one without bad evidence is declared good before the
-end of the roll-out.
+A version may turn bad at any moment, so it always gets some work, and before the deadline never
+more than the users' exposure bound allows for a bad version, however good it looks. During the
+first half of the roll-out it gets a small, fixed share of the traffic, and a session keeps the
+version on which it started. The answers are counted over all routers. Then a load test follows: one
+endpoint of the new version gets light work as far as a part of the bound allows, so that a version
+that fails under load shows this. Then the share is small again, until the bound covers all work up
+to the deadline: all work moves, and once enough answers under all work are good the version is
+declared good. A session moves once and never back. A version that is worse than the old one is
+rolled back at once, and so is one that is suspect when the time is over.
 """
 
 from collections import OrderedDict
@@ -23,6 +22,8 @@
 __all__ = ["Canary", "CanaryLimits", "RolloutStage"]
 
 MAX_SESSIONS = 20_000
+REMAINING_MARGIN = 1.2
+"""Requests until the deadline, as a multiple of those expected, that the bound must cover."""
 LOAD_TEST_TAIL = 0.08
 """Fraction of the roll-out after the load test in which answers that started under it finish."""
 KINDS = (("failed", "answers"), ("broken", "answers"), ("slow", "paced"))
@@ -37,37 +38,41 @@
 
     Attributes
     ----------
-    canary_share : float
-        Share of the work for the new version in the first half; below the users' exposure bound.
+    exposure_share : float
+        The users' bound for a bad version, as a share of all requests.
+    exposure_slack : float
+        Requests that the bound allows in addition.
+    canary_use : float
+        Share of `exposure_share` that is used all the time; the rest is for the load test and for
+        all work before the deadline.
     load_test_start : float
         Progress from which light work goes to one endpoint of the new version, as far as that
         endpoint has capacity.
     load_test_end : float
-        Progress at which the load test ends. From then on all new work goes to the new version if
-        the endpoint was fully loaded, and `canary_share` of the work if not.
+        Progress at which the load test ends.
+    load_test_use : float
+        Share of the bound up to which the load test may use it.
     full_load : float
         Share of an endpoint's slots that must be in use for it to count as fully loaded.
     min_full_shift : float
-        Progress from which all new work may go to a version that was not load tested, provided the
-        remaining exposure bound covers it to the end.
+        Progress from which all new work may go to the new version, provided the remaining exposure
+        bound covers it to the end.
     max_full_shift : float
-        Progress from which all new work goes to such a version in any case.
-    exposure_share : float
-        The users' bound for a bad version, as a share of all requests.
-    exposure_slack : float
-        Requests that the bound allows in addition.
-    load_test_exposure_use : float
-        Share of the bound that is used during the load test.
+        Progress from which all new work goes to the new version in any case.
     exposure_use : float
         Share of the bound that is used at other times before all work moves, and share of the slack
         that is relied on. Answers that were dropped for a larger model's count as requests in the
         bound, but are not counted here.
     drained_completion : float
-        Progress from which a load-tested version is declared good once no call runs on the old one.
+        Progress from which a version is declared good once no call runs on the old one and enough
+        answers under all work are good.
     forced_completion : float
-        Progress from which a load-tested version is declared good whatever runs on the old one.
-    untested_drained_completion, untested_forced_completion : float
-        The same for a version that was not load tested.
+        Progress from which a version is declared good unless it is suspect.
+    min_answers : int
+        Answers under all work that are enough to be declared good before `forced_completion`.
+    suspect_e_value : float
+        Evidence from which a version is not declared good. It would be much too little to roll back
+        at any time, but it is asked for only once.
     failed : EvidenceThreshold
         Threshold for failures that the endpoint itself reported.
     broken, slow : EvidenceThreshold
@@ -86,20 +91,20 @@
         which sessions are on the old version.
     """
 
-    canary_share: float = 0.07
+    exposure_share: float = 0.15
+    exposure_slack: float = 30.0
+    canary_use: float = 0.4
     load_test_start: float = 0.505
     load_test_end: float = 0.62
+    load_test_use: float = 0.45
     full_load: float = 0.75
     min_full_shift: float = 0.85
     max_full_shift: float = 0.95
-    exposure_share: float = 0.15
-    exposure_slack: float = 30.0
-    load_test_exposure_use: float = 1.0
     exposure_use: float = 0.6
-    drained_completion: float = 0.8
-    forced_completion: float = 0.9
-    untested_drained_completion: float = 0.94
-    untested_forced_completion: float = 0.97
+    drained_completion: float = 0.94
+    forced_completion: float = 0.97
+    min_answers: int = 20
+    suspect_e_value: float = 1000.0
     failed: EvidenceThreshold = EvidenceThreshold(rate=1.0)
     broken: EvidenceThreshold = EvidenceThreshold(min_count=6, rate=0.2, max_assumed_rate=0.02)
     slow: EvidenceThreshold = EvidenceThreshold(
@@ -111,6 +116,11 @@
     session_s: float = 5.0
     settle_s: float = 1.0
 
+    @property
+    def canary_share(self) -> float:
+        """Share of the work for the new version before all work moves."""
+        return self.canary_use * self.exposure_share
+
 
 class RolloutStage(StrEnum):
     """What the new version gets in a part of the roll-out."""
@@ -152,7 +162,7 @@
         self.limits = limits
         self.state = RolloutState.IN_PROGRESS
         self.own_counts: dict[tuple[bool, str], AnswerCounts] = {}
-        self.is_load_tested = False
+        self.was_fully_loaded = False
         """Whether an endpoint of the new version was fully loaded."""
         self.unreported_moved: list[str] = []
         """Sessions on the new version that other routers would send to the old one, and that have
@@ -161,6 +171,8 @@
         """Sessions on the old version that other routers would send to the new one, and that have
         not been reported to them yet."""
         self._takes_all_traffic = False
+        self._answers_before = 0
+        """Answers of the new version when all work moved."""
         self._router_counts: dict[str, dict[tuple[bool, str], AnswerCounts]] = {}
         self._broken_s: dict[str, float] = {}
         self._thresholds = (limits.failed, limits.broken, limits.slow)
@@ -171,6 +183,8 @@
         self._has_new_answers = False
         self._is_failing = False
         self._sessions: OrderedDict[str, _SessionPin] = OrderedDict()
+        self._moves_sessions = True
+        """Whether the load test may move more sessions, whose later requests follow them."""
 
     def progress(self, now_s: float) -> float:
         """Return the fraction of the roll-out's duration that has elapsed."""
@@ -202,29 +216,23 @@
     def takes_all_traffic(self, now_s: float) -> bool:
         """Whether all new work goes to the new version."""
         limits, progress = self.limits, self.progress(now_s)
-        if self.is_load_tested:
-            return progress >= limits.load_test_end
-        if progress < limits.min_full_shift:
-            return False
-        self._takes_all_traffic = (
-            self._takes_all_traffic
-            or progress >= limits.max_full_shift
-            or self._covers_remaining(progress)
-        )
+        if self._takes_all_traffic or progress < limits.min_full_shift:
+            return self._takes_all_traffic
+        if progress >= limits.max_full_shift or self._covers_remaining(progress):
+            self._takes_all_traffic = True
+            self._answers_before = self.pooled_counts(True).answers
         return self._takes_all_traffic
 
     def _covers_remaining(self, progress: float) -> bool:
-        """Whether the exposure bound covers 1.2 times the requests expected until the end."""
+        """Whether the exposure bound covers the requests that are expected until the deadline."""
         limits = self.limits
         new = self.pooled_counts(True).answers
         at_end = (new + self.pooled_counts(False).answers) / progress
         room = limits.exposure_share * at_end + limits.exposure_use * limits.exposure_slack - new
-        return 1.2 * (1.0 - progress) * at_end <= room
-
-    def is_within_exposure(self, now_s: float, new_running: int, old_running: int) -> bool:
-        """Whether the exposure bound allows the new version one more request.
+        return REMAINING_MARGIN * (1.0 - progress) * at_end <= room
 
-        There is no bound once all work moves.
+    def max_share(self, now_s: float, new_running: int, old_running: int) -> float:
+        """Return the share of the work up to which the exposure bound allows one more request.
 
         Parameters
         ----------
@@ -232,13 +240,43 @@
         new_running, old_running : int
             Running calls on each version, which are not yet in the counts of answers.
         """
-        if self.state is not RolloutState.IN_PROGRESS or self.takes_all_traffic(now_s):
-            return True
-        limits = self.limits
+        if self.state is not RolloutState.IN_PROGRESS:
+            return 1.0
+        limits, progress = self.limits, self.progress(now_s)
         new = self.pooled_counts(True).answers + new_running + 1
         total = new + self.pooled_counts(False).answers + old_running
-        use = limits.load_test_exposure_use if self.is_load_testing(now_s) else limits.exposure_use
-        return new <= use * (limits.exposure_share * total + limits.exposure_slack)
+        bound = limits.exposure_share * total + limits.exposure_slack
+        if self.takes_all_traffic(now_s):
+            remaining = max(0.0, 1.0 - progress) * total / progress
+            use = 1.0 if new + remaining <= bound + limits.exposure_share * remaining else 0.0
+        else:
+            use = limits.exposure_use
+        if self.is_load_testing(now_s):
+            use = limits.load_test_use
+            self._moves_sessions = self._moved_share(now_s) < self._movable_share(
+                new, total, progress
+            )
+        if new <= use * bound:
+            return 1.0
+        return limits.canary_share if new <= limits.exposure_use * bound else 0.0
+
+    def _movable_share(self, new: int, total: int, progress: float) -> float:
+        """Return the share of the sessions whose requests up to the deadline the bound covers.
+
+        They come on top of the canary share, and all work moves before the deadline.
+        """
+        limits, at_end = self.limits, total / progress
+        all_work = REMAINING_MARGIN * (1.0 - limits.max_full_shift) * at_end
+        until_then = (limits.max_full_shift - progress) * at_end
+        used = new + all_work + limits.canary_share * until_then
+        return (limits.exposure_share * at_end + limits.exposure_slack - used) / until_then
+
+    def _moved_share(self, now_s: float) -> float:
+        """Return the share of the known sessions that the load test has moved."""
+        oldest_s = now_s - self.limits.session_s
+        recent = [pin for pin in self._sessions.values() if pin.at_s >= oldest_s]
+        moved = sum(pin.is_target and pin.draw >= self.limits.canary_share for pin in recent)
+        return moved / max(1, len(recent))
 
     def pins_sessions(self, now_s: float) -> bool:
         """Whether sessions on the old version still stay there."""
@@ -255,7 +293,7 @@
         now_s: float,
         has_target: bool = True,
         is_light: bool = False,
-        is_within_exposure: bool = True,
+        max_share: float = 1.0,
     ) -> bool:
         """Whether a request goes to the new version.
 
@@ -269,13 +307,15 @@
             Whether an endpoint of the new version accepts work.
         is_light : bool
             Whether the request needs little prefill.
-        is_within_exposure : bool
-            Whether the new version may get more, see `is_within_exposure`. It always gets the
-            sessions of its share, so that they stay where they are.
+        max_share : float
+            Share that the new version may get, see `max_share`. It always gets the sessions of the
+            canary share, so that they stay where they are.
         """
-        share = self.traffic_share(now_s, is_light)
-        if not is_within_exposure:
-            share = 0.0 if session is None else min(share, self.limits.canary_share)
+        if session is not None:
+            max_share = max(max_share, self.limits.canary_share)
+        if session is not None and self.is_load_testing(now_s) and not self._moves_sessions:
+            max_share = self.limits.canary_share
+        share = min(self.traffic_share(now_s, is_light), max_share)
         chosen = has_target and draw < share
         if session is None or self.state is not RolloutState.IN_PROGRESS:
             return chosen
@@ -467,17 +507,20 @@
         self.observe(now_s)
         if self._is_failing:
             return RolloutState.ROLLED_BACK
+        if not self.takes_all_traffic(now_s):
+            return RolloutState.IN_PROGRESS
         limits, progress = self.limits, self.progress(now_s)
-        drained_completion = (
-            limits.drained_completion if self.is_load_tested else limits.untested_drained_completion
-        )
-        forced_completion = (
-            limits.forced_completion if self.is_load_tested else limits.untested_forced_completion
-        )
-        if progress >= drained_completion and (old_running == 0 or progress >= forced_completion):
+        if progress >= limits.forced_completion:
+            return RolloutState.ROLLED_BACK if self._is_suspect() else RolloutState.COMPLETED
+        answers = self.pooled_counts(True).answers - self._answers_before
+        is_shown_good = answers >= limits.min_answers and not self._is_suspect()
+        if progress >= limits.drained_completion and old_running == 0 and is_shown_good:
             return RolloutState.COMPLETED
         return RolloutState.IN_PROGRESS
 
+    def _is_suspect(self) -> bool:
+        return any(change.e_value >= self.limits.suspect_e_value for change in self._changes)
+
 
 def _standardized_rate(
     counts: dict[str, tuple[AnswerCounts, AnswerCounts]], kind: str, of: str
--- a/umberhitch/core/direct/_version_change.py
+++ b/umberhitch/core/direct/_version_change.py
@@ -15,7 +15,8 @@
 __all__ = ["ChangeLimits", "RouteTally", "VersionChange"]
 
 PRIOR_ANSWERS = 10
-"""Answers that the rate of all routes counts for in the estimate of one route's rate."""
+"""Answers that the rate of all routes counts for in the estimate of one route's rate, and that the
+rate since the order counts for in the estimate of the recent rate."""
 RECENT_S = 3.0
 """Time constant of the recent rates of the old version."""
 MAX_LIMIT = 0.9
@@ -133,11 +134,13 @@
     def _acceptable_rate(self, tally: RouteTally, recent: _Recent, rate: float) -> float:
         """Return the highest rate that a good version may have on a route.
 
-        It is the higher one of the old version's rate since the order and its recent rate, each
-        with one standard error.
+        It is the old version's rate since the order, with one standard error, or its recent rate
+        if that is higher.
         """
-        usual = _upper_rate(tally.old_bad, tally.old_total, rate)
-        lately = _upper_rate(recent.bad, recent.total, rate)
+        answers = tally.old_total + PRIOR_ANSWERS
+        mean = min(1.0, (tally.old_bad + PRIOR_ANSWERS * rate) / answers)
+        usual = mean + sqrt(mean * (1.0 - mean) / answers)
+        lately = (recent.bad + PRIOR_ANSWERS * usual) / (recent.total + PRIOR_ANSWERS)
         return min(MAX_LIMIT, max(self._limits.min_rate, usual, lately))
 
     @property
@@ -156,10 +159,3 @@
         """Whether one endpoint gave nearly all of the bad answers that are the evidence."""
         bad = self._bad_by_endpoint - self._bad_before
         return not bad or max(bad.values()) >= ONE_ENDPOINT_SHARE * bad.total()
-
-
-def _upper_rate(bad: float, total: float, prior_rate: float) -> float:
-    """Return an estimate of a rate, and one standard error more."""
-    answers = total + PRIOR_ANSWERS
-    rate = min(1.0, (bad + PRIOR_ANSWERS * prior_rate) / answers)
-    return rate + sqrt(rate * (1.0 - rate) / answers)
--- a/umberhitch/tasks/direct/canary_controller.py
+++ b/umberhitch/tasks/direct/canary_controller.py
@@ -70,8 +70,8 @@
         self._limits = limits or CanaryLimits()
         self._canaries: dict[str, Canary] = {}
         self._logs: dict[str, RolloutLog] = {}
-        self._exposure_checks: dict[str, tuple[float, bool]] = {}
-        """By service: when the exposure bound was last checked, and whether it was kept."""
+        self._max_shares: dict[str, tuple[float, float]] = {}
+        """By service: when the exposure bound was last checked, and the share that it allows."""
         self._states = StoredRolloutStates(clock, status, self._apply_final_state)
         self._recent: dict[str, OrderedDict[str, tuple[float, float]]] = {}
         self._is_stopped = False
@@ -127,7 +127,7 @@
         self._canaries[order.service] = canary
         self._logs[order.service] = RolloutLog(canary)
         self._notify_updates(canary)
-        self._exposure_checks.pop(order.service, None)
+        self._max_shares.pop(order.service, None)
         log.info("roll-out begins", extra={"service": order.service, "target": order.target})
         self._states.follow(canary)
 
@@ -196,8 +196,8 @@
             has_target = self._states.is_earlier_decision_known(service) and any(
                 endpoint.entry.version == canary.order.target for endpoint in endpoints
             )
-            is_within = self._is_within_exposure(canary, endpoints, now_s)
-            chosen = canary.routes_to_target(session, draw, now_s, has_target, is_light, is_within)
+            max_share = self._max_share(canary, endpoints, now_s)
+            chosen = canary.routes_to_target(session, draw, now_s, has_target, is_light, max_share)
             self._notify_updates(canary)
             return chosen
         if session is not None:
@@ -223,10 +223,10 @@
         if canary.unreported_moved or canary.unreported_pinned:
             self._on_update()
 
-    def _is_within_exposure(self, canary: Canary, endpoints: list[Endpoint], now_s: float) -> bool:
-        at_s, is_within = self._exposure_checks.get(canary.order.service, (float("-inf"), False))
+    def _max_share(self, canary: Canary, endpoints: list[Endpoint], now_s: float) -> float:
+        at_s, max_share = self._max_shares.get(canary.order.service, (float("-inf"), 0.0))
         if now_s - at_s < UPDATE_INTERVAL_S:
-            return is_within
+            return max_share
         target = canary.order.target
         new = sum(
             self.running_calls(endpoint.lifetime)
@@ -234,9 +234,9 @@
             if endpoint.entry.version == target
         )
         both = sum(self.running_calls(endpoint.lifetime) for endpoint in endpoints)
-        is_within = canary.is_within_exposure(now_s, new, both - new)
-        self._exposure_checks[canary.order.service] = (now_s, is_within)
-        return is_within
+        max_share = canary.max_share(now_s, new, both - new)
+        self._max_shares[canary.order.service] = (now_s, max_share)
+        return max_share
 
     def allowed_endpoints(
         self,
@@ -274,7 +274,7 @@
             limit = canary.limits.full_load * (loaded.entry.slots or 0)
             if self.running_calls(loaded.lifetime) < limit:
                 return [loaded]
-            canary.is_load_tested = limit > 0
+            canary.was_fully_loaded = limit > 0
         return new or old
 
     def record_answer(
@@ -318,7 +318,7 @@
                     for (is_target, route), counts in canary.own_counts.items()
                 ],
                 canary.pinned_sessions(now_s)[:MAX_PINNED_SESSIONS],
-                canary.is_load_tested,
+                canary.was_fully_loaded,
                 canary.moved_sessions(now_s)[-MAX_MOVED_SESSIONS:],
                 self._states.confirmed_state(service),
                 self._states.epoch,
@@ -383,7 +383,7 @@
                 for entry in report.counts
             }
             canary.set_router_counts(router, counts)
-            canary.is_load_tested |= report.was_fully_loaded
+            canary.was_fully_loaded |= report.was_fully_loaded
             for session in report.kept_on_old:
                 canary.note_old_session(session, self._clock.seconds(), _hash_fraction(session))
             for session in report.moved_to_new:
--- a/umberhitch/tasks/direct/rollout_log.py
+++ b/umberhitch/tasks/direct/rollout_log.py
@@ -71,7 +71,7 @@
             "state": canary.state,
             "part": round(canary.progress(now_s), 3),
             "stage": canary.stage(now_s),
-            "was_fully_loaded": canary.is_load_tested,
+            "was_fully_loaded": canary.was_fully_loaded,
         }
 
     def _counts(self) -> dict[tuple[str, str], AnswerCounts]:
