Requests up to the deadline are reckoned from the recent rate too

Cause: the same class, a mean since the order: a burst near the deadline brings more requests than the bound was reckoned to cover, and the version was declared good in the middle of it.

--- a/umberhitch/core/direct/_canary.py
+++ b/umberhitch/core/direct/_canary.py
@@ -14,6 +14,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, replace
 from enum import StrEnum
+from math import exp
 
 from umberhitch.core.direct._evidence import AnswerCounts, AnswerVerdict, EvidenceThreshold
 from umberhitch.core.direct._types import RolloutOrder, RolloutState
@@ -22,6 +23,9 @@
 __all__ = ["Canary", "CanaryLimits", "RolloutStage"]
 
 MAX_SESSIONS = 20_000
+RATE_S = 1.0
+"""Time constant of the rate of answers."""
+MIN_PROGRESS = 0.01
 REMAINING_MARGIN = 1.2
 """Requests until the deadline, as a multiple of those expected, that the bound must cover."""
 LOAD_TEST_TAIL = 0.08
@@ -182,6 +186,9 @@
         )
         self._has_new_answers = False
         self._is_failing = False
+        self._rate = 0.0
+        """Answers a second of all routers, lately."""
+        self._answers_at = (started_s, 0)
         self._sessions: OrderedDict[str, _SessionPin] = OrderedDict()
         self._moves_sessions = True
         """Whether the load test may move more sessions, whose later requests follow them."""
@@ -227,9 +234,11 @@
         """Whether the exposure bound covers the requests that are expected until the deadline."""
         limits = self.limits
         new = self.pooled_counts(True).answers
-        at_end = (new + self.pooled_counts(False).answers) / progress
-        room = limits.exposure_share * at_end + limits.exposure_use * limits.exposure_slack - new
-        return REMAINING_MARGIN * (1.0 - progress) * at_end <= room
+        total = new + self.pooled_counts(False).answers
+        remaining = self._remaining(total, progress)
+        bound = limits.exposure_share * (total + remaining)
+        bound += limits.exposure_use * limits.exposure_slack
+        return new + REMAINING_MARGIN * remaining <= bound
 
     def max_share(self, now_s: float, new_running: int, old_running: int) -> float:
         """Return the share of the work up to which the exposure bound allows one more request.
@@ -247,7 +256,7 @@
         total = new + self.pooled_counts(False).answers + old_running
         bound = limits.exposure_share * total + limits.exposure_slack
         if self.takes_all_traffic(now_s):
-            remaining = max(0.0, 1.0 - progress) * total / progress
+            remaining = self._remaining(total, progress)
             use = 1.0 if new + remaining <= bound + limits.exposure_share * remaining else 0.0
         else:
             use = limits.exposure_use
@@ -440,6 +449,10 @@
 
     def observe(self, now_s: float) -> None:
         """Take the answers of all routers up to now as evidence of a change of the version."""
+        answers = self._answers_at[1]
+        if self._has_new_answers:
+            answers = self.pooled_counts(True).answers + self.pooled_counts(False).answers
+        self._update_rate(answers, now_s)
         if not self._has_new_answers:
             return
         self._has_new_answers = False
@@ -455,6 +468,20 @@
             change.observe(tallies, bad_by_endpoint, now_s)
         self._is_failing = self.is_failing()
 
+    def _update_rate(self, answers: int, now_s: float) -> None:
+        since_s, before = self._answers_at
+        span_s = now_s - since_s
+        if span_s <= 0.0:
+            return
+        weight = exp(-span_s / RATE_S)
+        self._rate = weight * self._rate + (1.0 - weight) * (answers - before) / span_s
+        self._answers_at = (now_s, answers)
+
+    def _remaining(self, total: int, progress: float) -> float:
+        """Return the requests to expect until the deadline: as since the order or as lately."""
+        part = max(0.0, 1.0 - progress)
+        return part * max(total / max(progress, MIN_PROGRESS), self._rate * self.order.duration_s)
+
     def _counts_by_route(self) -> dict[str, tuple[AnswerCounts, AnswerCounts]]:
         """Return the counts of all routers for the new and the old version, by route."""
         counts: dict[str, tuple[AnswerCounts, AnswerCounts]] = {}
@@ -514,6 +541,7 @@
             return RolloutState.ROLLED_BACK if self._is_suspect() else RolloutState.COMPLETED
         answers = self.pooled_counts(True).answers - self._answers_before
         is_shown_good = answers >= limits.min_answers and not self._is_suspect()
+        is_shown_good = is_shown_good and self.max_share(now_s, 0, old_running) == 1.0
         if progress >= limits.drained_completion and old_running == 0 and is_shown_good:
             return RolloutState.COMPLETED
         return RolloutState.IN_PROGRESS
--- a/umberhitch/tasks/direct/tests/test_late_bad_versions.py
+++ b/umberhitch/tasks/direct/tests/test_late_bad_versions.py
@@ -1,5 +1,7 @@
 """A version that turns bad late in its roll-out is found, whatever it was like before."""
 
+from functools import partial
+
 import pytest
 
 from umberhitch.core.direct import CanaryLimits, RolloutState
@@ -14,9 +16,42 @@
 FAILING = RolloutTraffic(usual_failures=0.14)
 LOADED = RolloutTraffic(reply_s=0.4)
 MANY = RolloutTraffic(per_s=60.0)
+CROWDED = RolloutTraffic(usual_failures=0.14, at_once=1)
 FEW = RolloutTraffic(per_s=8.0, usual_failures=0.14)
 
 
+def _burst(play: RolloutPlay) -> None:
+    play.at(20.0, lambda: play.burst(3.0, 3.0))
+
+
+def _lost_endpoints_of_the_new_version(play: RolloutPlay) -> None:
+    for name in ("n1", "n2"):
+        play.at(22.2, partial(play.lose_endpoint, name, 3.0))
+
+
+def _lost_endpoints_of_both(play: RolloutPlay) -> None:
+    play.at(10.0, lambda: play.lose_endpoint("n1", 2.0))
+    play.at(21.0, lambda: play.lose_endpoint("e2", 2.0))
+
+
+def _lost_router(play: RolloutPlay) -> None:
+    play.at(15.0, lambda: play.world.kill_router("r1"))
+
+
+def _restarted_router(play: RolloutPlay) -> None:
+    play.at(16.0, lambda: play.world.add_router("r9"))
+    play.at(17.0, lambda: play.world.kill_router("r0"))
+
+
+EVENTS = (
+    _burst,
+    _lost_endpoints_of_the_new_version,
+    _lost_endpoints_of_both,
+    _lost_router,
+    _restarted_router,
+)
+
+
 def _check_exposure(play: RolloutPlay) -> None:
     new, total = play.exposure()
     assert new <= BOUND.exposure_share * total + BOUND.exposure_slack
@@ -77,3 +112,23 @@
 def test_a_good_version_of_a_route_that_fails_by_itself_is_completed_in_time(seed, traffic):
     play = RolloutPlay(seed, None, traffic, DURATION_S).play(0.0)
     assert play.state is RolloutState.COMPLETED
+
+
+# What was to come up to the deadline was reckoned from the mean rate since the order.
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+@pytest.mark.parametrize("at_s", [19.0, 21.5])
+def test_a_burst_before_the_deadline_does_not_exceed_the_bound(seed, at_s):
+    play = RolloutPlay(seed, None, CROWDED, DURATION_S)
+    play.at(at_s, lambda: play.burst(2.0, 3.0))
+    play.play(0.0)
+    assert play.state is RolloutState.COMPLETED
+    _check_exposure(play)
+
+
+# A good version is completed in time, whatever else happens.
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("event", EVENTS, ids=lambda event: event.__name__[1:])
+def test_a_good_version_is_completed_in_time(seed, event):
+    play = RolloutPlay(seed, None, CROWDED, DURATION_S)
+    event(play)
+    assert play.play(0.0).state is RolloutState.COMPLETED
--- a/umberhitch/testing/_rollouts.py
+++ b/umberhitch/testing/_rollouts.py
@@ -1,12 +1,13 @@
 """Roll-outs of a plain service on a virtual clock, and what a bad version gets in them."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import pairwise
 from random import Random
 from typing import Any
 
 from umberhitch.core.direct import RolloutState
-from umberhitch.fakes import Reply
+from umberhitch.fakes import FakeEndpoint, Reply
 from umberhitch.ports.direct import EndpointCall
 from umberhitch.testing._direct import DirectWorld, make_direct_document
 
@@ -58,12 +59,15 @@
         Share of the answers on the first route that are failures with either version.
     has_sessions : bool
         Whether requests belong to sessions.
+    at_once : int
+        Calls that an endpoint serves at once; with more each takes longer. 0 for any number.
     """
 
     per_s: float = 20.0
     reply_s: float = 0.02
     usual_failures: float = 0.0
     has_sessions: bool = False
+    at_once: int = 0
 
 
 @dataclass
@@ -98,9 +102,12 @@
         self.bad_answers_s: list[float] = []
         """Times of the bad answers of the new version."""
         for number in range(self.endpoints):
-            self.world.add_endpoint(f"e{number}").answer = self._answer_of_old
+            self._add_endpoint(f"e{number}", "v1")
         self.world.operator.put("config", make_direct_document())
         self._decided_s: float | None = None
+        self._planned: list[tuple[float, Callable[[], object]]] = []
+        self._factor = 1.0
+        self._lost: dict[str, FakeEndpoint] = {}
         for number in range(self.routers):
             self.world.add_router(f"r{number}", **self.settings)
         self.world.run(2.0)
@@ -110,12 +117,39 @@
     def order(self) -> None:
         """Order the roll-out, and start the endpoints of the new version."""
         self._ordered_s = self.world.clock.seconds()
+        for after_s, action in self._planned:
+            self.world.clock.callLater(after_s, action)
         self.world.roll_out(TARGET, self.duration_s)
         self.world.run(0.2)
         for number in range(self.endpoints):
-            self.world.add_endpoint(f"n{number}", TARGET).answer = self._answer_of_new
+            self._add_endpoint(f"n{number}", TARGET)
         self._watch()
 
+    def _add_endpoint(self, name: str, version: str) -> None:
+        endpoint = self.world.add_endpoint(name, version)
+        answer = self._answer_of_new if version == TARGET else self._answer_of_old
+        endpoint.answer = lambda call: answer(call, endpoint)
+
+    def at(self, after_s: float, action: Callable[[], object]) -> None:
+        """Do something so many seconds after the order, which must not have been given yet."""
+        self._planned.append((after_s, action))
+
+    def burst(self, factor: float, for_s: float) -> None:
+        """Let so many times as many requests arrive for a while."""
+        self._factor = factor
+        self.world.clock.callLater(for_s, setattr, self, "_factor", 1.0)
+
+    def lose_endpoint(self, name: str, for_s: float) -> None:
+        """Let an endpoint break off its calls and be away for a while."""
+        endpoint = self.world.endpoints.by_address.pop(f"@{name}")
+        endpoint.crash()
+        self._lost[f"@{name}"] = endpoint
+        self.world.clock.callLater(for_s, self._bring_back, f"@{name}")
+
+    def _bring_back(self, address: str) -> None:
+        endpoint = self.world.endpoints.by_address[address] = self._lost[address]
+        endpoint.is_down, endpoint.active = False, 0
+
     def play(self, after_s: float = 10.0) -> "RolloutPlay":
         """Order the roll-out, and let time pass until so long after the deadline."""
         self.order()
@@ -131,16 +165,22 @@
         if has_sessions:
             session["Session_Name"] = f"s{self._rng.randrange(60)}"
         self.world.ask(self._rng.choice([*self.world.routers.values()]), path + "x", **session)
-        self.world.clock.callLater(self._rng.expovariate(self.traffic.per_s), self._arrive)
+        pause_s = self._rng.expovariate(self.traffic.per_s * self._factor)
+        self.world.clock.callLater(pause_s, self._arrive)
+
+    def _reply_s(self, endpoint: FakeEndpoint) -> float:
+        at_once = self.traffic.at_once
+        crowd = (endpoint.active + 1) / at_once if at_once else 1.0
+        return self.traffic.reply_s * max(1.0, crowd)
 
-    def _answer_of_old(self, call: EndpointCall) -> Reply:
+    def _answer_of_old(self, call: EndpointCall, endpoint: FakeEndpoint) -> Reply:
         is_failure = call.target.startswith(FIRST_ROUTE.encode()) and (
             self._rng.random() < self.traffic.usual_failures
         )
-        return Reply(status=500 if is_failure else 200, delay_s=self.traffic.reply_s)
+        return Reply(status=500 if is_failure else 200, delay_s=self._reply_s(endpoint))
 
-    def _answer_of_new(self, call: EndpointCall) -> Reply:
-        fault, reply = self.fault, self._answer_of_old(call)
+    def _answer_of_new(self, call: EndpointCall, endpoint: FakeEndpoint) -> Reply:
+        fault, reply = self.fault, self._answer_of_old(call, endpoint)
         if fault is None or self._since_order_s() < fault.onset_s:
             return reply
         is_concerned = call.target.startswith(fault.path.encode())
@@ -148,8 +188,8 @@
             return reply
         self.bad_answers_s.append(self.world.clock.seconds())
         if fault.is_slow:
-            return Reply(delay_s=8.0 * self.traffic.reply_s)
-        return Reply(status=500, delay_s=self.traffic.reply_s)
+            return Reply(delay_s=8.0 * reply.delay_s)
+        return Reply(status=500, delay_s=reply.delay_s)
 
     def _watch(self) -> None:
         """Note when the store has the decision."""
