A high rate of few answers rolls back only where chance does not explain it

Cause: the rate since the order, 0.3 for slow and 0.2 for broken answers, was compared without regard to how few there were; judged many times, it is met by chance.

--- a/umberhitch/core/direct/_evidence.py
+++ b/umberhitch/core/direct/_evidence.py
@@ -3,10 +3,13 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from enum import StrEnum
-from math import sqrt
+from math import exp, lgamma, log, sqrt
 
 __all__ = ["AnswerCounts", "AnswerVerdict", "EvidenceThreshold"]
 
+MAX_CHANCE = 1e-3
+"""Greatest probability with which a version as good as the old one gives so many bad answers."""
+
 
 @dataclass(frozen=True, slots=True)
 class EvidenceThreshold:
@@ -54,17 +57,30 @@
         """
         if new < self.min_count:
             return False
-        if new / new_total > max(self.rate, self.ratio * old_rate):
-            return True
         # With few answers of the old version its true rate may be higher than the observed one.
         likely = max(
             old_rate, min(self.max_assumed_rate, (old_rate * old_total + 1) / (old_total + 1))
         )
+        if new / new_total > max(self.rate, self.ratio * old_rate):
+            error = sqrt(old_rate * (1.0 - old_rate) / max(1, old_total))
+            if _chance_of(new, new_total, max(likely, old_rate + error)) <= MAX_CHANCE:
+                return True
         expected = new_total * likely
         threshold = self.min_count + expected + self.deviations * sqrt(expected)
         return new > threshold and (endpoints > 1 or new > 2 * threshold)
 
 
+def _chance_of(count: int, total: int, rate: float) -> float:
+    """Return the probability of so many or more of ``total`` answers at a rate."""
+    if not 0.0 < rate < 1.0:
+        return 1.0 if rate > 0.0 or count == 0 else 0.0
+    log_ways = [lgamma(total + 1) - lgamma(k + 1) - lgamma(total - k + 1) for k in range(count)]
+    below = sum(
+        exp(ways + k * log(rate) + (total - k) * log(1.0 - rate)) for k, ways in enumerate(log_ways)
+    )
+    return max(0.0, 1.0 - below)
+
+
 class AnswerVerdict(StrEnum):
     """What an answer shows about the version that gave it."""
 
--- a/umberhitch/core/direct/tests/test_version_change.py
+++ b/umberhitch/core/direct/tests/test_version_change.py
@@ -7,7 +7,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from umberhitch.core.direct import AnswerVerdict, Canary, CanaryLimits, RolloutOrder
+from umberhitch.core.direct import (
+    AnswerVerdict,
+    Canary,
+    CanaryLimits,
+    EvidenceThreshold,
+    RolloutOrder,
+)
 from umberhitch.core.direct._version_change import ChangeLimits, RouteTally, VersionChange
 
 LIMITS = ChangeLimits(min_rate=0.005, alpha=1e-5)
@@ -82,3 +88,24 @@
             canary.count_answer(is_target, "look", f"e{number // 4 % 4}", verdict, 1.0)
     canary.observe(2.0)
     assert not canary.is_failing()
+
+
+# Four slow answers of ten on one route rolled a good version back; the old one gives 7 % of them.
+def test_few_slow_answers_on_one_route_roll_no_version_back():
+    canary = Canary(RolloutOrder("svc", "v2", 20.0), 0.0, CanaryLimits())
+    for number in range(300):
+        verdict = AnswerVerdict.SLOW if number % 14 == 0 else AnswerVerdict.GOOD
+        canary.count_answer(False, "look", f"e{number // 14 % 4}", verdict, 1.0)
+    for number in range(10):
+        verdict = AnswerVerdict.SLOW if number < 4 else AnswerVerdict.GOOD
+        canary.count_answer(True, "look", f"n{number % 4}", verdict, 1.0)
+    assert not canary.is_failing()
+    for number in range(3):
+        canary.count_answer(True, "look", f"n{number % 4}", AnswerVerdict.SLOW, 1.0)
+    assert canary.is_failing()
+
+
+def test_many_answers_are_judged_without_overflow():
+    threshold = EvidenceThreshold(min_count=4, rate=0.3)
+    assert threshold.is_exceeded(40_000, 100_000, 0.05, 500_000, 3)
+    assert not threshold.is_exceeded(5_000, 100_000, 0.05, 500_000, 3)
