--- a/umberhitch/soak/__main__.py
+++ b/umberhitch/soak/__main__.py
@@ -17,6 +17,7 @@
 
 from umberhitch.adapters.steady import steady_s
 from umberhitch.soak._checks import Bounds
+from umberhitch.soak._late_version import play_late_version
 from umberhitch.soak._mutations import MUTATIONS
 from umberhitch.soak._run import Verdict, play
 from umberhitch.soak._schedule import SoakConfig, Step, make_schedule
@@ -30,9 +31,12 @@
 _CALLERS = flags.DEFINE_integer("callers", 4, "callers", lower_bound=1, upper_bound=200)
 _FOLDER = flags.DEFINE_string("folder", "soak-runs", "where runs leave what they saw")
 _TIMED = flags.DEFINE_boolean("timed", True, "check bounds on time; not on a busy machine")
+_LATE_VERSION = flags.DEFINE_boolean(
+    "late_version", False, "a roll-out whose version turns bad, in place of the faults"
+)
 _MUTATION = flags.DEFINE_enum("mutation", None, sorted(MUTATIONS), "break this in every router")
 
-BOUNDS = Bounds(revocation_s=5.0, departure_s=4.0, zone_s=5.0, grant_s=3.0)
+BOUNDS = Bounds(revocation_s=5.0, departure_s=4.0, zone_s=5.0, grant_s=3.0, rollback_s=5.0)
 """What a router's settings promise by default, and how long an endpoint that leaves still serves;
 both a little wider than the product aims at, as the machine is shared."""
 
@@ -73,6 +77,8 @@
             )
 
     bounds = BOUNDS if _TIMED.value else Bounds()
+    if _LATE_VERSION.value:
+        return play_late_version(seed, folder, bounds, _MUTATION.value)
     verdict = play(seed, cfg, folder, bounds, _MUTATION.value, show)
     (folder / "verdict.json").write_bytes(json.format(json.encode(asdict(verdict))))
     return verdict
--- a/umberhitch/soak/_checks.py
+++ b/umberhitch/soak/_checks.py
@@ -44,6 +44,7 @@
     departure_s: float = float("inf")
     zone_s: float = float("inf")
     grant_s: float = float("inf")
+    rollback_s: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberhitch/soak/_mutations.py
+++ b/umberhitch/soak/_mutations.py
@@ -119,6 +119,19 @@
     )
 
 
+def _trust_old_answers() -> None:
+    """A version that answered well in the first half of its roll-out is not judged any more."""
+    from umberhitch.core.direct import Canary
+
+    observe = Canary.observe
+
+    def observe_first_half(self: Any, now_s: float) -> None:
+        if self.pins_sessions(now_s):
+            observe(self, now_s)
+
+    Canary.observe = observe_first_half  # type: ignore[method-assign]
+
+
 MUTATIONS: dict[str, Callable[[], None]] = {
     "repeat-all": _repeat_all,
     "promise-all": _promise_all,
@@ -131,6 +144,7 @@
     "ignore-words": _ignore_words,
     "compare-offsets": _compare_offsets,
     "believe-copies": _believe_copies,
+    "trust-old-answers": _trust_old_answers,
 }
 
 
