--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -12,6 +12,7 @@
 from umberhitch.adapters.held_bytes import HeldBytes
 from umberhitch.adapters.held_pages import held_metrics, held_status
 from umberhitch.adapters.pace_page import pace_lines, pace_status
+from umberhitch.adapters.rollout_pages import rollout_metrics, rollout_status
 from umberhitch.adapters.share_pages import share_metrics, share_status
 from umberhitch.core.direct import IntakeLimits, SignalKind
 from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest, do_nothing
@@ -157,6 +158,9 @@
             "zones_out": self._zones_out(),
             "endpoint_signals": [_signal_row(each) for each in self._signals()],
             "pace": pace_status(gateway),
+            "rollouts": rollout_status(
+                gateway.canary_controller.canaries(), gateway.clock.seconds()
+            ),
             "unknown_headers": gateway.gate.unknown_headers.counts,
             "unclear_headers": gateway.gate.unknown_headers.unclear,
         }
@@ -209,6 +213,7 @@
         lines += [f"umberhitch_{name} {value}" for name, value in self._transport().items()]
         lines += admission_metrics(gateway.admission_control)
         lines += share_metrics(gateway)
+        lines += rollout_metrics(gateway.canary_controller.canaries())
         age_s = gateway.view.proof_age_s(gateway.clock.seconds())
         if age_s != float("inf"):
             lines.append(f"umberhitch_configuration_age_seconds {age_s:.3f}")
--- a/umberhitch/core/direct/_canary.py
+++ b/umberhitch/core/direct/_canary.py
@@ -23,6 +23,8 @@
 __all__ = ["Canary", "CanaryLimits", "RolloutStage"]
 
 MAX_SESSIONS = 20_000
+SETTLED_INTERVAL_S = 1.0
+"""Interval at which the answers are looked at once the roll-out has ended."""
 RATE_S = 1.0
 """Time constant of the rate of answers."""
 MIN_PROGRESS = 0.01
@@ -449,6 +451,9 @@
 
     def observe(self, now_s: float) -> None:
         """Take the answers of all routers up to now as evidence of a change of the version."""
+        is_settled = self.state is not RolloutState.IN_PROGRESS
+        if is_settled and now_s - self._answers_at[0] < SETTLED_INTERVAL_S:
+            return
         answers = self._answers_at[1]
         if self._has_new_answers:
             answers = self.pooled_counts(True).answers + self.pooled_counts(False).answers
@@ -529,9 +534,9 @@
         old_running : int
             Calls that still run on the old version.
         """
+        self.observe(now_s)
         if self.state is not RolloutState.IN_PROGRESS:
             return self.state
-        self.observe(now_s)
         if self._is_failing:
             return RolloutState.ROLLED_BACK
         if not self.takes_all_traffic(now_s):
@@ -546,8 +551,21 @@
             return RolloutState.COMPLETED
         return RolloutState.IN_PROGRESS
 
+    @property
+    def is_failing_after_completion(self) -> bool:
+        """Whether a version that was declared good is bad now.
+
+        The old version's endpoints have stopped, so that there is no other version to go back to.
+        """
+        return self.state is RolloutState.COMPLETED and self._is_failing
+
+    @property
+    def e_value(self) -> float:
+        """The evidence that the version has changed."""
+        return max(change.e_value for change in self._changes)
+
     def _is_suspect(self) -> bool:
-        return any(change.e_value >= self.limits.suspect_e_value for change in self._changes)
+        return self.e_value >= self.limits.suspect_e_value
 
 
 def _standardized_rate(
--- a/umberhitch/tasks/direct/canary_controller.py
+++ b/umberhitch/tasks/direct/canary_controller.py
@@ -143,6 +143,10 @@
         for service in [name for name in self._canaries if name not in retained]:
             self.drop(service)
 
+    def canaries(self) -> list[Canary]:
+        """Return all roll-outs that are known, ended ones included."""
+        return list(self._canaries.values())
+
     def is_any_in_progress(self) -> bool:
         """Whether a roll-out is in progress, so that evidence has to be reported soon."""
         states = [canary.state for canary in self._canaries.values()]
--- a/umberhitch/tasks/direct/rollout_log.py
+++ b/umberhitch/tasks/direct/rollout_log.py
@@ -26,6 +26,7 @@
         self._canary = canary
         self._logged_s = canary.started_s
         self._logged = self._counts()
+        self._is_failing = False
 
     def log_state(self, now_s: float) -> None:
         """Log the state of the roll-out, with all answers so far."""
@@ -39,6 +40,9 @@
 
     def log_evidence(self, now_s: float) -> None:
         """Log the answers since the last such line, by route and version, if it is time."""
+        if self._canary.is_failing_after_completion and not self._is_failing:
+            self._is_failing = True
+            log.error("completed version is failing", extra=self._facts(now_s))
         if now_s - self._logged_s >= INTERVAL_S:
             self._log_evidence(now_s)
 
@@ -71,6 +75,7 @@
             "state": canary.state,
             "part": round(canary.progress(now_s), 3),
             "stage": canary.stage(now_s),
+            "e_value": float(f"{canary.e_value:.3g}"),
             "was_fully_loaded": canary.was_fully_loaded,
         }
 
