--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -10,7 +10,8 @@
     LimitRules,
 )
 from umberhitch.core.direct._answer_value import AnswerValue, AnswerValueLimits, make_answer_value
-from umberhitch.core.direct._canary import Canary, CanaryLimits, RolloutStage
+from umberhitch.core.direct._canary import Canary
+from umberhitch.core.direct._canary_limits import CanaryLimits, RolloutStage
 from umberhitch.core.direct._cascade import Cascade, CascadeLimits, LargerChoice
 from umberhitch.core.direct._change import DocumentChange, apply_change, diff_documents
 from umberhitch.core.direct._closed import ClosedEndpoints, Draining, EndpointBackoff
