--- a/umberhitch/core/direct/_canary.py
+++ b/umberhitch/core/direct/_canary.py
@@ -134,17 +134,17 @@
         new = self.pooled_counts(True).answers + new_running + 1
         total = new + self.pooled_counts(False).answers + old_running
         bound = limits.exposure_share * total + limits.exposure_slack
-        if self.takes_all_traffic(now_s):
-            remaining = self._remaining(total, progress)
-            use = 1.0 if new + remaining <= bound + limits.exposure_share * remaining else 0.0
-        else:
-            use = limits.exposure_use
         if self.is_load_testing(now_s):
-            use = limits.load_test_use
             self._moves_sessions = self._moved_share(now_s) < self._movable_share(
                 new, total, progress
             )
-        if new <= use * bound:
+            allows_more = new <= limits.load_test_use * bound
+        elif self.takes_all_traffic(now_s):
+            remaining = self._remaining(total, progress)
+            allows_more = new + remaining <= bound + limits.exposure_share * remaining
+        else:
+            allows_more = new <= limits.exposure_use * bound
+        if allows_more:
             return 1.0
         return limits.canary_share if new <= limits.exposure_use * bound else 0.0
 
@@ -196,13 +196,10 @@
         is_light : bool
             Whether the request needs little prefill.
         max_share : float
-            Share that the new version may get, see `max_share`. It always gets the sessions of the
-            canary share, so that they stay where they are.
+            Share that the new version may get, see `max_share`.
         """
         if session is not None:
-            max_share = max(max_share, self.limits.canary_share)
-        if session is not None and self.is_load_testing(now_s) and not self._moves_sessions:
-            max_share = self.limits.canary_share
+            max_share = self._max_session_share(max_share, now_s)
         share = min(self.traffic_share(now_s, is_light), max_share)
         chosen = has_target and draw < share
         if session is None or self.state is not RolloutState.IN_PROGRESS:
@@ -223,6 +220,18 @@
             self._sessions.popitem(last=False)
         return chosen
 
+    def _max_session_share(self, max_share: float, now_s: float) -> float:
+        """Return the share of the sessions that the new version may get.
+
+        It always gets those of the canary share, and all once all work moves, so that they stay
+        where they are at every router.
+        """
+        if self.takes_all_traffic(now_s):
+            return 1.0
+        if self.is_load_testing(now_s) and not self._moves_sessions:
+            return self.limits.canary_share
+        return max(max_share, self.limits.canary_share)
+
     def note_request_finished(self, session: str, now_s: float) -> None:
         """Record the end of a session's request, from which the session's timeout runs."""
         pin = self._sessions.get(session)
--- a/umberhitch/tasks/direct/tests/test_canary_controller.py
+++ b/umberhitch/tasks/direct/tests/test_canary_controller.py
@@ -432,3 +432,11 @@
     assert _calls_by_version(world)[1] == 0
     _send_traffic(world, 0.4 * DURATION_S)
     assert _calls_by_version(world)[1] > 0
+
+
+# In a burst after all work had moved, another router would have sent a moved session back.
+def test_no_session_moves_back_once_all_work_has_moved():
+    canary, now_s = _canary(), 0.96 * 20.0
+    assert canary.takes_all_traffic(now_s)
+    assert canary.routes_to_target("s1", 0.9, now_s, max_share=0.0)
+    assert not canary.routes_to_target(None, 0.9, now_s, max_share=0.0)
