--- a/umberhitch/tasks/direct/tests/test_late_bad_versions.py
+++ b/umberhitch/tasks/direct/tests/test_late_bad_versions.py
@@ -132,3 +132,13 @@
     play = RolloutPlay(seed, None, CROWDED, DURATION_S)
     event(play)
     assert play.play(0.0).state is RolloutState.COMPLETED
+
+
+# The load test moves few sessions, since they stay: endpoints that fail with five calls at once
+# had no five before the decision.
+@pytest.mark.parametrize("seed", [1, 2, 3, 4, 5])
+def test_a_version_that_fails_under_load_is_rolled_back_though_all_calls_have_sessions(seed):
+    play = RolloutPlay(seed, None, RolloutTraffic(reply_s=0.4, has_sessions=True), DURATION_S)
+    play.at(0.5, lambda: play.fail_over(4))
+    play.play(0.0)
+    assert play.state is RolloutState.ROLLED_BACK
--- a/umberhitch/testing/_rollouts.py
+++ b/umberhitch/testing/_rollouts.py
@@ -139,6 +139,11 @@
         self._factor = factor
         self.world.clock.callLater(for_s, setattr, self, "_factor", 1.0)
 
+    def fail_over(self, calls: int) -> None:
+        """Let the endpoints of the new version fail further calls while so many run."""
+        for number in range(self.endpoints):
+            self.world.endpoints.by_address[f"@n{number}"].fails_over = calls
+
     def lose_endpoint(self, name: str, for_s: float) -> None:
         """Let an endpoint break off its calls and be away for a while."""
         endpoint = self.world.endpoints.by_address.pop(f"@{name}")
