Sight: the line on a crash tells what the calls there share, and how long each was answered

It now names, for up to eight calls, the parts of the prompt that others may share, the age of the call and of its answer. No logic has changed.

--- a/umberhitch/tasks/direct/crash_watch.py
+++ b/umberhitch/tasks/direct/crash_watch.py
@@ -34,6 +34,8 @@
 """Seconds after a complete reply at which the endpoint must still be alive for the run to count as
 completed. An endpoint that resumes a stream after another one's crash may complete the reply before
 it crashes too."""
+MAX_LOGGED_CALLS = 8
+"""Maximum number of calls that the line on a crash names."""
 MAX_EXITED_LIFETIMES = 512
 """Maximum number of exited lifetimes that are remembered; calls to them break within seconds."""
 
@@ -175,8 +177,8 @@
             extra={
                 "endpoint": lifetime,
                 "under_way": len(calls),
-                "keys": [call.run.admitted.request_key for call in calls[:8]],
                 "oldest_run_s": round(max(call.finished_s - call.run.sent_s for call in calls), 3),
+                "calls": [_log_row(call) for call in calls[:MAX_LOGGED_CALLS]],
             },
         )
         self._count_crash_against_version(calls)
@@ -207,3 +209,15 @@
 def _may_have_run(call: _FinishedCall) -> bool:
     """Whether the endpoint may have started the call before the crash."""
     return call.finished_s >= call.run.sent_s + MIN_RUN_S
+
+
+def _log_row(call: _FinishedCall) -> dict[str, object]:
+    """Return what the line on a crash tells of a call: what it shares with others, and its ages."""
+    run = call.run
+    answered_s = None if run.head_s is None else round(call.finished_s - run.head_s, 3)
+    return {
+        "key": run.admitted.request_key,
+        "parts": [part.part_id for part in run.admitted.request.prompt[:-1]],
+        "run_s": round(call.finished_s - run.sent_s, 3),
+        "answered_s": answered_s,
+    }
--- a/umberhitch/tasks/direct/tests/test_crash_blame.py
+++ b/umberhitch/tasks/direct/tests/test_crash_blame.py
@@ -4,6 +4,8 @@
 some or all endpoints crash at once without any request as the cause.
 """
 
+import logging
+
 import pytest
 
 from umberhitch.core.direct import AnswerVerdict
@@ -190,3 +192,16 @@
     fleet.ever[0].crash()
     fleet.world.run(0.1)
     assert len(fleet.all_routers[0].gateway.crash_guard.record) == 1
+
+
+def test_the_line_on_a_crash_tells_what_the_calls_there_share(caplog: pytest.LogCaptureFixture):
+    fleet = CrashingFleet(routers=1, endpoints=1, reply=LONG_STREAM)
+    fleet.ask(0, "/draft/x", body=b"one", Prompt="aa:10,bb:20,c1:5")
+    fleet.ask(0, "/draft/x", body=b"two", Prompt="aa:10,c2:5")
+    fleet.world.run(0.3)
+    with caplog.at_level(logging.INFO):
+        fleet.ever[0].crash()
+        fleet.world.run(0.1)
+    line = next(each for each in caplog.records if each.message == "endpoint ended")
+    assert [call["parts"] for call in line.calls] == [["aa", "bb"], ["aa"]]
+    assert all(0.2 < call["answered_s"] < call["run_s"] for call in line.calls)
