--- a/umberhitch/fakes/__init__.py
+++ b/umberhitch/fakes/__init__.py
@@ -5,7 +5,7 @@
 
 from umberhitch.fakes._clock import ProcessClock
 from umberhitch.fakes._direct_callers import FakeReply, FakeWire
-from umberhitch.fakes._direct_endpoints import FakeEndpoint, FakeEndpoints, Reply
+from umberhitch.fakes._direct_endpoints import FakeEndpoint, FakeEndpoints, Reply, part_ids
 from umberhitch.fakes._direct_store import (
     FakeFeed,
     FakeHolds,
@@ -50,4 +50,5 @@
     "StatusRows",
     "StoreFaults",
     "expected_answer",
+    "part_ids",
 ]
--- a/umberhitch/fakes/_direct_callers.py
+++ b/umberhitch/fakes/_direct_callers.py
@@ -83,6 +83,9 @@
         """Return all headers of a call."""
         headers = [(b"Left", f"{metadata.deadline_s:.3f}".encode())]
         headers.append((b"Incarnation", metadata.incarnation.encode()))
+        if req.prompt:
+            parts = ",".join(f"{part.part_id}:{part.tokens}" for part in req.prompt)
+            headers.append((b"Prompt", parts.encode()))
         if metadata.customer is not None:
             headers.append((b"Customer", metadata.customer.encode()))
         if metadata.model is not None:
--- a/umberhitch/fakes/_direct_endpoints.py
+++ b/umberhitch/fakes/_direct_endpoints.py
@@ -19,7 +19,7 @@
 
 CHECK_S = 0.002
 
-__all__ = ["FakeEndpoint", "FakeEndpoints", "Reply"]
+__all__ = ["FakeEndpoint", "FakeEndpoints", "Reply", "part_ids"]
 
 
 @dataclass
@@ -61,6 +61,12 @@
     backoff_s: float | None = None
 
 
+def part_ids(call: EndpointCall) -> list[bytes]:
+    """Return the ids of the parts of a call's prompt, as `FakeWire` writes them."""
+    prompt = dict(call.headers).get(b"Prompt", b"")
+    return [part.partition(b":")[0] for part in prompt.split(b",") if part]
+
+
 REFUSED = Reply(status=503, delay_s=0.002, is_signed=False, not_run=True)
 """Of an endpoint that is full."""
 
@@ -79,6 +85,8 @@
         With more calls than this under way, further ones fail; 0 for never.
     crashing : dict of bytes to float
         Bodies of calls that end the endpoint, and how long after they begin, in seconds.
+    crashing_parts : dict of bytes to float
+        The same for parts of the prompts of calls.
     crashes_silently : bool
         Whether its connections hang when it ends, in place of being closed.
     on_crash : callable
@@ -102,6 +110,7 @@
     fails_over: int = 0
     active: int = 0
     crashing: dict[bytes, float] = field(default_factory=dict)
+    crashing_parts: dict[bytes, float] = field(default_factory=dict)
     crashes_silently: bool = False
     is_down: bool = False
     on_crash: Callable[["FakeEndpoint"], None] | None = None
@@ -123,6 +132,15 @@
     drain_words: list[tuple[str, float]] = field(default_factory=list)
     rest_words: list[tuple[str, float, float]] = field(default_factory=list)
 
+    def crash_after_s(self, call: EndpointCall) -> float | None:
+        """Return how long after its beginning a call ends the endpoint, or None if it does not."""
+        causes = [
+            self.crashing_parts[part] for part in part_ids(call) if part in self.crashing_parts
+        ]
+        if call.body in self.crashing:
+            causes.append(self.crashing[call.body])
+        return min(causes, default=None)
+
     def crash(self) -> None:
         """End at once, with all calls under way."""
         if self.is_down:
@@ -158,8 +176,9 @@
             self._later(reply.delay_s, lambda: self._begin(reply))
         if endpoint is not None:
             endpoint.under_way.append(self)
-            if call.body in endpoint.crashing:
-                clock.callLater(endpoint.crashing[call.body], endpoint.crash)
+            crash_after_s = endpoint.crash_after_s(call)
+            if crash_after_s is not None:
+                clock.callLater(crash_after_s, endpoint.crash)
 
     @property
     def body(self) -> bytes:
--- a/umberhitch/testing/__init__.py
+++ b/umberhitch/testing/__init__.py
@@ -12,6 +12,7 @@
 )
 from umberhitch.testing._claims import make_claim
 from umberhitch.testing._crashing import CrashingFleet, CrashShape
+from umberhitch.testing._crashing_parts import PartLoad
 from umberhitch.testing._direct import (
     DirectAsk,
     DirectRouter,
@@ -56,6 +57,7 @@
     "LoadWorld",
     "LostRecords",
     "OverloadWorld",
+    "PartLoad",
     "RolloutPlay",
     "RolloutTraffic",
     "StoreCopy",
--- a/umberhitch/testing/_crashing.py
+++ b/umberhitch/testing/_crashing.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from umberhitch.core.direct import EndpointState
-from umberhitch.fakes import FakeEndpoint, Reply
+from umberhitch.core.direct import Document, EndpointState
+from umberhitch.fakes import FakeEndpoint, Reply, part_ids
 from umberhitch.ports.clock import Timer
 from umberhitch.testing._direct import (
     DirectAsk,
@@ -46,20 +46,26 @@
 
 @dataclass
 class CrashingFleet:
-    """A `DirectWorld` in which requests with the body `CRASHING_BODY` end their endpoints."""
+    """A `DirectWorld` in which requests with the body `CRASHING_BODY` end their endpoints.
+
+    So do requests with one of ``crashing_parts`` in their prompts.
+    """
 
     routers: int = 4
     endpoints: int = 12
     shape: CrashShape = field(default_factory=CrashShape)
     reply: Reply = field(default_factory=Reply)
+    crashing_parts: tuple[str, ...] = ()
+    document: Document | None = None
 
     def __post_init__(self) -> None:
         self.world = DirectWorld()
-        self.world.operator.put("config", make_direct_document())
+        self.world.operator.put("config", self.document or make_direct_document())
         self.ever: list[FakeEndpoint] = []
         """All endpoints that ever were, the newest last."""
         self.crashes_s: list[float] = []
-        """When an endpoint ended on which the crashing request ran."""
+        """When an endpoint ended on which a request ran that ends endpoints."""
+        self._ends: list[tuple[FakeEndpoint, float]] = []
         self._starts = 0
         self._born: dict[str, int] = {}
         for number in range(self.endpoints):
@@ -79,12 +85,16 @@
         endpoint = self.world.add_endpoint(incarnation, born=self._starts)
         endpoint.reply = replace(self.reply)
         endpoint.crashing = {CRASHING_BODY: self.shape.after_s}
+        endpoint.crashing_parts = {
+            part.encode(): self.shape.after_s for part in self.crashing_parts
+        }
         endpoint.crashes_silently = self.shape.is_silent
         endpoint.on_crash = lambda lost: self._on_crash(incarnation, lost)
         self.ever.append(endpoint)
 
     def _on_crash(self, incarnation: str, lost: FakeEndpoint) -> None:
-        if any(call.body == CRASHING_BODY for call in lost.calls):
+        self._ends.append((lost, self.world.clock.seconds()))
+        if any(lost.crash_after_s(call) is not None for call in lost.calls):
             self.crashes_s.append(self.world.clock.seconds())
         del self.world.endpoints.by_address[f"@{incarnation}"]
         name = incarnation if self.shape.keeps_name else f"{incarnation.partition('.')[0]}"
@@ -138,6 +148,23 @@
             if call.body == body
         )
 
+    def part_sends_s(self, part: str) -> list[float]:
+        """Return when calls with a part in their prompts reached an endpoint."""
+        return sorted(
+            at_s
+            for endpoint in self.ever
+            for call, at_s in zip(endpoint.calls, endpoint.called_s, strict=True)
+            if part.encode() in part_ids(call)
+        )
+
+    def part_crashes_s(self, part: str) -> list[float]:
+        """Return when endpoints ended on which requests with such a part ran, in order."""
+        return sorted(
+            at_s
+            for endpoint, at_s in self._ends
+            if any(part.encode() in part_ids(call) for call in endpoint.calls)
+        )
+
     def late_sends(self, after_s: float) -> int:
         """Return how many of the crashing request came so long after its third crash."""
         if len(self.crashes_s) < 3:
