A part of a prompt that crashes endpoints is held like a request that does

Cause: crashes were counted by the whole request only, whose key never came again but by the router's own repeats. Why this works: a crash counts against every possible cause that was running there, the request and the parts of its prompt but the last, for its customer and for all customers (two of them at least). What explains most crashes is held; what it explains counts against nothing else, so that the parts which everybody sends stay free. A cause that has completed before must explain two crashes more, and crashes at one moment count once for it. A completed run of a new part counts once its endpoint is alive 1 s later; a failure that the endpoint answers proves nothing.

--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -14,7 +14,7 @@
 from umberhitch.adapters.pace_page import pace_lines, pace_status
 from umberhitch.adapters.rollout_pages import rollout_metrics, rollout_status
 from umberhitch.adapters.share_pages import share_metrics, share_status
-from umberhitch.core.direct import IntakeLimits, SignalKind
+from umberhitch.core.direct import IntakeLimits, SignalKind, part_of_key
 from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest, do_nothing
 from umberhitch.tasks.burn import BurnReport
 from umberhitch.tasks.direct.gateway import Gateway
@@ -77,13 +77,14 @@
         return do_nothing
 
     def _held(self) -> list[dict[str, object]]:
-        """Return the requests that are held, what for, and how long."""
+        """Return the causes that are held, whole requests and parts of prompts, and why."""
         gateway = self._gateway
         now_s = gateway.clock.seconds()
         record = gateway.crash_guard.record
         return [
             {
                 "key": key,
+                "part": part_of_key(key),
                 "endpoints": [each.lifetime for each in record.crashes(key)],
                 "places": sorted({each.service_version for each in record.crashes(key)}),
                 "last_crash_age_s": round(
--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -13,9 +13,17 @@
 from umberhitch.core.direct._canary import Canary
 from umberhitch.core.direct._canary_limits import CanaryLimits, RolloutStage
 from umberhitch.core.direct._cascade import Cascade, CascadeLimits, LargerChoice
+from umberhitch.core.direct._cause_keys import (
+    cause_keys,
+    customer_of_key,
+    is_part_of_all,
+    part_of_key,
+    request_key,
+)
 from umberhitch.core.direct._change import DocumentChange, apply_change, diff_documents
 from umberhitch.core.direct._closed import ClosedEndpoints, Draining, EndpointBackoff
-from umberhitch.core.direct._crash_record import Crash, CrashLimits, CrashRecord, Hold
+from umberhitch.core.direct._crash_causes import Crash
+from umberhitch.core.direct._crash_record import CrashLimits, CrashRecord, Hold
 from umberhitch.core.direct._directory import Directory
 from umberhitch.core.direct._endpoint import Endpoint
 from umberhitch.core.direct._endpoint_room import EndpointCounts, count_places
@@ -59,7 +67,6 @@
 )
 from umberhitch.core.direct._prefills import NO_PREFILL, ActivePrefills
 from umberhitch.core.direct._rates import Rate, parse_rate
-from umberhitch.core.direct._request_key import request_key
 from umberhitch.core.direct._restored_copy import (
     KEPT_S,
     KeepS,
@@ -189,10 +196,13 @@
     "WorkTimes",
     "ZoneOut",
     "apply_change",
+    "cause_keys",
     "count_places",
+    "customer_of_key",
     "diff_documents",
     "epoch_of",
     "give_up_s",
+    "is_part_of_all",
     "is_superseded",
     "is_worth_calling",
     "keep_endpoint_s",
@@ -209,5 +219,6 @@
     "parse_load",
     "parse_prompt",
     "parse_rate",
+    "part_of_key",
     "request_key",
 ]
--- a/umberhitch/core/direct/tests/test_crash_record.py
+++ b/umberhitch/core/direct/tests/test_crash_record.py
@@ -110,7 +110,7 @@
 
 
 def test_a_customer_with_many_requests_evicts_none_of_other_customers():
-    record = CrashRecord(CrashLimits(max_requests=20, max_requests_per_customer=8))
+    record = CrashRecord(CrashLimits(max_causes=20, max_causes_per_customer=8))
     for number in range(3):
         record.note_crash(OTHER, _crash(number))
     for number in range(1000):
@@ -120,7 +120,7 @@
 
 
 def test_many_customers_are_bounded_and_requests_with_most_crashes_stay():
-    record = _held(CrashLimits(max_requests=20, max_requests_per_customer=8))
+    record = _held(CrashLimits(max_causes=20, max_causes_per_customer=8))
     for number in range(1000):
         record.note_crash(f"{number:016x}" + "a" * 16, _crash(number))
     assert len(record) == 20
--- a/umberhitch/tasks/direct/admission.py
+++ b/umberhitch/tasks/direct/admission.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from umberhitch.core.direct import CallerRequest, Customer, Route, RouteKind, request_key
+from umberhitch.core.direct import CallerRequest, Customer, Route, RouteKind, cause_keys
 from umberhitch.ports.clock import Clock
 from umberhitch.tasks.direct.canary_controller import CanaryController
 from umberhitch.tasks.direct.services import AdmittedRequest
@@ -105,8 +105,8 @@
         ready = self._view.directory.ready(service, now_s, self._rng)
         is_light = req.prompt_tokens < MAX_LIGHT_TOKENS
         wants = self._canary_controller.wants_target(service, req.session, now_s, ready, is_light)
-        key = request_key(req, customer)
-        return AdmittedRequest(req, route, service, customer, received_s, wants, key)
+        keys = cause_keys(req, customer)
+        return AdmittedRequest(req, route, service, customer, received_s, wants, keys)
 
     def _pick_service(self, route: Route) -> str:
         if len(route.services) == 1:
--- a/umberhitch/tasks/direct/crash_guard.py
+++ b/umberhitch/tasks/direct/crash_guard.py
@@ -1,8 +1,8 @@
-"""Stops requests that crash their endpoints from being resent over and over.
+"""Stops requests that crash their endpoints from being sent over and over.
 
-`crash_watch` detects the crashes. `core/direct/_crash_record` decides which requests are held and
-when a probe of one is due. `crash_sharing` and `probing` coordinate the routers. Design note 14
-compares the alternatives.
+`crash_watch` detects the crashes. `core/direct/_crash_record` decides which causes are held and
+when a probe of one is due. `crash_sharing` and `probing` coordinate the routers. Design notes 14
+and 32 compare the alternatives.
 """
 
 from collections.abc import Callable
@@ -52,23 +52,46 @@
         self.sharing = CrashSharing(name, clock, self.record)
         self.probing = Probing(name, clock, self.sharing)
         self.watch = CrashWatch(
-            clock, endpoints, self.record, self.sharing.record_crash, on_verdict
+            clock,
+            endpoints,
+            self.record,
+            self.sharing.record_crashes,
+            on_verdict,
         )
         self._clock = clock
         self._endpoints = endpoints
         self._on_unreachable = on_unreachable
-        self._running: dict[str, list[Run]] = {}
+        self._running: dict[int, Run] = {}
+        """Runs by their identity."""
+        self._checked_keys: set[str] = set()
+        """Causes of completed runs whose endpoints are being checked."""
         self.sharing.on_held = self._on_held
 
     # Requests
 
+    def _held_cause(
+        self, admitted: AdmittedRequest, service_version: str = ""
+    ) -> tuple[str, Hold] | None:
+        """Return the cause of a request whose next probe is due last, if any of them is held."""
+        held = self.record.held_keys()
+        if not held:
+            return None
+        now_s = self._clock.seconds()
+        holds = [
+            (key, hold)
+            for key in admitted.cause_keys
+            if key in held and (hold := self.record.hold(key, now_s, service_version)) is not None
+        ]
+        return max(holds, key=lambda item: item[1].until_s, default=None)
+
     def hold(self, admitted: AdmittedRequest) -> Hold | None:
         """Return the hold of a request, or None if the request isn't held."""
-        return self.record.hold(admitted.request_key, self._clock.seconds())
+        found = self._held_cause(admitted)
+        return None if found is None else found[1]
 
     def is_held(self, admitted: AdmittedRequest) -> bool:
         """Whether a request may run only as a probe."""
-        return self.record.is_held(admitted.request_key)
+        return not self.record.held_keys().isdisjoint(admitted.cause_keys)
 
     def retry_after_s(self, admitted: AdmittedRequest) -> float:
         """Return the seconds after which a held request may be retried, 0 if it isn't held."""
@@ -87,19 +110,22 @@
         The endpoint's listener is checked first, so that none of the few probes is spent on an
         endpoint that can't be reached.
         """
-        now_s = self._clock.seconds()
-        hold = self.record.hold(admitted.request_key, now_s, service_version_of(endpoint))
-        if hold is not None and hold.until_s > now_s:
-            on_decision(hold.until_s - now_s)
+        found = self._held_cause(admitted, service_version_of(endpoint))
+        if found is None:
+            on_decision(None)
+            return
+        key, hold = found
+        remaining_s = hold.until_s - self._clock.seconds()
+        if remaining_s > 0.0:
+            on_decision(remaining_s)
             return
+        admitted.probed_key = key
 
-        def on_status(found: ListenerStatus) -> None:
-            if found is ListenerStatus.YES:
-                self.probing.request_probe(
-                    admitted.request_key, service_version_of(endpoint), lease_s, on_decision
-                )
+        def on_status(status: ListenerStatus) -> None:
+            if status is ListenerStatus.YES:
+                self.probing.request_probe(key, service_version_of(endpoint), lease_s, on_decision)
             else:
-                self._on_unreachable(endpoint, found is ListenerStatus.NO)
+                self._on_unreachable(endpoint, status is ListenerStatus.NO)
                 on_decision(UNREACHABLE_RETRY_S)
 
         self._endpoints.check(endpoint.entry.address, on_status)
@@ -109,50 +135,65 @@
     def start_run(self, admitted: AdmittedRequest, endpoint: Endpoint, is_probe: bool) -> Run:
         """Record that a call is sent."""
         run = Run(admitted, endpoint, self._clock.seconds(), is_probe)
-        self._running.setdefault(admitted.request_key, []).append(run)
+        self._running[id(run)] = run
         return run
 
     def _remove_run(self, run: Run) -> None:
-        runs = self._running[run.admitted.request_key]
-        runs.remove(run)
-        if not runs:
-            del self._running[run.admitted.request_key]
-
-    def _is_running(self, run: Run) -> bool:
-        return any(other is run for other in self._running.get(run.admitted.request_key, ()))
+        del self._running[id(run)]
 
     def record_head(self, run: Run) -> None:
         """Record the head of a call's reply."""
         run.head_s = self._clock.seconds()
         self.watch.record_head(run)
-        if self.record.is_held(run.admitted.request_key):
-            self._release_if_survived(run)
+        for key in self.record.held_keys().intersection(run.admitted.cause_keys):
+            self._release_if_survived(run, key)
 
     def _on_held(self, key: str) -> None:
-        for run in self._running.get(key, ()):
-            if run.head_s is not None:
-                self._release_if_survived(run)
+        for run in [*self._running.values()]:
+            if run.head_s is not None and key in run.admitted.cause_keys:
+                self._release_if_survived(run, key)
 
-    def _release_if_survived(self, run: Run) -> None:
-        """Release a request once one of its runs has lasted for the survival time."""
+    def _release_if_survived(self, run: Run, key: str) -> None:
+        """Release a cause once one of its runs has lasted for the survival time."""
         assert run.head_s is not None
-        key = run.admitted.request_key
         remaining_s = run.head_s + self.record.survival_s(key) - self._clock.seconds()
 
         def on_timeout() -> None:
-            if self._is_running(run) and self.record.is_held(key):
-                self.sharing.record_run_end(key, self._clock.seconds())
+            if id(run) in self._running and self.record.is_held(key):
+                self.sharing.record_run_ends([key], self._clock.seconds())
 
         self._clock.callLater(max(0.0, remaining_s), on_timeout)
 
     def record_completed(self, run: Run) -> None:
-        """Record a complete reply; for a suspect request, its endpoint is checked later."""
+        """Record a complete reply; its endpoint is checked later for causes that are unproven."""
+        self._remove_run(run)
+        now_s = self._clock.seconds()
+        keys = run.admitted.cause_keys
+        unproven = [key for key in keys if self.record.is_unproven(key)]
+        self.sharing.record_run_ends([key for key in keys if key not in unproven], now_s)
+        checked = [key for key in unproven if self._needs_check(key)]
+        if not checked:
+            return
+        self._checked_keys.update(checked)
+
+        def on_result(is_alive: bool) -> None:
+            self._checked_keys.difference_update(checked)
+            if is_alive:
+                self.sharing.record_run_ends(checked, now_s)
+
+        self.watch.watch_completed(run, on_result)
+
+    def _needs_check(self, key: str) -> bool:
+        """Whether this run is to prove a cause; one run at a time is enough for a new part."""
+        return self.record.is_suspect(key) or key not in self._checked_keys
+
+    def record_failed(self, run: Run) -> None:
+        """Record a complete reply that is the endpoint's own failure.
+
+        It may have failed before it began to answer, so that nothing follows about a crash.
+        """
         self._remove_run(run)
-        key, now_s = run.admitted.request_key, self._clock.seconds()
-        if self.record.is_suspect(key):
-            self.watch.watch_completed(run, lambda: self.sharing.record_run_end(key, now_s))
-        else:
-            self.sharing.record_run_end(key, now_s)
+        self._record_no_result(run)
 
     def record_not_run(self, run: Run) -> None:
         """Record that the endpoint has not run the call."""
@@ -176,7 +217,12 @@
 
     def _record_no_result(self, run: Run) -> None:
         if run.is_probe:
-            self.sharing.record_probe_end(run.admitted.request_key)
+            self.record_probe_end(run.admitted)
+
+    def record_probe_end(self, admitted: AdmittedRequest) -> None:
+        """Record that a probe has ended without a result, or wasn't sent."""
+        if admitted.probed_key is not None:
+            self.sharing.record_probe_end(admitted.probed_key)
 
     # Peers
 
--- a/umberhitch/tasks/direct/crash_sharing.py
+++ b/umberhitch/tasks/direct/crash_sharing.py
@@ -1,17 +1,17 @@
-"""Shares crashes among the routers, so that all hold the same requests within about 0.05 s.
+"""Shares crashes among the routers, so that all hold the same causes within about 0.05 s.
 
 A notice is merged into the crash record, so that lost, repeated and late messages do no harm. New
-notices go to all peers at once. The notices of held requests are resent to a few peers as long as
-the requests are held, and a new router gets all notices. A router that receives a crash of a
-request which has completed since notifies the request's arbiter, which notifies all peers.
+notices go to all peers at once. The notices of held causes are resent to a few peers as long as
+these are held, and a new router gets all notices. A router that receives a crash under a cause
+which has completed since notifies the cause's arbiter, which notifies all peers.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from logging import getLogger
 
 from xxhash import xxh3_64_intdigest
 
-from umberhitch.core.direct import Crash, CrashRecord
+from umberhitch.core.direct import Crash, CrashRecord, part_of_key
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import do_nothing
 from umberhitch.wire import CrashNotice, CrashUpdate, Message, ProbeNotice, RunEndNotice
@@ -23,11 +23,15 @@
 MAX_CRASHES_PER_MESSAGE = 512
 """Maximum number of crashes in one message, of about 0.1 kB each: a third of the number of requests
 that run in a zone."""
-MAX_RESENT_REQUESTS = 4
-"""Number of requests whose notices are resent at a time, in turn; they take under 1 kB."""
+MAX_RESENT_CAUSES = 4
+"""Number of causes whose notices are resent at a time, in turn; they take under 2 kB."""
+MAX_RESENT_CRASHES = 6
+"""Number of crashes of one cause that are resent, the newest ones."""
 RESEND_S = 30.0
-"""Seconds after a crash for which its notice is resent. Those of a held request are resent as long
-as the request is held."""
+"""Seconds after a crash for which its notice is resent. Those of a held cause are resent as long
+as the cause is held."""
+RUN_ENDED = "a run did not end its endpoint"
+EXPLAINED = "another cause explains the crashes"
 
 
 class CrashSharing:
@@ -51,9 +55,9 @@
     on_update : callable
         Called when there is an update to send to the peers at once.
     on_held : callable
-        Called with the key of a request when it becomes held.
+        Called with the key of a cause when it becomes held.
     on_decided : callable
-        Called with the key of a request that became held, probed or released, at its arbiter.
+        Called with the key of a cause that became held, probed or released, at its arbiter.
     """
 
     def __init__(self, name: str, clock: Clock, record: CrashRecord) -> None:
@@ -69,45 +73,39 @@
         self._pending_crashes: list[tuple[str, Crash]] = []
         self._pending_run_ends: set[str] = set()
         self._pending_probes: dict[str, ProbeNotice] = {}
+        self._held: frozenset[str] = frozenset()
+        """Causes that were held when this was last checked."""
         self._next_index = 0
 
     def arbiter(self, key: str) -> str:
-        """Return the router that admits probes of a request, by rendezvous hash."""
+        """Return the router that admits probes of a cause, by rendezvous hash."""
         names = self.peers()
         if self.is_listed() or not names:
             names = [self._name, *names]
         return max(names, key=lambda name: xxh3_64_intdigest(f"{key}|{name}".encode()))
 
     def is_arbiter(self, key: str) -> bool:
-        """Whether this router admits the probes of a request, and writes its state."""
+        """Whether this router admits the probes of a cause, and writes its state."""
         return self.arbiter(key) == self._name
 
     # Events at this router
 
-    def record_crash(self, key: str, crash: Crash) -> None:
-        """Record a crash that this router has detected."""
-        was_held = self.record.is_held(key)
-        if not self.record.note_crash(key, crash):
+    def record_crashes(self, crashes: dict[str, Crash]) -> None:
+        """Record what this router has detected: crashes by the keys of their possible causes."""
+        new = [(key, crash) for key, crash in crashes.items() if self.record.note_crash(key, crash)]
+        if not new:
             return
-        self._pending_crashes.append((key, crash))
-        self._check_held(key, was_held, "here")
+        self._pending_crashes += new
+        self._note_held("here")
         self.on_update()
 
-    def record_run_end(self, key: str, at_s: float) -> None:
-        """Record that a run of a request completed here, or lasted for the survival time."""
-        was_held = self.record.is_held(key)
-        if self.record.note_run_end(key, at_s):
-            self._queue_run_end(key, was_held)
-
-    def _queue_run_end(self, key: str, was_held: bool) -> None:
-        if was_held:
-            self._notify_if_arbiter(key)
-            log.info(
-                "request held no more",
-                extra={"key": key, "reason": "a run did not end its endpoint"},
-            )
-        self._pending_run_ends.add(key)
-        self.on_update()
+    def record_run_ends(self, keys: Iterable[str], at_s: float) -> None:
+        """Record that a run with these causes completed here, or lasted for the survival time."""
+        cleared = [key for key in keys if self.record.note_run_end(key, at_s)]
+        if cleared:
+            self._pending_run_ends.update(cleared)
+            self._note_held("here")
+            self.on_update()
 
     def record_probe(self, key: str, service_version: str, probes: int, lease_s: float) -> None:
         """Record that this router has admitted a probe."""
@@ -126,9 +124,9 @@
             self.on_update()
 
     def release(self, key: str) -> bool:
-        """Release a request on an operator's order; return whether it was held or suspect."""
+        """Release a cause on an operator's order; return whether it was held or suspect."""
         is_known = self.record.is_suspect(key)
-        self.record_run_end(key, self._clock.seconds())
+        self.record_run_ends([key], self._clock.seconds())
         if is_known:
             log.info("request let go", extra={"key": key, "reason": "operator"})
         return is_known
@@ -137,12 +135,11 @@
 
     def pop_updates(self) -> list[CrashUpdate]:
         """Return the updates that have not been sent to the peers yet, and mark them as sent."""
-        crashes = [
-            self._crash_notice(key, crash)
-            for key, crash in self._pending_crashes[:MAX_CRASHES_PER_MESSAGE]
-        ]
+        pending = self._pending_crashes[:MAX_CRASHES_PER_MESSAGE]
+        crashes = [self._crash_notice(key, crash) for key, crash in pending]
         self._pending_crashes = self._pending_crashes[MAX_CRASHES_PER_MESSAGE:]
-        ends = [self._run_end_notice(key) for key in self._pending_run_ends]
+        completed = {key for key, _ in pending if self.record.has_completed(key)}
+        ends = [self._run_end_notice(key) for key in self._pending_run_ends | completed]
         probes = [*self._pending_probes.values()]
         self._pending_run_ends, self._pending_probes = set(), {}
         if self._pending_crashes:
@@ -150,12 +147,12 @@
         return [CrashUpdate(crashes, ends, probes)] if crashes or ends or probes else []
 
     def all_updates(self) -> list[CrashUpdate]:
-        """Return all notices for a new router, those of the requests with most crashes first."""
+        """Return all notices for a new router, those of the causes with most crashes first."""
         keys = sorted(self.record.suspects(), key=lambda key: -len(self.record.crashes(key)))
         return self._make_updates(keys)
 
     def updates_to_resend(self) -> list[CrashUpdate]:
-        """Return the notices to resend: in turn, some of the held requests and recent crashes."""
+        """Return the notices to resend: in turn, some of the held causes and recent crashes."""
         now_s = self._clock.seconds()
         if not len(self.record):
             return []
@@ -166,22 +163,21 @@
             for key in self.record.suspects()
             if self.record.is_held(key) or self.record.crashes(key)[-1].crashed_s > since_s
         ]
-        self._next_index = (self._next_index + MAX_RESENT_REQUESTS) % max(1, len(keys))
+        self._next_index = (self._next_index + MAX_RESENT_CAUSES) % max(1, len(keys))
         return self._make_updates(
-            (keys[self._next_index :] + keys[: self._next_index])[:MAX_RESENT_REQUESTS]
+            (keys[self._next_index :] + keys[: self._next_index])[:MAX_RESENT_CAUSES]
         )
 
     def updates_for(self, key: str) -> list[CrashUpdate]:
-        """Return the notices about one request."""
+        """Return the notices about one cause."""
         return self._make_updates([key])
 
     def _make_updates(self, keys: list[str]) -> list[CrashUpdate]:
         now_s = self._clock.seconds()
-        max_crashes = self.record.limits.crashes
         crashes = [
             self._crash_notice(key, crash)
             for key in keys
-            for crash in self.record.crashes(key)[:max_crashes]
+            for crash in self.record.crashes(key)[-MAX_RESENT_CRASHES:]
         ]
         probes = []
         for key in keys:
@@ -189,13 +185,21 @@
             if last_probe is not None:
                 service_version, probe_count, at_s = last_probe
                 probes.append(ProbeNotice(key, service_version, probe_count, now_s - at_s, 0.0))
-        return [CrashUpdate(crashes[:MAX_CRASHES_PER_MESSAGE], [], probes)] if crashes else []
+        ends = [self._run_end_notice(key) for key in keys if self.record.has_completed(key)]
+        return [CrashUpdate(crashes[:MAX_CRASHES_PER_MESSAGE], ends, probes)] if crashes else []
 
     def _crash_notice(self, key: str, crash: Crash) -> CrashNotice:
         now_s = self._clock.seconds()
         started_age_s = round(now_s - crash.started_s, 4)
         crash_age_s = round(now_s - crash.crashed_s, 4)
-        return CrashNotice(key, crash.lifetime, crash.service_version, started_age_s, crash_age_s)
+        return CrashNotice(
+            key,
+            crash.lifetime,
+            crash.service_version,
+            started_age_s,
+            crash_age_s,
+            crash.customer,
+        )
 
     def _run_end_notice(self, key: str) -> RunEndNotice:
         now_s = self._clock.seconds()
@@ -213,14 +217,13 @@
             self._apply_crash(notice, now_s)
         for probe in message.probes:
             self._apply_probe(probe, now_s)
+        self._note_held("told")
 
     def _apply_run_end(self, end: RunEndNotice, now_s: float) -> None:
-        was_held = self.record.is_held(end.key)
         is_cleared = self.record.note_run_end(end.key, now_s - end.age_s)
         if is_cleared and self.is_arbiter(end.key):
-            self._queue_run_end(end.key, was_held)
-        elif is_cleared and was_held:
-            log.info("request held no more", extra={"key": end.key, "reason": "told"})
+            self._pending_run_ends.add(end.key)
+            self.on_update()
 
     def _apply_crash(self, notice: CrashNotice, now_s: float) -> None:
         crash = Crash(
@@ -228,16 +231,15 @@
             notice.service_version,
             now_s - notice.started_age_s,
             now_s - notice.crash_age_s,
+            notice.customer,
         )
         if self.record.is_refuted(notice.key, crash):
             self._send_refutation(notice.key)
-            return
-        was_held = self.record.is_held(notice.key)
-        self.record.note_crash(notice.key, crash)
-        self._check_held(notice.key, was_held, "told")
+        else:
+            self.record.note_crash(notice.key, crash)
 
     def _send_refutation(self, key: str) -> None:
-        """Notify the peers, through the arbiter, that the request has completed since.
+        """Notify the peers, through the arbiter, that the cause has completed since.
 
         The arbiter passes this on, so that not every router sends a message to every other one.
         """
@@ -258,24 +260,37 @@
             if known is not None and known[1] <= probe.probes and probe.age_s == 0.0:
                 self.record.note_probe_end(probe.key)
 
-    def _check_held(self, key: str, was_held: bool, source: str) -> None:
-        if was_held or not self.record.is_held(key):
+    def _note_held(self, source: str) -> None:
+        """Log which causes have become held or released, and notify the store of those."""
+        held, before = self.record.held_keys(), self._held
+        if held == before:
             return
+        self._held = held
+        for key in sorted(held - before):
+            self._log_held(key, source)
+            self.on_held(key)
+            self._notify_if_arbiter(key)
+        for key in sorted(before - held):
+            reason = EXPLAINED if self.record.is_suspect(key) else RUN_ENDED
+            log.info("request held no more", extra={"key": key, "source": source, "reason": reason})
+            self._notify_if_arbiter(key)
+
+    def _log_held(self, key: str, source: str) -> None:
         now_s = self._clock.seconds()
         crashes = self.record.crashes(key)
         log.warning(
             "request held",
             extra={
                 "key": key,
+                "part": part_of_key(key),
                 "source": source,
                 "endpoints": [crash.lifetime for crash in crashes],
                 "places": sorted({crash.service_version for crash in crashes}),
                 "run_s": [round(crash.crashed_s - crash.started_s, 3) for crash in crashes],
                 "age_s": [round(now_s - crash.crashed_s, 3) for crash in crashes],
+                "completed_before": self.record.has_completed(key),
             },
         )
-        self.on_held(key)
-        self._notify_if_arbiter(key)
 
     def _notify_if_arbiter(self, key: str) -> None:
         if self.is_arbiter(key):
--- a/umberhitch/tasks/direct/crash_watch.py
+++ b/umberhitch/tasks/direct/crash_watch.py
@@ -1,4 +1,4 @@
-"""Detects crashes of endpoints and the requests that were running there.
+"""Detects crashes of endpoints, and the possible causes that were running there.
 
 A broken call shows only that its connection was lost. So the endpoint's listener is checked at
 once, without a request. If nothing listens, the process has exited, and every call that broke there
@@ -12,7 +12,14 @@
 from dataclasses import dataclass
 from logging import getLogger
 
-from umberhitch.core.direct import AnswerVerdict, Crash, CrashRecord, Endpoint
+from umberhitch.core.direct import (
+    AnswerVerdict,
+    Crash,
+    CrashRecord,
+    Endpoint,
+    customer_of_key,
+    is_part_of_all,
+)
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import EndpointPort, ListenerStatus
 from umberhitch.tasks.direct.services import Run
@@ -61,7 +68,7 @@
     endpoints : EndpointPort
     record : CrashRecord
     on_crash : callable
-        Called with the key of a request and a crash that counts against it.
+        Called with the crashes that count against possible causes, by their keys.
     on_verdict : callable
         Called with a run whose reply broke off, and the verdict on its version.
 
@@ -76,7 +83,7 @@
         clock: Clock,
         endpoints: EndpointPort,
         record: CrashRecord,
-        on_crash: Callable[[str, Crash], None],
+        on_crash: Callable[[dict[str, Crash]], None],
         on_verdict: Callable[[Run, AnswerVerdict], None],
     ) -> None:
         self.crashes = 0
@@ -101,15 +108,15 @@
         """Record that this router cancelled a call, which may still crash its endpoint."""
         self._add(_FinishedCall(run, self._clock.seconds(), True))
 
-    def watch_completed(self, run: Run, on_alive: Callable[[], None]) -> None:
-        """Call ``on_alive`` if the endpoint is still alive some time after its complete reply."""
+    def watch_completed(self, run: Run, on_result: Callable[[bool], None]) -> None:
+        """Tell whether the endpoint is still alive some time after its complete reply."""
         self._add(_FinishedCall(run, self._clock.seconds(), True))
 
         def on_status(found: ListenerStatus) -> None:
-            if found is ListenerStatus.YES and run.endpoint.lifetime not in self._exited:
-                on_alive()
-            elif found is ListenerStatus.NO:
+            if found is ListenerStatus.NO:
                 self.record_exit(run.endpoint)
+            lifetime = run.endpoint.lifetime
+            on_result(found is ListenerStatus.YES and lifetime not in self._exited)
 
         address = run.endpoint.entry.address
         self._clock.callLater(SURVIVAL_CHECK_S, self._endpoints.check, address, on_status)
@@ -118,7 +125,7 @@
         """Record that a call broke, and check whether its endpoint has crashed."""
         call = _FinishedCall(run, self._clock.seconds(), False)
         if run.endpoint.lifetime in self._exited:
-            self._report_crash(call)
+            self._report_crash([call])
             return
         self._add(call)
         self._check_listener(run.endpoint)
@@ -182,28 +189,39 @@
             },
         )
         self._count_crash_against_version(calls)
-        has_older = any(_may_have_run(call) for call in calls)
-        for call in calls:
-            if _may_have_run(call) or not has_older:
-                self._report_crash(call)
+        older = [call for call in calls if _may_have_run(call)]
+        self._report_crash(older or calls)
 
     def _count_crash_against_version(self, calls: list[_FinishedCall]) -> None:
         """Count a crash as one broken answer of the version, not as one for each call.
 
-        The crash isn't counted if a suspect request was running: then the request probably caused
-        it, and the version may be good.
+        The crash isn't counted if a request with a likely cause was running: then the request
+        probably crashed the endpoint, and the version may be good.
         """
-        if any(self._record.is_suspect(call.run.admitted.request_key) for call in calls):
+        keys = {key for call in calls for key in call.run.admitted.cause_keys}
+        if any(self._record.is_likely(key) for key in keys):
             return
         for call in calls:
             if not call.is_exempt and not call.is_counted:
                 self._on_verdict(call.run, AnswerVerdict.BROKEN)
                 return
 
-    def _report_crash(self, call: _FinishedCall) -> None:
-        run = call.run
-        crash = Crash(run.endpoint.lifetime, run.service_version, run.sent_s, call.finished_s)
-        self._on_crash(run.admitted.request_key, crash)
+    def _report_crash(self, calls: list[_FinishedCall]) -> None:
+        """Report the crash of an endpoint for each possible cause, by the run that began last."""
+        crashes: dict[str, Crash] = {}
+        for call in sorted(calls, key=lambda each: each.run.sent_s):
+            run = call.run
+            keys = run.admitted.cause_keys
+            customer = customer_of_key(keys[0])
+            for key in keys:
+                crashes[key] = Crash(
+                    run.endpoint.lifetime,
+                    run.service_version,
+                    run.sent_s,
+                    call.finished_s,
+                    customer if is_part_of_all(key) else "",
+                )
+        self._on_crash(crashes)
 
 
 def _may_have_run(call: _FinishedCall) -> bool:
--- a/umberhitch/tasks/direct/intake.py
+++ b/umberhitch/tasks/direct/intake.py
@@ -131,7 +131,7 @@
             nonlocal on_caller_left
             if has_disconnected:
                 if retry_after_s is None:
-                    self.crash_guard.sharing.record_probe_end(admitted.request_key)
+                    self.crash_guard.record_probe_end(admitted)
             elif retry_after_s is None:
                 on_caller_left = self.start_request(admitted, reply, True)
             else:
--- a/umberhitch/tasks/direct/proxied_request.py
+++ b/umberhitch/tasks/direct/proxied_request.py
@@ -285,7 +285,8 @@
         self.admitted.may_have_run = True
         is_server_side = head.status >= 500
         self._svc.log_decision(self, "endpoint failed", True, status=head.status)
-        self._call.settle_run(self._svc.crash_guard.record_completed)
+        guard = self._svc.crash_guard
+        self._call.settle_run(guard.record_failed if is_server_side else guard.record_completed)
         if is_server_side:
             self._call.judge.record_failure()
         may_replace = is_server_side or self._escalation.dropped_model is not None
--- a/umberhitch/tasks/direct/services.py
+++ b/umberhitch/tasks/direct/services.py
@@ -106,8 +106,11 @@
     received_s: float
     wants_target: bool | None
     """Whether the request goes to the new version of a roll-out; None without a roll-out."""
-    request_key: str = ""
-    """Identifies the request when a caller retries it; see `core.direct.request_key`."""
+    cause_keys: tuple[str, ...] = ("",)
+    """Keys of the possible causes if the request crashes its endpoint, its own key first; see
+    `core.direct.cause_keys`."""
+    probed_key: str | None = None
+    """The cause that a run of this request tests, if it is sent as a probe."""
     may_have_run: bool = False
     """Whether an endpoint may have run the request, so that it can't be refused as not run."""
     has_been_sent: bool = False
@@ -115,6 +118,11 @@
     waited_s: float | None = None
     """For how long its caller had waited when it came back; 0 for a new one, None if not known."""
 
+    @property
+    def request_key(self) -> str:
+        """Identifies the request when a caller retries it; see `core.direct.request_key`."""
+        return self.cause_keys[0]
+
     @property
     def timeout_s(self) -> float:
         """Seconds from the request's arrival to the deadline of the final answer."""
@@ -280,6 +288,10 @@
         """Record that the reply is complete: the endpoint survived the run."""
         ...
 
+    def record_failed(self, run: Run) -> None:
+        """Record that the endpoint answered that it failed."""
+        ...
+
     def record_not_run(self, run: Run) -> None:
         """Record that the endpoint did not run the request."""
         ...
--- a/umberhitch/tasks/direct/stored_holds.py
+++ b/umberhitch/tasks/direct/stored_holds.py
@@ -101,9 +101,9 @@
     def _restore(self, hold: StoredHold) -> None:
         now_s = self._clock.seconds()
         for lifetime in hold.lifetimes:
-            self._sharing.record_crash(
-                hold.key, Crash(lifetime, hold.service_version, now_s, now_s)
-            )
+            # That the crashes of a part were under several customers was known when it was held.
+            crash = Crash(lifetime, hold.service_version, now_s, now_s, customer=lifetime)
+            self._sharing.record_crashes({hold.key: crash})
         if hold.probes:
             self._sharing.record_probe(hold.key, hold.service_version, hold.probes, 0.0)
 
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -401,27 +401,30 @@
     """Crash of an endpoint while it ran a request; ages are in seconds at the time of sending."""
 
     key: str
+    """Key of a possible cause: of the request, or of a part of its prompt."""
     lifetime: str
     service_version: str
     """Service and version that the endpoint ran."""
     started_age_s: float
     crash_age_s: float
+    customer: str = ""
+    """Customer of the request, where the key does not tell."""
 
 
 class RunEndNotice(Struct, frozen=True, array_like=True):
-    """End of a run of a request on an endpoint that stayed alive, ``age_s`` seconds ago."""
+    """End of a run with a cause, ``age_s`` seconds ago; its endpoint stayed alive."""
 
     key: str
     age_s: float
 
 
 class ProbeNotice(Struct, frozen=True, array_like=True):
-    """Start of a probe of a held request, ``age_s`` seconds ago."""
+    """Start of a probe of a held cause, ``age_s`` seconds ago."""
 
     key: str
     service_version: str
     probes: int
-    """Number of probes of the request so far, this one included."""
+    """Number of probes of the cause so far, this one included."""
     age_s: float
     lease_s: float
     """Seconds for which the probe may still run; 0 if it has ended."""
