A connection whose end is the end of a reply is not kept for the next call

Callers would have seen: after such an answer, the next call to that endpoint waits to its timeout. Cause: the reply is read to its end while the connection is being dropped, h11 counts both sides as done then, and the connection went back among the idle ones after it was taken out. Evidence: test_a_connection_that_ends_a_reply_is_not_kept_for_another_call wrote the second call to the lost connection (red before). The connection now knows that it is lost. A reset in place of the end stays a broken call (test).

--- a/umberhitch/adapters/h11_endpoints.py
+++ b/umberhitch/adapters/h11_endpoints.py
@@ -121,6 +121,8 @@
         self._parser = h11.Connection(h11.CLIENT)
         self._is_foreign = False
         self._is_closed = False
+        self._is_lost = False
+        """Whether there is no connection any more, though its last reply may still be read."""
         self.idle_since_s = 0.0
         self.keeps_s: float | None = None
         self._request_bytes = 0
@@ -207,7 +209,7 @@
             return
         call, self._call = self._call, None
         is_kept = self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE
-        if rest or not is_kept:
+        if rest or not is_kept or self._is_lost:
             self._close()
         else:
             self._parser.start_next_cycle()
@@ -216,6 +218,7 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         was_closed, self._is_closed = self._is_closed, True
+        self._is_lost = True
         if self._waiting is not None:
             self._waiting.close()
         self._client.dropped(self)
--- a/umberhitch/adapters/tests/test_h11_endpoints.py
+++ b/umberhitch/adapters/tests/test_h11_endpoints.py
@@ -288,3 +288,33 @@
 def test_a_call_leaves_soon_after_it_was_placed_or_not_at_all():
     """What is sent half a second after a limit is known counts: none of it was placed before."""
     assert EndpointClientLimits().connect_s < 0.5
+
+
+UNSIZED = b"HTTP/1.1 200 OK\r\nId: a\r\n\r\nid: 1\ndata: e1\n\n"
+
+
+@pytest.mark.parametrize(
+    ("reason", "is_ended", "failure"),
+    [(ConnectionDone(), True, None), (ConnectionLost(), False, CallFailure.BROKEN)],
+    ids=["closed", "reset"],
+)
+def test_a_reply_without_a_length_ends_with_its_connection_unless_that_is_reset(
+    reactor, client, reason, is_ended, failure
+):
+    events = Events()
+    client.send(ADDRESS, make_call(), events)
+    protocol, _ = dial(reactor)
+    protocol.dataReceived(UNSIZED)
+    assert not events.is_ended
+    protocol.connectionLost(Failure(reason))
+    assert events.body == UNSIZED.partition(b"\r\n\r\n")[2]
+    assert (events.is_ended, events.failure) == (is_ended, failure)
+
+
+def test_a_connection_that_ends_a_reply_is_not_kept_for_another_call(reactor, client):
+    client.send(ADDRESS, make_call(), Events())
+    protocol, _ = dial(reactor)
+    protocol.dataReceived(UNSIZED)
+    protocol.connectionLost(Failure(ConnectionDone()))
+    client.send(ADDRESS, make_call("b"), Events())
+    assert len(reactor.tcpClients) == 2
