--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -38,7 +38,7 @@
     is_worth_calling,
     latest_delivery_s,
 )
-from umberhitch.core.direct._events import EventSplitter
+from umberhitch.core.direct._events import EventSplitter, is_event_boundary
 from umberhitch.core.direct._evidence import AnswerCounts, AnswerVerdict, EvidenceThreshold
 from umberhitch.core.direct._fleet_share import ColdLimits, FleetBound, FleetShare
 from umberhitch.core.direct._header_values import (
@@ -202,6 +202,7 @@
     "diff_documents",
     "epoch_of",
     "give_up_s",
+    "is_event_boundary",
     "is_part_of_all",
     "is_superseded",
     "is_worth_calling",
--- a/umberhitch/core/direct/_events.py
+++ b/umberhitch/core/direct/_events.py
@@ -1,11 +1,16 @@
 """Splits an event stream at event boundaries without changing its bytes."""
 
-__all__ = ["EventSplitter"]
+__all__ = ["EventSplitter", "is_event_boundary"]
 
 MAX_EVENT_BYTES = 1_048_576
 """A stream with a longer event counts as broken."""
 
 
+def is_event_boundary(data: bytes | bytearray) -> bool:
+    """Whether the last event of a stream's bytes is complete, or there is none."""
+    return not data or data.endswith((b"\n\n", b"\r\n\r\n"))
+
+
 class EventSplitter:
     """Buffers the incomplete event at the end of the received bytes.
 
--- a/umberhitch/fakes/_direct_endpoints.py
+++ b/umberhitch/fakes/_direct_endpoints.py
@@ -36,6 +36,8 @@
         Between events.
     break_after : int or None
         The connection is lost after so many events, within the next one.
+    ends_after : int or None
+        The reply ends like a complete one after so many events, within the next one.
     failure : CallFailure or None
         No reply at all.
     is_silent : bool
@@ -54,6 +56,7 @@
     events: int = 0
     gap_s: float = 0.05
     break_after: int | None = None
+    ends_after: int | None = None
     failure: CallFailure | None = None
     is_silent: bool = False
     load: ReportedLoad | None = None
@@ -286,6 +289,10 @@
             self._stop()
             events.on_failure(CallFailure.BROKEN, "fake")
             return
+        if reply.ends_after is not None and count > reply.ends_after:
+            self._events.on_data(b"id: %d\ndata: bro" % number)
+            self._end()
+            return
         self._events.on_data(b"id: %d\ndata: e%d\n\n" % (number, number))
         if number >= reply.events:
             self._end()
--- a/umberhitch/tasks/direct/escalation.py
+++ b/umberhitch/tasks/direct/escalation.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from umberhitch.core.direct import Candidate, LargerChoice
+from umberhitch.core.direct import Candidate, LargerChoice, RouteKind
 from umberhitch.tasks.direct.active_call import ActiveCall
 from umberhitch.tasks.direct.kept_answer import KeptAnswer
 from umberhitch.tasks.direct.larger_call import LargerCall
@@ -70,7 +70,8 @@
         self.has_begun = True
         self.small_model = call.model
         self._small_wait_s = call.age_s
-        self._kept = KeptAnswer(self._svc, call, self._on_overlap_over)
+        is_stream = self._request.admitted.route.kind is RouteKind.STREAM
+        self._kept = KeptAnswer(self._svc, call, is_stream, self._on_overlap_over)
         self._larger = LargerCall(self._svc, self._request, choice, self._on_overdue)
 
     # The larger model's calls
--- a/umberhitch/tasks/direct/kept_answer.py
+++ b/umberhitch/tasks/direct/kept_answer.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable
 
-from umberhitch.core.direct import ReplyHead
+from umberhitch.core.direct import ReplyHead, is_event_boundary
 from umberhitch.ports.direct import CallEvents, CallFailure
 from umberhitch.tasks.direct.active_call import ActiveCall
 from umberhitch.tasks.direct.idle_timer import IdleTimer
@@ -30,6 +30,8 @@
     services : Services
     call : ActiveCall
         Call of the small model; its events come here from now on.
+    is_stream : bool
+        Whether the answer consists of events.
     on_overlap_over : callable
         Called when both models have run for the maximum time and the answer is still incomplete.
     """
@@ -38,12 +40,14 @@
         self,
         services: Services,
         call: ActiveCall,
+        is_stream: bool,
         on_overlap_over: Callable[[], None],
     ) -> None:
         self.call = call
         self.is_complete = False
         self.has_failed = False
         self._svc = services
+        self._is_stream = is_stream
         self._on_overlap_over = on_overlap_over
         self._data = bytearray()
         self._timer = IdleTimer(services.clock, self._check_overlap)
@@ -94,6 +98,9 @@
 
     def on_end(self) -> None:
         """Note that the answer is complete, so that its endpoint is no longer needed."""
+        if self._is_stream and not is_event_boundary(self._data):
+            self.on_failure(CallFailure.BROKEN, "ended within an event")
+            return
         self.is_complete = True
         self.call.settle_run(self._svc.crash_guard.record_completed)
         self.call.release(False)
