--- a/umberhitch/fakes/_direct_endpoints.py
+++ b/umberhitch/fakes/_direct_endpoints.py
@@ -92,6 +92,8 @@
         The same for parts of the prompts of calls.
     crashes_silently : bool
         Whether its connections hang when it ends, in place of being closed.
+    silence_s : float or None
+        When such a connection ends after all, as it doesn't answer the kernel's keep-alives.
     on_crash : callable
         Called when it ends.
     limit_rate : float or None
@@ -115,6 +117,7 @@
     crashing: dict[bytes, float] = field(default_factory=dict)
     crashing_parts: dict[bytes, float] = field(default_factory=dict)
     crashes_silently: bool = False
+    silence_s: float | None = None
     is_down: bool = False
     on_crash: Callable[["FakeEndpoint"], None] | None = None
     limit_rate: float | None = None
@@ -152,7 +155,7 @@
         if self.on_crash is not None:
             self.on_crash(self)
         for call in [*self.under_way]:
-            call.lose(self.crashes_silently)
+            call.lose(self.crashes_silently, self.silence_s)
 
 
 class _FakeCall:
@@ -299,8 +302,13 @@
             return
         self._later(reply.gap_s, lambda: self._event(reply, number + 1, count + 1))
 
-    def lose(self, is_silent: bool) -> None:
-        """Lose the endpoint; the caller sees that unless it is silent."""
+    def lose(self, is_silent: bool, silence_s: float | None = None) -> None:
+        """Lose the endpoint; the caller sees that unless it is silent, or after a time."""
+        if is_silent and silence_s is not None:
+            if self._timer is not None and self._timer.active():
+                self._timer.cancel()
+            self._clock.callLater(silence_s, self.lose, False)
+            return
         events = self._events
         self._stop()
         if events is not None and not is_silent:
--- a/umberhitch/platform/standins/_endpoint.py
+++ b/umberhitch/platform/standins/_endpoint.py
@@ -30,6 +30,9 @@
         Whether the endpoint refuses every request and states that it did not run.
     loses_answers : bool
         Whether the endpoint runs every request and aborts the connection instead of replying.
+    crashes_on_part : str
+        Id of a part of prompts that crashes the endpoint once an answer on it begins; empty for
+        none.
     break_after : int
         Number of events after which a stream is cut off within the next event; 0 for never.
     event_s : float
@@ -50,6 +53,7 @@
     is_shedding: bool = False
     loses_answers: bool = False
     crashes_on: str = ""
+    crashes_on_part: str = ""
     break_after: int = 0
     event_s: float = 0.01
     confidence: int = 100
@@ -156,6 +160,9 @@
         if self.faults.crashes_on and body == self.faults.crashes_on:
             self.crash()
             return Deferred()
+        part = self.faults.crashes_on_part
+        if part and f"{part}:" in head.getRawHeaders("Prompt-Prefix", [""])[0]:
+            self.reactor.callLater(self.faults.event_s, self.crash)
         if self.faults.loses_answers:
             request.transport.abortConnection()
             return Deferred()
--- a/umberhitch/platform/standins/client.py
+++ b/umberhitch/platform/standins/client.py
@@ -139,8 +139,9 @@
         key: str,
         model: str | None = None,
         body: bytes = b"body",
+        prompt: str = "aa:60,bb:40",
     ) -> Answer:
-        """Send a caller's request."""
+        """Send a caller's request; one to a model has a prompt."""
         headers = {
             "Host": "models.example",
             "Attempt-Id": call_id,
@@ -148,7 +149,7 @@
             "Deadline-Ms": "8000",
         }
         if model is not None:
-            headers |= {"Model": model, "Token-Count": "100,40", "Prompt-Prefix": "aa:60,bb:40"}
+            headers |= {"Model": model, "Token-Count": "100,40", "Prompt-Prefix": prompt}
         return call(self.addresses["callers"], "POST", path, body, headers)
 
     def kill(self) -> None:
--- a/umberhitch/soak/__main__.py
+++ b/umberhitch/soak/__main__.py
@@ -17,6 +17,7 @@
 
 from umberhitch.adapters.steady import steady_s
 from umberhitch.soak._checks import Bounds
+from umberhitch.soak._crashing_part import play_crashing_part
 from umberhitch.soak._late_version import play_late_version
 from umberhitch.soak._mutations import MUTATIONS
 from umberhitch.soak._run import Verdict, play
@@ -34,6 +35,9 @@
 _LATE_VERSION = flags.DEFINE_boolean(
     "late_version", False, "a roll-out whose version turns bad, in place of the faults"
 )
+_CRASHING_PART = flags.DEFINE_boolean(
+    "crashing_part", False, "a part of prompts that crashes endpoints, in place of the faults"
+)
 _MUTATION = flags.DEFINE_enum("mutation", None, sorted(MUTATIONS), "break this in every router")
 
 BOUNDS = Bounds(revocation_s=5.0, departure_s=4.0, zone_s=5.0, grant_s=3.0, rollback_s=5.0)
@@ -79,6 +83,8 @@
     bounds = BOUNDS if _TIMED.value else Bounds()
     if _LATE_VERSION.value:
         return play_late_version(seed, folder, bounds, _MUTATION.value)
+    if _CRASHING_PART.value:
+        return play_crashing_part(seed, folder, bounds, _MUTATION.value)
     verdict = play(seed, cfg, folder, bounds, _MUTATION.value, show)
     (folder / "verdict.json").write_bytes(json.format(json.encode(asdict(verdict))))
     return verdict
--- a/umberhitch/soak/_mutations.py
+++ b/umberhitch/soak/_mutations.py
@@ -47,6 +47,14 @@
     ProxiedRequest._broken = end  # type: ignore[method-assign]
 
 
+def _know_whole_requests_only() -> None:
+    """What crashes endpoints is known by the whole request, not by the parts of its prompt."""
+    from umberhitch.core.direct import request_key
+    from umberhitch.tasks.direct import admission
+
+    admission.cause_keys = lambda req, customer: (request_key(req, customer),)
+
+
 def _keep_keys() -> None:
     """A configuration that was taken is never replaced."""
     from umberhitch.tasks.direct.store_view import StoreView
@@ -145,6 +153,7 @@
     "compare-offsets": _compare_offsets,
     "believe-copies": _believe_copies,
     "trust-old-answers": _trust_old_answers,
+    "know-whole-requests-only": _know_whole_requests_only,
 }
 
 
--- a/umberhitch/testing/_crashing.py
+++ b/umberhitch/testing/_crashing.py
@@ -33,6 +33,8 @@
         Until its entry is gone from the registry; later than its return where it is back before.
     is_silent : bool
         Whether its connections hang.
+    silence_s : float or None
+        When hanging connections end after all; they never do if this is None.
     keeps_name : bool
         Whether it comes back under its incarnation.
     """
@@ -41,6 +43,7 @@
     back_s: float = 3.0
     lapse_s: float = 3.0
     is_silent: bool = False
+    silence_s: float | None = None
     keeps_name: bool = False
 
 
@@ -89,6 +92,7 @@
             part.encode(): self.shape.after_s for part in self.crashing_parts
         }
         endpoint.crashes_silently = self.shape.is_silent
+        endpoint.silence_s = self.shape.silence_s
         endpoint.on_crash = lambda lost: self._on_crash(incarnation, lost)
         self.ever.append(endpoint)
 
--- a/umberhitch/testing/_crashing_parts.py
+++ b/umberhitch/testing/_crashing_parts.py
@@ -5,7 +5,7 @@
 from umberhitch.testing._crashing import CrashingFleet
 from umberhitch.testing._direct import KEY, DirectAsk
 
-__all__ = ["PartLoad"]
+__all__ = ["MIN_REQUESTS", "PartLoad"]
 
 SOUND_GAP_S = 0.05
 BAD_GAP_S = 0.3
@@ -16,6 +16,8 @@
 CALM_S = 6.0
 """Seconds after the fifth crash from which sound requests are served as before."""
 PARTS = ("system", "document")
+MIN_REQUESTS = 20
+"""A share of fewer requests says nothing."""
 
 
 @dataclass
@@ -82,12 +84,16 @@
         """Return the share of the sound requests that were served before the first bad one."""
         return _served([req for at_s, req in self.sound if at_s < self.bad[0][0] - 1.0])
 
-    def served_after(self) -> float:
-        """Return that share from `CALM_S` after the fifth crash on, while bad ones still come."""
+    def sound_after(self) -> list[DirectAsk]:
+        """Return the sound ones from `CALM_S` after the fifth crash, while bad ones still come."""
         begin_s, end_s = self.fifth_crash_s + CALM_S, self.bad[-1][0]
-        return _served([req for at_s, req in self.sound if begin_s < at_s < end_s])
+        return [req for at_s, req in self.sound if begin_s < at_s < end_s]
+
+    def served_after(self) -> float:
+        """Return the share of these that were served."""
+        return _served(self.sound_after())
 
 
 def _served(reqs: list[DirectAsk]) -> float:
-    assert len(reqs) >= 20
+    assert len(reqs) >= MIN_REQUESTS
     return sum(req.status == 200 and req.reply.is_complete for req in reqs) / len(reqs)
