A router that gets most new connections closes unread what it can't serve in time

Cause: a router read whatever came, and its event loop was late by seconds while the others had nothing to do. Now, while many connections arrive, the delay of a timer is measured; above 50 ms the share of new connections that are read falls, never below a tenth. At a usual load there is no timer. Found on the way: nothing bounded what one router read.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -25,6 +25,7 @@
     "zones",
     "herd",
     "restored",
+    "hot_router",
 )
 
 
--- a/umberhitch/adapters/h11_callers.py
+++ b/umberhitch/adapters/h11_callers.py
@@ -16,6 +16,7 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from umberhitch.adapters.accept_gate import AcceptGate
 from umberhitch.adapters.held_bytes import HeldBytes, Side, WaitingBytes
 from umberhitch.adapters.silence import detect_silence
 from umberhitch.adapters.unsent import unacknowledged_bytes, unsent_bytes
@@ -358,6 +359,8 @@
         Bodies held at once, over all connections.
     held : HeldBytes or None
         The account of all that is held; None for one without a bound.
+    gate : AcceptGate or None
+        Decides which new connections are read; None if all are.
     """
 
     noisy = False
@@ -368,8 +371,10 @@
         handler: RequestHandler,
         max_held_bytes: int,
         held: HeldBytes | None = None,
+        gate: AcceptGate | None = None,
     ) -> None:
         self.held = held or HeldBytes(clock)
+        self.gate = gate
         self.clock = clock
         self.handler = handler
         self.connections: set[_CallerConnection] = set()
@@ -377,8 +382,10 @@
         self.held_bytes = 0
         self._max_held_bytes = max_held_bytes
 
-    def buildProtocol(self, addr: Any) -> Protocol:
-        """Return a connection."""
+    def buildProtocol(self, addr: Any) -> Protocol | None:
+        """Return a connection, or None if it is to be closed unread."""
+        if self.gate is not None and not self.gate.admits():
+            return None
         return _CallerConnection(self)
 
     def hold(self, count: int) -> bool:
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -9,6 +9,7 @@
 
 from twisted.internet.defer import Deferred
 
+from umberhitch.adapters.accept_gate import AcceptGate
 from umberhitch.adapters.gateway_pages import GatewayPages
 from umberhitch.adapters.h11_callers import CallerFactory
 from umberhitch.adapters.h11_endpoints import EndpointClient
@@ -176,12 +177,14 @@
     holds = StoredHolds(reactor, HoldsStore(store), gateway.crash_guard.sharing, peers.rank, epochs)
     held.buffered = gateway.buffered
     gateway.buffered.has_room = held.has_room
-    callers = CallerFactory(reactor, gateway, int(memory_bytes * BODIES_SHARE), held)
+    gate = AcceptGate(reactor)
+    callers = CallerFactory(reactor, gateway, int(memory_bytes * BODIES_SHARE), held, gate)
 
     def transport() -> dict[str, int]:
         return {
             "callers_connected": len(callers.connections),
             "callers_refused_unread_total": sum(callers.refused.values()),
+            "callers_closed_unread_total": gate.closed,
             "callers_body_bytes": callers.held_bytes,
             "connections_opened_total": client.opened,
             "store_calls_total": store.calls,
