--- a/benchmarks/crashing.py
+++ b/benchmarks/crashing.py
@@ -11,7 +11,7 @@
 
 from umberhitch.fakes import Reply
 from umberhitch.tasks.direct.proxied_request import HELD
-from umberhitch.testing import CrashingFleet, DirectAsk
+from umberhitch.testing import CrashingFleet, DirectAsk, PartLoad
 from umberhitch.wire import CrashUpdate, Message
 
 __all__ = ["run"]
@@ -82,6 +82,31 @@
     }
 
 
+def measure_part(routers: int) -> dict[str, Any]:
+    """Return what requests with a crashing part reached, no two of which are alike."""
+    fleet = CrashingFleet(
+        routers=routers, endpoints=ENDPOINTS, reply=STREAM, crashing_parts=("bad",)
+    )
+    load = PartLoad(fleet)
+    network = fleet.world.network
+    news = [0]
+
+    def count(sender: str, receiver: str, message: Message) -> bool:
+        news[0] += isinstance(message, CrashUpdate)
+        return False
+
+    network.drop_where(count)
+    load.play()
+    return {
+        "routers": routers,
+        "sends": len(fleet.part_sends_s("bad")),
+        "late_sends": load.late_sends(),
+        "endpoints_ended": len(fleet.part_crashes_s("bad")),
+        "sound_served": load.served_after(),
+        "crash_messages_a_router": round(news[0] / routers, 1),
+    }
+
+
 def run() -> dict[str, Any]:
     """Return all rows."""
     logging.disable(logging.WARNING)
@@ -93,4 +118,5 @@
         for share in (0.0, 0.25, 0.5, 1.0)
         for is_beside in (False, True)
     ]
-    return {"crashing": rows, "harmless": harmless}
+    parts = [measure_part(size) for size in SIZES[:3]]
+    return {"crashing": rows, "harmless": harmless, "parts": parts}
