--- a/umberhitch/tasks/direct/tests/test_late_bad_versions.py
+++ b/umberhitch/tasks/direct/tests/test_late_bad_versions.py
@@ -142,3 +142,25 @@
     play.at(0.5, lambda: play.fail_over(4))
     play.play(0.0)
     assert play.state is RolloutState.ROLLED_BACK
+
+
+def _fail_at(play: RolloutPlay, router: str, at_s: float) -> None:
+    """Let one router have enough evidence against the version from a moment on."""
+
+    def fail() -> None:
+        play.world.routers[router].trials.canaries()[0]._is_failing_by = lambda counts: True
+
+    play.at(at_s, fail)
+
+
+# One router had rolled the version back, another one declared it good 0.05 s later: that stood.
+@pytest.mark.parametrize("before_s", [0.05, 0.15, 0.25])
+def test_a_version_that_one_router_rolls_back_is_not_declared_good_by_another(before_s):
+    natural = RolloutPlay(3, None, PLAIN, DURATION_S).play()
+    assert natural.state is RolloutState.COMPLETED
+    play = RolloutPlay(3, None, PLAIN, DURATION_S)
+    _fail_at(play, "r2", natural.decided_s() - before_s)
+    play.play()
+    assert play.state is RolloutState.ROLLED_BACK
+    states = {router.trials.canaries()[0].state for router in play.world.routers.values()}
+    assert states == {RolloutState.ROLLED_BACK}
