--- a/umberhitch/core/direct/_crash_record.py
+++ b/umberhitch/core/direct/_crash_record.py
@@ -138,6 +138,7 @@
             # Another run with the cause, sent to the same endpoint later, is refuted later.
             if crash.started_s > known.started_s:
                 suspect.crashes[crash.lifetime] = replace(known, started_s=crash.started_s)
+                self._held = None
             return False
         suspect.crashes[crash.lifetime] = crash
         suspect.probe_deadline_s = float("-inf")
