--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,8 +15,8 @@
 SERVICE, ROLLOUT_S, SESSION_S, CONTACT_S = "clerk", 40.0, 5.0, 3.0
 SESSIONS = 160
 EVENTS, EVENT_S = 30, 0.05
-THINK_S = (3.9, 4.9)
-TERM_S = 19.2
+THINK_S = (4.3, 4.95)
+TERM_S = 19.4
 """SIGTERM, after the order: in the second half of the roll-out."""
 END_S = 30.0
 RESTART_S = 0.3
--- a/review/kit/standins.py
+++ b/review/kit/standins.py
@@ -267,7 +267,7 @@
     async def start(self):
         _, self.address = await serve(self._channel)
         self.write("ready")
-        asyncio.ensure_future(self._beat())
+        self._beating = asyncio.ensure_future(self._beat())
 
     def write(self, state):
         self.state = state
