--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,13 +12,13 @@
 
 import standins as kit  # noqa: E402
 
-SERVICE, ROLLOUT_S, SESSION_S, CONTACT_S = "clerk", 40.0, 5.0, 3.0
+SERVICE, ROLLOUT_S, SESSION_S, CONTACT_S = "clerk", 24.0, 5.0, 3.0
 SESSIONS = 160
 EVENTS, EVENT_S = 30, 0.05
 THINK_S = (4.3, 4.95)
-TERM_S = 19.4
+TERM_S = 11.4
 """SIGTERM, after the order: in the second half of the roll-out."""
-END_S = 30.0
+END_S = 20.5
 RESTART_S = 0.3
 MODEL = "m1"
 CONFIG = {
