A router tells what is under way on its callers' connections, also when its drain ends

Each connection now has a stage (idle, receiving, answering, delivering, closing), counted in /status, /metrics and the lines 'drain ends' and 'stops'.

--- a/umberhitch/adapters/gateway_pages.py
+++ b/umberhitch/adapters/gateway_pages.py
@@ -15,6 +15,7 @@
 from umberhitch.adapters.rollout_pages import rollout_metrics, rollout_status
 from umberhitch.adapters.share_pages import share_metrics, share_status
 from umberhitch.core.direct import IntakeLimits, SignalKind, part_of_key
+from umberhitch.ports.caller_connections import CallerConnections, ConnectionStage, NoConnections
 from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest, do_nothing
 from umberhitch.tasks.burn import BurnReport
 from umberhitch.tasks.direct.gateway import Gateway
@@ -42,6 +43,7 @@
         Returns counts of the connections' side, by name.
     held : HeldBytes or None
         The account of all that is held.
+    callers : CallerConnections or None
     """
 
     def __init__(
@@ -49,7 +51,9 @@
         gateway: Gateway,
         transport: Callable[[], dict[str, int]],
         held: HeldBytes | None = None,
+        callers: CallerConnections | None = None,
     ) -> None:
+        self._callers = callers or NoConnections()
         self._account = held or HeldBytes(gateway.clock)
         self._gateway = gateway
         self._transport = transport
@@ -148,6 +152,8 @@
             "store_returns": gateway.view.epochs.returns,
             "endpoints": len(gateway.directory),
             "running": len(gateway.running_requests),
+            "draining": gateway.presence.is_draining,
+            "connections": self._callers.stages(),
             "routers": gateway.retry_budget.router_count or 1,
             "outcomes": gateway.counters.outcomes,
             **escalation_status(gateway),
@@ -204,6 +210,11 @@
             f"umberhitch_store_returns_total {gateway.view.epochs.returns}",
             f"umberhitch_unknown_header_names {len(gateway.gate.unknown_headers.counts)}",
         ]
+        stages = self._callers.stages()
+        lines += [
+            f'umberhitch_caller_connections{{stage="{stage}"}} {stages[stage]}'
+            for stage in ConnectionStage
+        ]
         lines += escalation_metrics(gateway)
         lines += pace_lines(gateway)
         lines += held_metrics(self._account)
--- a/umberhitch/adapters/h11_callers.py
+++ b/umberhitch/adapters/h11_callers.py
@@ -5,6 +5,7 @@
 over whole requests and gets back calls of `CallerReply`.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from logging import getLogger
 from typing import Any
@@ -21,6 +22,7 @@
 from umberhitch.adapters.silence import detect_silence
 from umberhitch.adapters.unsent import unacknowledged_bytes, unsent_bytes
 from umberhitch.core.direct import IntakeLimits
+from umberhitch.ports.caller_connections import ConnectionStage
 from umberhitch.ports.clock import Clock, Timer
 from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest
 
@@ -124,6 +126,8 @@
         self._leave: Callable[[], None] | None = None
         self._is_answering = False
         self._is_closing = False
+        self._is_over = False
+        """Whether the connection was lost or broken."""
         self._pipelined = 0
         self._waiting: WaitingBytes | None = None
 
@@ -211,7 +215,7 @@
             self._leave = leave
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self._is_closing = True
+        self._is_closing = self._is_over = True
         self._stop_waiting()
         self._release()
         if self._waiting is not None:
@@ -314,12 +318,12 @@
 
     def _let_go(self, detail: str) -> None:
         """Reset the connection; what was asked is cancelled once it is lost."""
-        self._is_closing = True
+        self._is_closing = self._is_over = True
         self.transport.abortConnection()
 
     def abort(self) -> None:
         """Break the connection."""
-        self._is_closing = True
+        self._is_closing = self._is_over = True
         self._leave = None
         self.transport.abortConnection()
 
@@ -328,6 +332,19 @@
         """Whether nothing of a request has come that is not answered."""
         return not self._is_answering and self._request is None and self._first_byte_s is None
 
+    @property
+    def stage(self) -> ConnectionStage:
+        """How far the connection is with its request."""
+        if self._is_over:
+            return ConnectionStage.CLOSING
+        if self._is_answering:
+            return ConnectionStage.ANSWERING
+        if not self._is_closing and (not self.is_idle or self._pipelined):
+            return ConnectionStage.RECEIVING
+        if unsent_bytes(self.transport) or unacknowledged_bytes(self.transport):
+            return ConnectionStage.DELIVERING
+        return ConnectionStage.CLOSING if self._is_closing else ConnectionStage.IDLE
+
 
 def _length(request: h11.Request) -> int:
     for name, value in request.headers:
@@ -397,6 +414,10 @@
         self.held_bytes += count
         return True
 
+    def stages(self) -> Counter[ConnectionStage]:
+        """Return the number of connections in each stage."""
+        return Counter(connection.stage for connection in self.connections)
+
     def close_idle(self) -> None:
         """Close the connections on which nothing is under way."""
         for connection in list(self.connections):
--- a/umberhitch/adapters/tests/test_h11_callers.py
+++ b/umberhitch/adapters/tests/test_h11_callers.py
@@ -206,3 +206,27 @@
     assert transport.take().startswith(b"HTTP/1.1 100")
     protocol.dataReceived(b"ab")
     assert handler.asked[0][0].body == b"ab"
+
+
+def test_a_connection_tells_what_is_under_way_on_it(clock, handler, connect):
+    protocol, transport = connect()
+    stages = [protocol.stage]
+    for piece in (b"POST /a HTTP/1.1\r\nHost: h\r\n", b"Content-Length: 2\r\n\r\na", b"b"):
+        protocol.dataReceived(piece)
+        stages.append(protocol.stage)
+    transport.dataBuffer = b"rest"
+    handler.answer()
+    stages.append(protocol.stage)
+    transport.dataBuffer = b""
+    stages.append(protocol.stage)
+    protocol.connectionLost()
+    stages.append(protocol.stage)
+    assert [str(stage) for stage in stages] == [
+        "idle",
+        "receiving",
+        "receiving",
+        "answering",
+        "delivering",
+        "idle",
+        "closing",
+    ]
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -91,6 +91,7 @@
             if port is not None:
                 port.stopListening()
             self.callers.close_idle()
+            log.info("drain ends", extra={"connections": self.callers.stages()})
             drained.callback(None)
 
         self.gateway.drain(self.callers.close_idle, close)
@@ -98,6 +99,7 @@
 
     def stop(self) -> None:
         """Close every socket."""
+        log.info("stops", extra={"connections": self.callers.stages()})
         self.gateway.stop()
         self.trials.stop()
         self.peers.stop()
@@ -192,7 +194,8 @@
             "link_frames_out_total": link.counters.frames_out,
         }
 
-    pages = CallerFactory(reactor, GatewayPages(gateway, transport, held), MIB, held)
+    pages_handler = GatewayPages(gateway, transport, held, callers)
+    pages = CallerFactory(reactor, pages_handler, MIB, held)
     ports = {
         "readiness": _listen(reactor, settings.listen.readiness, pages),
         "pages": _listen(reactor, settings.listen.pages, pages),
