A router that stops answers what its callers are sending, or refuses it in time

Cause: the drain ended when no request ran; a request runs once it is read whole. Nobody asked for heads and bodies that come in, for requests that wait for the store or a probe, for answers that are not taken yet; and for 0.1 s after the drain what came whole was passed on.

--- a/umberhitch/adapters/h11_callers.py
+++ b/umberhitch/adapters/h11_callers.py
@@ -22,7 +22,7 @@
 from umberhitch.adapters.silence import detect_silence
 from umberhitch.adapters.unsent import unacknowledged_bytes, unsent_bytes
 from umberhitch.core.direct import IntakeLimits
-from umberhitch.ports.caller_connections import ConnectionStage
+from umberhitch.ports.caller_connections import UNDER_WAY, ConnectionStage
 from umberhitch.ports.clock import Clock, Timer
 from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest
 
@@ -41,6 +41,8 @@
 """Kept connections stay open a little longer than the limit says."""
 BODY_TIMEOUT_S = 10.0
 """Time for a whole body; callers that send a byte a second are not waited for."""
+LEAVING = "leaving"
+"""Reason of the refusals of a router that stops."""
 
 
 class RequestHandler(Interface):
@@ -128,6 +130,8 @@
         self._is_closing = False
         self._is_over = False
         """Whether the connection was lost or broken."""
+        self._is_refused_unread = False
+        """Whether the caller may still be sending a request that was refused."""
         self._pipelined = 0
         self._waiting: WaitingBytes | None = None
 
@@ -153,6 +157,8 @@
                 return
         self._parser.receive_data(data)
         self._read()
+        if self._factory.refuses_incomplete:
+            self.refuse_incomplete()
 
     def _read(self) -> None:
         while not self._is_answering and not self._is_closing:
@@ -199,6 +205,9 @@
         request, self._request = self._request, None
         assert request is not None
         self._stop_waiting()
+        if self._factory.refuses_all:
+            self._refuse(503, LEAVING)
+            return
         received_s = self._first_byte_s
         self._first_byte_s = None
         self._is_answering = True
@@ -253,6 +262,7 @@
 
     def _refuse(self, status: int, problem: str) -> None:
         """Answer a request that was not taken, and close."""
+        self._is_refused_unread = self._parser.their_state is not h11.DONE
         log.info("request refused", extra={"status": status, "problem": problem})
         self._factory.refused[status] = self._factory.refused.get(status, 0) + 1
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -311,11 +321,31 @@
     def _close_if_taken(self) -> None:
         """Close, but leave a caller that still reads its answer the time to do so."""
         self._timer = None
-        if unsent_bytes(self.transport) or unacknowledged_bytes(self.transport):
+        if self._is_unsent():
             self._wait(CLOSE_S, self._close_if_taken)
         else:
             self.abort()
 
+    def _is_unsent(self) -> bool:
+        """Whether the caller has not taken all that was written."""
+        return bool(unsent_bytes(self.transport) or unacknowledged_bytes(self.transport))
+
+    def refuse_incomplete(self) -> None:
+        """Refuse a request that was not read whole."""
+        if self.stage is ConnectionStage.RECEIVING:
+            self._refuse(503, LEAVING)
+
+    def refuse_unanswered(self) -> None:
+        """Refuse a request that was read and for which nothing has been done."""
+        if self.stage is not ConnectionStage.ANSWERING:
+            return
+        leave, self._leave = self._leave, None
+        if leave is not None:
+            leave()
+        if self._is_answering:
+            self._is_answering = False
+            self._refuse(503, LEAVING)
+
     def _let_go(self, detail: str) -> None:
         """Reset the connection; what was asked is cancelled once it is lost."""
         self._is_closing = self._is_over = True
@@ -332,6 +362,11 @@
         """Whether nothing of a request has come that is not answered."""
         return not self._is_answering and self._request is None and self._first_byte_s is None
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether nothing more is read on the connection."""
+        return self._is_closing
+
     @property
     def stage(self) -> ConnectionStage:
         """How far the connection is with its request."""
@@ -341,7 +376,7 @@
             return ConnectionStage.ANSWERING
         if not self._is_closing and (not self.is_idle or self._pipelined):
             return ConnectionStage.RECEIVING
-        if unsent_bytes(self.transport) or unacknowledged_bytes(self.transport):
+        if self._is_refused_unread or self._is_unsent():
             return ConnectionStage.DELIVERING
         return ConnectionStage.CLOSING if self._is_closing else ConnectionStage.IDLE
 
@@ -396,6 +431,9 @@
         self.handler = handler
         self.connections: set[_CallerConnection] = set()
         self.refused: dict[int, int] = {}
+        self.refuses_incomplete = False
+        """Whether requests are refused that do not come whole."""
+        self.refuses_all = False
         self.held_bytes = 0
         self._max_held_bytes = max_held_bytes
 
@@ -418,8 +456,28 @@
         """Return the number of connections in each stage."""
         return Counter(connection.stage for connection in self.connections)
 
+    def is_under_way(self) -> bool:
+        """Whether the end of the process would cost any caller something."""
+        return any(connection.stage in UNDER_WAY for connection in self.connections)
+
+    def refuse_incomplete(self) -> None:
+        """Refuse what is not read whole, from now on."""
+        self.refuses_incomplete = True
+        for connection in list(self.connections):
+            connection.refuse_incomplete()
+
+    def refuse_new(self) -> None:
+        """Refuse every request that is not handed over yet, from now on."""
+        self.refuses_all = True
+        self.refuse_incomplete()
+
+    def refuse_unanswered(self) -> None:
+        """Refuse the requests that were handed over and are not answered; none of them has run."""
+        for connection in list(self.connections):
+            connection.refuse_unanswered()
+
     def close_idle(self) -> None:
         """Close the connections on which nothing is under way."""
         for connection in list(self.connections):
-            if connection.is_idle:
+            if connection.is_idle and not connection.is_closing:
                 connection.close_soon()
--- a/umberhitch/cli/_gateway_process.py
+++ b/umberhitch/cli/_gateway_process.py
@@ -23,8 +23,11 @@
 EXIT_OK = 0
 EXIT_NOT_DRAINED = 1
 EXIT_BAD_SETTINGS = 2
-STOP_MARGIN_S = 0.6
-"""A shutdown that has to be cut short is cut so long before its time is up."""
+MIN_LINGER_S = 0.1
+"""After the stop, for what the process tells others last."""
+MAX_LINGER_S = 0.4
+"""After the stop, for callers to take the answers to what was cut."""
+LINGER_POLL_S = 0.02
 
 
 def serve_gateway(settings: GatewayFile, path: str) -> int:
@@ -45,6 +48,7 @@
     from umberhitch.adapters.steady import make_steady
     from umberhitch.adapters.zmq_link import make_context
     from umberhitch.gateway_node import make_gateway_node
+    from umberhitch.tasks.direct.gateway_limits import STOP_MARGIN_S
 
     reactor: Any = default_reactor
     make_steady(reactor)
@@ -134,4 +138,12 @@
         self.exit_code = exit_code
         log.info("stopped", extra={"exit_code": exit_code})
         node.stop()
-        self._reactor.callLater(0.1, self._reactor.stop)
+        end_s = self._reactor.seconds() + MAX_LINGER_S
+        self._reactor.callLater(MIN_LINGER_S, self._end, node, end_s)
+
+    def _end(self, node: Any, end_s: float) -> None:
+        """End the process once callers have taken what they get, or when time is up."""
+        if node.is_delivering() and self._reactor.seconds() < end_s:
+            self._reactor.callLater(LINGER_POLL_S, self._end, node, end_s)
+        else:
+            self._reactor.stop()
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -53,6 +53,8 @@
 """Share of the process's memory that callers' bodies may take."""
 HELD_SHARE = 0.5
 """Share of the process's memory for all held bytes, with the bodies; the rest is the program's."""
+SETTLE_S = 0.05
+"""After the listening socket was closed, connections that it had accepted are read for so long."""
 MIB = 1024 * 1024
 
 
@@ -70,6 +72,9 @@
     callers_address: str
     _ports: dict[str, Any]
 
+    def __post_init__(self) -> None:
+        self.gateway.presence.drain.connections = self.callers
+
     def addresses(self) -> dict[str, str]:
         """Return where the router listens."""
         found = {"link": self.link.address, "callers": self.callers_address}
@@ -83,24 +88,31 @@
         self._ports["callers"] = port
 
     def drain(self) -> Deferred[None]:
-        """Answer what has been read, then close what is idle."""
+        """Answer what callers send until nothing is under way, then close what is idle."""
         drained: Deferred[None] = Deferred()
 
         def close() -> None:
             port = self._ports.pop("callers", None)
             if port is not None:
                 port.stopListening()
+            self.gateway.clock.callLater(SETTLE_S, settle)
+
+        def settle() -> None:
+            if self.callers.is_under_way():
+                self.gateway.clock.callLater(SETTLE_S, settle)
+                return
             self.callers.close_idle()
-            log.info("drain ends", extra={"connections": self.callers.stages()})
             drained.callback(None)
 
-        self.gateway.drain(self.callers.close_idle, close)
+        self.gateway.drain(self.callers.close_idle, close, self.callers.refuse_incomplete)
         return drained
 
     def stop(self) -> None:
-        """Close every socket."""
+        """Close every socket but those of callers, which get a final answer."""
         log.info("stops", extra={"connections": self.callers.stages()})
+        self.callers.refuse_new()
         self.gateway.stop()
+        self.callers.refuse_unanswered()
         self.trials.stop()
         self.peers.stop()
         self.holds.stop()
@@ -109,6 +121,10 @@
         for port in self._ports.values():
             port.stopListening()
 
+    def is_delivering(self) -> bool:
+        """Whether a caller has not taken the whole of its answer yet."""
+        return self.callers.is_under_way()
+
 
 def make_gateway_node(
     settings: GatewayFile, reactor: Any, context: Any, incarnation: int, callers_socket: socket
--- a/umberhitch/nodes.py
+++ b/umberhitch/nodes.py
@@ -56,6 +56,10 @@
         for port in self._ports:
             port.stopListening()
 
+    def is_delivering(self) -> bool:
+        """Whether a caller waits for its answer: an agent has none of its own."""
+        return False
+
 
 @dataclass(slots=True)
 class RouterNode:
@@ -90,6 +94,10 @@
         self._callers_port.stopListening()
         self._operators_port.stopListening()
 
+    def is_delivering(self) -> bool:
+        """Whether a caller has not taken the whole of its answer yet; not known here."""
+        return False
+
 
 def make_agent_node(settings: AgentFile, reactor: Any, context: zmq.Context) -> AgentNode:
     """Start an agent."""
--- a/umberhitch/tasks/direct/admission.py
+++ b/umberhitch/tasks/direct/admission.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass
 from random import Random
 
-from umberhitch.core.direct import CallerRequest, Customer, Route, RouteKind, cause_keys
+from umberhitch.core.direct import CallerRequest, Customer, Route, cause_keys
 from umberhitch.ports.clock import Clock
 from umberhitch.tasks.direct.canary_controller import CanaryController
+from umberhitch.tasks.direct.drain import Drain
 from umberhitch.tasks.direct.services import AdmittedRequest
 from umberhitch.tasks.direct.store_view import StoreView
 
@@ -69,7 +70,7 @@
         self._is_strict = is_strict
 
     def admit(
-        self, req: CallerRequest, received_s: float, accepts_streams: bool
+        self, req: CallerRequest, received_s: float, drain: Drain
     ) -> AdmittedRequest | Refusal:
         """Return the admitted request or its refusal.
 
@@ -78,8 +79,8 @@
         req : CallerRequest
         received_s : float
             Time at which its first byte was read.
-        accepts_streams : bool
-            False if the router is draining, so that a stream would not end in time.
+        drain : Drain
+            Decides what would not end in time, if the router is draining.
         """
         table = self._view.table
         if table is None or not self._view.is_loaded:
@@ -91,7 +92,7 @@
         route = table.find(req.host, req.path)
         if route is None:
             return STALE_CONFIGURATION if is_stale else Refusal(404, "no such route")
-        if route.kind is RouteKind.STREAM and not accepts_streams:
+        if not drain.accepts(route, req.patience_s):
             return Refusal(503, "leaving")
         customer: Customer | None = None
         if not route.is_public:
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -34,6 +34,7 @@
     RawRequest,
     RunningCall,
     WirePort,
+    do_nothing,
 )
 from umberhitch.tasks.burn import BurnTask
 from umberhitch.tasks.direct.admission import Admission
@@ -42,8 +43,13 @@
 from umberhitch.tasks.direct.canary_controller import CanaryController
 from umberhitch.tasks.direct.crash_guard import CrashGuard
 from umberhitch.tasks.direct.decision_log import DecisionLog
+from umberhitch.tasks.direct.drain import Drain, DrainActions, DrainTimes
 from umberhitch.tasks.direct.endpoint_selector import EndpointSelector
-from umberhitch.tasks.direct.gateway_limits import GatewayCounters, GatewaySettings
+from umberhitch.tasks.direct.gateway_limits import (
+    STOP_MARGIN_S,
+    GatewayCounters,
+    GatewaySettings,
+)
 from umberhitch.tasks.direct.intake import Intake
 from umberhitch.tasks.direct.local_replies import LocalReplies
 from umberhitch.tasks.direct.presence import Presence
@@ -145,13 +151,9 @@
         )
         canary_controller.follow_epoch(epochs)
         self.gate.on_draining = self.directory.mark_draining
-        self.presence = Presence(
-            clock,
-            settings.drain_s,
-            settings.drain_notice_s,
-            lambda: self.view.is_loaded,
-            lambda: bool(self.running_requests),
-        )
+        times = DrainTimes(settings.drain_notice_s, settings.drain_s - STOP_MARGIN_S)
+        drain = Drain(clock, times, lambda: len(self.running_requests))
+        self.presence = Presence(clock, drain, STOP_MARGIN_S, lambda: self.view.is_loaded)
         self.admission_control = self._make_admission_control()
         self.returns = self._make_returns()
         self.selector = EndpointSelector(
@@ -216,7 +218,12 @@
         for proxied in list(self.running_requests):
             proxied.abort()
 
-    def drain(self, on_noticed: Callable[[], None], on_idle: Callable[[], None]) -> None:
+    def drain(
+        self,
+        on_noticed: Callable[[], None],
+        on_idle: Callable[[], None],
+        on_last_call: Callable[[], None] = do_nothing,
+    ) -> None:
         """Fail the readiness check, and accept requests until the load balancer has noticed.
 
         Parameters
@@ -225,11 +232,13 @@
             Called when the load balancer no longer sends callers here. Idle connections may be
             closed from then on. New streams are refused, since they would not end in time.
         on_idle : callable
-            Called when, after that, every request that was read has been answered.
+            Called when, after that, nothing is under way at callers' connections.
+        on_last_call : callable
+            Called when requests that are not read whole have to be refused from then on.
         """
         if self.admission_control is not None:
             self.admission_control.refuse_all()
-        self.presence.drain(on_noticed, on_idle)
+        self.presence.drain.start(DrainActions(on_noticed, on_last_call, on_idle))
 
     def _on_endpoints(self, gone: list[str]) -> None:
         for address in gone:
@@ -460,7 +469,7 @@
         self.log_decision(
             proxied, "request ended", is_failure, outcome=outcome, elapsed_s=elapsed_s
         )
-        self.presence.check_idle()
+        self.presence.drain.check()
 
     def _count_burn(self, proxied: RequestState, outcome: str) -> None:
         admitted = proxied.admitted
--- a/umberhitch/tasks/direct/gateway_limits.py
+++ b/umberhitch/tasks/direct/gateway_limits.py
@@ -15,7 +15,11 @@
 from umberhitch.tasks.direct.second_runs import SecondRuns
 from umberhitch.tasks.direct.services import ProxyTimeouts
 
-__all__ = ["GatewayCounters", "GatewaySettings"]
+__all__ = ["STOP_MARGIN_S", "GatewayCounters", "GatewaySettings"]
+
+STOP_MARGIN_S = 0.6
+"""A shutdown that has to be cut short is cut so long before its time is up, so that callers still
+get the answers to what is cut."""
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/umberhitch/tasks/direct/intake.py
+++ b/umberhitch/tasks/direct/intake.py
@@ -86,7 +86,7 @@
         return self.selector.awaits_directory(admitted)
 
     def _admit(self, req: CallerRequest, received_s: float) -> AdmittedRequest | Refusal:
-        return self.admission.admit(req, received_s, not self.presence.is_drain_noticed)
+        return self.admission.admit(req, received_s, self.presence.drain)
 
     def _wait_for_proof(
         self, req: CallerRequest, received_s: float, reply: CallerReply
--- a/umberhitch/tasks/direct/presence.py
+++ b/umberhitch/tasks/direct/presence.py
@@ -1,8 +1,9 @@
-"""Readiness and drain of a router, and the time until it is available again."""
+"""Readiness of a router, and the time until it is available again."""
 
 from collections.abc import Callable
 
 from umberhitch.ports.clock import Clock
+from umberhitch.tasks.direct.drain import Drain
 from umberhitch.tasks.direct.retry_after import MIN_RETRY_AFTER_S
 
 __all__ = ["Presence"]
@@ -19,15 +20,11 @@
     Parameters
     ----------
     clock : Clock
-    drain_s : float
-        Maximum duration of a shutdown.
-    notice_s : float
-        How long new connections are accepted in a shutdown, since the balancer notices it only
-        after this time.
+    drain : Drain
+    restart_margin_s : float
+        Time from the end of a drain until the process has ended at the latest.
     is_loaded : callable
         Whether a configuration and a directory are loaded.
-    is_busy : callable
-        Whether any request is running.
 
     Attributes
     ----------
@@ -36,54 +33,30 @@
     """
 
     def __init__(
-        self,
-        clock: Clock,
-        drain_s: float,
-        notice_s: float,
-        is_loaded: Callable[[], bool],
-        is_busy: Callable[[], bool],
+        self, clock: Clock, drain: Drain, restart_margin_s: float, is_loaded: Callable[[], bool]
     ) -> None:
+        self.drain = drain
         self._clock = clock
-        self._drain_s = drain_s
-        self._notice_s = notice_s
+        self._restart_margin_s = restart_margin_s
         self._is_loaded = is_loaded
-        self._is_busy = is_busy
-        self._drain_deadline_s = 0.0
         self._ready_since_s: float | None = None
-        self._on_idle: Callable[[], None] | None = None
-        self.is_draining = False
-        self.is_drain_noticed = False
-        """Whether the balancer has had time to notice the drain."""
         self.peer_available_in_s: Callable[[], float] = lambda: 0.0
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether the router has begun to stop."""
+        return self.drain.is_started
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send callers here."""
         return self._is_loaded() and not self.is_draining
 
-    def drain(self, on_noticed: Callable[[], None], on_idle: Callable[[], None]) -> None:
-        """Start the drain; see `Gateway.drain`."""
-        self.is_draining = True
-        self._drain_deadline_s = self._clock.seconds() + self._drain_s
-        self._on_idle = on_idle
-        self._clock.callLater(self._notice_s, self._note_noticed, on_noticed)
-
-    def _note_noticed(self, on_noticed: Callable[[], None]) -> None:
-        self.is_drain_noticed = True
-        on_noticed()
-        self.check_idle()
-
-    def check_idle(self) -> None:
-        """Call `on_idle` if the router drains and every request that was read is answered."""
-        if self._on_idle is not None and self.is_drain_noticed and not self._is_busy():
-            on_idle, self._on_idle = self._on_idle, None
-            on_idle()
-
     def available_in_s(self) -> float:
         """Return the time until callers reach this router and it accepts streams; 0 if they do."""
         now_s = self._clock.seconds()
         if self.is_draining:
-            return max(0.0, self._drain_deadline_s - now_s) + RESTART_S
+            return self.drain.left_s() + self._restart_margin_s + RESTART_S
         if self._ready_since_s is None and self.is_ready:
             self._ready_since_s = now_s
         since_s = now_s if self._ready_since_s is None else self._ready_since_s
--- a/umberhitch/testing/__init__.py
+++ b/umberhitch/testing/__init__.py
@@ -36,6 +36,7 @@
     steady_pace,
 )
 from umberhitch.testing._rollouts import RolloutPlay, RolloutTraffic, VersionFault
+from umberhitch.testing._stopping import StoppedCaller, StoppingRouter
 from umberhitch.testing._transports import FakeTransport, dial
 from umberhitch.testing._violation import Violation
 from umberhitch.testing._world import AskOptions, CallerRecord, World, WorldSettings
@@ -60,6 +61,8 @@
     "PartLoad",
     "RolloutPlay",
     "RolloutTraffic",
+    "StoppedCaller",
+    "StoppingRouter",
     "StoreCopy",
     "Stream",
     "VersionFault",
