A router of the path with agents that stops answers the requests that are coming in

Now the site counts requests from their first line to the end of their answer; the drain waits for them, and what is not whole when the process ends gets 503 'not_run'. Not played with real processes; a head whose first line is not whole is not counted.

--- a/umberhitch/adapters/http_server.py
+++ b/umberhitch/adapters/http_server.py
@@ -4,16 +4,18 @@
 
 from klein import Klein
 from msgspec import json
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.interfaces import IListeningPort
 from twisted.web.http import Request as BaseRequest
 from twisted.web.server import Request, Site
 
 from umberhitch.addresses import split_address
 
-__all__ = ["BoundedSite", "listen_http", "send_json"]
+__all__ = ["BoundedSite", "listen_http", "send_json", "site_of"]
 
 IDLE_TIMEOUT_S = 60
-STATUS_TOO_LARGE = 413
+TOO_LARGE = "413 Payload Too Large"
+UNAVAILABLE = "503 Service Unavailable"
 
 
 class _BoundedRequest(Request):
@@ -21,10 +23,17 @@
 
     channel: Any
 
+    def __init__(self, channel: Any, *args: Any, **kwargs: Any) -> None:
+        super().__init__(channel, *args, **kwargs)
+        self._site: BoundedSite = channel.site
+        self._site.note_begun(self)
+        self.is_whole = False
+        """Whether the body was read whole."""
+
     def gotLength(self, length: int | None) -> None:
         limit = self.channel.site.max_body_bytes
         if length is not None and length > limit:
-            self._refuse()
+            self._refuse_large()
             return
         super().gotLength(length)
 
@@ -32,23 +41,31 @@
         if self.content is None or self.content.closed:
             return
         if self.content.tell() + len(data) > self.channel.site.max_body_bytes:
-            self._refuse()
+            self._refuse_large()
             return
         super().handleContentChunk(data)
 
-    def _refuse(self) -> None:
-        body = json.encode(
-            {
-                "error": {
-                    "type": "invalid_request_error",
-                    "code": "body_too_large",
-                    "message": "the body is larger than this router takes",
-                },
-                "status": "not_run",
-            }
-        )
+    def process(self) -> None:
+        self.is_whole = True
+        super().process()
+
+    def finish(self) -> None:
+        super().finish()
+        self._site.note_ended(self)
+
+    def connectionLost(self, reason: Any) -> None:
+        self._site.note_ended(self)
+        super().connectionLost(reason)
+
+    def _refuse_large(self) -> None:
+        self.refuse(TOO_LARGE, "body_too_large", "the body is larger than this router takes")
+
+    def refuse(self, status: str, code: str, message: str) -> None:
+        """Answer a request that was not read whole, and close."""
+        error = {"type": "invalid_request_error", "code": code, "message": message}
+        body = json.encode({"error": error, "status": "not_run"})
         head = (
-            f"HTTP/1.1 {STATUS_TOO_LARGE} Payload Too Large\r\nContent-Type: application/json\r\n"
+            f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
         )
         self.channel.transport.write(head.encode() + body)
@@ -65,6 +82,38 @@
         self.max_body_bytes = max_body_bytes
         self.displayTracebacks = False
         self.noisy = False
+        self._under_way: set[_BoundedRequest] = set()
+        """Requests of which a part has come, and whose answer has not ended."""
+        self._idle: list[Deferred[None]] = []
+
+    def note_begun(self, request: _BoundedRequest) -> None:
+        """Count a request from its first line on."""
+        self._under_way.add(request)
+
+    def note_ended(self, request: _BoundedRequest) -> None:
+        """Stop counting a request that is answered or lost."""
+        self._under_way.discard(request)
+        if not self._under_way:
+            idle, self._idle = self._idle, []
+            for each in idle:
+                each.callback(None)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is under way."""
+        return not self._under_way
+
+    def when_idle(self) -> Deferred[None]:
+        """Return what fires once no request is under way."""
+        if not self._under_way:
+            return succeed(None)
+        self._idle.append(Deferred())
+        return self._idle[-1]
+
+    def refuse_incomplete(self) -> None:
+        """Refuse what was not read whole, as the process ends."""
+        for request in [each for each in self._under_way if not each.is_whole]:
+            request.refuse(UNAVAILABLE, "leaving", "this router stops")
 
     def log(self, request: BaseRequest) -> None:
         """Write no access log; the requests task logs outcomes."""
@@ -100,3 +149,9 @@
     request.setResponseCode(status)
     request.setHeader("Content-Type", "application/json")
     return json.encode(body)
+
+
+def site_of(port: Any) -> BoundedSite:
+    """Return the site behind a port of `listen_http`, with TLS or without."""
+    site: BoundedSite = getattr(port.factory, "wrappedFactory", port.factory)
+    return site
--- a/umberhitch/nodes.py
+++ b/umberhitch/nodes.py
@@ -72,6 +72,7 @@
     operators_address: str
     _callers_port: Any
     _operators_port: Any
+    _callers_site: Any
 
     def addresses(self) -> dict[str, str]:
         """Return where the router listens."""
@@ -83,20 +84,25 @@
 
     @inlineCallbacks
     def drain(self) -> Any:
-        """Stop accepting connections and finish what runs; see `Router.drain`."""
+        """Stop accepting connections, finish what runs, and answer what is coming in.
+
+        See `Router.drain`, from which on new requests are refused.
+        """
         self._callers_port.stopListening()
         yield self.router.drain()
+        yield self._callers_site.when_idle()
 
     def stop(self) -> None:
-        """Close every socket."""
+        """Close every socket, and refuse what was not read whole."""
+        self._callers_site.refuse_incomplete()
         self.router.stop()
         self.link.close()
         self._callers_port.stopListening()
         self._operators_port.stopListening()
 
     def is_delivering(self) -> bool:
-        """Whether a caller has not taken the whole of its answer yet; not known here."""
-        return False
+        """Whether a request is still under way at a caller's connection."""
+        return not self._callers_site.is_idle
 
 
 def make_agent_node(settings: AgentFile, reactor: Any, context: zmq.Context) -> AgentNode:
@@ -138,7 +144,7 @@
     from umberhitch.adapters.http_hosts import HttpHostList
     from umberhitch.adapters.http_log import HttpLog
     from umberhitch.adapters.http_ratings import HttpRatings
-    from umberhitch.adapters.http_server import listen_http
+    from umberhitch.adapters.http_server import listen_http, site_of
     from umberhitch.adapters.metrics import Metrics, link_metrics, router_metrics
     from umberhitch.adapters.operator_api import OperatorApi
     from umberhitch.adapters.tls import ReloadingContextFactory
@@ -187,5 +193,12 @@
     )
     router.start()
     return RouterNode(
-        router, link, http, callers_address, operators_address, callers_port, operators_port
+        router,
+        link,
+        http,
+        callers_address,
+        operators_address,
+        callers_port,
+        operators_port,
+        site_of(callers_port),
     )
