Roll-outs tell how sessions were known and that they began earlier than a router knew

'roll-out evidence' now counts the requests of sessions by what was known of them ('sessions'), 'roll-out began earlier' tells when a peer's report corrects the start.

--- a/umberhitch/core/direct/_canary.py
+++ b/umberhitch/core/direct/_canary.py
@@ -11,7 +11,7 @@
 rolled back at once, and so is one that is suspect when the time is over.
 """
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass, replace
 
 from umberhitch.core.direct._canary_evidence import CanaryEvidence
@@ -65,6 +65,8 @@
         self.unreported_pinned: list[str] = []
         """Sessions on the old version that other routers would send to the new one, and that have
         not been reported to them yet."""
+        self.placed: Counter[str] = Counter()
+        """Requests of sessions by what was known of the session, and the version that they got."""
         self._takes_all_traffic = False
         self._answers_before = 0
         """Answers of the new version when all work moved."""
@@ -206,7 +208,9 @@
         if session is None or self.state is not RolloutState.IN_PROGRESS:
             return chosen
         known = self._sessions.pop(session, None)
-        if known is not None and now_s - known.at_s <= self.limits.session_s:
+        if known is not None and now_s - known.at_s > self.limits.session_s:
+            known = None
+        if known is not None:
             if known.is_target:
                 chosen = True  # a session never moves back
             elif self.pins_sessions(now_s):
@@ -216,6 +220,7 @@
             self.unreported_moved.append(session)
         if not chosen and self._reports_pinned(draw, now_s):
             self.unreported_pinned.append(session)
+        self.placed[f"{_origin(known)}, {'new' if chosen else 'old'}"] += 1
         self._sessions[session] = _SessionPin(chosen, now_s, draw, True)
         while len(self._sessions) > MAX_SESSIONS:
             self._sessions.popitem(last=False)
@@ -337,3 +342,11 @@
         The old version's endpoints have stopped, so that there is no other version to go back to.
         """
         return self.state is RolloutState.COMPLETED and self.was_failing
+
+
+def _origin(known: _SessionPin | None) -> str:
+    """Return how a session was known."""
+    if known is None:
+        return "unknown"
+    version = "new" if known.is_target else "old"
+    return f"own on {version}" if known.is_own else f"told on {version}"
--- a/umberhitch/tasks/direct/canary_controller.py
+++ b/umberhitch/tasks/direct/canary_controller.py
@@ -374,7 +374,9 @@
             canary = self._canaries.get(report.service)
             if canary is None or canary.order.target != report.target:
                 continue
-            canary.started_s = min(canary.started_s, self._clock.seconds() - report.elapsed_s)
+            before_s, now_s = canary.started_s, self._clock.seconds()
+            canary.started_s = min(before_s, now_s - report.elapsed_s)
+            self._logs[report.service].log_start(before_s, now_s)
             counts = {
                 (entry.is_target, entry.route): AnswerCounts(
                     entry.answers,
--- a/umberhitch/tasks/direct/rollout_log.py
+++ b/umberhitch/tasks/direct/rollout_log.py
@@ -10,6 +10,7 @@
 
 INTERVAL_S = 2.0
 """Interval at which the evidence on a roll-out is logged, if there is new evidence."""
+MIN_EARLIER_S = 0.5
 COUNTS = ("answers", "failed", "broken", "paced", "slow")
 VERSIONS = ("new", "old")
 
@@ -28,6 +29,12 @@
         self._logged = self._counts()
         self._is_failing = False
 
+    def log_start(self, before_s: float, now_s: float) -> None:
+        """Log that the roll-out began earlier than this router knew."""
+        earlier_s = round(before_s - self._canary.started_s, 3)
+        if earlier_s >= MIN_EARLIER_S:
+            log.info("roll-out began earlier", extra={**self._facts(now_s), "earlier_s": earlier_s})
+
     def log_state(self, now_s: float) -> None:
         """Log the state of the roll-out, with all answers so far."""
         facts: dict[str, object] = {**self._facts(now_s)}
@@ -77,6 +84,7 @@
             "stage": canary.stage(now_s),
             "e_value": float(f"{canary.e_value:.3g}"),
             "was_fully_loaded": canary.was_fully_loaded,
+            "sessions": dict(canary.placed),
         }
 
     def _counts(self) -> dict[tuple[str, str], AnswerCounts]:
