A router that has restarted learns which sessions are on which version before it takes callers

Cause: routers told each other only of sessions that they had moved themselves, since entries carried no time and would be kept alive between two routers. Nobody told a process what its predecessor had said; nor the answers that it had counted, nor the sessions that it had served before the order. And a peer dialled a process that was back ever more rarely: the first word came 0.77 s after the start, in which the roll-out was taken for a new one. The test world gave every process of a router the same incarnation, so no test had restarted one; it counts them now.

--- a/umberhitch/adapters/tests/test_zmq_link.py
+++ b/umberhitch/adapters/tests/test_zmq_link.py
@@ -201,3 +201,20 @@
     for each in (silent, *accepted):
         each.close()
     link.close()
+
+
+# A peer that was back was told nothing until the library tried the lost connection again.
+def test_a_peer_that_is_dialled_anew_hears_what_is_sent_after_it(context) -> None:
+    reactor, one, two, heard = _pair(context)
+    assert _send_until_heard(reactor, two, heard)
+    address = one.address
+    one.close()
+    back = ZmqLink("one", reactor, context, address)
+    heard.clear()
+    back.listen(lambda sender, messages: heard.extend((sender, msg) for msg in messages))
+    two.redial("one")
+    two.redial("stranger")
+    assert _send_until_heard(reactor, two, heard)
+    assert {sender for sender, _ in heard} == {"two"}
+    back.close()
+    two.close()
--- a/umberhitch/adapters/zmq_link.py
+++ b/umberhitch/adapters/zmq_link.py
@@ -216,6 +216,13 @@
         self._dialed[peer] = _Dialed(address, route)
         self._dialed_peers[route] = peer
 
+    def redial(self, peer: str) -> None:
+        """Connect to the peer anew at once, since its process is another one than before."""
+        known = self._dialed.get(peer)
+        if known is not None:
+            self.disconnect(peer)
+            self.connect(peer, known.address)
+
     def disconnect(self, peer: str) -> None:
         """Forget the peer."""
         known = self._dialed.pop(peer, None)
--- a/umberhitch/core/direct/__init__.py
+++ b/umberhitch/core/direct/__init__.py
@@ -82,6 +82,7 @@
 from umberhitch.core.direct._room import RoomForecast
 from umberhitch.core.direct._router_part import PLACES_ERROR, RouterPart, ServicePlaces
 from umberhitch.core.direct._routes import RouteTable
+from umberhitch.core.direct._session_pins import SessionAge
 from umberhitch.core.direct._signals import HeadSignals, ReportedLoad, SignalKind
 from umberhitch.core.direct._store_epoch import EpochVerdict, StoreEpoch
 from umberhitch.core.direct._token_latency import (
@@ -187,6 +188,7 @@
     "RouterPart",
     "Service",
     "ServicePlaces",
+    "SessionAge",
     "SignalKind",
     "StoreEpoch",
     "TokenLatencies",
--- a/umberhitch/core/direct/_canary.py
+++ b/umberhitch/core/direct/_canary.py
@@ -11,16 +11,15 @@
 rolled back at once, and so is one that is suspect when the time is over.
 """
 
-from collections import Counter, OrderedDict
-from dataclasses import dataclass, replace
+from collections import Counter
 
 from umberhitch.core.direct._canary_evidence import CanaryEvidence
 from umberhitch.core.direct._canary_limits import CanaryLimits, RolloutStage
+from umberhitch.core.direct._session_pins import SessionAge, SessionPin, SessionPins
 from umberhitch.core.direct._types import RolloutOrder, RolloutState
 
 __all__ = ["Canary"]
 
-MAX_SESSIONS = 20_000
 SETTLED_INTERVAL_S = 1.0
 """Interval at which the answers are looked at once the roll-out has ended."""
 MIN_PROGRESS = 0.01
@@ -30,17 +29,6 @@
 """Fraction of the roll-out after the load test in which answers that started under it finish."""
 
 
-@dataclass(frozen=True, slots=True)
-class _SessionPin:
-    """Version of a session, and the last start or end of one of its requests."""
-
-    is_target: bool
-    at_s: float
-    draw: float
-    is_own: bool = False
-    """Whether this router made the choice; what peers reported is not passed on."""
-
-
 class Canary(CanaryEvidence):
     """One router's state of one roll-out.
 
@@ -62,7 +50,7 @@
         self.unreported_moved: list[str] = []
         """Sessions on the new version that other routers would send to the old one, and that have
         not been reported to them yet."""
-        self.unreported_pinned: list[str] = []
+        self.unreported_pinned: list[SessionAge] = []
         """Sessions on the old version that other routers would send to the new one, and that have
         not been reported to them yet."""
         self.placed: Counter[str] = Counter()
@@ -70,7 +58,7 @@
         self._takes_all_traffic = False
         self._answers_before = 0
         """Answers of the new version when all work moved."""
-        self._sessions: OrderedDict[str, _SessionPin] = OrderedDict()
+        self._sessions = SessionPins(limits.session_s)
         self._moves_sessions = True
         """Whether the load test may move more sessions, whose later requests follow them."""
 
@@ -163,8 +151,7 @@
 
     def _moved_share(self, now_s: float) -> float:
         """Return the share of the known sessions that the load test has moved."""
-        oldest_s = now_s - self.limits.session_s
-        recent = [pin for pin in self._sessions.values() if pin.at_s >= oldest_s]
+        recent = list(self._sessions.current_pins(now_s))
         moved = sum(pin.is_target and pin.draw >= self.limits.canary_share for pin in recent)
         return moved / max(1, len(recent))
 
@@ -207,9 +194,7 @@
         chosen = has_target and draw < share
         if session is None or self.state is not RolloutState.IN_PROGRESS:
             return chosen
-        known = self._sessions.pop(session, None)
-        if known is not None and now_s - known.at_s > self.limits.session_s:
-            known = None
+        known = self._sessions.current(session, now_s)
         if known is not None:
             if known.is_target:
                 chosen = True  # a session never moves back
@@ -219,11 +204,10 @@
         if chosen and not was_target and self._reports_moved(draw, now_s):
             self.unreported_moved.append(session)
         if not chosen and self._reports_pinned(draw, now_s):
-            self.unreported_pinned.append(session)
-        self.placed[f"{_origin(known)}, {'new' if chosen else 'old'}"] += 1
-        self._sessions[session] = _SessionPin(chosen, now_s, draw, True)
-        while len(self._sessions) > MAX_SESSIONS:
-            self._sessions.popitem(last=False)
+            self.unreported_pinned.append(SessionAge(session, 0.0))
+        origin = "unknown" if known is None else known.origin
+        self.placed[f"{origin}, {'new' if chosen else 'old'}"] += 1
+        self._sessions.pin(session, SessionPin(chosen, now_s, draw, is_own=True))
         return chosen
 
     def _max_session_share(self, max_share: float, now_s: float) -> float:
@@ -240,28 +224,70 @@
 
     def note_request_finished(self, session: str, now_s: float) -> None:
         """Record the end of a session's request, from which the session's timeout runs."""
-        pin = self._sessions.get(session)
-        if pin is not None:
-            self._sessions[session] = replace(pin, at_s=now_s)
+        self._sessions.note_finished(session, now_s)
 
-    def note_old_session(self, session: str, at_s: float, draw: float) -> None:
+    def note_old_session(
+        self, session: str, at_s: float, draw: float, is_own: bool = False
+    ) -> None:
         """Record a session that is on the old version, here or at another router."""
-        known = self._sessions.get(session)
-        if known is None or (not known.is_target and known.at_s < at_s):
-            self._sessions[session] = _SessionPin(False, at_s, draw)
+        self._sessions.note_told(session, SessionPin(False, at_s, draw, is_own))
 
-    def pinned_sessions(self, now_s: float) -> list[str]:
-        """Return the sessions that another router must not send to the new version.
+    def note_moved_session(self, session: str, at_s: float, draw: float) -> None:
+        """Record a session that another router has sent to the new version."""
+        self._sessions.note_told(session, SessionPin(True, at_s, draw))
+
+    def pinned_sessions(self, now_s: float) -> list[SessionAge]:
+        """Return this router's sessions that another router must not send to the new version.
 
         They started on the old version before the roll-out, though their draw is within the share
-        of the first half.
+        of the first half. Those that peers serve are left to them, since two routers would keep
+        each other's entries alive.
+        """
+        return self._sessions.ages(
+            now_s,
+            lambda pin: pin.is_own and not pin.is_target and self._reports_pinned(pin.draw, now_s),
+        )
+
+    def moved_sessions(self, now_s: float) -> list[SessionAge]:
+        """Return this router's sessions that another router must not send to the old version.
+
+        They moved during the load test, and their draw is not within the share.
         """
-        oldest_s = now_s - self.limits.session_s
-        return [
-            session
-            for session, pin in self._sessions.items()
-            if not pin.is_target and pin.at_s >= oldest_s and self._reports_pinned(pin.draw, now_s)
-        ]
+        return self._sessions.ages(
+            now_s,
+            lambda pin: pin.is_own and pin.is_target and self._reports_moved(pin.draw, now_s),
+        )
+
+    def sessions_to_hand_over(
+        self, now_s: float, with_told: bool
+    ) -> tuple[list[SessionAge], list[SessionAge]]:
+        """Return the sessions on the old and on the new version for a process that goes by draws.
+
+        That includes those that moved as this router has sent all work to the new version, which
+        another one may do later.
+
+        Parameters
+        ----------
+        now_s : float
+        with_told : bool
+            Whether to return those that peers serve or have served, too.
+        """
+        if self.state is not RolloutState.IN_PROGRESS:
+            return [], []
+        share = self.limits.canary_share
+        pins_old = self.pins_sessions(now_s)
+        old = self._sessions.ages(
+            now_s,
+            lambda pin: (with_told or pin.is_own)
+            and pins_old
+            and not pin.is_target
+            and pin.draw < share,
+        )
+        new = self._sessions.ages(
+            now_s,
+            lambda pin: (with_told or pin.is_own) and pin.is_target and pin.draw >= share,
+        )
+        return old, new
 
     def _reports_pinned(self, draw: float, now_s: float) -> bool:
         """Whether to report a session on the old version that peers would move, by its draw.
@@ -272,31 +298,12 @@
             return False
         return draw < self.limits.canary_share
 
-    def moved_sessions(self, now_s: float) -> list[str]:
-        """Return the sessions that another router must not send to the old version.
-
-        They moved during the load test, and their draw is not within the share.
-        """
-        oldest_s = now_s - self.limits.session_s
-        return [
-            session
-            for session, pin in self._sessions.items()
-            if pin.is_own and pin.is_target and pin.at_s >= oldest_s
-            if self._reports_moved(pin.draw, now_s)
-        ]
-
     def _reports_moved(self, draw: float, now_s: float) -> bool:
         """Whether to report a moved session that peers would not move, by its draw."""
         if self.state is not RolloutState.IN_PROGRESS or draw < self.limits.canary_share:
             return False
         return not self.pins_sessions(now_s) and not self.takes_all_traffic(now_s)
 
-    def note_moved_session(self, session: str, at_s: float, draw: float) -> None:
-        """Record a session that another router has sent to the new version."""
-        known = self._sessions.get(session)
-        if known is None or not known.is_target or known.at_s < at_s:
-            self._sessions[session] = _SessionPin(True, at_s, draw)
-
     def is_affected_by_load_test(self, now_s: float) -> bool:
         """Whether answers may still be slow because of the load test."""
         progress = self.progress(now_s)
@@ -342,11 +349,3 @@
         The old version's endpoints have stopped, so that there is no other version to go back to.
         """
         return self.state is RolloutState.COMPLETED and self.was_failing
-
-
-def _origin(known: _SessionPin | None) -> str:
-    """Return how a session was known."""
-    if known is None:
-        return "unknown"
-    version = "new" if known.is_target else "old"
-    return f"own on {version}" if known.is_own else f"told on {version}"
--- a/umberhitch/core/direct/_canary_evidence.py
+++ b/umberhitch/core/direct/_canary_evidence.py
@@ -67,6 +67,10 @@
             self._router_counts[router] = counts
             self._has_new_answers = True
 
+    def router_counts(self) -> dict[str, dict[tuple[bool, str], AnswerCounts]]:
+        """Return the counts of other routers' processes, ended ones included."""
+        return self._router_counts
+
     def pooled_counts(self, is_target: bool) -> AnswerCounts:
         """Return the counts of all routers for the new or the old version."""
         total = AnswerCounts()
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -95,6 +95,7 @@
             port = self._ports.pop("callers", None)
             if port is not None:
                 port.stopListening()
+            self.peers.leave()
             self.gateway.clock.callLater(SETTLE_S, settle)
 
         def settle() -> None:
@@ -226,7 +227,7 @@
     )
     accept_when_loaded(
         reactor,
-        lambda: gateway.view.is_loaded,
+        gateway.is_informed,
         lambda: node.take_callers(_adopt(reactor, callers_socket, callers)),
     )
     return node
--- a/umberhitch/ports/link.py
+++ b/umberhitch/ports/link.py
@@ -26,6 +26,13 @@
         """Set the address of the peer, ``IP:PORT``; a new address replaces the old one."""
         ...
 
+    def redial(self, peer: str) -> None:
+        """Connect to the peer anew at once, since its process is another one than before.
+
+        A connection that was lost is tried ever more rarely; what waits for it is dropped.
+        """
+        ...
+
     def disconnect(self, peer: str) -> None:
         """Remove the peer."""
         ...
--- a/umberhitch/tasks/direct/canary_controller.py
+++ b/umberhitch/tasks/direct/canary_controller.py
@@ -5,42 +5,52 @@
 describes how a decision is written to the store.
 """
 
-from collections import Counter, OrderedDict
 from collections.abc import Callable
 from logging import getLogger
 from random import Random
 
-from xxhash import xxh3_64_intdigest
-
 from umberhitch.core.direct import (
-    AnswerCounts,
     AnswerVerdict,
     Canary,
     CanaryLimits,
     Endpoint,
     RolloutOrder,
     RolloutState,
+    SessionAge,
     StoreEpoch,
 )
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import StatusPort, do_nothing
+from umberhitch.tasks.direct.canary_messages import (
+    decode_counts,
+    encode_counts,
+    make_report,
+    with_ages,
+)
+from umberhitch.tasks.direct.recent_sessions import RecentBook, hash_fraction
 from umberhitch.tasks.direct.rollout_log import RolloutLog
 from umberhitch.tasks.direct.stored_states import FINAL_STATES, StoredRolloutStates
-from umberhitch.wire import CanaryReport, CanaryUpdate, RouteCounts
+from umberhitch.wire import (
+    CanaryReport,
+    CanaryUpdate,
+    EndedCounts,
+    RecentSessions,
+    RecoveryReply,
+)
 
 __all__ = ["CanaryController"]
 
 log = getLogger(__name__)
 
 UPDATE_INTERVAL_S = 0.1
-MAX_RECENT_SESSIONS = 20_000
 MAX_PINNED_SESSIONS = 200
 """Maximum number of sessions on the old version in a report. About 8 % of the sessions of the last
 seconds at one router are reported."""
 MAX_MOVED_SESSIONS = 400
 """Maximum number of sessions in a report that moved to the new version during the load test. Each
 is reported until its session times out."""
-HASH_RANGE = 1 << 64
+MAX_HANDED_OVER = 2000
+"""Maximum number of sessions of each kind for a process that has started; the newest are sent."""
 
 
 class CanaryController:
@@ -73,12 +83,17 @@
         self._max_shares: dict[str, tuple[float, float]] = {}
         """By service: when the exposure bound was last checked, and the share that it allows."""
         self._states = StoredRolloutStates(clock, status, self._apply_final_state)
-        self._recent: dict[str, OrderedDict[str, tuple[float, float]]] = {}
+        self._recent = RecentBook()
         self._is_stopped = False
         self.running_on_other_versions: Callable[[str, str], int] = lambda service, version: 0
         self.running_calls: Callable[[str], int] = lambda lifetime: 0
         self._on_update: Callable[[], None] = do_nothing
 
+    @property
+    def session_s(self) -> float:
+        """Longest pause in seconds between requests of one session."""
+        return self._limits.session_s
+
     def follow_peers(self, rank: Callable[[], int | None], on_update: Callable[[], None]) -> None:
         """Set the callbacks that connect this controller to the peers.
 
@@ -121,8 +136,9 @@
             return
         now_s = self._clock.seconds()
         canary = Canary(order, now_s, self._limits)
-        for session, (at_s, draw) in self._recent.pop(order.service, {}).items():
-            canary.note_old_session(session, at_s, draw)
+        for session, recent in self._recent.pop(order.service).items():
+            draw = hash_fraction(session)
+            canary.note_old_session(session, recent.at_s, draw, recent.is_own)
         canary.unreported_pinned = canary.pinned_sessions(now_s)
         self._canaries[order.service] = canary
         self._logs[order.service] = RolloutLog(canary)
@@ -194,7 +210,7 @@
         is_light : bool
             Whether the request needs little prefill, so that many of them fit on one endpoint.
         """
-        draw = self._rng.random() if session is None else _hash_fraction(session)
+        draw = self._rng.random() if session is None else hash_fraction(session)
         canary = self._canaries.get(service)
         if canary is not None:
             has_target = self._states.is_earlier_decision_known(service) and any(
@@ -205,11 +221,7 @@
             self._notify_updates(canary)
             return chosen
         if session is not None:
-            recent = self._recent.setdefault(service, OrderedDict())
-            recent.pop(session, None)
-            recent[session] = (now_s, draw)
-            while len(recent) > MAX_RECENT_SESSIONS:
-                recent.popitem(last=False)
+            self._recent.note_request(service, session, now_s)
         return None
 
     def note_request_finished(self, service: str, session: str | None) -> None:
@@ -220,8 +232,8 @@
         canary = self._canaries.get(service)
         if canary is not None:
             canary.note_request_finished(session, now_s)
-        elif session in self._recent.get(service, ()):
-            self._recent[service][session] = (now_s, _hash_fraction(session))
+        else:
+            self._recent.note_finished(service, session, now_s)
 
     def _notify_updates(self, canary: Canary) -> None:
         if canary.unreported_moved or canary.unreported_pinned:
@@ -274,7 +286,7 @@
         if not wants_target:
             return old or new
         if is_light and new and canary.is_load_testing(self._clock.seconds()):
-            loaded = min(new, key=lambda endpoint: _hash_fraction(endpoint.lifetime))
+            loaded = min(new, key=lambda endpoint: hash_fraction(endpoint.lifetime))
             limit = canary.limits.full_load * (loaded.entry.slots or 0)
             if self.running_calls(loaded.lifetime) < limit:
                 return [loaded]
@@ -312,24 +324,84 @@
         """Return the roll-outs' part of the report to the peers."""
         now_s = self._clock.seconds()
         return [
-            CanaryReport(
-                service,
-                canary.order.target,
-                now_s - canary.started_s,
-                canary.state,
-                [
-                    _route_counts(is_target, route, counts)
-                    for (is_target, route), counts in canary.own_counts.items()
-                ],
-                canary.pinned_sessions(now_s)[:MAX_PINNED_SESSIONS],
-                canary.was_fully_loaded,
+            self._report(
+                canary,
+                now_s,
+                canary.pinned_sessions(now_s)[-MAX_PINNED_SESSIONS:],
                 canary.moved_sessions(now_s)[-MAX_MOVED_SESSIONS:],
-                self._states.confirmed_state(service),
-                self._states.epoch,
             )
+            for canary in self._canaries.values()
+        ]
+
+    def _report(
+        self, canary: Canary, now_s: float, kept: list[SessionAge], moved: list[SessionAge]
+    ) -> CanaryReport:
+        stored_state = self._states.confirmed_state(canary.order.service)
+        return make_report(canary, now_s, kept, moved, stored_state, self._states.epoch)
+
+    def hand_over(
+        self, process: tuple[str, int], is_complete: bool, live: set[str] | None = None
+    ) -> RecoveryReply:
+        """Return what a process that starts needs to know.
+
+        Parameters
+        ----------
+        process : tuple of (str, int)
+            Name and incarnation of this router.
+        is_complete : bool
+            Whether this router knows what has happened for as long as sessions last.
+        live : set of str or None
+            Processes that report their counts themselves. None for what this router alone knows,
+            as it leaves.
+        """
+        now_s, with_told = self._clock.seconds(), live is not None
+        canaries = []
+        for canary in self._canaries.values():
+            kept, moved = canary.sessions_to_hand_over(now_s, with_told)
+            report = self._report(canary, now_s, kept[-MAX_HANDED_OVER:], moved[-MAX_HANDED_OVER:])
+            canaries.append(report)
+        ended = [] if live is None else self._ended_counts(live)
+        return RecoveryReply(
+            *process, is_complete, canaries, ended, self._recent_sessions(now_s, with_told)
+        )
+
+    def _ended_counts(self, live: set[str]) -> list[EndedCounts]:
+        return [
+            EndedCounts(service, canary.order.target, process, encode_counts(counts))
             for service, canary in self._canaries.items()
+            for process, counts in canary.router_counts().items()
+            if process not in live
         ]
 
+    def _recent_sessions(self, now_s: float, with_told: bool) -> list[RecentSessions]:
+        limits = self._limits
+        found = self._recent.within(limits.canary_share, now_s - limits.session_s, with_told)
+        told = []
+        for service, sessions in found.items():
+            newest = list(sessions.items())[-MAX_HANDED_OVER:]
+            ages_s = [round(now_s - recent.at_s, 2) for _, recent in newest]
+            if newest:
+                told.append(RecentSessions(service, [name for name, _ in newest], ages_s))
+        return told
+
+    def apply_hand_over(self, reply: RecoveryReply, own_process: str) -> None:
+        """Apply what a peer knows."""
+        now_s = self._clock.seconds()
+        self.apply_reports(f"{reply.router}.{reply.incarnation}", reply.canaries)
+        for ended in reply.ended:
+            canary = self._canaries.get(ended.service)
+            if canary is None or canary.order.target != ended.target:
+                continue
+            if ended.process != own_process:
+                canary.set_router_counts(ended.process, decode_counts(ended.counts))
+        for recent in reply.recent:
+            canary = self._canaries.get(recent.service)
+            for session, age_s in with_ages(recent.sessions, recent.ages_s):
+                if canary is None:
+                    self._recent.note_told(recent.service, session, now_s - age_s)
+                else:
+                    canary.note_old_session(session, now_s - age_s, hash_fraction(session))
+
     def pop_updates(self) -> list[CanaryUpdate]:
         """Return the updates that have not been sent to the peers yet, and mark them as sent."""
         updates = []
@@ -348,9 +420,10 @@
                     service,
                     canary.order.target,
                     canary.unreported_moved,
-                    pinned,
+                    [each.session for each in pinned],
                     stored_state,
                     self._states.epoch,
+                    [round(each.age_s, 2) for each in pinned],
                 )
             )
             canary.unreported_moved, canary.unreported_pinned = [], []
@@ -364,9 +437,9 @@
         now_s = self._clock.seconds()
         self._states.apply_peer_state(canary, message.stored_state, message.stored_epoch)
         for session in message.moved_to_new:
-            canary.note_moved_session(session, now_s, _hash_fraction(session))
-        for session in message.kept_on_old:
-            canary.note_old_session(session, now_s, _hash_fraction(session))
+            canary.note_moved_session(session, now_s, hash_fraction(session))
+        for session, age_s in with_ages(message.kept_on_old, message.kept_ages_s):
+            canary.note_old_session(session, now_s - age_s, hash_fraction(session))
 
     def apply_reports(self, router: str, reports: list[CanaryReport]) -> None:
         """Apply the reports of another router, or of an earlier incarnation of one."""
@@ -377,50 +450,13 @@
             before_s, now_s = canary.started_s, self._clock.seconds()
             canary.started_s = min(before_s, now_s - report.elapsed_s)
             self._logs[report.service].log_start(before_s, now_s)
-            counts = {
-                (entry.is_target, entry.route): AnswerCounts(
-                    entry.answers,
-                    entry.failed,
-                    entry.broken,
-                    entry.paced,
-                    entry.slow,
-                    _bad_by_endpoint(entry),
-                )
-                for entry in report.counts
-            }
-            canary.set_router_counts(router, counts)
+            canary.set_router_counts(router, decode_counts(report.counts))
             canary.was_fully_loaded |= report.was_fully_loaded
-            for session in report.kept_on_old:
-                canary.note_old_session(session, self._clock.seconds(), _hash_fraction(session))
-            for session in report.moved_to_new:
-                canary.note_moved_session(session, self._clock.seconds(), _hash_fraction(session))
+            for session, age_s in with_ages(report.kept_on_old, report.kept_ages_s):
+                canary.note_old_session(session, now_s - age_s, hash_fraction(session))
+            for session, age_s in with_ages(report.moved_to_new, report.moved_ages_s):
+                canary.note_moved_session(session, now_s - age_s, hash_fraction(session))
             self._states.note_peer_follows(report.service)
             self._states.apply_peer_state(canary, report.stored_state, report.stored_epoch)
             if report.state in FINAL_STATES and canary.state is RolloutState.IN_PROGRESS:
                 self._set_state(canary, RolloutState(report.state))
-
-
-def _hash_fraction(text: str) -> float:
-    """Return a number from 0 to 1 for a text, which is the same at every router."""
-    return xxh3_64_intdigest(text.encode()) / HASH_RANGE
-
-
-def _bad_by_endpoint(entry: RouteCounts) -> Counter[str]:
-    """Return the bad answers of each endpoint, one each if an older peer does not tell them."""
-    bad = entry.bad or [1] * len(entry.endpoints)
-    return Counter(dict(zip(entry.endpoints, bad, strict=False)))
-
-
-def _route_counts(is_target: bool, route: str, counts: AnswerCounts) -> RouteCounts:
-    endpoints = sorted(counts.endpoints)
-    return RouteCounts(
-        is_target,
-        route,
-        counts.answers,
-        counts.failed,
-        counts.slow,
-        endpoints,
-        counts.broken,
-        counts.paced,
-        [counts.endpoints[endpoint] for endpoint in endpoints],
-    )
--- a/umberhitch/tasks/direct/gateway.py
+++ b/umberhitch/tasks/direct/gateway.py
@@ -121,6 +121,8 @@
         self.canary_controller = canary_controller
         self.decisions = DecisionLog(clock)
         self.running_requests: set[RequestState] = set()
+        self.is_recovered: Callable[[], bool] = lambda: True
+        """Whether peers have told what this router's earlier process knew, as far as needed."""
         self.burn: BurnTask | None = None
         """Counts finished requests against the latency objectives of their routes."""
         self._latencies = TokenLatencies()
@@ -153,7 +155,7 @@
         self.gate.on_draining = self.directory.mark_draining
         times = DrainTimes(settings.drain_notice_s, settings.drain_s - STOP_MARGIN_S)
         drain = Drain(clock, times, lambda: len(self.running_requests))
-        self.presence = Presence(clock, drain, STOP_MARGIN_S, lambda: self.view.is_loaded)
+        self.presence = Presence(clock, drain, STOP_MARGIN_S, self.is_informed)
         self.admission_control = self._make_admission_control()
         self.returns = self._make_returns()
         self.selector = EndpointSelector(
@@ -268,6 +270,10 @@
         """Whether the load balancer should send callers here."""
         return self.presence.is_ready
 
+    def is_informed(self) -> bool:
+        """Whether the router knows enough to serve callers."""
+        return self.view.is_loaded and self.is_recovered()
+
     # Requests
 
     def intake(self) -> IntakeLimits:
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -18,6 +18,7 @@
 from umberhitch.tasks.direct.membership import Membership, MembershipLimits
 from umberhitch.tasks.direct.pace_sharing import PaceSharing
 from umberhitch.tasks.direct.read_sharing import ReadSharing
+from umberhitch.tasks.direct.recovery import Recovery
 from umberhitch.tasks.direct.share_reports import apply_uses, told_uses
 from umberhitch.tasks.direct.unlisted_peers import UnlistedPeers
 from umberhitch.wire import (
@@ -31,6 +32,8 @@
     PeerReport,
     ProbeReply,
     ProbeRequest,
+    RecoveryReply,
+    RecoveryRequest,
     ServiceUse,
     ViewReply,
     ViewRequest,
@@ -129,6 +132,8 @@
         self._received: dict[str, _ReceivedReport] = {}
         self._last_reports: dict[str, _ReceivedReport] = {}
         """The last reports of peers that have drained."""
+        self._incarnations: dict[str, int] = {}
+        """The newest incarnation of each peer that has reported."""
         self._peers: dict[str, str] = {}
         self._unlisted_peers = UnlistedPeers(self._limits.membership.ttl_s)
         self._link_mbps = {own_member.name: gateway.settings.link_mbps}
@@ -138,6 +143,16 @@
         """Whether the list of peers in the store is known."""
         self._is_stopped = False
         self._is_update_due = False
+        self.recovery = Recovery(
+            (own_member.name, incarnation),
+            clock,
+            rng,
+            gateway.canary_controller,
+            lambda: gateway.view.is_loaded and self._has_list,
+            self.peer_names,
+            link.send,
+        )
+        gateway.is_recovered = self.recovery.is_done
         gateway.canary_controller.follow_peers(self.rank, self._schedule_updates)
         gateway.gate.follow_membership(
             self._membership.is_known_to_peers, self._limits.membership.propagation_s
@@ -157,14 +172,22 @@
         """Join the group and start to report."""
         self._link.listen(self.receive)
         self._membership.start()
+        self.recovery.start()
         self._report()
         self._resend()
 
     def stop(self) -> None:
         """Stop reporting and leave the group."""
         self._is_stopped = True
+        self.recovery.stop()
         self._membership.stop()
 
+    def leave(self) -> None:
+        """Tell all peers what only this router knows, since its process ends."""
+        last = self.recovery.last_words()
+        for name in self._contacts():
+            self._link.send(name, last)
+
     def _apply_members(self, members: list[Member]) -> None:
         found = {
             member.name: member.address
@@ -432,21 +455,39 @@
                     self._gateway.crash_guard.receive(sender, message)
                 case EndpointUpdate():
                     self._gateway.gate.sharing.receive(sender, message)
+                case RecoveryRequest():
+                    self._link.send(sender, self.recovery.answer(self._live_processes()))
+                case RecoveryReply():
+                    self.recovery.receive(message)
                 case ViewRequest() | ViewReply():
                     self._sharing.receive(sender, message)
                 case _:
                     log.warning("unexpected message", extra={"kind": type(message).__name__})
 
+    def _live_processes(self) -> set[str]:
+        """Return the names and incarnations of the routers whose reports are known."""
+        reports = (received.report for received in self._received.values())
+        return {f"{report.router}.{report.incarnation}" for report in reports}
+
     def _note_configurations(self, reports: Iterable[PeerReport]) -> None:
         newest = max((report.configuration for report in reports), default=0)
         self._gateway.view.note_peers_configuration(newest)
 
+    def _on_restart(self, name: str) -> None:
+        """Tell a peer that has restarted at once what it would learn with the next reports."""
+        self._link.redial(name)
+        self._send_full_state([name])
+
     def _handle_report(self, report: PeerReport) -> None:
         known = self._received.get(report.router)
         order = (report.incarnation, report.seq)
         if known is not None and order <= (known.report.incarnation, known.report.seq):
             return
         self._received[report.router] = _ReceivedReport(report, self._clock.seconds())
+        before = self._incarnations.get(report.router)
+        self._incarnations[report.router] = report.incarnation
+        if before not in (None, report.incarnation):
+            self._on_restart(report.router)
         is_unlisted = report.router not in self._peers
         if is_unlisted and self._unlisted_peers.note_report(report.router, self._clock.seconds()):
             self._send_full_state([report.router])
--- a/umberhitch/testing/__init__.py
+++ b/umberhitch/testing/__init__.py
@@ -36,6 +36,7 @@
     steady_pace,
 )
 from umberhitch.testing._rollouts import RolloutPlay, RolloutTraffic, VersionFault
+from umberhitch.testing._session_play import SessionPlay, VersionChange
 from umberhitch.testing._stopping import StoppedCaller, StoppingRouter
 from umberhitch.testing._transports import FakeTransport, dial
 from umberhitch.testing._violation import Violation
@@ -61,10 +62,12 @@
     "PartLoad",
     "RolloutPlay",
     "RolloutTraffic",
+    "SessionPlay",
     "StoppedCaller",
     "StoppingRouter",
     "StoreCopy",
     "Stream",
+    "VersionChange",
     "VersionFault",
     "Violation",
     "World",
--- a/umberhitch/testing/_direct.py
+++ b/umberhitch/testing/_direct.py
@@ -1,5 +1,6 @@
 """Routers of the direct path on a virtual clock, with a fake store and fake endpoints around."""
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -65,6 +66,8 @@
 ]
 
 STEP_S = 0.01
+LINGER_S = 0.1
+"""From the end of a drain to that of the process."""
 KEY = "key-1"
 HOST = "models.example"
 
@@ -155,6 +158,7 @@
         self.network = FakeNetwork(self.clock, self.rng)
         self.endpoints = FakeEndpoints(self.clock)
         self.routers: dict[str, DirectRouter] = {}
+        self._starts: Counter[str] = Counter()
         self._asked = 0
 
     def add_endpoint(
@@ -180,6 +184,8 @@
 
         What operators write it reads from the fake store, or from ``operator_port``.
         """
+        self._starts[name] += 1
+        incarnation = self._starts[name]
         clock = ProcessClock(self.clock)
         faults = StoreFaults()
         epochs = StoreEpoch()
@@ -188,7 +194,7 @@
         statuses = FakeStatuses(self.statuses, status_faults or faults, epochs, clock)
         trials = CanaryController(clock, Random(name), statuses)
         link = self.network.link(name)
-        sharing = ReadSharing(name, 1, clock, Random(name), link.send, epochs=epochs)
+        sharing = ReadSharing(name, incarnation, clock, Random(name), link.send, epochs=epochs)
         operator_view = share_stream(sharing, StreamName.OPERATOR, operator_port or operator)
         registry_view = share_stream(sharing, StreamName.REGISTRY, registry)
         gateway = Gateway(
@@ -211,7 +217,7 @@
         registry_view.attach_feed(gateway.view.registry_feed)
         me = Member(name, f"@{name}")
         members = FakeMembers(self.members, faults, epochs, clock)
-        peers = DirectPeers(me, 1, gateway, clock, Random(name), link, members, sharing)
+        peers = DirectPeers(me, incarnation, gateway, clock, Random(name), link, members, sharing)
         gateway.start()
         trials.start()
         peers.start()
@@ -241,6 +247,16 @@
         self.network.unplug(name)
         self.members.drop(name)
 
+    def stop_router(self, name: str) -> None:
+        """Let a router drain and end, as at SIGTERM."""
+        router = self.routers[name]
+
+        def end() -> None:
+            router.peers.leave()
+            router.clock.callLater(LINGER_S, self.kill_router, name)
+
+        router.gateway.drain(lambda: None, end)
+
     def ready_router(self, document: Document | None = None) -> DirectRouter:
         """Publish a document, start a router and let it become ready."""
         self.operator.put("config", document or make_direct_document())
--- a/umberhitch/wire/_messages.py
+++ b/umberhitch/wire/_messages.py
@@ -29,6 +29,7 @@
     "CrashNotice",
     "CrashUpdate",
     "DrainNotice",
+    "EndedCounts",
     "EndpointPace",
     "EndpointState",
     "EndpointUpdate",
@@ -48,6 +49,9 @@
     "ProbeNotice",
     "ProbeReply",
     "ProbeRequest",
+    "RecentSessions",
+    "RecoveryReply",
+    "RecoveryRequest",
     "Refused",
     "RouteCounts",
     "RouterDigest",
@@ -380,6 +384,46 @@
     """State in the store as the sender last read or wrote it; empty if it has done neither."""
     stored_epoch: int = 0
     """Epoch of the store in which the sender did so."""
+    kept_ages_s: list[float] = []
+    """Seconds since the last request of each of the sessions that were kept."""
+    moved_ages_s: list[float] = []
+    """The same for those that were moved."""
+
+
+class EndedCounts(Struct, frozen=True, array_like=True):
+    """Counts of a process that has ended, for one roll-out."""
+
+    service: str
+    target: str
+    process: str
+    """Name and incarnation of the router."""
+    counts: list[RouteCounts]
+
+
+class RecentSessions(Struct, frozen=True, array_like=True):
+    """Sessions of a service without a roll-out, which one that begins now would move."""
+
+    service: str
+    sessions: list[str]
+    ages_s: list[float]
+    """Seconds since the last request of each."""
+
+
+class RecoveryRequest(Struct, frozen=True, array_like=True, tag="recover?"):
+    """Request of a router that has started for what its earlier process knew."""
+
+
+class RecoveryReply(Struct, frozen=True, array_like=True, tag="recover"):
+    """What a router knows of sessions and counts, its own and what others have told it."""
+
+    router: str
+    incarnation: int
+    is_complete: bool
+    """Whether the sender has run, or been told, for as long as sessions last."""
+    canaries: list[CanaryReport]
+    """The sender's state of the roll-outs, with the sessions of all routers."""
+    ended: list[EndedCounts]
+    recent: list[RecentSessions]
 
 
 class CanaryUpdate(Struct, frozen=True, array_like=True, tag="moved"):
@@ -395,6 +439,8 @@
     """State in the store as the sender last read or wrote it; empty if it has done neither."""
     stored_epoch: int = 0
     """Epoch of the store in which the sender did so."""
+    kept_ages_s: list[float] = []
+    """Seconds since the last request of each of the sessions that were kept."""
 
 
 class CrashNotice(Struct, frozen=True, array_like=True):
@@ -623,6 +669,8 @@
     | EndpointUpdate
     | ProbeRequest
     | ProbeReply
+    | RecoveryRequest
+    | RecoveryReply
     | ViewRequest
     | ViewReply
 )
