A router that is back at another address is answered over its own connection

Cause: peers answered over the connection that they had dialled, to the address of the process before; that the new one had another they learned with the store's next list. Now a peer that hears a new incarnation sends over the connection that this process has made, and over its own one only where there is none.

--- a/umberhitch/adapters/zmq_link.py
+++ b/umberhitch/adapters/zmq_link.py
@@ -153,6 +153,8 @@
         self._is_flush_due = False
         self._is_patient_flush_due = False
         self._dialed: dict[str, _Dialed] = {}
+        self._inbound: set[str] = set()
+        """Peers that are reached over the connections that they have made."""
         self._dials = 0
         self._dialed_peers: dict[bytes, str] = {}
         """By the id of the route to them."""
@@ -216,15 +218,16 @@
         self._dialed[peer] = _Dialed(address, route)
         self._dialed_peers[route] = peer
 
-    def redial(self, peer: str) -> None:
-        """Connect to the peer anew at once, since its process is another one than before."""
-        known = self._dialed.get(peer)
-        if known is not None:
-            self.disconnect(peer)
-            self.connect(peer, known.address)
+    def use_inbound(self, peer: str) -> None:
+        """Send to the peer over the connection that it has made to this process.
+
+        The own one to the process before is tried ever more rarely, and may go to an old address.
+        """
+        self._inbound.add(peer)
 
     def disconnect(self, peer: str) -> None:
         """Forget the peer."""
+        self._inbound.discard(peer)
         known = self._dialed.pop(peer, None)
         if known is None:
             return
@@ -284,16 +287,25 @@
 
     def _send_frame(self, peer: str, frame: bytes) -> None:
         dialed = self._dialed.get(peer)
-        sock = self._listener if dialed is None else self._dialer
-        route = peer.encode() if dialed is None else dialed.route
-        try:
-            sock.send_multipart([route, frame], zmq.NOBLOCK)
-        except zmq.ZMQError:
+        is_sent = (dialed is None or peer in self._inbound) and self._try_send(
+            self._listener, peer.encode(), frame
+        )
+        if not is_sent and dialed is not None:
+            is_sent = self._try_send(self._dialer, dialed.route, frame)
+        if not is_sent:
             self.counters.unroutable += 1
             return
         self.counters.frames_out += 1
         self.counters.bytes_out += len(frame)
 
+    def _try_send(self, sock: zmq.Socket, route: bytes, frame: bytes) -> bool:
+        """Send on one route; return whether there is such a route."""
+        try:
+            sock.send_multipart([route, frame], zmq.NOBLOCK)
+        except zmq.ZMQError:
+            return False
+        return True
+
     def _read_both(self) -> None:
         self._read(self._listener)
         self._read(self._dialer)
--- a/umberhitch/fakes/_network.py
+++ b/umberhitch/fakes/_network.py
@@ -150,7 +150,7 @@
     def connect(self, peer: str, address: str) -> None:
         """Do nothing; every process can reach every other."""
 
-    def redial(self, peer: str) -> None:
+    def use_inbound(self, peer: str) -> None:
         """Do nothing."""
 
     def disconnect(self, peer: str) -> None:
--- a/umberhitch/ports/link.py
+++ b/umberhitch/ports/link.py
@@ -26,11 +26,8 @@
         """Set the address of the peer, ``IP:PORT``; a new address replaces the old one."""
         ...
 
-    def redial(self, peer: str) -> None:
-        """Connect to the peer anew at once, since its process is another one than before.
-
-        A connection that was lost is tried ever more rarely; what waits for it is dropped.
-        """
+    def use_inbound(self, peer: str) -> None:
+        """Send to the peer over the connection that it has made, as its process is a new one."""
         ...
 
     def disconnect(self, peer: str) -> None:
--- a/umberhitch/tasks/direct/peers.py
+++ b/umberhitch/tasks/direct/peers.py
@@ -475,7 +475,7 @@
 
     def _on_restart(self, name: str) -> None:
         """Tell a peer that has restarted at once what it would learn with the next reports."""
-        self._link.redial(name)
+        self._link.use_inbound(name)
         self._send_full_state([name])
 
     def _handle_report(self, report: PeerReport) -> None:
