The soak stops routers under uploads that come in and sessions that go on

Promises: each upload is answered, runs once at most, refusals are true; three sessions at most change their version.

--- a/umberhitch/platform/standins/client.py
+++ b/umberhitch/platform/standins/client.py
@@ -2,7 +2,7 @@
 
 import subprocess
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
@@ -85,9 +85,13 @@
 
 
 def call(
-    address: str, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
+    address: str,
+    method: str,
+    path: str,
+    body: bytes | Iterable[bytes] = b"",
+    headers: dict[str, str] | None = None,
 ) -> Answer:
-    """Make one HTTP call on a new connection."""
+    """Make one HTTP call on a new connection; a body in parts is sent in chunks."""
     connection = HTTPConnection(address, timeout=MAX_WAIT_S)
     try:
         connection.request(method, path, body or None, headers or {})
@@ -140,6 +144,7 @@
         model: str | None = None,
         body: bytes = b"body",
         prompt: str = "aa:60,bb:40",
+        session: str | None = None,
     ) -> Answer:
         """Send a caller's request; one to a model has a prompt."""
         headers = {
@@ -150,8 +155,31 @@
         }
         if model is not None:
             headers |= {"Model": model, "Token-Count": "100,40", "Prompt-Prefix": prompt}
+        if session is not None:
+            headers["Session"] = session
         return call(self.addresses["callers"], "POST", path, body, headers)
 
+    def upload(
+        self, path: str, call_id: str, key: str, pieces: list[bytes], pause_s: float
+    ) -> Answer:
+        """Send a request whose body comes in pieces, in chunks, with pauses between them.
+
+        The connection stays open until the answer has come or the process is gone.
+        """
+        headers = {
+            "Host": "models.example",
+            "Attempt-Id": call_id,
+            "Authorization": f"Bearer {key}",
+            "Deadline-Ms": "30000",
+        }
+
+        def parts() -> Iterator[bytes]:
+            for piece in pieces:
+                yield piece
+                sleep(pause_s)
+
+        return call(self.addresses["callers"], "POST", path, parts(), headers)
+
     def kill(self) -> None:
         """Kill the process without a drain."""
         self.process.kill()
@@ -289,6 +317,7 @@
         store: str | None = None,
         module: tuple[str, ...] = ("umberhitch.cli.daemon",),
         terms: tuple[str, ...] = (),
+        drain_notice_s: float = 6.0,
     ) -> RouterProcess:
         """Start a router and wait until it is ready.
 
@@ -301,6 +330,8 @@
             Module to run, followed by its arguments.
         terms : tuple of str
             The platform's terms that are in force.
+        drain_notice_s : float
+            How long the balancer takes to notice that a router stops.
         """
         settings = {
             "role": "gateway",
@@ -309,7 +340,7 @@
             "listen": dict.fromkeys(("callers", "readiness", "pages", "link"), LOOPBACK),
             "store": store or self.store,
             "drain_s": MAX_WAIT_S,
-            "drain_notice_s": 6.0,
+            "drain_notice_s": drain_notice_s,
             "terms": terms,
         }
         path = self.folder / f"{name}.json"
--- a/umberhitch/soak/__main__.py
+++ b/umberhitch/soak/__main__.py
@@ -20,6 +20,7 @@
 from umberhitch.soak._crashing_part import play_crashing_part
 from umberhitch.soak._late_version import play_late_version
 from umberhitch.soak._mutations import MUTATIONS
+from umberhitch.soak._restarts import play_restarts
 from umberhitch.soak._run import Verdict, play
 from umberhitch.soak._schedule import SoakConfig, Step, make_schedule
 
@@ -38,6 +39,9 @@
 _CRASHING_PART = flags.DEFINE_boolean(
     "crashing_part", False, "a part of prompts that crashes endpoints, in place of the faults"
 )
+_RESTARTS = flags.DEFINE_boolean(
+    "restarts", False, "routers restart under uploads and sessions, in place of the faults"
+)
 _MUTATION = flags.DEFINE_enum("mutation", None, sorted(MUTATIONS), "break this in every router")
 
 BOUNDS = Bounds(revocation_s=5.0, departure_s=4.0, zone_s=5.0, grant_s=3.0, rollback_s=5.0)
@@ -85,6 +89,8 @@
         return play_late_version(seed, folder, bounds, _MUTATION.value)
     if _CRASHING_PART.value:
         return play_crashing_part(seed, folder, bounds, _MUTATION.value)
+    if _RESTARTS.value:
+        return play_restarts(seed, folder, cfg.routers, _MUTATION.value)
     verdict = play(seed, cfg, folder, bounds, _MUTATION.value, show)
     (folder / "verdict.json").write_bytes(json.format(json.encode(asdict(verdict))))
     return verdict
--- a/umberhitch/soak/_mutations.py
+++ b/umberhitch/soak/_mutations.py
@@ -140,6 +140,22 @@
     Canary.observe = observe_first_half  # type: ignore[method-assign]
 
 
+def _forget_uploads() -> None:
+    """A drain ends under requests that are coming in."""
+    from umberhitch.adapters.h11_callers import CallerFactory
+    from umberhitch.tasks.direct.drain import Drain
+
+    CallerFactory.is_under_way = lambda self: False  # type: ignore[method-assign]
+    Drain._is_busy = lambda self: bool(self._running())  # type: ignore[method-assign]
+
+
+def _forget_sessions() -> None:
+    """A router that has restarted is not told what its earlier process knew."""
+    from umberhitch.tasks.direct.recovery import Recovery
+
+    Recovery.receive = lambda self, reply: None  # type: ignore[method-assign]
+
+
 MUTATIONS: dict[str, Callable[[], None]] = {
     "repeat-all": _repeat_all,
     "promise-all": _promise_all,
@@ -154,6 +170,8 @@
     "believe-copies": _believe_copies,
     "trust-old-answers": _trust_old_answers,
     "know-whole-requests-only": _know_whole_requests_only,
+    "forget-uploads": _forget_uploads,
+    "forget-sessions": _forget_sessions,
 }
 
 
