What a router holds for slow callers is what it counts

Cause: counted was what is still to be sent; held was each answer whole until its last byte, as the transport joins what it is given, and copies of it. Slow but steady readers are not let go, so more came in. Now callers' connections have a queue that gives the transport 64 KiB at a time; replies are buffered in their parts; whole replies end at half of the bound; beyond the bound a request is refused before it is begun.

--- a/umberhitch/adapters/h11_callers.py
+++ b/umberhitch/adapters/h11_callers.py
@@ -12,15 +12,14 @@
 from typing import Protocol as Interface
 
 import h11
-from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
-from zope.interface import implementer
 
 from umberhitch.adapters.accept_gate import AcceptGate
 from umberhitch.adapters.held_bytes import HeldBytes, Side, WaitingBytes
+from umberhitch.adapters.outgoing import FlowControl, Outgoing
 from umberhitch.adapters.silence import detect_silence
-from umberhitch.adapters.unsent import unacknowledged_bytes, unsent_bytes
+from umberhitch.adapters.unsent import unacknowledged_bytes
 from umberhitch.core.direct import IntakeLimits
 from umberhitch.ports.caller_connections import UNDER_WAY, ConnectionStage
 from umberhitch.ports.clock import Clock, Timer
@@ -65,14 +64,11 @@
         ...
 
 
-@implementer(IPushProducer)
 class _Reply:
     """The way back to one caller, for one request."""
 
     def __init__(self, connection: "_CallerConnection") -> None:
         self._connection: _CallerConnection | None = connection
-        self._pause: Callable[[], None] | None = None
-        self._resume: Callable[[], None] | None = None
 
     def head(self, status: int, headers: HeaderList) -> None:
         if self._connection is not None:
@@ -85,7 +81,7 @@
     def end(self) -> None:
         connection, self._connection = self._connection, None
         if connection is not None:
-            connection.finish(self._pause is not None)
+            connection.finish()
 
     def abort(self) -> None:
         connection, self._connection = self._connection, None
@@ -93,21 +89,8 @@
             connection.abort()
 
     def set_flow_control(self, pause: Callable[[], None], resume: Callable[[], None]) -> None:
-        if self._connection is None:
-            return
-        self._pause, self._resume = pause, resume
-        self._connection.transport.registerProducer(self, True)
-
-    def pauseProducing(self) -> None:
-        if self._pause is not None and self._connection is not None:
-            self._pause()
-
-    def resumeProducing(self) -> None:
-        if self._resume is not None and self._connection is not None:
-            self._resume()
-
-    def stopProducing(self) -> None:
-        pass
+        if self._connection is not None:
+            self._connection.set_source(FlowControl(pause, resume))
 
 
 class _CallerConnection(Protocol):
@@ -134,12 +117,16 @@
         """Whether the caller may still be sending a request that was refused."""
         self._pipelined = 0
         self._waiting: WaitingBytes | None = None
+        self._outgoing: Outgoing | None = None
 
     # From the caller
 
     def connectionMade(self) -> None:
         detect_silence(self.transport, CALLER_SILENCE_S)
-        self._waiting = WaitingBytes(self._factory.held, Side.CALLER, self.transport, self._let_go)
+        self._outgoing = Outgoing(self.transport)
+        self._waiting = WaitingBytes(
+            self._factory.held, Side.CALLER, self.transport, self._let_go, self._outgoing
+        )
         self._factory.connections.add(self)
         self._wait(self._limits.idle_timeout_s + IDLE_MARGIN_S, self._on_idle)
 
@@ -208,6 +195,9 @@
         if self._factory.refuses_all:
             self._refuse(503, LEAVING)
             return
+        if not self._factory.held.has_room_for_reply():
+            self._refuse(503, "no room for more answers")
+            return
         received_s = self._first_byte_s
         self._first_byte_s = None
         self._is_answering = True
@@ -284,16 +274,20 @@
         self._write(self._parser.send(h11.Data(data=data)))
 
     def _write(self, data: bytes | None) -> None:
-        if data:
-            self.transport.write(data)
-            if self._waiting is not None:
-                self._waiting.note_written(len(data))
+        if data and self._outgoing is not None and self._waiting is not None:
+            self._outgoing.write(data)
+            self._waiting.note_written(len(data))
+
+    def set_source(self, source: FlowControl) -> None:
+        """Set what is paused while the caller does not read the reply."""
+        if self._outgoing is not None:
+            self._outgoing.set_source(source)
 
-    def finish(self, has_producer: bool) -> None:
+    def finish(self) -> None:
         """End a reply, and go on with the next request."""
         self._write(self._parser.send(h11.EndOfMessage()))
-        if has_producer:
-            self.transport.unregisterProducer()
+        if self._outgoing is not None:
+            self._outgoing.set_source(None)
         self._leave = None
         self._is_answering = False
         self._release()
@@ -328,7 +322,8 @@
 
     def _is_unsent(self) -> bool:
         """Whether the caller has not taken all that was written."""
-        return bool(unsent_bytes(self.transport) or unacknowledged_bytes(self.transport))
+        unsent = 0 if self._outgoing is None else self._outgoing.unsent
+        return bool(unsent or unacknowledged_bytes(self.transport))
 
     def refuse_incomplete(self) -> None:
         """Refuse a request that was not read whole."""
--- a/umberhitch/adapters/held_bytes.py
+++ b/umberhitch/adapters/held_bytes.py
@@ -11,7 +11,8 @@
 from logging import getLogger
 from typing import Any
 
-from umberhitch.adapters.unsent import unacknowledged_bytes, unsent_bytes
+from umberhitch.adapters.outgoing import Outgoing
+from umberhitch.adapters.unsent import unacknowledged_bytes
 from umberhitch.ports.clock import Clock
 from umberhitch.tasks.direct.buffered_bytes import BufferedBytes
 
@@ -22,6 +23,9 @@
 CHECK_S = 0.25
 MIN_CHECK_S = 0.02
 """At the bound, all connections are looked at again after so long."""
+BUFFER_SHARE = 0.5
+"""Share of the bound up to which whole replies are buffered; beyond it they are passed on as they
+come, which takes less for each."""
 MIN_STALL_S = 1.0
 """A lost packet that is sent again may take so long; below it, a connection counts as moving."""
 CALLER_STALL_S = 5.0
@@ -47,10 +51,17 @@
     transport : ITCPTransport
     let_go : callable
         Ends the connection at once, so that what was cut does not look complete; gets the detail.
+    outgoing : Outgoing or None
+        What waits before the transport, if anything does.
     """
 
     def __init__(
-        self, account: "HeldBytes", side: Side, transport: Any, let_go: Callable[[str], None]
+        self,
+        account: "HeldBytes",
+        side: Side,
+        transport: Any,
+        let_go: Callable[[str], None],
+        outgoing: Outgoing | None = None,
     ) -> None:
         self.side = side
         self.let_go = let_go
@@ -58,6 +69,7 @@
         self.stalled_s = 0.0
         self._account = account
         self._transport = transport
+        self._outgoing = outgoing or Outgoing(transport)
         self._written = 0
         self._taken = 0
 
@@ -72,11 +84,12 @@
 
     def refresh(self, elapsed_s: float) -> None:
         """See what still waits and whether any byte was taken."""
-        self.count = unsent_bytes(self._transport)
-        if not self.count:
+        unsent = self._outgoing.unsent
+        self.count = self._outgoing.held if unsent else 0
+        if not unsent:
             self.stalled_s = 0.0
             return
-        taken = self._written - self.count - unacknowledged_bytes(self._transport)
+        taken = self._written - unsent - unacknowledged_bytes(self._transport)
         if taken > self._taken:
             self.stalled_s = 0.0
         else:
@@ -142,6 +155,17 @@
         self._relieve_soon()
         return self.total_bytes + count <= self.max_bytes
 
+    def has_room_to_buffer(self, count: int) -> bool:
+        """Whether so many bytes more of a whole reply may be buffered."""
+        if self.max_bytes is None:
+            return True
+        is_within = self.total_bytes + count <= BUFFER_SHARE * self.max_bytes
+        return is_within or self.has_room(count + int((1.0 - BUFFER_SHARE) * self.max_bytes))
+
+    def has_room_for_reply(self) -> bool:
+        """Whether another request may be begun, whose caller may read slowly."""
+        return self.has_room(0)
+
     def note_waiting(self, waiting: WaitingBytes, count: int) -> None:
         """Count bytes that were written on a connection."""
         waiting.count += count
--- a/umberhitch/adapters/tests/test_h11_callers.py
+++ b/umberhitch/adapters/tests/test_h11_callers.py
@@ -8,6 +8,7 @@
 from twisted.python.failure import Failure
 
 from umberhitch.adapters.h11_callers import CallerFactory
+from umberhitch.adapters.outgoing import PIECE_BYTES
 from umberhitch.core.direct import IntakeLimits
 from umberhitch.ports.direct import CallerReply, HeaderList, RawRequest
 from umberhitch.testing import FakeTransport
@@ -193,9 +194,14 @@
     seen: list[str] = []
     reply = handler.asked[0][1]
     reply.set_flow_control(lambda: seen.append("pause"), lambda: seen.append("resume"))
-    transport.producer.pauseProducing()
+    reply.head(200, [(b"Content-Length", b"100000")])
+    transport.dataBuffer = b"x" * PIECE_BYTES
+    reply.data(b"y")
+    assert seen == ["pause"]
+    transport.dataBuffer = b""
     transport.producer.resumeProducing()
     assert seen == ["pause", "resume"]
+    assert transport.value().endswith(b"y")
 
 
 def test_a_caller_that_waits_for_permission_to_send_its_body_gets_it(handler, connect):
--- a/umberhitch/adapters/unsent.py
+++ b/umberhitch/adapters/unsent.py
@@ -5,7 +5,13 @@
 from termios import TIOCOUTQ
 from typing import Any
 
-__all__ = ["unacknowledged_bytes", "unsent_bytes"]
+__all__ = ["buffered_bytes", "unacknowledged_bytes", "unsent_bytes"]
+
+
+def buffered_bytes(transport: Any) -> int:
+    """Return the bytes of a transport's buffers, which keep what was sent of the current one."""
+    held: int = len(transport.dataBuffer) + transport._tempDataLen
+    return held
 
 
 def unsent_bytes(transport: Any) -> int:
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -195,7 +195,7 @@
     peers = DirectPeers(me, incarnation, gateway, reactor, rng, link, Members(store), sharing)
     holds = StoredHolds(reactor, HoldsStore(store), gateway.crash_guard.sharing, peers.rank, epochs)
     held.buffered = gateway.buffered
-    gateway.buffered.has_room = held.has_room
+    gateway.buffered.has_room = held.has_room_to_buffer
     gate = AcceptGate(reactor)
     callers = CallerFactory(reactor, gateway, int(memory_bytes * BODIES_SHARE), held, gate)
 
--- a/umberhitch/tasks/direct/relay.py
+++ b/umberhitch/tasks/direct/relay.py
@@ -46,7 +46,9 @@
         self._event_splitter = EventSplitter(last_event)
         self._awaited_head: ReplyHead | None = None
         """Head of a stream that starts with its first event."""
-        self._buffered = bytearray()
+        self._buffered: list[bytes] = []
+        """Parts of a plain reply as they came: joined, they would be copied twice."""
+        self._buffered_bytes = 0
         self._is_passing_through = False
 
     @property
@@ -82,8 +84,8 @@
 
     def release(self) -> None:
         """Discard what is buffered."""
-        self._account.remove(len(self._buffered))
-        self._buffered.clear()
+        self._account.remove(self._buffered_bytes)
+        self._buffered, self._buffered_bytes = [], 0
 
     def drop_partial_event(self) -> None:
         """Discard the partial event that is buffered, since its call has failed."""
@@ -124,29 +126,35 @@
             self._reply.data(data)
             return
         has_room = self._account.has_room(len(data))
-        self._buffered += data
+        self._buffered.append(data)
+        self._buffered_bytes += len(data)
         self._account.add(len(data))
-        if len(self._buffered) > MAX_BUFFERED_BYTES or not has_room:
+        if self._buffered_bytes > MAX_BUFFERED_BYTES or not has_room:
             self._is_passing_through = True
             self._start(head)
-            self._reply.data(bytes(self._buffered))
-            self.release()
+            self._pass_buffered()
 
     def end(self, head: ReplyHead) -> None:
         """Finish the reply as complete."""
         if self._awaited_head is not None:
             self.start_stream(self._awaited_head)
         if not self.has_started:
-            self._send_whole(head, bytes(self._buffered))
+            self._send_whole(head)
         self._reply.end()
 
-    def _send_whole(self, head: ReplyHead, body: bytes) -> None:
+    def _send_whole(self, head: ReplyHead) -> None:
         headers = [item for item in head.headers if item[0].lower() != b"content-length"]
         if head.status not in (204, 304):
-            headers.append((b"Content-Length", str(len(body)).encode()))
+            headers.append((b"Content-Length", str(self._buffered_bytes).encode()))
         self._reply.head(head.status, headers)
-        if body:
-            self._reply.data(body)
+        self._pass_buffered()
+
+    def _pass_buffered(self) -> None:
+        """Pass on what is buffered, which is the reply's from now on."""
+        parts = self._buffered
+        self.release()
+        for part in parts:
+            self._reply.data(part)
 
     def abort(self) -> None:
         """Abort the reply, so that it does not look complete."""
