A connection to an endpoint whose reply ended while paused reads on for the next call

Where a slow caller's pause and the end of a reply came in one read, the connection went back to the kept ones paused, and the next call there got nothing until its time was up (504); read by the review, not seen by a caller. A finished call also still reached the connection, so that its pause stopped the next one. Now the end of a reply lets the connection read, and parts it from the call. Test: test_a_connection_whose_reply_ended_while_paused_reads_on_for_the_next_call; failed before (1 of the file's tests), passes now.

--- a/umberhitch/adapters/h11_endpoints.py
+++ b/umberhitch/adapters/h11_endpoints.py
@@ -63,13 +63,11 @@
         self.call = call
         self.events: CallEvents | None = events
         self.connection: _Connection | None = None
+        """None before the call is sent, and once its reply has ended."""
+        self.is_sent = False
         self.is_over = False
         self.is_paused = False
 
-    @property
-    def is_sent(self) -> bool:
-        return self.connection is not None
-
     def cancel(self) -> None:
         if self.is_over:
             return
@@ -136,6 +134,7 @@
         """Send a call."""
         self._call = call
         call.connection = self
+        call.is_sent = True
         data = self._begin(call.call)
         self._request_bytes = len(data)
         self.transport.write(data)
@@ -208,6 +207,9 @@
                 self._parser.receive_data(rest)
             return
         call, self._call = self._call, None
+        call.connection = None  # it serves the next call, which a pause of this one must not stop
+        if call.is_paused:
+            self.set_reading(True)
         is_kept = self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE
         if rest or not is_kept or self._is_lost:
             self._close()
--- a/umberhitch/adapters/tests/test_h11_endpoints.py
+++ b/umberhitch/adapters/tests/test_h11_endpoints.py
@@ -1,6 +1,7 @@
 """Calls to endpoints: what came back, and what it says of whether the call ran."""
 
 from dataclasses import dataclass, field
+from typing import Any
 
 import pytest
 from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError
@@ -318,3 +319,29 @@
     protocol.connectionLost(Failure(ConnectionDone()))
     client.send(ADDRESS, make_call("b"), Events())
     assert len(reactor.tcpClients) == 2
+
+
+class PausingEvents(Events):
+    """Pauses its call at the first bytes, as a caller that reads slowly does."""
+
+    running: Any = None
+
+    def on_data(self, data: bytes) -> None:
+        super().on_data(data)
+        self.running.pause()
+
+
+# The next call on the connection got nothing until its time was up.
+def test_a_connection_whose_reply_ended_while_paused_reads_on_for_the_next_call(reactor, client):
+    first, second = PausingEvents(), Events()
+    first.running = client.send(ADDRESS, make_call(), first)
+    protocol, transport = dial(reactor)
+    protocol.dataReceived(reply("a"))
+    assert first.is_ended
+    client.send(ADDRESS, make_call("b"), second)
+    assert transport.producerState == "producing"
+    first.running.pause()
+    first.running.resume()
+    assert transport.producerState == "producing"
+    protocol.dataReceived(reply("b"))
+    assert second.is_ended
