A field that a message needs goes on though Connection names it

With 'attempt-id' or 'token-count' the endpoint would have got another request than the caller's. Cause: every name in the first Connection field was dropped, needed or not; names in a second one were not. Now names of end-to-end fields and of those that the platform forwards are kept (RFC 9110, 7.6.1), and all Connection fields are read.

--- a/umberhitch/adapters/hop_by_hop.py
+++ b/umberhitch/adapters/hop_by_hop.py
@@ -18,25 +18,40 @@
     }
 )
 """Headers that concern one connection only (RFC 9110, 7.6.1)."""
+END_TO_END = frozenset({b"host", b"content-length", b"content-type", b"content-encoding", b"date"})
+"""Headers that a message needs on its whole way. A sender must not name them in ``Connection``
+(RFC 9110, 7.6.1); where one does, the message goes on with them."""
 
 
 def pass_on(
-    headers: HeaderList, connection: bytes, dropped: frozenset[bytes] = frozenset()
+    headers: HeaderList,
+    dropped: frozenset[bytes] = frozenset(),
+    kept: frozenset[bytes] = frozenset(),
 ) -> HeaderList:
     """Return the headers that go on.
 
     Parameters
     ----------
     headers : list of (bytes, bytes)
-    connection : bytes
-        Value of the header that names others which concern this connection only.
     dropped : frozenset of bytes
         Names, in lowercase, that do not go on either.
+    kept : frozenset of bytes
+        Names, in lowercase, that go on though the message names them in ``Connection``.
     """
-    named = {item.strip().lower() for item in connection.split(b",")}
+    named = _connection_options(headers) - END_TO_END - kept
     out = []
     for name, value in headers:
         lowered = name.lower()
         if lowered not in ONE_CONNECTION and lowered not in named and lowered not in dropped:
             out.append((name, value))
     return out
+
+
+def _connection_options(headers: HeaderList) -> set[bytes]:
+    """Return the names of the headers that concern this connection only, by the message itself."""
+    return {
+        option.strip().lower()
+        for name, value in headers
+        if name.lower() == b"connection"
+        for option in value.split(b",")
+    }
--- a/umberhitch/platform/_headers.py
+++ b/umberhitch/platform/_headers.py
@@ -22,7 +22,7 @@
     parse_rate,
 )
 from umberhitch.errors import BadAskError
-from umberhitch.platform._register import DROPPED_HEADERS, REPLY_HEADERS
+from umberhitch.platform._register import DROPPED_HEADERS, FORWARDED_HEADERS, REPLY_HEADERS
 from umberhitch.ports.direct import CallMetadata, HeaderList, RawRequest
 
 __all__ = ["PlatformWire", "read_store_epoch"]
@@ -75,7 +75,7 @@
             raw.target,
             host,
             unquote(path),
-            pass_on(raw.headers, first.get(b"connection", b""), DROPPED_HEADERS),
+            pass_on(raw.headers, DROPPED_HEADERS, FORWARDED_HEADERS),
             _api_key(first.get(b"authorization")),
             _deadline_s(first.get(b"deadline-ms")),
             picks_model=first.get(b"model") == ANY_MODEL,
@@ -116,7 +116,7 @@
         confidence = found.get(b"confidence", [b""])[0]
         return ReplyHead(
             status,
-            pass_on(headers, found.get(b"connection", [b""])[0]),
+            pass_on(headers, kept=REPLY_HEADERS),
             None if call_id is None else call_id[0].decode("latin-1"),
             is_signed=b"response-signature" in found,
             not_run=b"not-executed" in found or status in NOT_RUN_STATUSES,
--- a/umberhitch/platform/_register.py
+++ b/umberhitch/platform/_register.py
@@ -5,7 +5,7 @@
 
 from msgspec import Struct, json
 
-__all__ = ["DROPPED_HEADERS", "REGISTER", "REPLY_HEADERS"]
+__all__ = ["DROPPED_HEADERS", "FORWARDED_HEADERS", "REGISTER", "REPLY_HEADERS"]
 
 
 class _RegisterEntry(Struct, frozen=True):
@@ -22,4 +22,5 @@
 )
 HEADERS = [(entry, entry.name.lower().encode()) for entry in REGISTER["headers"]]
 DROPPED_HEADERS = frozenset(name for entry, name in HEADERS if entry.is_dropped)
+FORWARDED_HEADERS = frozenset(name for entry, name in HEADERS if not entry.is_dropped)
 REPLY_HEADERS = frozenset(name for entry, name in HEADERS if entry.where == "reply")
--- a/umberhitch/platform/tests/test_headers.py
+++ b/umberhitch/platform/tests/test_headers.py
@@ -272,3 +272,27 @@
 def test_headers_that_are_not_in_the_register_are_reported_as_unknown():
     headers = [(b"Date", b"now"), (b"Server-Mood", b"low"), (b"Attempt-Id", b"a")]
     assert WIRE.read_reply(200, headers).signals.unknown == ((b"server-mood", b"low"),)
+
+
+# A request that named a field in ``Connection`` that the message needs could not be sent on.
+@pytest.mark.parametrize(
+    "name", [b"host", b"Host", b"attempt-id", b"Token-Count", b"prompt-prefix"]
+)
+def test_fields_that_a_message_needs_go_on_though_connection_names_them(name: bytes):
+    req = read((b"Connection", b"keep-alive, " + name))
+    sent = {key.lower() for key, _ in WIRE.call_headers(req, METADATA)}
+    assert name.lower() in sent
+    assert b"x-own" in sent
+
+
+def test_fields_that_any_connection_header_names_do_not_go_on():
+    req = read((b"Connection", b"close"), (b"Connection", b"x-own, x-other"), (b"X-Other", b"2"))
+    sent = {key.lower() for key, _ in WIRE.call_headers(req, METADATA)}
+    assert not sent & {b"x-own", b"x-other", b"connection"}
+
+
+def test_a_reply_keeps_its_signature_though_connection_names_it():
+    headers = [(b"Connection", b"response-signature, x-hop"), (b"Response-Signature", b"s")]
+    head = WIRE.read_reply(200, [*headers, (b"X-Hop", b"1")])
+    assert head.is_signed
+    assert [name for name, _ in head.headers] == [b"Response-Signature"]
