The check of stalled readers goes on whatever one connection does

Now a connection without a socket has nothing unacknowledged; the next check is scheduled before this one looks at anything; and what one connection raises is logged and ends its own check only. Test: test_a_connection_that_cannot_be_checked_does_not_end_the_checks, both cases failed before, pass now.

--- a/umberhitch/adapters/held_bytes.py
+++ b/umberhitch/adapters/held_bytes.py
@@ -191,19 +191,27 @@
         elapsed_s = min(now_s - self._checked_s, 2 * CHECK_S)
         self._checked_s = now_s
         for waiting in list(self._waiting):
-            waiting.refresh(elapsed_s)
+            try:
+                waiting.refresh(elapsed_s)
+            except Exception:
+                log.exception("connection not checked", extra={"side": str(waiting.side)})
+                waiting.count = 0
             if not waiting.count:
                 self._waiting.discard(waiting)
         self.waiting_bytes = sum(each.count for each in self._waiting)
 
     def _check(self) -> None:
+        # Scheduled first, so that the checks go on whatever one connection does.
+        self._clock.callLater(CHECK_S, self._check_again)
         self._refresh()
         for waiting in [each for each in self._waiting if each.stalled_s >= each.limit_s]:
             self._let_go(waiting, "stalled")
         self._relieve()
+
+    def _check_again(self) -> None:
         self._is_checking = bool(self._waiting)
         if self._is_checking:
-            self._clock.callLater(CHECK_S, self._check)
+            self._check()
 
     def _relieve_soon(self) -> None:
         """Make room, but not from within the write of a request that may be the one to end."""
--- a/umberhitch/adapters/tests/test_held_bytes.py
+++ b/umberhitch/adapters/tests/test_held_bytes.py
@@ -1,12 +1,20 @@
 """Bytes held for slow readers: who is let go, when, with which end, and who is not."""
 
+from typing import Any
+
 import pytest
 from twisted.internet.task import Clock
 from twisted.internet.testing import MemoryReactorClock
 
 from umberhitch.adapters.h11_callers import CallerFactory
 from umberhitch.adapters.h11_endpoints import EndpointClient
-from umberhitch.adapters.held_bytes import CALLER_STALL_S, ENDPOINT_STALL_S, HeldBytes, Side
+from umberhitch.adapters.held_bytes import (
+    CALLER_STALL_S,
+    ENDPOINT_STALL_S,
+    HeldBytes,
+    Side,
+    WaitingBytes,
+)
 from umberhitch.adapters.held_pages import held_metrics, held_status
 from umberhitch.adapters.tests.test_h11_callers import GET, Handler
 from umberhitch.adapters.tests.test_h11_endpoints import ADDRESS, Events, make_call, read_reply
@@ -179,3 +187,30 @@
         "held_bytes": {"bodies": 0, "waiting": 0, "buffered": 0, "total": 0, "bound": 5000},
         "slow_readers_let_go": {"caller stalled": 1},
     }
+
+
+class LostTransport(FakeTransport):
+    """Has no socket any more, as a connection that was lost."""
+
+    def getHandle(self) -> Any:
+        raise AttributeError("'Server' object has no attribute 'socket'")
+
+
+class BrokenTransport(FakeTransport):
+    """Cannot be looked at."""
+
+    def getHandle(self) -> Any:
+        raise RuntimeError
+
+
+# One connection without a socket ended the check of all stalled readers for good.
+@pytest.mark.parametrize("kind", [LostTransport, BrokenTransport])
+def test_a_connection_that_cannot_be_checked_does_not_end_the_checks(kind) -> None:
+    callers = Callers()
+    strange = kind()
+    strange.dataBuffer = b"x" * 100
+    waiting = WaitingBytes(callers.held, Side.CALLER, strange, lambda detail: None)
+    waiting.note_written(100)
+    _, stalled, _ = callers.begin()
+    callers.pass_s(CALLER_STALL_S + 2 * STEP_S)
+    assert stalled.disconnected
--- a/umberhitch/adapters/unsent.py
+++ b/umberhitch/adapters/unsent.py
@@ -25,6 +25,6 @@
     count = array("i", [0])
     try:
         ioctl(transport.getHandle().fileno(), TIOCOUTQ, count)
-    except (OSError, ValueError):  # closed meanwhile
+    except (OSError, ValueError, AttributeError):  # closed meanwhile; it has no socket any more
         return 0
     return count[0]
