HEAD is answered without a body, also when it is refused

A HEAD that was served was told a length of 0 whatever its endpoint said. Now a connection sends no body in a reply to HEAD, and the length passes as the endpoint told it (RFC 9110, 9.3.2).

--- a/umberhitch/adapters/h11_callers.py
+++ b/umberhitch/adapters/h11_callers.py
@@ -106,6 +106,8 @@
         self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.head_bytes)
         self._timer: Timer | None = None
         self._request: h11.Request | None = None
+        self._is_head = False
+        """Whether the reply under way is one to HEAD."""
         self._first_byte_s: float | None = None
         self._body = bytearray()
         self._leave: Callable[[], None] | None = None
@@ -174,6 +176,7 @@
             self._refuse(413, "body too large")
             return
         self._request = request
+        self._is_head = request.method == b"HEAD"
         self._wait(BODY_TIMEOUT_S, self._on_slow)
         if self._parser.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
@@ -270,8 +273,9 @@
         self._write(self._parser.send(h11.Response(status_code=status, headers=headers)))
 
     def send_data(self, data: bytes) -> None:
-        """Send more of a reply."""
-        self._write(self._parser.send(h11.Data(data=data)))
+        """Send more of a reply; one to HEAD has no body (RFC 9110, 9.3.2)."""
+        if not self._is_head:
+            self._write(self._parser.send(h11.Data(data=data)))
 
     def _write(self, data: bytes | None) -> None:
         if data and self._outgoing is not None and self._waiting is not None:
--- a/umberhitch/adapters/tests/test_h11_callers.py
+++ b/umberhitch/adapters/tests/test_h11_callers.py
@@ -236,3 +236,23 @@
         "idle",
         "closing",
     ]
+
+
+# A refusal of a HEAD request raised, and its connection was closed without an answer.
+def test_head_is_answered_without_a_body_also_when_refused(clock, handler, connect):
+    protocol, transport = connect()
+    head = GET.replace(b"GET", b"HEAD")
+    protocol.dataReceived(head + head)
+    handler.answer(body=b"whole body")
+    clock.advance(0)
+    reply = handler.asked[1][1]
+    reply.head(503, [(b"Content-Length", b"2")])
+    reply.data(b"no")
+    reply.end()
+    sent = transport.take()
+    assert (sent.count(b"200"), sent.count(b"503")) == (1, 1)
+    assert b"Content-Length: 10" in sent
+    assert not sent.count(b"whole body") + sent.count(b"no")
+    protocol.dataReceived(GET)
+    handler.answer(2)
+    assert transport.take().endswith(b"ok")
--- a/umberhitch/tasks/direct/proxied_request.py
+++ b/umberhitch/tasks/direct/proxied_request.py
@@ -67,7 +67,12 @@
             services, self, self._on_overlap_over, self._on_larger_overdue
         )
         self._relay = Relay(
-            reply, admitted.request.last_event_id, self._pause, self._resume, services.buffered
+            reply,
+            admitted.request.last_event_id,
+            self._pause,
+            self._resume,
+            services.buffered,
+            admitted.request.method == b"HEAD",
         )
         self._is_paused = False
         self._is_finished = False
--- a/umberhitch/tasks/direct/relay.py
+++ b/umberhitch/tasks/direct/relay.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from umberhitch.core.direct import EventSplitter, ReplyHead
-from umberhitch.ports.direct import CallerReply
+from umberhitch.ports.direct import CallerReply, HeaderList
 from umberhitch.tasks.direct.buffered_bytes import BufferedBytes
 
 __all__ = ["Relay"]
@@ -23,6 +23,8 @@
     pause, resume : callable
         Called when the caller reads too slowly, and when it has caught up, respectively.
     account : BufferedBytes
+    is_head : bool
+        Whether the request is a HEAD, whose reply tells the length of a body that it does not have.
 
     Attributes
     ----------
@@ -37,9 +39,11 @@
         pause: Callable[[], None],
         resume: Callable[[], None],
         account: BufferedBytes,
+        is_head: bool = False,
     ) -> None:
         self.is_streaming = False
         self._account = account
+        self._is_head = is_head
         self._reply = reply
         self._pause = pause
         self._resume = resume
@@ -143,11 +147,16 @@
         self._reply.end()
 
     def _send_whole(self, head: ReplyHead) -> None:
+        self._reply.head(head.status, self._headers_of_whole(head))
+        self._pass_buffered()
+
+    def _headers_of_whole(self, head: ReplyHead) -> HeaderList:
+        if self._is_head:
+            return head.headers
         headers = [item for item in head.headers if item[0].lower() != b"content-length"]
         if head.status not in (204, 304):
             headers.append((b"Content-Length", str(self._buffered_bytes).encode()))
-        self._reply.head(head.status, headers)
-        self._pass_buffered()
+        return headers
 
     def _pass_buffered(self) -> None:
         """Pass on what is buffered, which is the reply's from now on."""
