SIGHUP while a router starts does not end it

Read by the review: until its handlers stood, some 0.3 s after the start, SIGHUP ended the process, as the system's default is. Now it is noted from the first line on, and the settings are read again once that is possible. Test: test_a_gateway_that_is_hung_up_while_it_starts_lives_and_reads_its_settings_again, failed before, passes.

--- a/umberhitch/cli/_gateway_process.py
+++ b/umberhitch/cli/_gateway_process.py
@@ -11,6 +11,7 @@
 
 from msgspec import structs
 
+from umberhitch.cli._hangup import keep_hangup, was_hung_up
 from umberhitch.cli._lean import put_off_imports
 from umberhitch.cli._listening import take_early_socket
 from umberhitch.errors import SettingsError
@@ -37,6 +38,7 @@
     turned away. What a start makes stays for good, so that the collector's passes over it find
     nothing; without them it takes an eighth less.
     """
+    keep_hangup()
     callers_socket = take_early_socket(settings.listen.callers)
     gc.disable()
     put_off_imports()
@@ -73,8 +75,10 @@
         self._settings = settings
 
     def install(self) -> None:
-        """Take the signal."""
+        """Take the signal, also one that came during the start."""
         signal.signal(signal.SIGHUP, self._on_signal)
+        if was_hung_up():
+            self._reactor.callLater(0, self._reload)
 
     def _on_signal(self, number: int, frame: Any) -> None:
         self._reactor.callFromThread(self._reload)
--- a/umberhitch/cli/early.py
+++ b/umberhitch/cli/early.py
@@ -11,6 +11,7 @@
 from json import load
 from typing import Any
 
+from umberhitch.cli._hangup import keep_hangup
 from umberhitch.cli._listening import SETTINGS_VARIABLE, keep_early_socket
 
 __all__ = ["run"]
@@ -28,6 +29,7 @@
 
 def run() -> None:
     """Listen, then run the router; the settings' path is taken from the environment only."""
+    keep_hangup()
     path = os.environ.get(SETTINGS_VARIABLE, "")
     address = _callers_address(path) if len(sys.argv) == 1 else None
     if address is not None:
--- a/umberhitch/cli/tests/test_daemon.py
+++ b/umberhitch/cli/tests/test_daemon.py
@@ -230,3 +230,31 @@
     done = subprocess.run(command, capture_output=True, text=True, timeout=LIMIT_S, env=env)
     assert done.returncode == 2
     assert "listen" in done.stderr
+
+
+def test_a_gateway_that_is_hung_up_while_it_starts_lives_and_reads_its_settings_again(
+    tmp_path: Path,
+) -> None:
+    """It ended with the signal until its handlers stood, some 0.3 s after the start."""
+    path = tmp_path / "settings.json"
+    path.write_bytes(json.encode(GATEWAY))
+    code = (
+        "import os, signal, sys; sys.argv = ['d']\n"
+        "from umberhitch.cli import early\n"
+        "took = early.keep_early_socket\n"
+        "def listen(address):\n"
+        "    os.kill(os.getpid(), signal.SIGHUP)\n"
+        "    took(address)\n"
+        "early.keep_early_socket = listen\n"
+        "from umberhitch.cli import _gateway_process\n"
+        "reload = _gateway_process._Reload._reload\n"
+        "def reload_and_stop(self):\n"
+        "    reload(self)\n"
+        "    os.kill(os.getpid(), signal.SIGTERM)\n"
+        "_gateway_process._Reload._reload = reload_and_stop\n"
+        "early.run()\n"
+    )
+    command = [sys.executable, "-c", code]
+    env = {**os.environ, SETTINGS_VARIABLE: str(path)}
+    done = subprocess.run(command, capture_output=True, text=True, timeout=LIMIT_S, env=env)
+    assert (done.returncode, '"settings read again"' in done.stderr) == (0, True), done.stderr
