--- a/umberhitch/tasks/direct/canary_controller.py
+++ b/umberhitch/tasks/direct/canary_controller.py
@@ -21,22 +21,12 @@
 )
 from umberhitch.ports.clock import Clock
 from umberhitch.ports.direct import StatusPort, do_nothing
-from umberhitch.tasks.direct.canary_messages import (
-    decode_counts,
-    encode_counts,
-    make_report,
-    with_ages,
-)
+from umberhitch.tasks.direct.canary_messages import decode_counts, make_report, with_ages
+from umberhitch.tasks.direct.hand_over import HandOver
 from umberhitch.tasks.direct.recent_sessions import RecentBook, hash_fraction
 from umberhitch.tasks.direct.rollout_log import RolloutLog
 from umberhitch.tasks.direct.stored_states import FINAL_STATES, StoredRolloutStates
-from umberhitch.wire import (
-    CanaryReport,
-    CanaryUpdate,
-    EndedCounts,
-    RecentSessions,
-    RecoveryReply,
-)
+from umberhitch.wire import CanaryReport, CanaryUpdate
 
 __all__ = ["CanaryController"]
 
@@ -49,8 +39,6 @@
 MAX_MOVED_SESSIONS = 400
 """Maximum number of sessions in a report that moved to the new version during the load test. Each
 is reported until its session times out."""
-MAX_HANDED_OVER = 2000
-"""Maximum number of sessions of each kind for a process that has started; the newest are sent."""
 
 
 class CanaryController:
@@ -84,16 +72,14 @@
         """By service: when the exposure bound was last checked, and the share that it allows."""
         self._states = StoredRolloutStates(clock, status, self._apply_final_state)
         self._recent = RecentBook()
+        self.hand_over = HandOver(
+            clock, self._limits, self._canaries, self._recent, self._report, self.apply_reports
+        )
         self._is_stopped = False
         self.running_on_other_versions: Callable[[str, str], int] = lambda service, version: 0
         self.running_calls: Callable[[str], int] = lambda lifetime: 0
         self._on_update: Callable[[], None] = do_nothing
 
-    @property
-    def session_s(self) -> float:
-        """Longest pause in seconds between requests of one session."""
-        return self._limits.session_s
-
     def follow_peers(self, rank: Callable[[], int | None], on_update: Callable[[], None]) -> None:
         """Set the callbacks that connect this controller to the peers.
 
@@ -339,69 +325,6 @@
         stored_state = self._states.confirmed_state(canary.order.service)
         return make_report(canary, now_s, kept, moved, stored_state, self._states.epoch)
 
-    def hand_over(
-        self, process: tuple[str, int], is_complete: bool, live: set[str] | None = None
-    ) -> RecoveryReply:
-        """Return what a process that starts needs to know.
-
-        Parameters
-        ----------
-        process : tuple of (str, int)
-            Name and incarnation of this router.
-        is_complete : bool
-            Whether this router knows what has happened for as long as sessions last.
-        live : set of str or None
-            Processes that report their counts themselves. None for what this router alone knows,
-            as it leaves.
-        """
-        now_s, with_told = self._clock.seconds(), live is not None
-        canaries = []
-        for canary in self._canaries.values():
-            kept, moved = canary.sessions_to_hand_over(now_s, with_told)
-            report = self._report(canary, now_s, kept[-MAX_HANDED_OVER:], moved[-MAX_HANDED_OVER:])
-            canaries.append(report)
-        ended = [] if live is None else self._ended_counts(live)
-        return RecoveryReply(
-            *process, is_complete, canaries, ended, self._recent_sessions(now_s, with_told)
-        )
-
-    def _ended_counts(self, live: set[str]) -> list[EndedCounts]:
-        return [
-            EndedCounts(service, canary.order.target, process, encode_counts(counts))
-            for service, canary in self._canaries.items()
-            for process, counts in canary.router_counts().items()
-            if process not in live
-        ]
-
-    def _recent_sessions(self, now_s: float, with_told: bool) -> list[RecentSessions]:
-        limits = self._limits
-        found = self._recent.within(limits.canary_share, now_s - limits.session_s, with_told)
-        told = []
-        for service, sessions in found.items():
-            newest = list(sessions.items())[-MAX_HANDED_OVER:]
-            ages_s = [round(now_s - recent.at_s, 2) for _, recent in newest]
-            if newest:
-                told.append(RecentSessions(service, [name for name, _ in newest], ages_s))
-        return told
-
-    def apply_hand_over(self, reply: RecoveryReply, own_process: str) -> None:
-        """Apply what a peer knows."""
-        now_s = self._clock.seconds()
-        self.apply_reports(f"{reply.router}.{reply.incarnation}", reply.canaries)
-        for ended in reply.ended:
-            canary = self._canaries.get(ended.service)
-            if canary is None or canary.order.target != ended.target:
-                continue
-            if ended.process != own_process:
-                canary.set_router_counts(ended.process, decode_counts(ended.counts))
-        for recent in reply.recent:
-            canary = self._canaries.get(recent.service)
-            for session, age_s in with_ages(recent.sessions, recent.ages_s):
-                if canary is None:
-                    self._recent.note_told(recent.service, session, now_s - age_s)
-                else:
-                    canary.note_old_session(session, now_s - age_s, hash_fraction(session))
-
     def pop_updates(self) -> list[CanaryUpdate]:
         """Return the updates that have not been sent to the peers yet, and mark them as sent."""
         updates = []
--- a/umberhitch/tasks/direct/recovery.py
+++ b/umberhitch/tasks/direct/recovery.py
@@ -115,7 +115,7 @@
     def receive(self, reply: RecoveryReply) -> None:
         """Apply the reply or the last words of a peer, even if they were not asked for."""
         name, incarnation = self._process
-        self._controller.apply_hand_over(reply, f"{name}.{incarnation}")
+        self._controller.hand_over.apply(reply, f"{name}.{incarnation}")
         if reply.router in self._unanswered:
             self._unanswered.remove(reply.router)
         if reply.is_complete and not self._is_over:
@@ -130,13 +130,13 @@
         live : set of str
             Processes that report themselves.
         """
-        return self._controller.hand_over(self._process, self._knows_all(), live)
+        return self._controller.hand_over.make(self._process, self._knows_all(), live)
 
     def last_words(self) -> RecoveryReply:
         """Return what only this router knows."""
-        return self._controller.hand_over(self._process, False)
+        return self._controller.hand_over.make(self._process, False)
 
     def _knows_all(self) -> bool:
         """Whether this router has run for as long as sessions last, or was told."""
         ran_s = self._clock.seconds() - self._started_s
-        return self._is_complete or ran_s >= self._controller.session_s
+        return self._is_complete or ran_s >= self._controller.hand_over.session_s
