The balancer and operators are answered while a router holds all that it may

Test: test_the_balancer_and_operators_are_answered_beyond_the_bound; before, the connection had no such choice and answered 503.

--- a/umberhitch/adapters/h11_callers.py
+++ b/umberhitch/adapters/h11_callers.py
@@ -198,7 +198,7 @@
         if self._factory.refuses_all:
             self._refuse(503, LEAVING)
             return
-        if not self._factory.held.has_room_for_reply():
+        if not self._factory.has_room_for_reply():
             self._refuse(503, "no room for more answers")
             return
         received_s = self._first_byte_s
@@ -412,6 +412,9 @@
         The account of all that is held; None for one without a bound.
     gate : AcceptGate or None
         Decides which new connections are read; None if all are.
+    is_bounded : bool
+        Whether requests are refused while more is held than may be; those of the balancer and of
+        operators are not.
     """
 
     noisy = False
@@ -423,7 +426,9 @@
         max_held_bytes: int,
         held: HeldBytes | None = None,
         gate: AcceptGate | None = None,
+        is_bounded: bool = True,
     ) -> None:
+        self._is_bounded = is_bounded
         self.held = held or HeldBytes(clock)
         self.gate = gate
         self.clock = clock
@@ -451,6 +456,10 @@
         self.held_bytes += count
         return True
 
+    def has_room_for_reply(self) -> bool:
+        """Whether another request may be begun, whose caller may read slowly."""
+        return not self._is_bounded or self.held.has_room(0)
+
     def stages(self) -> Counter[ConnectionStage]:
         """Return the number of connections in each stage."""
         return Counter(connection.stage for connection in self.connections)
--- a/umberhitch/adapters/held_bytes.py
+++ b/umberhitch/adapters/held_bytes.py
@@ -162,10 +162,6 @@
         is_within = self.total_bytes + count <= BUFFER_SHARE * self.max_bytes
         return is_within or self.has_room(count + int((1.0 - BUFFER_SHARE) * self.max_bytes))
 
-    def has_room_for_reply(self) -> bool:
-        """Whether another request may be begun, whose caller may read slowly."""
-        return self.has_room(0)
-
     def note_waiting(self, waiting: WaitingBytes, count: int) -> None:
         """Count bytes that were written on a connection."""
         waiting.count += count
--- a/umberhitch/gateway_node.py
+++ b/umberhitch/gateway_node.py
@@ -110,7 +110,7 @@
 
     def stop(self) -> None:
         """Close every socket but those of callers, which get a final answer."""
-        log.info("stops", extra={"connections": self.callers.stages()})
+        log.info("stopping", extra={"connections": self.callers.stages()})
         self.callers.refuse_new()
         self.gateway.stop()
         self.callers.refuse_unanswered()
@@ -212,7 +212,7 @@
         }
 
     pages_handler = GatewayPages(gateway, transport, held, callers)
-    pages = CallerFactory(reactor, pages_handler, MIB, held)
+    pages = CallerFactory(reactor, pages_handler, MIB, held, is_bounded=False)
     ports = {
         "readiness": _listen(reactor, settings.listen.readiness, pages),
         "pages": _listen(reactor, settings.listen.pages, pages),
