--- a/review/kit-2/rig.py
+++ b/review/kit-2/rig.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -393,9 +394,16 @@
 
 
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a free port below those that the kernel gives to connections."""
+    for _ in range(200):
+        port = random.randint(10_000, 32_000)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
+    raise RuntimeError("no free port")
 
 
 class Router:
