--- a/review/kit-2/rig.py
+++ b/review/kit-2/rig.py
@@ -411,8 +411,6 @@
 
     def __init__(self, folder, store, name, zone="suva-a", memory_mb=150, bounds=None, terms=()):
         self.name, self._folder = name, Path(folder)
-        ports = [f"127.0.0.1:{free_port()}" for _ in range(4)]
-        self.callers, self.readiness, self.pages, self.link = ports
         self.settings = {
             "role": "gateway",
             "name": name,
@@ -422,12 +420,6 @@
             "drain_s": 8,
             "memory_mb": memory_mb,
             "link_mbps": 1000,
-            "listen": {
-                "callers": self.callers,
-                "readiness": self.readiness,
-                "pages": self.pages,
-                "link": self.link,
-            },
             "store": store.address,
             "terms": list(terms),
             "bounds": BOUNDS | (bounds or {}),
@@ -435,6 +427,18 @@
         self.process = None
 
     async def start(self):
+        """Start the process; with other ports if it doesn't come up, as one may have been taken."""
+        for _ in range(3):
+            if await self._try_start():
+                return self
+            await self.kill()
+        raise RuntimeError("a router did not become ready")
+
+    async def _try_start(self):
+        names = ("callers", "readiness", "pages", "link")
+        listen = {name: f"127.0.0.1:{free_port()}" for name in names}
+        self.callers, self.readiness = listen["callers"], listen["readiness"]
+        self.settings["listen"] = listen
         path = self._folder / f"{self.name}.json"
         path.write_text(json.dumps(self.settings))
         run = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["router"]["run"]
@@ -448,21 +452,21 @@
         self.process = await asyncio.create_subprocess_exec(
             *run.split(), cwd=ROOT, env=env, stdout=log, stderr=log
         )
-        until = time.monotonic() + 20
-        while time.monotonic() < until:
+        until = time.monotonic() + 10
+        while time.monotonic() < until and self.process.returncode is None:
             if await self.is_ready():
-                return self
+                return True
             await asyncio.sleep(0.05)
-        await self.kill()
-        raise RuntimeError("a router did not become ready")
+        return False
 
     async def is_ready(self):
         try:
             channel = await Channel(self.readiness).open()
-            answer = await channel.ask("/-/readyz", "", method="GET", key=None)
+            asked = channel.ask("/-/readyz", "", method="GET", key=None)
+            answer = await asyncio.wait_for(asked, 1.0)
             channel.close()
             return answer.status == 200
-        except OSError:
+        except (OSError, TimeoutError):
             return False
 
     def memory_mb(self):
